--- /dev/null
+++ b/cmd/linnetrudder/base.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"github.com/linnetrudder/linnetrudder/internal/kv"
+	"github.com/linnetrudder/linnetrudder/internal/node"
+	"github.com/linnetrudder/linnetrudder/internal/settings"
+	"github.com/linnetrudder/linnetrudder/internal/timeline"
+)
+
+// base is what both roles start from: checked settings, open listeners, the
+// log and a context that a signal ends.
+type base struct {
+	node            *node.Node
+	listener, admin net.Listener
+	http            *http.Client
+	ctx             context.Context
+	stop            context.CancelFunc
+}
+
+func newBase(path, role string, st *streams) (*base, error) {
+	se, err := settings.Load(path, role)
+	if err != nil {
+		return nil, err
+	}
+	level, err := zerolog.ParseLevel(se.LogLevel)
+	if err != nil {
+		return nil, eris.Wrap(err, "log_level")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	var lc net.ListenConfig
+	li, err := lc.Listen(ctx, "tcp", se.Listen)
+	if err != nil {
+		stop()
+		return nil, eris.Wrap(err, "listen")
+	}
+	ad, err := lc.Listen(ctx, "tcp", se.Admin)
+	if err != nil {
+		stop()
+		return nil, eris.Wrap(err, "admin")
+	}
+	return &base{
+		node: &node.Node{
+			Settings: se,
+			Log: zerolog.New(st.err).Level(level).With().Timestamp().
+				Str("box", se.Box).Str("data_centre", se.DataCentre).Logger(),
+			Ring: &timeline.Ring{Box: se.Box, DataCentre: se.DataCentre},
+		},
+		listener: li,
+		admin:    ad,
+		http:     &http.Client{},
+		ctx:      ctx,
+		stop:     stop,
+	}, nil
+}
+
+func (ba *base) store() *kv.Client {
+	pl := ba.node.Settings.Platform
+	return &kv.Client{
+		Address: pl.Store,
+		Token:   pl.Token,
+		Timeout: pl.Timeout(),
+		Limiter: rate.NewLimiter(rate.Limit(pl.CallsPerSecond), int(pl.CallsPerSecond)+1),
+		HTTP:    ba.http,
+	}
+}
--- /dev/null
+++ b/cmd/linnetrudderctl/root.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+	"github.com/rotisserie/eris"
+
+	"github.com/linnetrudder/linnetrudder/internal/result"
+)
+
+// The exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// root lists the commands; each has a file of its own.
+type root struct {
+	Admin    []string `help:"Admin addresses of entries, IP number and port; the first that answers serves." env:"LINNETRUDDER_ADMIN" required:""`
+	Key      string   `help:"Operator key." env:"LINNETRUDDER_KEY"`
+	Operator string   `help:"Name that is kept with a change." env:"LINNETRUDDER_OPERATOR" default:"operator"`
+	JSON     bool     `help:"Print JSON."`
+
+	Apply    applyCmd    `cmd:"" help:"Replace the configuration. Example: linnetrudderctl apply --base 7 fleet.jsonc"`
+	Get      getCmd      `cmd:"" help:"Print the configuration in force or a kept revision."`
+	Diff     diffCmd     `cmd:"" help:"Show what applying a file would change."`
+	History  historyCmd  `cmd:"" help:"List the newest changes."`
+	Versions versionsCmd `cmd:"" help:"List versions with their states and shares."`
+	Rollout  rolloutCmd  `cmd:"" help:"Set a version's share of new work. Example: linnetrudderctl rollout menu@v2 --share 0.1"`
+	Withdraw withdrawCmd `cmd:"" help:"Withdraw a version: it gets nothing new. Example: linnetrudderctl withdraw menu@v2"`
+	Status   statusCmd   `cmd:"" help:"Show which box has which revision in force."`
+	Bill     billCmd     `cmd:"" help:"Sum up the bills by team and version."`
+	Timeline timelineCmd `cmd:"" help:"Merge the time lines of all processes. Example: linnetrudderctl timeline --request ID"`
+	Explain  explainCmd  `cmd:"" help:"Show why a request would go where. Example: linnetrudderctl explain --team kitchen-a --model auto --kind menu"`
+}
+
+// printer writes a command's outcome.
+type printer struct {
+	out  io.Writer
+	json bool
+}
+
+// show prints a value as JSON, or hands over to the text form.
+func (pr *printer) show(value any, text func(w io.Writer)) error {
+	if !pr.json {
+		text(pr.out)
+		return nil
+	}
+	enc := json.NewEncoder(pr.out)
+	enc.SetIndent("", "  ")
+	return eris.Wrap(enc.Encode(value), "print")
+}
+
+// execute runs the command line and returns the exit code.
+func execute(args []string, out, errOut io.Writer) int {
+	var ro root
+	pa, err := kong.New(&ro, kong.Name("linnetrudderctl"),
+		kong.Description("Operate linnetrudder."), kong.Writers(out, errOut))
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	ct, err := pa.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	cl := &client{admins: ro.Admin, key: ro.Key, operator: ro.Operator}
+	if err := ct.Run(cl, &printer{out: out, json: ro.JSON}); err != nil {
+		report(errOut, err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func report(errOut io.Writer, err error) {
+	var er *result.Error
+	if errors.As(err, &er) {
+		fmt.Fprintf(errOut, "%d %s\n", er.Code(), er.Error())
+		return
+	}
+	fmt.Fprintln(errOut, err)
+}
--- /dev/null
+++ b/cmd/linnetrudderctl/status.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/linnetrudder/linnetrudder/internal/boxes"
+	"github.com/linnetrudder/linnetrudder/internal/node"
+)
+
+// statusCmd shows every box.
+type statusCmd struct{}
+
+// boxStatus is one box of the list and what it says of itself.
+type boxStatus struct {
+	Box        string     `json:"box"`
+	DataCentre string     `json:"data_centre"`
+	Role       boxes.Role `json:"role"`
+	Revision   uint64     `json:"revision"`
+	Stopping   bool       `json:"stopping"`
+	// Error is set if the box did not answer.
+	Error string `json:"error,omitempty"`
+}
+
+// Run asks each box.
+func (*statusCmd) Run(cl *client, pr *printer) error {
+	var all []boxStatus
+	err := cl.askAll("/v1/status", func() any { return &node.Status{} }, func(bo boxes.Box, value any, err error) {
+		bs := boxStatus{Box: bo.Name, DataCentre: bo.DataCentre, Role: bo.Role}
+		if st, ok := value.(*node.Status); ok && err == nil {
+			bs.Revision, bs.Stopping = st.Revision, st.Stopping
+		}
+		if err != nil {
+			bs.Error = err.Error()
+		}
+		all = append(all, bs)
+	})
+	if err != nil {
+		return err
+	}
+	return pr.show(all, func(w io.Writer) {
+		for _, bs := range all {
+			fmt.Fprintf(w, "%s\t%s\t%s\trevision %d\t%s\n", bs.Box, bs.DataCentre, bs.Role, bs.Revision, bs.Error)
+		}
+	})
+}
--- /dev/null
+++ b/cmd/linnetrudderctl/timeline.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/boxes"
+	"github.com/linnetrudder/linnetrudder/internal/timeline"
+)
+
+// timelineCmd merges time lines.
+type timelineCmd struct {
+	Request string        `help:"Only this request."`
+	Team    string        `help:"Only this team."`
+	Version string        `help:"Only this version."`
+	Last    time.Duration `help:"Only this long back from now."`
+}
+
+// Run asks each box and merges.
+func (cm *timelineCmd) Run(cl *client, pr *printer) error {
+	var lists [][]timeline.Entry
+	var silent []string
+	err := cl.askAll("/v1/timeline", func() any { return &[]timeline.Entry{} }, func(bo boxes.Box, value any, err error) {
+		list, ok := value.(*[]timeline.Entry)
+		if err != nil || !ok {
+			silent = append(silent, bo.Name)
+			return
+		}
+		lists = append(lists, *list)
+	})
+	if err != nil {
+		return err
+	}
+	all := slices.DeleteFunc(timeline.Merge(lists...), func(en timeline.Entry) bool { return !cm.wants(en, time.Now()) })
+	return pr.show(all, func(w io.Writer) {
+		for _, en := range all {
+			at := time.UnixMilli(en.Stamp.Wall).UTC().Format("15:04:05.000")
+			fmt.Fprintf(w, "%s+%d\t%s\t%s\t%d %s\t%s %s %s %s\n", at, en.Stamp.Count, en.DataCentre, en.Box,
+				en.Event, en.Name, en.Request, en.Team, en.Version, en.Detail)
+		}
+		for _, box := range silent {
+			fmt.Fprintf(w, "no answer from %s\n", box)
+		}
+	})
+}
+
+func (cm *timelineCmd) wants(en timeline.Entry, now time.Time) bool {
+	if cm.Last > 0 && en.Stamp.Wall < now.Add(-cm.Last).UnixMilli() {
+		return false
+	}
+	return (cm.Request == "" || en.Request == cm.Request) &&
+		(cm.Team == "" || en.Team == cm.Team) &&
+		(cm.Version == "" || en.Version == cm.Version)
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,385 @@
+// Package agent is the process beside one backend server: the only way to it
+// and the last check before work starts on it.
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+
+	"github.com/linnetrudder/linnetrudder/internal/bill"
+	"github.com/linnetrudder/linnetrudder/internal/claim"
+	"github.com/linnetrudder/linnetrudder/internal/config"
+	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/gate"
+	"github.com/linnetrudder/linnetrudder/internal/kv"
+	"github.com/linnetrudder/linnetrudder/internal/link"
+	"github.com/linnetrudder/linnetrudder/internal/metrics"
+	"github.com/linnetrudder/linnetrudder/internal/node"
+	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/timeline"
+	"github.com/linnetrudder/linnetrudder/internal/wire"
+)
+
+const (
+	// tickEvery bounds how late a deadline or a freeze is noticed.
+	tickEvery = 100 * time.Millisecond
+	// billsPerOffer bounds the lines of one frame.
+	billsPerOffer = 500
+	// billRepeat is the time after which lines are handed on again.
+	billRepeat = 20 * time.Second
+	// drainCheck is how often a planned stop looks whether all has ended.
+	drainCheck = 20 * time.Millisecond
+)
+
+// Store is what is used of the key-value service.
+type Store interface {
+	Get(ctx context.Context, key string) (kv.Pair, error)
+	List(ctx context.Context, prefix string) ([]kv.Pair, error)
+	Swap(ctx context.Context, key string, value []byte, index uint64) (bool, error)
+}
+
+// Agent runs beside one backend server. Its exported fields are set before
+// Run.
+type Agent struct {
+	Node *node.Node
+	// Links and Admin are the open listeners.
+	Links, Admin net.Listener
+	// HTTP calls the backend server.
+	HTTP *http.Client
+	// Store is the key-value service.
+	Store Store
+
+	// mu guards what follows. It may be taken while the node's lock is held,
+	// so nothing under it may call what takes the node's lock.
+	mu     sync.Mutex
+	gate   gate.Gate
+	ledger bill.Ledger
+	writer bill.Writer
+	// streams holds the attempts that wait or run.
+	streams map[gate.Key]*stream
+	// outcomes counts the ended attempts of each version.
+	outcomes map[string]*wire.Outcome
+	// logs holds the claim logs that this agent is home to, by shard.
+	logs map[int]*claim.Log
+	// wake has room for one word that a log may have something to do.
+	wake chan struct{}
+	// nonce is the newest question that confirms the configuration.
+	nonce uint64
+}
+
+// stream is an attempt that waits or runs.
+type stream struct {
+	li *link.Link
+	at *wire.Attempt
+	// cancel stops a run; it is nil while the attempt waits.
+	cancel context.CancelFunc
+}
+
+// Run serves until the context ends, and then ends all work in progress.
+func (ag *Agent) Run(ctx context.Context) error {
+	ag.prepare()
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	sup := node.NewSupervisor("agent", ag.Node)
+	sup.Add(node.Service{Name: "links", Serving: ag.serveLinks})
+	sup.Add(node.Service{Name: "admin", Serving: ag.serveAdmin})
+	sup.Add(node.Service{Name: "ticks", Serving: ag.tick})
+	sup.Add(node.Service{Name: "bills", Serving: ag.writeBills})
+	sup.Add(node.Service{Name: "claims", Serving: ag.serveClaims})
+	ended := sup.ServeBackground(work)
+	ag.Node.Note(timeline.Entry{Event: event.ProcessStarted, Detail: "agent of " + ag.Node.Settings.Server.Name})
+	select {
+	case err := <-ended:
+		return eris.Wrap(err, "agent")
+	case <-ctx.Done():
+	}
+	ag.drain()
+	ag.Node.Note(timeline.Entry{Event: event.ProcessStopped})
+	return nil
+}
+
+func (ag *Agent) prepare() {
+	se := ag.Node.Settings
+	ag.gate = gate.Gate{Server: se.Server.Name, Queue: se.Limits.Queue}
+	ag.ledger = bill.Ledger{Bound: se.Limits.Bills, Grace: ownGrace, Every: billRepeat}
+	ag.writer = bill.Writer{Flush: se.Limits.BillFlush(), Bound: se.Limits.Bills}
+	ag.streams = map[gate.Key]*stream{}
+	ag.logs = map[int]*claim.Log{}
+	ag.wake = make(chan struct{}, 1)
+	ag.outcomes = map[string]*wire.Outcome{}
+	ag.Node.Adopted = ag.adopted
+}
+
+func (ag *Agent) serveLinks(ctx context.Context) error {
+	ro := mux.NewRouter()
+	ro.HandleFunc(link.Path, func(w http.ResponseWriter, r *http.Request) { ag.accept(ctx, w, r) })
+	return node.ServeHTTP(ctx, ag.Links, ro, 0)
+}
+
+func (ag *Agent) serveAdmin(ctx context.Context) error {
+	return node.ServeHTTP(ctx, ag.Admin, ag.Node.AdminRouter(), time.Second)
+}
+
+// accept serves one link until it ends.
+func (ag *Agent) accept(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+	li, err := link.Accept(w, r, ag.Node.Identity(), time.Now())
+	if err != nil {
+		ag.Node.Note(timeline.Entry{Event: event.LinkRefused, Detail: err.Error()})
+		return
+	}
+	li.Handler = ag
+	li.Heartbeat = ag.Node.Settings.Limits.Heartbeat()
+	ag.Node.LinkUp(li)
+	ag.tellPeers()
+	ag.question(li)
+	li.Send(ag.Beat(li))
+	err = li.Run(ctx)
+	ag.cutStreams(li)
+	ag.Node.LinkDown(li, err)
+	ag.tellPeers()
+}
+
+// tellPeers tells every entry which entries are connected here.
+func (ag *Agent) tellPeers() {
+	links := ag.Node.Links()
+	boxes := make([]string, 0, len(links))
+	for _, li := range links {
+		boxes = append(boxes, li.Peer.Box())
+	}
+	for _, li := range links {
+		li.Send(&wire.Frame{Kind: wire.Peers, Peers: boxes})
+	}
+}
+
+// question asks a peer for its revision, so that the answer is younger than
+// any freeze of this process.
+func (ag *Agent) question(li *link.Link) {
+	ag.mu.Lock()
+	if ag.nonce == 0 {
+		ag.nonce = rand.Uint64() | 1
+	}
+	nonce := ag.nonce
+	ag.mu.Unlock()
+	li.Send(&wire.Frame{Kind: wire.Want, Revision: ag.Node.Snapshot().Revision(), Nonce: nonce})
+}
+
+// Beat returns the heartbeat for an entry.
+func (ag *Agent) Beat(*link.Link) *wire.Frame {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	lo := ag.load()
+	for _, ou := range ag.outcomes {
+		lo.Versions = append(lo.Versions, *ou)
+	}
+	return &wire.Frame{Kind: wire.Beat, Revision: ag.gate.Revision(), Load: &lo}
+}
+
+// load returns the load; the lock is held.
+func (ag *Agent) load() wire.Load {
+	lo := ag.gate.Load()
+	lo.Leaving = lo.Leaving || ag.Node.Stopping()
+	return lo
+}
+
+// Frame takes a frame from an entry.
+func (ag *Agent) Frame(li *link.Link, fr *wire.Frame) {
+	if ag.Node.Control(li, fr) {
+		ag.confirm(fr)
+		return
+	}
+	switch fr.Kind {
+	case wire.Open:
+		ag.open(li, fr)
+	case wire.Cancel:
+		ag.cancel(gate.Key{Peer: li.Peer.Box(), Stream: fr.Stream})
+	case wire.Claim:
+		ag.takeClaims(li, fr.Claims)
+	case wire.Bill:
+		ag.mu.Lock()
+		ag.writer.Take(li.Peer.Box(), fr.Bills, time.Now())
+		ag.mu.Unlock()
+	case wire.Billed:
+		ag.mu.Lock()
+		ag.ledger.Durable(fr.Bills)
+		ag.mu.Unlock()
+	}
+}
+
+// confirm takes the answer to the newest question.
+func (ag *Agent) confirm(fr *wire.Frame) {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	if fr.Kind != wire.Offer || fr.Nonce == 0 || fr.Nonce != ag.nonce {
+		return
+	}
+	ag.act(ag.gate.Confirm(fr.Revision, time.Now()))
+	if ag.gate.Confirmed() {
+		ag.nonce = 0
+	}
+}
+
+// adopted takes a revision into force; the node's lock is held.
+func (ag *Agent) adopted(sn *config.Snapshot) {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	ag.act(ag.gate.Reconfigure(sn, time.Now()))
+}
+
+func (ag *Agent) open(li *link.Link, fr *wire.Frame) {
+	key := gate.Key{Peer: li.Peer.Box(), Stream: fr.Stream}
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	ag.streams[key] = &stream{li: li, at: fr.Open}
+	if ag.ledger.Full() {
+		ag.refuse(key, fr.Open, result.BillsFull, 0)
+		return
+	}
+	ag.act(ag.gate.Open(key, fr.Open, time.Now()))
+}
+
+// act carries out the gate's decisions; the lock is held.
+func (ag *Agent) act(acs []gate.Action) {
+	for _, ac := range acs {
+		if ac.Do() == gate.Refuse {
+			ag.refuse(ac.Key(), ac.Attempt(), ac.Code(), ac.RetryAfter())
+			continue
+		}
+		ag.start(ac.Key(), ac.Attempt())
+	}
+}
+
+func (ag *Agent) refuse(key gate.Key, at *wire.Attempt, co result.Code, after time.Duration) {
+	st := ag.streams[key]
+	delete(ag.streams, key)
+	lo := ag.load()
+	st.li.Send(&wire.Frame{
+		Kind: wire.Verdict, Stream: key.Stream, Code: co, RetryAfterMS: after.Milliseconds(),
+		Load: &lo, Revision: ag.gate.Revision(), Stamp: ag.Node.Stamp(),
+	})
+	metrics.Attempts.Add(result.Of(co).Name(), 1)
+	ag.Node.Note(timeline.Entry{
+		Event: event.AttemptRefused, Request: at.Request, Team: at.Team, Version: at.Version,
+		Detail: result.Of(co).Name(),
+	})
+}
+
+func (ag *Agent) start(key gate.Key, at *wire.Attempt) {
+	st := ag.streams[key]
+	ctx, cancel := context.WithCancel(context.Background())
+	st.cancel = cancel
+	lo := ag.load()
+	st.li.Send(&wire.Frame{
+		Kind: wire.Verdict, Stream: key.Stream, Code: result.OK,
+		Load: &lo, Revision: ag.gate.Revision(), Stamp: ag.Node.Stamp(),
+	})
+	ag.Node.Note(timeline.Entry{Event: event.AttemptAdmitted, Request: at.Request, Team: at.Team, Version: at.Version})
+	ru := &run{ag: ag, li: st.li, key: key, at: at}
+	go func() {
+		defer cancel()
+		ru.do(ctx)
+	}()
+}
+
+// cancel stops an attempt that waits or runs.
+func (ag *Agent) cancel(key gate.Key) {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	st := ag.streams[key]
+	if st == nil {
+		return
+	}
+	if ag.gate.Cancel(key, time.Now()) {
+		delete(ag.streams, key)
+	}
+	if st.cancel != nil {
+		st.cancel()
+	}
+	ag.Node.Note(timeline.Entry{Event: event.AttemptCancelled, Request: st.at.Request, Version: st.at.Version})
+}
+
+// cutStreams stops the attempts of a lost link, but for those that run and
+// may not be repeated.
+func (ag *Agent) cutStreams(li *link.Link) {
+	ag.mu.Lock()
+	ag.ledger.Hurry(time.Now())
+	var cut []gate.Key
+	for key, st := range ag.streams {
+		if st.li == li && (st.cancel == nil || !st.at.Once) {
+			cut = append(cut, key)
+		}
+	}
+	ag.mu.Unlock()
+	for _, key := range cut {
+		ag.cancel(key)
+	}
+}
+
+// count notes an outcome; the lock is held.
+func (ag *Agent) count(version string, co result.Code) {
+	ou := ag.outcomes[version]
+	if ou == nil {
+		ou = &wire.Outcome{Version: version}
+		ag.outcomes[version] = ou
+	}
+	ou.Started++
+	if co == result.ServerFailed {
+		ou.Failed++
+	}
+}
+
+// tick refuses what is too late, notices a freeze and hands bills on.
+func (ag *Agent) tick(ctx context.Context) error {
+	ti := time.NewTicker(tickEvery)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ti.C:
+			ag.Node.Tick(now)
+			ag.mu.Lock()
+			ag.act(ag.gate.Tick(now))
+			confirmed := ag.gate.Confirmed()
+			ag.mu.Unlock()
+			if !confirmed {
+				ag.questionAll()
+			}
+			ag.offerBills(now)
+		}
+	}
+}
+
+func (ag *Agent) questionAll() {
+	for _, li := range ag.Node.Links() {
+		ag.question(li)
+	}
+}
+
+// drain ends all work in progress and hands the bills on.
+func (ag *Agent) drain() {
+	ag.Node.Stop()
+	ag.mu.Lock()
+	ag.ledger.Hurry(time.Now())
+	ag.act(ag.gate.Leave(time.Now()))
+	ag.mu.Unlock()
+	for _, li := range ag.Node.Links() {
+		li.Send(ag.Beat(li))
+	}
+	until := time.Now().Add(ag.Node.Settings.Limits.Stop())
+	for !ag.drained() && time.Now().Before(until) {
+		time.Sleep(drainCheck)
+	}
+}
+
+func (ag *Agent) drained() bool {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	return ag.gate.Idle() && len(ag.streams) == 0 && ag.ledger.Len() == 0 && ag.writer.Idle()
+}
--- /dev/null
+++ b/internal/bill/document.go
@@ -0,0 +1,103 @@
+// Package bill makes sure that each request is billed exactly once by boxes
+// that keep nothing. A line's place in the key-value service follows from its
+// request id alone, so any process may write any line, and compare-and-swap
+// removes doubles. It does no I/O and reads no clock.
+package bill
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/linnetrudder/linnetrudder/internal/wire"
+)
+
+// Prefix is where the documents live in the key-value service.
+const Prefix = "linnetrudder/bills/"
+
+const (
+	// window is the span of request times that share documents.
+	window = 10 * time.Second
+	// shards is how many documents one data centre's window has.
+	shards = 4
+)
+
+// NewRequestID returns an id that names the data centre and time of a
+// request, which place its bill.
+func NewRequestID(dataCentre string) string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		id = uuid.New()
+	}
+	return dataCentre + "." + id.String()
+}
+
+// DocumentKey returns the key of the document that holds a request's lines.
+func DocumentKey(request string) (string, error) {
+	dot := strings.LastIndexByte(request, '.')
+	if dot < 0 {
+		return "", eris.Errorf("request id %q names no data centre", request)
+	}
+	id, err := uuid.Parse(request[dot+1:])
+	if err != nil {
+		return "", eris.Wrapf(err, "request id %q", request)
+	}
+	sec, nsec := id.Time().UnixTime()
+	win := time.Unix(sec, nsec).UnixMilli() / window.Milliseconds()
+	shard := xxhash.Sum64String(request) % shards
+	return fmt.Sprintf("%s%s/%d/%d", Prefix, request[:dot], win, shard), nil
+}
+
+// lineKey is what is unique about a line.
+type lineKey struct {
+	request string
+	step    int
+}
+
+func keyOf(li *wire.BillLine) lineKey { return lineKey{li.Request, li.Step} }
+
+// Merge adds lines to a document. Of two lines for the same step of the same
+// request the one that is there stays. It reports whether anything was added.
+func Merge(doc, lines []wire.BillLine) ([]wire.BillLine, bool) {
+	have := make(map[lineKey]bool, len(doc)+len(lines))
+	for i := range doc {
+		have[keyOf(&doc[i])] = true
+	}
+	added := false
+	for i := range lines {
+		if key := keyOf(&lines[i]); !have[key] {
+			have[key] = true
+			doc = append(doc, lines[i])
+			added = true
+		}
+	}
+	return doc, added
+}
+
+// Decode reads a document; nothing reads as an empty one.
+func Decode(value []byte) ([]wire.BillLine, error) {
+	if len(value) == 0 {
+		return nil, nil
+	}
+	var doc []wire.BillLine
+	if err := json.Unmarshal(value, &doc); err != nil {
+		return nil, eris.Wrap(err, "bill document")
+	}
+	return doc, nil
+}
+
+// Encode writes a document in a stable order.
+func Encode(doc []wire.BillLine) ([]byte, error) {
+	slices.SortFunc(doc, func(a, b wire.BillLine) int {
+		return cmp.Or(cmp.Compare(a.Request, b.Request), cmp.Compare(a.Step, b.Step))
+	})
+	value, err := json.Marshal(doc)
+	return value, eris.Wrap(err, "bill document")
+}
--- /dev/null
+++ b/internal/bill/ledger.go
@@ -0,0 +1,80 @@
+package bill
+
+import (
+	"slices"
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/wire"
+)
+
+// held is a line that is not known to be durable.
+type held struct {
+	line wire.BillLine
+	// next is when it is handed on, for the first time or again.
+	next time.Time
+}
+
+// Ledger holds lines until they are known to be durable. Both the entry and
+// the agent of a request hold its lines, so that the loss of one box loses
+// nothing. Its exported fields are set before use; it is not safe for
+// concurrent use.
+type Ledger struct {
+	// Bound is how many lines are held; new work is refused beyond it.
+	Bound int
+	// Grace is how long a new line stays before it is handed on.
+	Grace time.Duration
+	// Every is the time after which a line is handed on again.
+	Every time.Duration
+
+	// lines holds each line once, in any order.
+	lines map[lineKey]*held
+}
+
+// Add holds a line.
+func (le *Ledger) Add(li wire.BillLine, now time.Time) {
+	if le.lines == nil {
+		le.lines = map[lineKey]*held{}
+	}
+	key := keyOf(&li)
+	if le.lines[key] == nil {
+		le.lines[key] = &held{line: li, next: now.Add(le.Grace)}
+	}
+}
+
+// Full reports whether work that would add a line must be refused.
+func (le *Ledger) Full() bool { return len(le.lines) >= le.Bound }
+
+// Len returns how many lines are held.
+func (le *Ledger) Len() int { return len(le.lines) }
+
+// Hurry makes every line due, because the process stops or has lost the peer
+// that would have handed them on.
+func (le *Ledger) Hurry(now time.Time) {
+	for _, he := range le.lines {
+		he.next = now
+	}
+}
+
+// Due returns at most limit lines that must be handed on now, and notes that
+// they are.
+func (le *Ledger) Due(limit int, now time.Time) []wire.BillLine {
+	var due []wire.BillLine
+	for _, he := range le.lines {
+		if len(due) == limit {
+			break
+		}
+		if !now.Before(he.next) {
+			he.next = now.Add(le.Every)
+			due = append(due, he.line)
+		}
+	}
+	slices.SortFunc(due, func(a, b wire.BillLine) int { return compareLines(&a, &b) })
+	return due
+}
+
+// Durable forgets lines that are known to be written, by request and step.
+func (le *Ledger) Durable(lines []wire.BillLine) {
+	for i := range lines {
+		delete(le.lines, keyOf(&lines[i]))
+	}
+}
--- /dev/null
+++ b/internal/bill/writer.go
@@ -0,0 +1,125 @@
+package bill
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/wire"
+)
+
+func compareLines(a, b *wire.BillLine) int {
+	return cmp.Or(cmp.Compare(a.Request, b.Request), cmp.Compare(a.Step, b.Step))
+}
+
+// Write is one document that must be merged into the store.
+type Write struct {
+	key   string
+	lines []wire.BillLine
+}
+
+// Key returns the document's key.
+func (wr Write) Key() string { return wr.key }
+
+// Lines returns what must be in the document afterwards.
+func (wr Write) Lines() []wire.BillLine { return wr.lines }
+
+// Ack tells a peer that its lines are durable.
+type Ack struct {
+	peer  string
+	lines []wire.BillLine
+}
+
+// Peer returns whom to tell.
+func (ac Ack) Peer() string { return ac.peer }
+
+// Lines returns the durable lines.
+func (ac Ack) Lines() []wire.BillLine { return ac.lines }
+
+// batch is what waits for one document.
+type batch struct {
+	lines []wire.BillLine
+	// owners holds, for each peer, the lines that it handed on.
+	owners map[string][]wire.BillLine
+	// since is when the first of the lines came.
+	since time.Time
+}
+
+// Writer gathers the lines of many peers into few writes. Its exported fields
+// are set before use; it is not safe for concurrent use.
+type Writer struct {
+	// Flush is how long the first line of a batch waits for more.
+	Flush time.Duration
+	// Bound is how many lines wait; more are dropped, and their holders hand
+	// them on again later.
+	Bound int
+
+	waiting map[string]*batch
+	// writing is the batch under way for each document.
+	writing map[string]*batch
+	size    int
+}
+
+// Take accepts lines from a peer. Lines whose request id is malformed are
+// dropped; no peer of ours makes such.
+func (wr *Writer) Take(peer string, lines []wire.BillLine, now time.Time) {
+	if wr.waiting == nil {
+		wr.waiting = map[string]*batch{}
+		wr.writing = map[string]*batch{}
+	}
+	for _, li := range lines {
+		key, err := DocumentKey(li.Request)
+		if err != nil || wr.size >= wr.Bound {
+			continue
+		}
+		ba := wr.waiting[key]
+		if ba == nil {
+			ba = &batch{owners: map[string][]wire.BillLine{}, since: now}
+			wr.waiting[key] = ba
+		}
+		ba.lines = append(ba.lines, li)
+		ba.owners[peer] = append(ba.owners[peer], li)
+		wr.size++
+	}
+}
+
+// Due returns the oldest document whose batch has waited long enough and that
+// is not being written already.
+func (wr *Writer) Due(now time.Time, all bool) (Write, bool) {
+	for _, key := range slices.Sorted(maps.Keys(wr.waiting)) {
+		ba := wr.waiting[key]
+		if wr.writing[key] != nil || !all && now.Sub(ba.since) < wr.Flush {
+			continue
+		}
+		delete(wr.waiting, key)
+		wr.writing[key] = ba
+		return Write{key: key, lines: ba.lines}, true
+	}
+	return Write{}, false
+}
+
+// Written takes the outcome of a write. If it failed the lines wait again;
+// otherwise the peers that handed them on are told.
+func (wr *Writer) Written(key string, ok bool, now time.Time) []Ack {
+	ba := wr.writing[key]
+	if ba == nil {
+		return nil
+	}
+	delete(wr.writing, key)
+	wr.size -= len(ba.lines)
+	if !ok {
+		for _, peer := range slices.Sorted(maps.Keys(ba.owners)) {
+			wr.Take(peer, ba.owners[peer], now)
+		}
+		return nil
+	}
+	var acs []Ack
+	for _, peer := range slices.Sorted(maps.Keys(ba.owners)) {
+		acs = append(acs, Ack{peer: peer, lines: ba.owners[peer]})
+	}
+	return acs
+}
+
+// Idle reports whether nothing waits or is being written.
+func (wr *Writer) Idle() bool { return wr.size == 0 }
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,254 @@
+// Package entry is the process that callers reach: it knows teams and
+// versions, chooses where each request goes, and gives the caller one whole
+// answer or one final code.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/linnetrudder/linnetrudder/internal/balance"
+	"github.com/linnetrudder/linnetrudder/internal/bill"
+	"github.com/linnetrudder/linnetrudder/internal/boxes"
+	"github.com/linnetrudder/linnetrudder/internal/budget"
+	"github.com/linnetrudder/linnetrudder/internal/choice"
+	"github.com/linnetrudder/linnetrudder/internal/claim"
+	"github.com/linnetrudder/linnetrudder/internal/config"
+	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/kv"
+	"github.com/linnetrudder/linnetrudder/internal/link"
+	"github.com/linnetrudder/linnetrudder/internal/member"
+	"github.com/linnetrudder/linnetrudder/internal/node"
+	"github.com/linnetrudder/linnetrudder/internal/timeline"
+	"github.com/linnetrudder/linnetrudder/internal/wire"
+)
+
+const (
+	// tickEvery is how often bills and unanswered questions are looked at.
+	tickEvery = 500 * time.Millisecond
+	// billRepeat is the time after which lines are handed on again.
+	billRepeat = 20 * time.Second
+	// drainCheck is how often a planned stop looks whether all has ended.
+	drainCheck = 20 * time.Millisecond
+)
+
+// Store is what is used of the key-value service.
+type Store interface {
+	Get(ctx context.Context, key string) (kv.Pair, error)
+	Watch(ctx context.Context, key string, after uint64, wait time.Duration) (kv.Pair, uint64, error)
+	List(ctx context.Context, prefix string) ([]kv.Pair, error)
+	Swap(ctx context.Context, key string, value []byte, index uint64) (bool, error)
+}
+
+// Lister reads the platform's list of boxes.
+type Lister interface {
+	List(ctx context.Context) ([]boxes.Box, error)
+}
+
+// Entry serves callers. Its exported fields are set before Run.
+type Entry struct {
+	Node *node.Node
+	// Callers and Admin are the open listeners.
+	Callers, Admin net.Listener
+	Store          Store
+	Boxes          Lister
+
+	// supervisor holds a dialer for each agent.
+	supervisor *suture.Supervisor
+	// streams numbers the attempts of this process.
+	streams atomic.Uint64
+
+	// mu guards what follows. It may be taken while the node's lock is held,
+	// so nothing under it may call what takes the node's lock.
+	mu     sync.Mutex
+	board  balance.Board
+	view   member.View
+	budget budget.Budget
+	ledger bill.Ledger
+	// dialers holds the supervised dialer of each agent, by box.
+	dialers map[string]dialer
+	// serverOf and boxOf map an agent's box to its backend server and back.
+	serverOf, boxOf map[string]string
+	// flights holds the request that waits for each attempt's frames.
+	flights map[uint64]*ticket
+	// estimates is what has been learnt of the versions.
+	estimates choice.Estimates
+	// pins remembers the versions of sessions seen here; turned is when its
+	// newest generation began.
+	pins   pinCache
+	turned time.Time
+	// claims holds the requests that wait for a claim, by key.
+	claims map[string][]chan wire.ClaimLine
+	// homesOf ranks the agents for each claim log.
+	homesOf [claim.Shards][]string
+	// inProgress counts the callers' requests.
+	inProgress int
+}
+
+// Run serves until the context ends, and then ends all work in progress.
+func (en *Entry) Run(ctx context.Context) error {
+	en.prepare()
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	en.supervisor = node.NewSupervisor("entry", en.Node)
+	en.supervisor.Add(node.Service{Name: "callers", Serving: en.serveCallers(ctx)})
+	en.supervisor.Add(node.Service{Name: "admin", Serving: en.serveAdmin})
+	en.supervisor.Add(node.Service{Name: "boxes", Serving: en.followBoxes})
+	en.supervisor.Add(node.Service{Name: "watch", Serving: en.watchStore})
+	en.supervisor.Add(node.Service{Name: "ticks", Serving: en.tick})
+	ended := en.supervisor.ServeBackground(work)
+	en.Node.Note(timeline.Entry{Event: event.ProcessStarted, Detail: "entry"})
+	select {
+	case err := <-ended:
+		return eris.Wrap(err, "entry")
+	case <-ctx.Done():
+	}
+	en.drain()
+	en.Node.Note(timeline.Entry{Event: event.ProcessStopped})
+	return nil
+}
+
+func (en *Entry) prepare() {
+	se := en.Node.Settings
+	en.board = balance.Board{DataCentre: se.DataCentre}
+	en.view = member.View{Self: se.Box}
+	en.budget = budget.Budget{Ratio: se.Limits.RetryRatio}
+	en.ledger = bill.Ledger{Bound: se.Limits.Bills, Every: billRepeat}
+	en.dialers = map[string]dialer{}
+	en.serverOf = map[string]string{}
+	en.boxOf = map[string]string{}
+	en.flights = map[uint64]*ticket{}
+	en.estimates = choice.Prior{}
+	en.claims = map[string][]chan wire.ClaimLine{}
+	en.Node.Adopted = en.adopted
+}
+
+// serveCallers stops taking requests when the process is to stop, and lets
+// those in progress end.
+func (en *Entry) serveCallers(stop context.Context) func(context.Context) error {
+	return func(context.Context) error {
+		err := node.ServeHTTP(stop, en.Callers, en.callerRouter(), en.Node.Settings.Limits.Stop())
+		if stop.Err() != nil {
+			return suture.ErrDoNotRestart
+		}
+		return err
+	}
+}
+
+func (en *Entry) serveAdmin(ctx context.Context) error {
+	return node.ServeHTTP(ctx, en.Admin, en.adminRouter(), time.Second)
+}
+
+// adopted takes a revision into force; the node's lock is held.
+func (en *Entry) adopted(sn *config.Snapshot) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.board.Reconfigure(sn)
+}
+
+// Beat returns the heartbeat for an agent.
+func (en *Entry) Beat(*link.Link) *wire.Frame {
+	return &wire.Frame{Kind: wire.Beat, Revision: en.Node.Snapshot().Revision()}
+}
+
+// Frame takes a frame from an agent.
+func (en *Entry) Frame(li *link.Link, fr *wire.Frame) {
+	if en.Node.Control(li, fr) {
+		return
+	}
+	if fr.Load != nil {
+		en.mu.Lock()
+		en.board.Load(en.serverOf[li.Peer.Box()], *fr.Load)
+		en.mu.Unlock()
+	}
+	switch fr.Kind {
+	case wire.Verdict, wire.Head, wire.Data, wire.End:
+		en.deliver(li, fr)
+	case wire.Peers:
+		en.mu.Lock()
+		en.view.Peers(li.Peer.Box(), fr.Peers)
+		en.mu.Unlock()
+	case wire.Bill:
+		en.hold(fr.Bills)
+	case wire.Billed:
+		en.billed(fr.Bills)
+	case wire.Claimed:
+		en.claimed(fr.Claims)
+	}
+}
+
+// tick hands bills on and asks again for what was not answered.
+func (en *Entry) tick(ctx context.Context) error {
+	ti := time.NewTicker(tickEvery)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ti.C:
+			en.Node.Tick(now)
+			en.offerBills(now)
+			en.turnPins(now)
+		}
+	}
+}
+
+func (en *Entry) turnPins(now time.Time) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if now.Sub(en.turned) >= pinTurn {
+		en.turned = now
+		en.pins.turn()
+	}
+}
+
+// drain lets requests in progress end and hands their bills on.
+func (en *Entry) drain() {
+	en.Node.Stop()
+	until := time.Now().Add(en.Node.Settings.Limits.Stop())
+	for !en.drained() && time.Now().Before(until) {
+		en.offerBills(time.Now())
+		time.Sleep(drainCheck)
+	}
+}
+
+func (en *Entry) drained() bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.inProgress == 0 && en.ledger.Len() == 0
+}
+
+// pick is the route's view of the board.
+type pick struct{ en *Entry }
+
+// Pick returns a server that was not tried yet.
+func (pi pick) Pick(what string, tried []string) (string, bool) {
+	pi.en.mu.Lock()
+	defer pi.en.mu.Unlock()
+	server, ok := pi.en.board.Pick(what, tried, rand.Uint64())
+	if ok {
+		pi.en.board.Sent(server)
+	}
+	return server, ok
+}
+
+// Take takes one retry from the process's budget.
+func (pi pick) Take(now time.Time) bool {
+	pi.en.mu.Lock()
+	defer pi.en.mu.Unlock()
+	return pi.en.budget.Take(now)
+}
+
+// Has reports whether any usable server holds the version.
+func (pi pick) Has(version string) bool {
+	pi.en.mu.Lock()
+	defer pi.en.mu.Unlock()
+	return pi.en.board.Has(version)
+}
--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,249 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/linnetrudder/linnetrudder/internal/config"
+	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/selector"
+	"github.com/linnetrudder/linnetrudder/internal/wire"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// document has two teams, of which only the first may use m@v2.
+func document(state config.State, slots int) *config.Document {
+	return &config.Document{
+		Models: []config.Model{{Name: "m"}},
+		Versions: []config.Version{
+			{Model: "m", Name: "v1", State: config.Serving},
+			{Model: "m", Name: "v2", State: state, Labels: selector.Labels{"stage": "new"}},
+		},
+		Servers: []config.Server{{Name: "s", DataCentre: "dc", Versions: []string{"m@v1", "m@v2"}, Slots: slots}},
+		Teams:   []config.Team{{Name: "one"}, {Name: "two"}},
+		Grants: []config.Grant{
+			{Teams: selector.Selector{Equal: map[string]string{"team": "one"}}, Versions: &selector.Selector{}},
+			{
+				Teams:    selector.Selector{Equal: map[string]string{"team": "two"}},
+				Versions: &selector.Selector{Not: &selector.Selector{Equal: map[string]string{"stage": "new"}}},
+			},
+		},
+	}
+}
+
+func newGate(t require.TestingT, revision uint64, state config.State, slots int) *Gate {
+	doc := document(state, slots)
+	require.NoError(t, doc.Check())
+	ga := &Gate{Server: "s", Queue: 4}
+	ga.Reconfigure(config.Compile(revision, doc), start)
+	ga.Confirm(revision, start)
+	return ga
+}
+
+func attempt(team, version string) *wire.Attempt {
+	return &wire.Attempt{Team: team, Version: version, WaitMS: 1000}
+}
+
+func open(ga *Gate, stream uint64, at *wire.Attempt, now time.Time) []Action {
+	return ga.Open(Key{Peer: "entry", Stream: stream}, at, now)
+}
+
+func TestOpenStartsOnlyWhatIsAllowed(t *testing.T) {
+	for _, tc := range []struct {
+		team, version string
+		inSession     bool
+		state         config.State
+		want          result.Code
+	}{
+		{"one", "m@v2", false, config.Serving, result.OK},
+		{"two", "m@v2", false, config.Serving, result.VersionNotAllowed},
+		{"three", "m@v1", false, config.Serving, result.VersionNotAllowed},
+		{"one", "m@v9", false, config.Serving, result.VersionNotHere},
+		{"one", "m@v2", false, config.RollingIn, result.OK},
+		{"one", "m@v2", false, config.RollingOut, result.VersionNoNewWork},
+		{"one", "m@v2", true, config.RollingOut, result.OK},
+		{"one", "m@v2", false, config.Withdrawn, result.VersionWithdrawn},
+		{"one", "m@v2", true, config.Withdrawn, result.VersionWithdrawn},
+	} {
+		ga := newGate(t, 1, tc.state, 1)
+		at := attempt(tc.team, tc.version)
+		at.InSession = tc.inSession
+		acs := open(ga, 1, at, start)
+		require.Len(t, acs, 1)
+		require.Equal(t, tc.want, acs[0].Code(), "%+v", tc)
+	}
+}
+
+func TestWithdrawalReachesWhatWaits(t *testing.T) {
+	ga := newGate(t, 1, config.Serving, 1)
+	require.Equal(t, Start, open(ga, 1, attempt("one", "m@v2"), start)[0].Do())
+	require.Empty(t, open(ga, 2, attempt("one", "m@v2"), start))
+	doc := document(config.Withdrawn, 1)
+	acs := ga.Reconfigure(config.Compile(2, doc), start.Add(time.Millisecond))
+	require.Len(t, acs, 1)
+	require.Equal(t, result.VersionWithdrawn, acs[0].Code())
+	require.Equal(t, uint64(2), acs[0].Key().Stream)
+}
+
+func TestReconfigureNeverGoesBack(t *testing.T) {
+	ga := newGate(t, 5, config.Withdrawn, 1)
+	ga.Reconfigure(config.Compile(4, document(config.Serving, 1)), start)
+	require.Equal(t, uint64(5), ga.Revision())
+	require.Equal(t, result.VersionWithdrawn, open(ga, 1, attempt("one", "m@v2"), start)[0].Code())
+}
+
+func TestAfterAFreezeNothingStartsUntilAPeerConfirms(t *testing.T) {
+	ga := newGate(t, 1, config.Serving, 1)
+	woken := start.Add(time.Minute)
+	acs := open(ga, 1, attempt("one", "m@v2"), woken)
+	require.Equal(t, result.NoConfiguration, acs[0].Code())
+	require.Empty(t, ga.Confirm(2, woken), "a peer that holds more confirms nothing")
+	require.Equal(t, result.NoConfiguration, open(ga, 2, attempt("one", "m@v2"), woken)[0].Code())
+	ga.Reconfigure(config.Compile(2, document(config.Withdrawn, 1)), woken)
+	ga.Confirm(2, woken)
+	require.Equal(t, result.VersionWithdrawn, open(ga, 3, attempt("one", "m@v2"), woken)[0].Code())
+	require.Equal(t, Start, open(ga, 4, attempt("one", "m@v1"), woken)[0].Do())
+}
+
+func TestWaitingIsRefusedAtItsDeadline(t *testing.T) {
+	ga := newGate(t, 1, config.Serving, 1)
+	open(ga, 1, attempt("one", "m@v1"), start)
+	open(ga, 2, attempt("one", "m@v1"), start)
+	require.Empty(t, ga.Tick(start.Add(time.Second)))
+	acs := ga.Tick(start.Add(1001 * time.Millisecond))
+	require.Len(t, acs, 1)
+	require.Equal(t, result.DeadlinePassed, acs[0].Code())
+	require.Positive(t, acs[0].RetryAfter())
+}
+
+func TestWhatCannotStartInTimeIsRefusedAtOnce(t *testing.T) {
+	ga := newGate(t, 1, config.Serving, 1)
+	now := start
+	open(ga, 1, attempt("one", "m@v1"), now)
+	for range 8 {
+		now = now.Add(time.Second)
+		ga.Tick(now)
+	}
+	ga.Ended(Key{Peer: "entry", Stream: 1}, now)
+	open(ga, 2, attempt("one", "m@v1"), now)
+	acs := open(ga, 3, attempt("one", "m@v1"), now)
+	require.Len(t, acs, 1)
+	require.Equal(t, result.Overloaded, acs[0].Code())
+	require.GreaterOrEqual(t, acs[0].RetryAfter(), 7*time.Second)
+}
+
+func TestABurstCostsItsOwnTeam(t *testing.T) {
+	ga := newGate(t, 1, config.Serving, 1)
+	open(ga, 1, attempt("one", "m@v1"), start)
+	for id := uint64(2); id < 6; id++ {
+		require.Empty(t, open(ga, id, attempt("one", "m@v1"), start))
+	}
+	acs := open(ga, 6, attempt("two", "m@v1"), start)
+	require.Len(t, acs, 1)
+	require.Equal(t, result.ShareExceeded, acs[0].Code())
+	require.Equal(t, "one", acs[0].Attempt().Team)
+	next := ga.Ended(Key{Peer: "entry", Stream: 1}, start)
+	require.Len(t, next, 1)
+	require.Equal(t, "two", next[0].Attempt().Team, "the team that ran nothing comes before the second of the other")
+}
+
+func TestLeavingTakesNothingNewAndCutsNothing(t *testing.T) {
+	ga := newGate(t, 1, config.Serving, 1)
+	open(ga, 1, attempt("one", "m@v1"), start)
+	open(ga, 2, attempt("one", "m@v1"), start)
+	acs := ga.Leave(start)
+	require.Len(t, acs, 1)
+	require.Equal(t, result.Leaving, acs[0].Code())
+	require.False(t, ga.Idle())
+	require.Equal(t, result.Leaving, open(ga, 3, attempt("one", "m@v1"), start)[0].Code())
+	ga.Ended(Key{Peer: "entry", Stream: 1}, start)
+	require.True(t, ga.Idle())
+}
+
+// naive starts whatever comes, as a gate that trusts the entries would.
+type naive struct{ running map[Key]bool }
+
+func (na *naive) open(key Key) Do {
+	na.running[key] = true
+	return Start
+}
+
+// TestAgainstNaive drives the gate and the naive version with the same seeded
+// events. The rules hold for the gate whatever comes; the naive version breaks
+// them.
+func TestAgainstNaive(t *testing.T) {
+	broken := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		ga := newGate(rt, 1, config.Serving, 2)
+		na := &naive{running: map[Key]bool{}}
+		now, revision, state := start, uint64(1), config.Serving
+		running := map[Key]bool{}
+		answered := map[Key]int{}
+		see := func(acs []Action) {
+			for _, ac := range acs {
+				answered[ac.Key()]++
+				require.Equal(rt, 1, answered[ac.Key()], "one verdict for an attempt")
+				if ac.Do() == Refuse {
+					require.Equal(rt, result.DidNotRun, result.Of(ac.Code()).Run())
+					continue
+				}
+				require.NotEqual(rt, config.Withdrawn, state)
+				running[ac.Key()] = true
+			}
+			require.LessOrEqual(rt, len(running), 2)
+		}
+		for i := range rapid.IntRange(1, 60).Draw(rt, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(rt, "ms")) * time.Millisecond)
+			key := Key{Peer: "entry", Stream: uint64(i + 1)}
+			switch rapid.SampledFrom([]string{"open", "open", "end", "tick", "change"}).Draw(rt, "event") {
+			case "open":
+				see(ga.Open(key, attempt("one", "m@v2"), now))
+				if na.open(key) == Start && state == config.Withdrawn {
+					broken++
+				}
+			case "end":
+				for ru := range running {
+					delete(running, ru)
+					see(ga.Ended(ru, now))
+					break
+				}
+			case "tick":
+				see(ga.Tick(now))
+			case "change":
+				revision++
+				state = rapid.SampledFrom([]config.State{config.Serving, config.Withdrawn}).Draw(rt, "state")
+				see(ga.Reconfigure(config.Compile(revision, document(state, 2)), now))
+			}
+		}
+	})
+	require.Positive(t, broken, "the naive version must have started withdrawn work")
+}
+
+func BenchmarkOpenEnded(b *testing.B) {
+	ga := newGate(b, 1, config.Serving, 64)
+	at := attempt("one", "m@v1")
+	b.ReportAllocs()
+	for i := range b.N {
+		key := Key{Peer: "entry", Stream: uint64(i)}
+		ga.Open(key, at, start)
+		ga.Ended(key, start)
+	}
+}
+
+func ExampleGate_Load() {
+	ga := newGate(fatal{}, 1, config.Serving, 2)
+	ga.Open(Key{Peer: "entry", Stream: 1}, attempt("one", "m@v1"), start)
+	fmt.Println(ga.Load().Running, ga.Load().Slots)
+	// Output: 1 2
+}
+
+// fatal lets a helper be used outside a test.
+type fatal struct{}
+
+func (fatal) Errorf(format string, args ...any) { panic(fmt.Sprintf(format, args...)) }
+func (fatal) FailNow()                          { panic("failed") }
--- /dev/null
+++ b/internal/kv/kv.go
@@ -0,0 +1,176 @@
+// Package kv speaks the HTTP protocol of Consul's key-value store, through
+// which the platform's key-value service is met. Every call is counted and
+// held to a rate.
+package kv
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
+
+	"github.com/linnetrudder/linnetrudder/internal/metrics"
+	"github.com/linnetrudder/linnetrudder/internal/result"
+)
+
+// Pair is one key with its value. Index is the service's modify index, which
+// compare-and-swap refers to; zero means that the key does not exist.
+type Pair struct {
+	Key   string
+	Value []byte
+	Index uint64
+}
+
+// maxAnswer bounds the answer to one call; a recursive read may be long.
+const maxAnswer = 64 << 20
+
+// Client calls the service. Its exported fields are set before use; its
+// methods may be called concurrently.
+type Client struct {
+	// Address is the IP number and port of the service.
+	Address string
+	// Token is sent with each call if it is not empty.
+	Token string
+	// Timeout bounds each call, beyond what a watch waits.
+	Timeout time.Duration
+	// Limiter holds the calls to this process's share of the rate.
+	Limiter *rate.Limiter
+	// HTTP makes the calls.
+	HTTP *http.Client
+}
+
+type wirePair struct {
+	Key         string `json:"Key"`
+	Value       string `json:"Value"`
+	ModifyIndex uint64 `json:"ModifyIndex"`
+}
+
+// Get reads one key. A key that does not exist has index zero.
+func (cl *Client) Get(ctx context.Context, key string) (Pair, error) {
+	pairs, _, err := cl.read(ctx, key, url.Values{}, 0)
+	return one(key, pairs), err
+}
+
+// Watch waits until the key's index is above the one given or the wait is
+// over, and returns what the key holds then and the service's index.
+func (cl *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Pair, uint64, error) {
+	query := url.Values{}
+	query.Set("index", strconv.FormatUint(after, 10))
+	query.Set("wait", fmt.Sprintf("%dms", wait.Milliseconds()))
+	pairs, index, err := cl.read(ctx, key, query, wait)
+	return one(key, pairs), index, err
+}
+
+// List reads all keys below a prefix in one call.
+func (cl *Client) List(ctx context.Context, prefix string) ([]Pair, error) {
+	query := url.Values{}
+	query.Set("recurse", "true")
+	pairs, _, err := cl.read(ctx, prefix, query, 0)
+	return pairs, err
+}
+
+// Swap writes a value if the key's index is still the one given; zero means
+// that the key must not exist. It reports whether the write was made. An
+// error with the code result.StoreUnknown means that it may have been made.
+func (cl *Client) Swap(ctx context.Context, key string, value []byte, index uint64) (bool, error) {
+	query := url.Values{}
+	query.Set("cas", strconv.FormatUint(index, 10))
+	body, _, err := cl.call(ctx, http.MethodPut, key, query, value, 0)
+	if err != nil {
+		return false, err
+	}
+	return string(bytes.TrimSpace(body)) == "true", nil
+}
+
+func one(key string, pairs []Pair) Pair {
+	if len(pairs) == 0 {
+		return Pair{Key: key}
+	}
+	return pairs[0]
+}
+
+func (cl *Client) read(ctx context.Context, key string, query url.Values, wait time.Duration) ([]Pair, uint64, error) {
+	body, index, err := cl.call(ctx, http.MethodGet, key, query, nil, wait)
+	if err != nil || body == nil {
+		return nil, index, err
+	}
+	var wps []wirePair
+	if err := json.Unmarshal(body, &wps); err != nil {
+		return nil, 0, result.New(result.StoreDown, "malformed answer: "+err.Error())
+	}
+	pairs := make([]Pair, 0, len(wps))
+	for _, wp := range wps {
+		value, err := base64.StdEncoding.DecodeString(wp.Value)
+		if err != nil {
+			return nil, 0, result.New(result.StoreDown, "malformed value: "+err.Error())
+		}
+		pairs = append(pairs, Pair{Key: wp.Key, Value: value, Index: wp.ModifyIndex})
+	}
+	return pairs, index, nil
+}
+
+// call makes one call. A nil body without an error means "no such key".
+func (cl *Client) call(ctx context.Context, method, key string, query url.Values, value []byte, wait time.Duration) ([]byte, uint64, error) {
+	if err := cl.Limiter.Wait(ctx); err != nil {
+		return nil, 0, result.New(result.StoreBudget, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+cl.Timeout)
+	defer cancel()
+	req, err := cl.request(ctx, method, key, query, value)
+	if err != nil {
+		return nil, 0, err
+	}
+	metrics.StoreCalls.Add(method, 1)
+	resp, err := cl.HTTP.Do(req)
+	if err != nil {
+		metrics.StoreCalls.Add("failed", 1)
+		return nil, 0, unanswered(method, err.Error())
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		metrics.StoreCalls.Add("failed", 1)
+		return nil, 0, unanswered(method, err.Error())
+	}
+	index, _ := strconv.ParseUint(resp.Header.Get("X-Consul-Index"), 10, 64)
+	switch {
+	case resp.StatusCode == http.StatusNotFound && method == http.MethodGet:
+		return nil, index, nil
+	case resp.StatusCode == http.StatusTooManyRequests:
+		return nil, 0, result.New(result.StoreDown, "rate limited")
+	case resp.StatusCode != http.StatusOK:
+		metrics.StoreCalls.Add("failed", 1)
+		return nil, 0, unanswered(method, resp.Status)
+	}
+	return body, index, nil
+}
+
+func (cl *Client) request(ctx context.Context, method, key string, query url.Values, value []byte) (*http.Request, error) {
+	ur := url.URL{Scheme: "http", Host: cl.Address, Path: "/v1/kv/" + key, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, method, ur.String(), bytes.NewReader(value))
+	if err != nil {
+		return nil, eris.Wrap(err, "key-value request")
+	}
+	if cl.Token != "" {
+		req.Header.Set("X-Consul-Token", cl.Token)
+	}
+	return req, nil
+}
+
+// unanswered tells a read that gave nothing from a write that may have been
+// made.
+func unanswered(method, detail string) error {
+	if method == http.MethodPut {
+		return result.New(result.StoreUnknown, detail)
+	}
+	return result.New(result.StoreDown, detail)
+}
--- /dev/null
+++ b/internal/link/prove.go
@@ -0,0 +1,96 @@
+package link
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/rotisserie/eris"
+)
+
+// Path is where agents take links.
+const Path = "/link"
+
+// proofAge bounds how old a proof may be, clocks that differ included.
+const proofAge = 2 * time.Minute
+
+const (
+	headerBox   = "Linnetrudder-Box"
+	headerDC    = "Linnetrudder-Data-Centre"
+	headerTime  = "Linnetrudder-Time"
+	headerNonce = "Linnetrudder-Nonce"
+	headerProof = "Linnetrudder-Proof"
+)
+
+var errProof = eris.New("peer did not prove the shared key")
+
+// Identity is who a process is and the key by which it proves it. Its fields
+// are set before use.
+type Identity struct {
+	// Box and DataCentre name the process to its peers.
+	Box, DataCentre string
+	// SharedKey is known to every process of the system.
+	SharedKey string
+}
+
+// proof binds a side's identity to one handshake.
+func (id Identity) proof(side, box, dataCentre, at, nonce string) string {
+	mac := hmac.New(sha256.New, []byte(id.SharedKey))
+	for _, part := range []string{side, box, dataCentre, at, nonce} {
+		mac.Write([]byte(part))
+		mac.Write([]byte{0})
+	}
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+// Dial opens a link to an agent and proves both sides.
+func Dial(ctx context.Context, address string, id Identity, now time.Time) (*Link, error) {
+	at := strconv.FormatInt(now.Unix(), 10)
+	nonce := rand.Text()
+	he := http.Header{}
+	he.Set(headerBox, id.Box)
+	he.Set(headerDC, id.DataCentre)
+	he.Set(headerTime, at)
+	he.Set(headerNonce, nonce)
+	he.Set(headerProof, id.proof("entry", id.Box, id.DataCentre, at, nonce))
+	conn, resp, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{HTTPHeader: he})
+	if err != nil {
+		return nil, eris.Wrap(err, "dial")
+	}
+	pe := Peer{box: resp.Header.Get(headerBox), dataCentre: resp.Header.Get(headerDC)}
+	want := id.proof("agent", pe.box, pe.dataCentre, at, nonce)
+	if !hmac.Equal([]byte(want), []byte(resp.Header.Get(headerProof))) {
+		_ = conn.CloseNow()
+		return nil, errProof
+	}
+	return &Link{Conn: conn, Peer: pe}, nil
+}
+
+// Accept takes a link from an entry and proves both sides.
+func Accept(w http.ResponseWriter, r *http.Request, id Identity, now time.Time) (*Link, error) {
+	he := r.Header
+	pe := Peer{box: he.Get(headerBox), dataCentre: he.Get(headerDC)}
+	at := he.Get(headerTime)
+	nonce := he.Get(headerNonce)
+	sec, err := strconv.ParseInt(at, 10, 64)
+	age := now.Sub(time.Unix(sec, 0)).Abs()
+	want := id.proof("entry", pe.box, pe.dataCentre, at, nonce)
+	if err != nil || age > proofAge || !hmac.Equal([]byte(want), []byte(he.Get(headerProof))) {
+		http.Error(w, errProof.Error(), http.StatusUnauthorized)
+		return nil, errProof
+	}
+	w.Header().Set(headerBox, id.Box)
+	w.Header().Set(headerDC, id.DataCentre)
+	w.Header().Set(headerProof, id.proof("agent", id.Box, id.DataCentre, at, nonce))
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "accept")
+	}
+	return &Link{Conn: conn, Peer: pe}, nil
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,52 @@
+// Package member knows which entries of the data centre are alive, from what
+// the agents say, and which of them watch the key-value service. There is no
+// election: a duty done twice costs a read, and none is done by nobody,
+// because an entry that hears of no other takes it on. It does no I/O and
+// reads no clock.
+package member
+
+import (
+	"slices"
+
+	"github.com/linnetrudder/linnetrudder/internal/rendezvous"
+)
+
+// watchers is how many entries of a data centre watch the store.
+const watchers = 2
+
+// View is one entry's picture of its data centre. It is not safe for
+// concurrent use.
+type View struct {
+	// Self is the entry's own box, set before use.
+	Self string
+
+	// seen holds, for each connected agent, the entries connected to it.
+	seen map[string][]string
+}
+
+// Peers notes the entries that an agent is connected to.
+func (vi *View) Peers(agent string, entries []string) {
+	if vi.seen == nil {
+		vi.seen = map[string][]string{}
+	}
+	vi.seen[agent] = slices.Clone(entries)
+}
+
+// AgentDown forgets what a lost agent said.
+func (vi *View) AgentDown(agent string) { delete(vi.seen, agent) }
+
+// Entries returns every living entry, this one included, in order.
+func (vi *View) Entries() []string {
+	all := []string{vi.Self}
+	for _, entries := range vi.seen {
+		all = append(all, entries...)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// Watches reports whether this entry is one of those that watch the store.
+func (vi *View) Watches() bool {
+	ranked := rendezvous.Rank("watch", vi.Entries())
+	return slices.Contains(ranked[:min(watchers, len(ranked))], vi.Self)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,246 @@
+// Package node is what entries and agents have in common: the configuration
+// in force, the links it spreads over, the log, the time line and the admin
+// port.
+package node
+
+import (
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/linnetrudder/linnetrudder/internal/config"
+	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/link"
+	"github.com/linnetrudder/linnetrudder/internal/replica"
+	"github.com/linnetrudder/linnetrudder/internal/settings"
+	"github.com/linnetrudder/linnetrudder/internal/timeline"
+	"github.com/linnetrudder/linnetrudder/internal/wire"
+)
+
+// Node is the common part of a process. Its exported fields are set before
+// use; its methods may be called concurrently.
+type Node struct {
+	Settings settings.Settings
+	Log      zerolog.Logger
+	Ring     *timeline.Ring
+	// Adopted is called, one call at a time, for each revision that comes
+	// into force.
+	Adopted func(sn *config.Snapshot)
+
+	// mu guards replica and links.
+	mu      sync.Mutex
+	replica replica.Replica
+	// links holds the open link to each peer.
+	links map[string]*link.Link
+	// snapshot is the replica's, readable without the lock.
+	snapshot atomic.Pointer[config.Snapshot]
+	// stopping is set once a planned stop has begun.
+	stopping atomic.Bool
+}
+
+// Identity returns who the process is to its peers.
+func (no *Node) Identity() link.Identity {
+	return link.Identity{
+		Box:        no.Settings.Box,
+		DataCentre: no.Settings.DataCentre,
+		SharedKey:  no.Settings.SharedKey,
+	}
+}
+
+// Snapshot returns the configuration in force, nil before the first.
+func (no *Node) Snapshot() *config.Snapshot { return no.snapshot.Load() }
+
+// Stopping reports whether a planned stop has begun.
+func (no *Node) Stopping() bool { return no.stopping.Load() }
+
+// Stop begins a planned stop.
+func (no *Node) Stop() {
+	if no.stopping.CompareAndSwap(false, true) {
+		no.Note(timeline.Entry{Event: event.ProcessStopping})
+	}
+}
+
+// Note logs an event and puts it on the time line.
+func (no *Node) Note(en timeline.Entry) {
+	if en.Revision == 0 {
+		en.Revision = no.Snapshot().Revision()
+	}
+	en = no.Ring.Add(en, time.Now())
+	level := zerolog.InfoLevel
+	if en.Event >= event.RequestReceived && en.Event < event.ConfigAccepted {
+		level = zerolog.DebugLevel
+	}
+	no.Log.WithLevel(level).
+		Int("event", int(en.Event)).
+		Uint64("revision", en.Revision).
+		Str("request", en.Request).
+		Str("team", en.Team).
+		Str("version", en.Version).
+		Str("detail", en.Detail).
+		Msg(en.Name)
+}
+
+// LinkUp takes a new link; an older one to the same peer is left to end.
+func (no *Node) LinkUp(li *link.Link) {
+	no.Note(timeline.Entry{Event: event.LinkUp, Detail: li.Peer.Box()})
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	if no.links == nil {
+		no.links = map[string]*link.Link{}
+	}
+	no.links[li.Peer.Box()] = li
+	no.act(no.replica.PeerUp(li.Peer.Box()))
+}
+
+// LinkDown forgets a link. It reports whether it was the peer's newest.
+func (no *Node) LinkDown(li *link.Link, why error) bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	box := li.Peer.Box()
+	if no.links[box] != li {
+		return false
+	}
+	delete(no.links, box)
+	no.act(no.replica.PeerDown(box, time.Now()))
+	no.Note(timeline.Entry{Event: event.LinkDown, Detail: box + ": " + why.Error()})
+	return true
+}
+
+// Link returns the open link to a peer, or nil.
+func (no *Node) Link(box string) *link.Link {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return no.links[box]
+}
+
+// Links returns the open links.
+func (no *Node) Links() []*link.Link {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	list := make([]*link.Link, 0, len(no.links))
+	for _, li := range no.links {
+		list = append(list, li)
+	}
+	return list
+}
+
+// Install takes a configuration from the store.
+func (no *Node) Install(sn *config.Snapshot) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.act(no.replica.Received(sn, time.Now()))
+}
+
+// PeerRevisions returns the revision that each connected peer has offered.
+func (no *Node) PeerRevisions() map[string]uint64 {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return no.replica.PeerRevisions()
+}
+
+// Tick lets a request for the configuration that was not answered be made to
+// another peer.
+func (no *Node) Tick(now time.Time) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.act(no.replica.Tick(now))
+}
+
+// Control handles the frames by which the configuration spreads. It reports
+// whether the frame was one of them.
+func (no *Node) Control(li *link.Link, fr *wire.Frame) bool {
+	if fr.Stamp != nil {
+		no.Ring.Observe(*fr.Stamp)
+	}
+	box := li.Peer.Box()
+	now := time.Now()
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	switch fr.Kind {
+	case wire.Beat:
+		no.act(no.replica.Offered(box, fr.Revision, now))
+		return false
+	case wire.Offer:
+		no.act(no.replica.Offered(box, fr.Revision, now))
+	case wire.Want:
+		if fr.Nonce != 0 {
+			li.Send(&wire.Frame{Kind: wire.Offer, Revision: no.replica.Revision(), Nonce: fr.Nonce})
+		}
+		no.act(no.replica.Wanted(box, fr.Revision))
+	case wire.Config:
+		no.received(li, fr.Config, now)
+	default:
+		return false
+	}
+	return true
+}
+
+func (no *Node) received(li *link.Link, se *wire.Settings, now time.Time) {
+	if se.Revision <= no.replica.Revision() {
+		return
+	}
+	var doc config.Document
+	err := json.Unmarshal(se.Document, &doc)
+	if err == nil {
+		err = doc.Check()
+	}
+	if err != nil {
+		no.Note(timeline.Entry{Event: event.ConfigRefused, Detail: li.Peer.Box() + ": " + err.Error()})
+		return
+	}
+	no.act(no.replica.Received(config.Compile(se.Revision, &doc), now))
+}
+
+// act carries out the replica's decisions; the lock is held.
+func (no *Node) act(acs []replica.Action) {
+	for _, ac := range acs {
+		switch ac.Do() {
+		case replica.Adopt:
+			no.adopt()
+		case replica.Offer:
+			no.send(ac.Peer(), &wire.Frame{Kind: wire.Offer, Revision: ac.Revision(), Stamp: no.stamp()})
+		case replica.Want:
+			no.send(ac.Peer(), &wire.Frame{Kind: wire.Want, Revision: ac.Revision()})
+		case replica.Give:
+			no.give(ac.Peer())
+		}
+	}
+}
+
+func (no *Node) adopt() {
+	sn := no.replica.Snapshot()
+	no.snapshot.Store(sn)
+	no.Note(timeline.Entry{Event: event.ConfigInForce, Revision: sn.Revision()})
+	no.Adopted(sn)
+}
+
+func (no *Node) give(peer string) {
+	sn := no.replica.Snapshot()
+	doc, err := json.Marshal(sn.Document())
+	if err != nil {
+		no.Note(timeline.Entry{Event: event.ConfigRefused, Detail: err.Error()})
+		return
+	}
+	no.send(peer, &wire.Frame{
+		Kind:   wire.Config,
+		Config: &wire.Settings{Revision: sn.Revision(), Document: doc},
+		Stamp:  no.stamp(),
+	})
+}
+
+func (no *Node) send(peer string, fr *wire.Frame) {
+	if li := no.links[peer]; li != nil {
+		li.Send(fr)
+	}
+}
+
+func (no *Node) stamp() *timeline.Stamp {
+	st := no.Ring.Now(time.Now())
+	return &st
+}
+
+// Stamp returns a fresh stamp to send with a message.
+func (no *Node) Stamp() *timeline.Stamp { return no.stamp() }
--- /dev/null
+++ b/internal/node/supervisor.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/timeline"
+)
+
+// Service is one part of a process that the supervisor keeps running.
+type Service struct {
+	// Name is shown when the part fails.
+	Name string
+	// Serving runs until the context ends.
+	Serving func(ctx context.Context) error
+}
+
+// Serve runs the part.
+func (se Service) Serve(ctx context.Context) error { return se.Serving(ctx) }
+
+// String returns the name.
+func (se Service) String() string { return se.Name }
+
+// restartPause is how long the supervisor waits after many failures.
+const restartPause = time.Second
+
+// NewSupervisor returns a supervisor that notes each restart.
+func NewSupervisor(name string, no *Node) *suture.Supervisor {
+	return suture.New(name, suture.Spec{
+		FailureBackoff: restartPause,
+		EventHook: func(ev suture.Event) {
+			no.Note(timeline.Entry{Event: event.ServiceRestarted, Detail: ev.String()})
+		},
+	})
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,181 @@
+// Package replica decides how a configuration spreads over the connections
+// between entries and agents and that it never goes back. It does no I/O and
+// reads no clock.
+package replica
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/config"
+)
+
+// Do is what the shell must do.
+type Do string
+
+// The things to do.
+const (
+	// Adopt takes the snapshot into force in this process.
+	Adopt Do = "adopt"
+	// Offer tells a peer which revision is held here.
+	Offer Do = "offer"
+	// Want asks a peer for what is newer than the revision held here.
+	Want Do = "want"
+	// Give sends a peer the configuration above the revision it named.
+	Give Do = "give"
+)
+
+// Action is one thing to do.
+type Action struct {
+	do       Do
+	peer     string
+	revision uint64
+}
+
+// Do returns what to do.
+func (ac Action) Do() Do { return ac.do }
+
+// Peer returns the peer to do it with, if any.
+func (ac Action) Peer() string { return ac.peer }
+
+// Revision returns the revision to offer or adopt, the one to ask above, or
+// the one the peer holds.
+func (ac Action) Revision() uint64 { return ac.revision }
+
+// wantTimeout is how long one peer may take to answer before another is asked.
+const wantTimeout = time.Second
+
+// Replica is the configuration as one process holds it. It is not safe for
+// concurrent use.
+type Replica struct {
+	// snapshot is the highest revision ever held; it never goes back.
+	snapshot *config.Snapshot
+	// peers holds the highest revision each connected peer has offered.
+	peers map[string]uint64
+	// asked is the peer that was asked last, "" if none is to answer.
+	asked   string
+	askedAt time.Time
+}
+
+// Snapshot returns the revision in force, nil before the first.
+func (re *Replica) Snapshot() *config.Snapshot { return re.snapshot }
+
+// Revision returns the number of the revision in force.
+func (re *Replica) Revision() uint64 { return re.snapshot.Revision() }
+
+// PeerUp greets a new peer with the revision held here.
+func (re *Replica) PeerUp(peer string) []Action {
+	if re.peers == nil {
+		re.peers = map[string]uint64{}
+	}
+	re.peers[peer] = 0
+	return []Action{{do: Offer, peer: peer, revision: re.Revision()}}
+}
+
+// PeerDown forgets a peer; if it owed an answer, another is asked.
+func (re *Replica) PeerDown(peer string, now time.Time) []Action {
+	delete(re.peers, peer)
+	if re.asked != peer {
+		return nil
+	}
+	re.asked = ""
+	return re.ask(now)
+}
+
+// Offered notes what a peer holds and asks for it if it is newer.
+func (re *Replica) Offered(peer string, revision uint64, now time.Time) []Action {
+	if _, ok := re.peers[peer]; !ok {
+		return nil
+	}
+	re.peers[peer] = max(re.peers[peer], revision)
+	return re.ask(now)
+}
+
+// Wanted answers a peer that holds the given revision.
+func (re *Replica) Wanted(peer string, revision uint64) []Action {
+	if re.Revision() <= revision {
+		return []Action{{do: Offer, peer: peer, revision: re.Revision()}}
+	}
+	return []Action{{do: Give, peer: peer, revision: revision}}
+}
+
+// Received takes a snapshot from a peer or from the store. A revision that is
+// not above the one in force is dropped, whoever sends it.
+func (re *Replica) Received(sn *config.Snapshot, now time.Time) []Action {
+	if sn.Revision() <= re.Revision() {
+		return nil
+	}
+	re.snapshot = sn
+	re.asked = ""
+	acs := []Action{{do: Adopt, revision: sn.Revision()}}
+	for _, peer := range re.sortedPeers() {
+		if re.peers[peer] < sn.Revision() {
+			acs = append(acs, Action{do: Offer, peer: peer, revision: sn.Revision()})
+		}
+	}
+	return append(acs, re.ask(now)...)
+}
+
+// Tick asks another peer if the one asked has not answered.
+func (re *Replica) Tick(now time.Time) []Action {
+	return re.ask(now)
+}
+
+// Behind returns how many connected peers have not yet offered the revision
+// in force.
+func (re *Replica) Behind() int {
+	n := 0
+	for _, have := range re.peers {
+		if have < re.Revision() {
+			n++
+		}
+	}
+	return n
+}
+
+// PeerRevisions returns a copy of what each connected peer has offered.
+func (re *Replica) PeerRevisions() map[string]uint64 {
+	all := make(map[string]uint64, len(re.peers))
+	for peer, have := range re.peers {
+		all[peer] = have
+	}
+	return all
+}
+
+// ask asks the peer with the highest revision, unless one that was asked may
+// still answer.
+func (re *Replica) ask(now time.Time) []Action {
+	if re.asked != "" && now.Sub(re.askedAt) < wantTimeout {
+		return nil
+	}
+	best := ""
+	for _, peer := range re.sortedPeers() {
+		if re.better(peer, best) {
+			best = peer
+		}
+	}
+	if best == "" {
+		re.asked = ""
+		return nil
+	}
+	re.asked, re.askedAt = best, now
+	return []Action{{do: Want, peer: best, revision: re.Revision()}}
+}
+
+// better reports whether a peer is a better one to ask than another: it holds
+// more, or as much and was not the one asked last.
+func (re *Replica) better(peer, than string) bool {
+	have := re.peers[peer]
+	if have <= re.Revision() {
+		return false
+	}
+	if than == "" || have > re.peers[than] {
+		return true
+	}
+	return have == re.peers[than] && than == re.asked
+}
+
+func (re *Replica) sortedPeers() []string {
+	return slices.Sorted(maps.Keys(re.peers))
+}
--- /dev/null
+++ b/internal/result/result.go
@@ -0,0 +1,206 @@
+// Package result is the table of numbered codes that every answer, refusal
+// and failed command of the system carries.
+package result
+
+import (
+	"net/http"
+	"time"
+)
+
+// Code is the number of one outcome. Zero means that no outcome is known yet.
+type Code int
+
+// Run says whether the request that a code closes has run on a backend server.
+type Run string
+
+// The three things that can be said about a closed request.
+const (
+	Ran       Run = "ran"
+	DidNotRun Run = "did not run"
+	MayHave   Run = "may have run"
+)
+
+// The codes. The first digit groups them: 1 done, 2 the caller's mistake,
+// 3 refused by policy, 4 no room or no server now, 5 failed on the way,
+// 6 settings and configuration, 7 the platform's key-value service.
+const (
+	OK                Code = 100
+	Stopped           Code = 101
+	BadRequest        Code = 200
+	BodyTooLarge      Code = 201
+	UnknownKey        Code = 202
+	UnknownModel      Code = 203
+	UnknownPath       Code = 204
+	BadIdempotencyKey Code = 205
+	BadSession        Code = 206
+	UnknownRequest    Code = 207
+	VersionNotAllowed Code = 300
+	VersionWithdrawn  Code = 301
+	VersionNoNewWork  Code = 302
+	KeyAlreadyUsed    Code = 303
+	VersionNotHere    Code = 304
+	SessionMoved      Code = 305
+	NoConfiguration   Code = 400
+	NoServer          Code = 401
+	Overloaded        Code = 402
+	DeadlinePassed    Code = 403
+	Leaving           Code = 404
+	ShareExceeded     Code = 405
+	RetryBudgetSpent  Code = 406
+	BillsFull         Code = 407
+	ClaimsUnavailable Code = 408
+	LinkLost          Code = 500
+	ServerFailed      Code = 501
+	AnswerBroken      Code = 502
+	CallerTooSlow     Code = 503
+	NotDispatched     Code = 504
+	BadSettings       Code = 600
+	BadConfiguration  Code = 601
+	UnknownField      Code = 602
+	BadReference      Code = 603
+	HostName          Code = 604
+	ConfigTooLarge    Code = 605
+	Conflict          Code = 606
+	NotOperator       Code = 607
+	LowerRevision     Code = 608
+	StoreDown         Code = 700
+	StoreUnknown      Code = 701
+	StoreBudget       Code = 702
+)
+
+// Row is the line of the table that describes one code.
+type Row struct {
+	// code is unique in the table.
+	code Code
+	// name is unique in the table and never reused for another meaning.
+	name string
+	// status is the HTTP status sent to callers and operators.
+	status int
+	// run is what a caller may conclude.
+	run Run
+	// retryAfter is when a caller may come back; zero means do not.
+	retryAfter time.Duration
+	// text is one sentence for people.
+	text string
+}
+
+// Code returns the number of the row.
+func (ro Row) Code() Code { return ro.code }
+
+// Name returns the short name of the row.
+func (ro Row) Name() string { return ro.name }
+
+// Status returns the HTTP status of the row.
+func (ro Row) Status() int { return ro.status }
+
+// Run returns what the row says about the request having run.
+func (ro Row) Run() Run { return ro.run }
+
+// RetryAfter returns when a caller may try again; zero means never unchanged.
+func (ro Row) RetryAfter() time.Duration { return ro.retryAfter }
+
+// Text returns the sentence for people.
+func (ro Row) Text() string { return ro.text }
+
+// statusClosed is what access logs show for a caller that went away.
+const statusClosed = 499
+
+const (
+	soon  = time.Second
+	later = 5 * time.Second
+)
+
+var rows = []Row{
+	{OK, "ok", http.StatusOK, Ran, 0, "the answer is complete"},
+	{Stopped, "stopped", statusClosed, MayHave, 0, "the caller went away and the request was cancelled"},
+	{BadRequest, "bad_request", http.StatusBadRequest, DidNotRun, 0, "the request body is not valid JSON of the documented form"},
+	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, DidNotRun, 0, "the request body is larger than the settings allow"},
+	{UnknownKey, "unknown_key", http.StatusUnauthorized, DidNotRun, 0, "the bearer key is missing, unknown or revoked"},
+	{UnknownModel, "unknown_model", http.StatusNotFound, DidNotRun, 0, "no model of this name is open to the team"},
+	{UnknownPath, "unknown_path", http.StatusNotFound, DidNotRun, 0, "no such path or plain service"},
+	{BadIdempotencyKey, "bad_idempotency_key", http.StatusBadRequest, DidNotRun, 0, "the idempotency key is longer than 128 bytes"},
+	{BadSession, "bad_session", http.StatusBadRequest, DidNotRun, 0, "the session id is longer than 128 bytes"},
+	{UnknownRequest, "unknown_request", http.StatusNotFound, DidNotRun, 0, "no request of this id is known here"},
+	{VersionNotAllowed, "version_not_allowed", http.StatusForbidden, DidNotRun, 0, "the team's selectors allow no such version"},
+	{VersionWithdrawn, "version_withdrawn", http.StatusGone, DidNotRun, 0, "the version is withdrawn and gets no new work"},
+	{VersionNoNewWork, "version_no_new_sessions", http.StatusConflict, DidNotRun, 0, "the version is rolling out and takes only its own sessions"},
+	{KeyAlreadyUsed, "key_already_used", http.StatusConflict, DidNotRun, 0, "the idempotency key belongs to an earlier request; this one did not run"},
+	{VersionNotHere, "version_not_here", http.StatusServiceUnavailable, DidNotRun, soon, "the backend server does not hold the version"},
+	{SessionMoved, "session_elsewhere", http.StatusConflict, DidNotRun, soon, "the session is pinned to another version"},
+	{NoConfiguration, "no_configuration", http.StatusServiceUnavailable, DidNotRun, soon, "the process has no configuration yet"},
+	{NoServer, "no_server", http.StatusServiceUnavailable, DidNotRun, soon, "no backend server with an allowed version is reachable"},
+	{Overloaded, "overloaded", http.StatusTooManyRequests, DidNotRun, soon, "all places and the queue are taken"},
+	{DeadlinePassed, "deadline", http.StatusGatewayTimeout, DidNotRun, soon, "the request could not start before its deadline"},
+	{Leaving, "leaving", http.StatusServiceUnavailable, DidNotRun, soon, "the process or backend server is leaving"},
+	{ShareExceeded, "share_exceeded", http.StatusTooManyRequests, DidNotRun, soon, "the team has taken its share while others wait"},
+	{RetryBudgetSpent, "retry_budget", http.StatusServiceUnavailable, DidNotRun, later, "the budget for retries is spent"},
+	{BillsFull, "bills_full", http.StatusServiceUnavailable, DidNotRun, later, "too many bill records wait for the key-value service"},
+	{ClaimsUnavailable, "claims_unavailable", http.StatusServiceUnavailable, DidNotRun, later, "the claim on the key could not be made; nothing ran"},
+	{LinkLost, "link_lost", http.StatusBadGateway, MayHave, 0, "the connection was lost after the request was sent"},
+	{ServerFailed, "server_failed", http.StatusBadGateway, MayHave, 0, "the backend server failed after the request was sent to it"},
+	{AnswerBroken, "answer_broken", http.StatusBadGateway, Ran, 0, "the answer broke off after a part of it was delivered"},
+	{CallerTooSlow, "caller_too_slow", http.StatusRequestTimeout, Ran, 0, "the caller read the answer too slowly"},
+	{NotDispatched, "not_dispatched", http.StatusBadGateway, DidNotRun, soon, "the backend server refused the connection; nothing ran"},
+	{BadSettings, "bad_settings", http.StatusBadRequest, DidNotRun, 0, "a settings field has a value that is not valid"},
+	{BadConfiguration, "bad_configuration", http.StatusBadRequest, DidNotRun, 0, "a configuration field has a value that is not valid"},
+	{UnknownField, "unknown_field", http.StatusBadRequest, DidNotRun, 0, "a field of this name does not exist"},
+	{BadReference, "bad_reference", http.StatusBadRequest, DidNotRun, 0, "a name refers to nothing"},
+	{HostName, "host_name", http.StatusBadRequest, DidNotRun, 0, "an address must be an IP number and a port"},
+	{ConfigTooLarge, "configuration_too_large", http.StatusRequestEntityTooLarge, DidNotRun, 0, "the configuration is larger than one value may be"},
+	{Conflict, "conflict", http.StatusConflict, DidNotRun, 0, "another change came first"},
+	{NotOperator, "not_operator", http.StatusUnauthorized, DidNotRun, 0, "the operator key is missing or unknown"},
+	{LowerRevision, "lower_revision", http.StatusConflict, DidNotRun, 0, "the store holds a lower revision than the one in force"},
+	{StoreDown, "store_down", http.StatusServiceUnavailable, DidNotRun, later, "the key-value service gives no answer"},
+	{StoreUnknown, "store_unknown", http.StatusServiceUnavailable, MayHave, later, "the write may have been made; ask again with the same operation id"},
+	{StoreBudget, "store_budget", http.StatusServiceUnavailable, DidNotRun, soon, "the budget for calls to the key-value service is spent"},
+}
+
+var byCode = func() map[Code]Row {
+	m := make(map[Code]Row, len(rows))
+	for _, ro := range rows {
+		m[ro.code] = ro
+	}
+	return m
+}()
+
+// Rows returns a copy of the whole table in the order of the numbers.
+func Rows() []Row {
+	return append([]Row(nil), rows...)
+}
+
+// Of returns the row of a code. An unknown number, as a newer peer may send,
+// reads as a failure that may have run.
+func Of(co Code) Row {
+	ro, ok := byCode[co]
+	if !ok {
+		return Row{code: co, name: "unknown", status: http.StatusBadGateway, run: MayHave, text: "unknown code"}
+	}
+	return ro
+}
+
+// Error is a code with the place it speaks of. It serves as the error value
+// at the edges of the system.
+type Error struct {
+	code   Code
+	detail string
+}
+
+// New returns an error with a code and a detail such as a field's name.
+func New(co Code, detail string) *Error {
+	return &Error{code: co, detail: detail}
+}
+
+// Code returns the number.
+func (er *Error) Code() Code { return er.code }
+
+// Detail returns the place the error speaks of.
+func (er *Error) Detail() string { return er.detail }
+
+// Error returns the name, the sentence and the detail.
+func (er *Error) Error() string {
+	ro := Of(er.code)
+	if er.detail == "" {
+		return ro.name + ": " + ro.text
+	}
+	return ro.name + ": " + ro.text + ": " + er.detail
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,192 @@
+// Package engine stands in for a model engine: chat completions, streamed or
+// not, with tokens at a steady pace and switches for faults.
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Engine is the stand-in. Its exported fields are set before use.
+type Engine struct {
+	// Tokens is the length of each answer.
+	Tokens int
+	// Pace is the time between two tokens.
+	Pace time.Duration
+	// Confidence is reported with each answer if it is not zero.
+	Confidence float64
+
+	mu sync.Mutex
+	// runs counts the requests that began, by the id the caller gave.
+	runs map[string]int
+	// versions counts the requests that began, by version.
+	versions map[string]int
+	running  int
+	// bad makes requests of a version fail.
+	bad map[string]bool
+}
+
+type chat struct {
+	Model    string `json:"model"`
+	Stream   bool   `json:"stream"`
+	Messages []struct {
+		Content any `json:"content"`
+	} `json:"messages"`
+}
+
+// Runs returns how often the request of an id began.
+func (en *Engine) Runs(id string) int {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.runs[id]
+}
+
+// AllRuns returns how often the request of each id began.
+func (en *Engine) AllRuns() map[string]int {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	all := make(map[string]int, len(en.runs))
+	for id, n := range en.runs {
+		all[id] = n
+	}
+	return all
+}
+
+// Began returns how many requests of a version began.
+func (en *Engine) Began(version string) int {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.versions[version]
+}
+
+// Running returns how many requests run now.
+func (en *Engine) Running() int {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.running
+}
+
+// SetBad makes a version fail, or heals it.
+func (en *Engine) SetBad(version string, bad bool) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if en.bad == nil {
+		en.bad = map[string]bool{}
+	}
+	en.bad[version] = bad
+}
+
+// ServeHTTP answers a chat request; GET /runs answers with the counts.
+func (en *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		_ = json.NewEncoder(w).Encode(en.AllRuns())
+		return
+	}
+	var ch chat
+	if err := json.NewDecoder(r.Body).Decode(&ch); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	bad := en.begin(r.Header.Get("X-Request-Id"), ch.Model)
+	defer en.end()
+	if bad {
+		http.Error(w, "engine fault", http.StatusInternalServerError)
+		return
+	}
+	if ch.Stream {
+		en.stream(w, r, ch)
+		return
+	}
+	if !en.pause(r, en.Pace*time.Duration(en.Tokens)) {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(en.whole(ch))
+}
+
+func (en *Engine) begin(id, version string) bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if en.runs == nil {
+		en.runs = map[string]int{}
+		en.versions = map[string]int{}
+	}
+	en.runs[id]++
+	en.versions[version]++
+	en.running++
+	return en.bad[version]
+}
+
+func (en *Engine) end() {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.running--
+}
+
+func (en *Engine) pause(r *http.Request, du time.Duration) bool {
+	if du == 0 {
+		return true
+	}
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-time.After(du):
+		return true
+	}
+}
+
+// Answer returns the text that the engine gives to a request.
+func Answer(version string, tokens int) string {
+	words := make([]string, tokens)
+	for i := range words {
+		words[i] = fmt.Sprintf("%s-%d", version, i)
+	}
+	return strings.Join(words, " ")
+}
+
+func (en *Engine) whole(ch chat) map[string]any {
+	return map[string]any{
+		"id": "chatcmpl-1", "object": "chat.completion", "created": 1, "model": ch.Model,
+		"choices": []any{map[string]any{
+			"index": 0, "finish_reason": "stop",
+			"message": map[string]any{"role": "assistant", "content": Answer(ch.Model, en.Tokens)},
+		}},
+		"usage": en.usage(ch), "confidence": en.Confidence,
+	}
+}
+
+func (en *Engine) usage(ch chat) map[string]any {
+	return map[string]any{
+		"prompt_tokens": len(ch.Messages), "completion_tokens": en.Tokens,
+		"total_tokens": len(ch.Messages) + en.Tokens,
+	}
+}
+
+func (en *Engine) stream(w http.ResponseWriter, r *http.Request, ch chat) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w)
+	send := func(delta map[string]any, finish any) {
+		body, _ := json.Marshal(map[string]any{
+			"id": "chatcmpl-1", "object": "chat.completion.chunk", "created": 1, "model": ch.Model,
+			"choices": []any{map[string]any{"index": 0, "delta": delta, "finish_reason": finish}},
+		})
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", body)
+		_ = rc.Flush()
+	}
+	for i, word := range strings.SplitAfter(Answer(ch.Model, en.Tokens), " ") {
+		if i > 0 && !en.pause(r, en.Pace) {
+			return
+		}
+		send(map[string]any{"content": word}, nil)
+	}
+	send(map[string]any{}, "stop")
+	body, _ := json.Marshal(map[string]any{
+		"id": "chatcmpl-1", "object": "chat.completion.chunk", "created": 1, "model": ch.Model,
+		"choices": []any{}, "usage": en.usage(ch), "confidence": en.Confidence,
+	})
+	_, _ = fmt.Fprintf(w, "data: %s\n\ndata: [DONE]\n\n", body)
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,278 @@
+// Package fleet starts stand-ins and processes of the system on loopback, for
+// the demo and for tests over real processes. It ends only what it started.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/linnetrudder/linnetrudder/internal/boxes"
+)
+
+// Process is one started program.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	log  *os.File
+	// ended is closed when the program has ended.
+	ended chan struct{}
+}
+
+// Signal sends a signal to the program.
+func (pr *Process) Signal(si os.Signal) error {
+	return eris.Wrap(pr.cmd.Process.Signal(si), "signal "+pr.Name)
+}
+
+// Wait waits until the program has ended, at most for a time. It reports
+// whether it has.
+func (pr *Process) Wait(most time.Duration) bool {
+	select {
+	case <-pr.ended:
+		return true
+	case <-time.After(most):
+		return false
+	}
+}
+
+// Code returns the exit code of an ended program.
+func (pr *Process) Code() int { return pr.cmd.ProcessState.ExitCode() }
+
+// Member is a process of the system.
+type Member struct {
+	Box, Role, DataCentre, Server string
+	// Address and Admin are its ports; Backend is the stand-in behind an
+	// agent.
+	Address, Admin, Backend string
+	Process                 *Process
+}
+
+// Fleet is everything that was started. Its exported fields are set before
+// use.
+type Fleet struct {
+	// Bin is the folder of the programs; Dir holds settings and logs.
+	Bin, Dir string
+	// Store and Boxes are the addresses of the platform's stand-ins.
+	Store, Boxes string
+	// Tune changes a member's settings before they are written.
+	Tune func(settings map[string]any)
+
+	members   []*Member
+	processes []*Process
+}
+
+const (
+	startTimeout = 20 * time.Second
+	stopTimeout  = 15 * time.Second
+	pollEvery    = 20 * time.Millisecond
+)
+
+// FreeAddress returns a loopback address that is free now.
+func FreeAddress() (string, error) {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "free port")
+	}
+	defer li.Close()
+	return li.Addr().String(), nil
+}
+
+// Start starts a program of the folder.
+func (fl *Fleet) Start(name, program string, args ...string) (*Process, error) {
+	lo, err := os.OpenFile(filepath.Join(fl.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, eris.Wrap(err, "log file")
+	}
+	cmd := exec.Command(filepath.Join(fl.Bin, program), args...)
+	cmd.Stdout = lo
+	cmd.Stderr = lo
+	if err := cmd.Start(); err != nil {
+		return nil, eris.Wrap(err, "start "+name)
+	}
+	pr := &Process{Name: name, cmd: cmd, log: lo, ended: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		_ = lo.Close()
+		close(pr.ended)
+	}()
+	fl.processes = append(fl.processes, pr)
+	return pr, nil
+}
+
+// StandIn starts a stand-in and returns its address.
+func (fl *Fleet) StandIn(name, kind string, args ...string) (string, *Process, error) {
+	address, err := FreeAddress()
+	if err != nil {
+		return "", nil, err
+	}
+	pr, err := fl.Start(name, "standin", append([]string{kind, "--listen", address}, args...)...)
+	if err != nil {
+		return "", nil, err
+	}
+	return address, pr, waitPort(address)
+}
+
+// Platform starts the stand-ins of the platform.
+func (fl *Fleet) Platform() error {
+	var err error
+	if fl.Store, _, err = fl.StandIn("store", "store"); err != nil {
+		return err
+	}
+	fl.Boxes, _, err = fl.StandIn("boxes", "boxes")
+	return err
+}
+
+// Add starts a process of the system and puts it on the list of boxes.
+func (fl *Fleet) Add(me Member) (*Member, error) {
+	var err error
+	if me.Address == "" {
+		if me.Address, err = FreeAddress(); err != nil {
+			return nil, err
+		}
+		if me.Admin, err = FreeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	added := &me
+	if err := fl.launch(added); err != nil {
+		return nil, err
+	}
+	fl.members = append(fl.members, added)
+	return added, fl.Publish()
+}
+
+// Restart starts a member's process again with the same settings.
+func (fl *Fleet) Restart(me *Member) error { return fl.launch(me) }
+
+func (fl *Fleet) launch(me *Member) error {
+	path, err := fl.writeSettings(me)
+	if err != nil {
+		return err
+	}
+	me.Process, err = fl.Start(me.Box, "linnetrudder", me.Role, "--settings", path)
+	if err != nil {
+		return err
+	}
+	return waitPort(me.Admin)
+}
+
+func (fl *Fleet) writeSettings(me *Member) (string, error) {
+	se := map[string]any{
+		"box": me.Box, "data_centre": me.DataCentre, "listen": me.Address, "admin": me.Admin,
+		"shared_key": "demo-key", "log_level": "debug",
+		"platform": map[string]any{
+			"store": fl.Store, "boxes": fl.Boxes, "calls_per_second": 50, "watch_ms": 2000, "boxes_ms": 200,
+		},
+		"limits": map[string]any{"heartbeat_ms": 500, "bill_flush_ms": 300, "claim_flush_ms": 50, "stop_ms": 10_000},
+	}
+	if me.Role == string(boxes.Agent) {
+		se["server"] = map[string]any{"name": me.Server, "address": me.Backend}
+	}
+	if fl.Tune != nil {
+		fl.Tune(se)
+	}
+	body, err := json.MarshalIndent(se, "", "  ")
+	if err != nil {
+		return "", eris.Wrap(err, "settings")
+	}
+	path := filepath.Join(fl.Dir, me.Box+".jsonc")
+	body = append([]byte("// Settings of "+me.Box+".\n"), body...)
+	return path, eris.Wrap(os.WriteFile(path, body, 0o600), "settings")
+}
+
+// Publish puts the members on the list of boxes.
+func (fl *Fleet) Publish() error {
+	list := make([]boxes.Box, 0, len(fl.members))
+	for _, me := range fl.members {
+		list = append(list, boxes.Box{
+			Name: me.Box, Role: boxes.Role(me.Role), DataCentre: me.DataCentre,
+			Address: me.Address, Admin: me.Admin, Server: me.Server, State: boxes.Live,
+		})
+	}
+	return fl.put("http://"+fl.Boxes+"/v1/boxes", list)
+}
+
+// Fault switches faults of the key-value service.
+func (fl *Fleet) Fault(faults any) error {
+	return fl.put("http://"+fl.Store+"/fault", faults)
+}
+
+func (fl *Fleet) put(url string, value any) error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return eris.Wrap(err, "put")
+	}
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "put")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "put")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("put %s: %s", url, resp.Status)
+	}
+	return nil
+}
+
+// Members returns the processes of the system.
+func (fl *Fleet) Members() []*Member { return fl.members }
+
+// Stop ends everything: first the system's processes as planned, then what is
+// left. It returns an error if a process of the system did not end well.
+func (fl *Fleet) Stop() error {
+	var failed error
+	for i := len(fl.members) - 1; i >= 0; i-- {
+		pr := fl.members[i].Process
+		if pr == nil || pr.Wait(0) {
+			continue
+		}
+		_ = pr.Signal(syscall.SIGCONT)
+		_ = pr.Signal(syscall.SIGTERM)
+		if !pr.Wait(stopTimeout) {
+			failed = eris.Errorf("%s did not stop", pr.Name)
+		} else if pr.Code() != 0 {
+			failed = eris.Errorf("%s ended with %d", pr.Name, pr.Code())
+		}
+	}
+	for _, pr := range fl.processes {
+		if !pr.Wait(0) {
+			_ = pr.Signal(syscall.SIGKILL)
+			pr.Wait(stopTimeout)
+		}
+	}
+	return failed
+}
+
+func waitPort(address string) error {
+	return Until(startTimeout, "port "+address, func() bool {
+		co, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = co.Close()
+		}
+		return err == nil
+	})
+}
+
+// Until waits for a condition; it fails after a bound that only a broken
+// system reaches.
+func Until(most time.Duration, what string, holds func() bool) error {
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(pollEvery) {
+		if holds() {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s: not within %s", what, most)
+}
--- /dev/null
+++ b/standin/plain/plain.go
@@ -0,0 +1,62 @@
+// Package plain stands in for a plain service, such as order tracking.
+package plain
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Service answers every call and counts it. Its exported fields are set
+// before use.
+type Service struct {
+	// Takes is how long a call runs.
+	Takes time.Duration
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// Answer is what a call gets.
+type Answer struct {
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Request string `json:"request"`
+}
+
+// Runs returns how often the call of an id ran.
+func (se *Service) Runs(id string) int {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	return se.runs[id]
+}
+
+// All returns how often the call of each id ran.
+func (se *Service) All() map[string]int {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	all := make(map[string]int, len(se.runs))
+	for id, n := range se.runs {
+		all[id] = n
+	}
+	return all
+}
+
+// ServeHTTP answers a call; /runs answers with the counts.
+func (se *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if r.URL.Path == "/runs" {
+		_ = json.NewEncoder(w).Encode(se.All())
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	se.mu.Lock()
+	if se.runs == nil {
+		se.runs = map[string]int{}
+	}
+	se.runs[id]++
+	se.mu.Unlock()
+	time.Sleep(se.Takes)
+	_ = json.NewEncoder(w).Encode(Answer{Method: r.Method, Path: r.URL.Path, Request: id})
+}
