--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -29,7 +29,7 @@
 
 const (
 	// tickEvery bounds how late a deadline or a freeze is noticed.
-	tickEvery = 100 * time.Millisecond
+	tickEvery = 200 * time.Millisecond
 	// billsPerOffer bounds the lines of one frame.
 	billsPerOffer = 500
 	// billRepeat is the time after which lines are handed on again.
@@ -242,6 +242,10 @@
 		return
 	}
 	ag.act(ag.gate.Open(key, fr.Open, time.Now()))
+	if st := ag.streams[key]; st != nil && st.cancel == nil {
+		li.Send(&wire.Frame{Kind: wire.Verdict, Stream: key.Stream, Code: result.Queued})
+		ag.Node.Note(timeline.Entry{Event: event.AttemptQueued, Request: fr.Open.Request, Team: fr.Open.Team, Version: fr.Open.Version})
+	}
 }
 
 // act carries out the gate's decisions; the lock is held.
--- a/internal/agent/bills.go
+++ b/internal/agent/bills.go
@@ -13,7 +13,7 @@
 
 const (
 	// writeCheck is how often the writer looks for a batch that is due.
-	writeCheck = 50 * time.Millisecond
+	writeCheck = 250 * time.Millisecond
 	// ownGrace is how long the entry of a request has to hand its line on
 	// before the agent does so too.
 	ownGrace = 10 * time.Second
--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// claimCheck bounds how late a waiting claim is answered.
+	// claimCheck bounds how late a waiting claim is answered; claimRest is the
+	// pause while no log is in use, for an idle process should stay idle.
 	claimCheck = 25 * time.Millisecond
+	claimRest  = time.Second
 	// claimPatience is how long a claim waits to become durable.
 	claimPatience = 2 * time.Second
 	// sessionWait is how long the start of a session waits for its claim to
@@ -70,7 +72,7 @@
 
 // serveClaims makes the calls that the logs need, one at a time for each log.
 func (ag *Agent) serveClaims(ctx context.Context) error {
-	ti := time.NewTicker(claimCheck)
+	ti := time.NewTimer(claimRest)
 	defer ti.Stop()
 	for {
 		select {
@@ -79,24 +81,33 @@
 		case <-ti.C:
 		case <-ag.wake:
 		}
-		ag.stepClaims(ctx, time.Now())
+		if ag.stepClaims(ctx, time.Now()) {
+			ti.Reset(claimCheck)
+		} else {
+			ti.Reset(claimRest)
+		}
 	}
 }
 
-func (ag *Agent) stepClaims(ctx context.Context, now time.Time) {
+// stepClaims makes the calls that are due. It reports whether any log has
+// something under way.
+func (ag *Agent) stepClaims(ctx context.Context, now time.Time) bool {
 	var res []claim.Reply
+	active := false
 	ag.mu.Lock()
 	for shard, lo := range ag.logs {
 		res = append(res, lo.Tick(now)...)
 		if op, ok := lo.Next(now); ok {
 			go ag.callClaims(ctx, lo, op)
 		}
+		active = active || lo.Active()
 		if lo.Idle(now.Add(-logIdle)) {
 			delete(ag.logs, shard)
 		}
 	}
 	ag.mu.Unlock()
 	ag.replyClaims(res)
+	return active
 }
 
 // callClaims makes one call for a log and hands the answer back.
--- /dev/null
+++ b/internal/bill/bill_test.go
@@ -0,0 +1,256 @@
+package bill
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/linnetrudder/linnetrudder/internal/kv"
+	"github.com/linnetrudder/linnetrudder/internal/seeded"
+	"github.com/linnetrudder/linnetrudder/internal/wire"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+var start = time.Unix(1_800_000_000, 0)
+
+var (
+	errDown = errors.New("store is down")
+	errLost = errors.New("answer lost")
+)
+
+// memory is a key-value service that fails as the fates say, one for each
+// swap: "ok", "lost" (made, not answered), "down", "raced" (another writer
+// comes first).
+type memory struct {
+	pairs map[string]kv.Pair
+	index uint64
+	fates []string
+	// rival is merged into a document when a swap is raced.
+	rival []wire.BillLine
+	calls int
+}
+
+func (me *memory) Get(_ context.Context, key string) (kv.Pair, error) {
+	me.calls++
+	return me.pairs[key], nil
+}
+
+func (me *memory) put(key string, value []byte) {
+	me.index++
+	me.pairs[key] = kv.Pair{Key: key, Value: value, Index: me.index}
+}
+
+func (me *memory) Swap(_ context.Context, key string, value []byte, index uint64) (bool, error) {
+	me.calls++
+	fate := "ok"
+	if len(me.fates) > 0 {
+		fate, me.fates = me.fates[0], me.fates[1:]
+	}
+	switch fate {
+	case "down":
+		return false, errDown
+	case "raced":
+		doc, _ := Decode(me.pairs[key].Value)
+		doc, _ = Merge(doc, me.rival)
+		value, _ := Encode(doc)
+		me.put(key, value)
+	}
+	if me.pairs[key].Index != index {
+		return false, nil
+	}
+	me.put(key, value)
+	if fate == "lost" {
+		return false, errLost
+	}
+	return true, nil
+}
+
+// count returns how often each line stands in the store.
+func (me *memory) count(t require.TestingT) map[lineKey]int {
+	n := map[lineKey]int{}
+	for _, pair := range me.pairs {
+		doc, err := Decode(pair.Value)
+		require.NoError(t, err)
+		for i := range doc {
+			n[keyOf(&doc[i])]++
+		}
+	}
+	return n
+}
+
+func line(request string, step int) wire.BillLine {
+	return wire.BillLine{Request: request, Step: step, Team: "kitchen-a", Version: "menu@v1", Usage: wire.Usage{Prompt: 500, Completion: 200}, Cost: 9000, Box: "agent-1"}
+}
+
+func TestDocumentKeyFollowsFromTheRequestAlone(t *testing.T) {
+	id := NewRequestID("dc-a")
+	key, err := DocumentKey(id)
+	require.NoError(t, err)
+	again, err := DocumentKey(id)
+	require.NoError(t, err)
+	require.Equal(t, key, again)
+	require.Contains(t, key, Prefix+"dc-a/")
+	for _, bad := range []string{"", "dc-a", "dc-a.x", "x.y.z"} {
+		_, err := DocumentKey(bad)
+		require.Error(t, err, bad)
+	}
+}
+
+func TestSaveSurvivesLostAnswersAndRaces(t *testing.T) {
+	id := NewRequestID("dc")
+	key, err := DocumentKey(id)
+	require.NoError(t, err)
+	other := line(id, 1)
+	for _, fates := range [][]string{{"lost"}, {"raced"}, {"down", "lost"}, {"raced", "lost"}, {"lost", "lost"}} {
+		me := &memory{pairs: map[string]kv.Pair{}, fates: fates, rival: []wire.BillLine{other}}
+		require.NoError(t, Save(t.Context(), me, Write{key: key, lines: []wire.BillLine{line(id, 0)}}))
+		require.NoError(t, Save(t.Context(), me, Write{key: key, lines: []wire.BillLine{line(id, 0)}}), "offered again")
+		require.Equal(t, 1, me.count(t)[lineKey{id, 0}], fates)
+	}
+}
+
+func TestTheLedgerHoldsUntilDurable(t *testing.T) {
+	le := Ledger{Bound: 2, Grace: time.Second, Every: 10 * time.Second}
+	le.Add(line("a", 0), start)
+	le.Add(line("a", 0), start)
+	require.Equal(t, 1, le.Len())
+	require.Empty(t, le.Due(10, start), "the entry hands it on first")
+	require.Len(t, le.Due(10, start.Add(time.Second)), 1)
+	require.Empty(t, le.Due(10, start.Add(2*time.Second)))
+	require.Len(t, le.Due(10, start.Add(12*time.Second)), 1, "nobody has confirmed it")
+	le.Add(line("b", 0), start)
+	require.True(t, le.Full())
+	le.Durable([]wire.BillLine{{Request: "a"}, {Request: "b"}})
+	require.Zero(t, le.Len())
+}
+
+func TestTheWriterAcknowledgesOnlyWhatIsDurable(t *testing.T) {
+	wr := Writer{Flush: time.Second, Bound: 10}
+	id := NewRequestID("dc")
+	wr.Take("e1", []wire.BillLine{line(id, 0)}, start)
+	wr.Take("e2", []wire.BillLine{line(id, 0), line("malformed", 0)}, start)
+	_, ok := wr.Due(start, false)
+	require.False(t, ok, "it gathers first")
+	due, ok := wr.Due(start.Add(time.Second), false)
+	require.True(t, ok)
+	require.Empty(t, wr.Written(due.Key(), false, start))
+	due, ok = wr.Due(start.Add(time.Minute), false)
+	require.True(t, ok, "what failed waits again")
+	acs := wr.Written(due.Key(), true, start)
+	require.Len(t, acs, 2)
+	require.Equal(t, "e1", acs[0].Peer())
+	require.True(t, wr.Idle())
+}
+
+// billing is the path of bills between a few boxes in one test: two holders of
+// each line, two writers, one store.
+type billing struct {
+	t       *rapid.T
+	store   *memory
+	holders []*Ledger
+	writers []*Writer
+	now     time.Time
+}
+
+func (bi *billing) offer(h, w int) {
+	lines := bi.holders[h].Due(100, bi.now)
+	bi.writers[w].Take(fmt.Sprint(h), lines, bi.now)
+}
+
+func (bi *billing) write(w int) {
+	due, ok := bi.writers[w].Due(bi.now, true)
+	if !ok {
+		return
+	}
+	err := Save(context.Background(), bi.store, due)
+	for _, ac := range bi.writers[w].Written(due.Key(), err == nil, bi.now) {
+		var h int
+		_, _ = fmt.Sscan(ac.Peer(), &h)
+		bi.holders[h].Durable(ac.Lines())
+	}
+}
+
+// TestBilledExactlyOnce kills one holder or writer after another, loses
+// answers and takes the store down. Each line stands in the store once at the
+// end, as long as one of its two holders lived until then. A naive writer that
+// adds what it is given bills twice.
+func TestBilledExactlyOnce(t *testing.T) {
+	naiveDoubled := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		bi := &billing{t: rt, store: &memory{pairs: map[string]kv.Pair{}}, now: start}
+		for range 2 {
+			bi.holders = append(bi.holders, &Ledger{Bound: 1000, Every: time.Second})
+			bi.writers = append(bi.writers, &Writer{Bound: 1000})
+		}
+		naive := map[lineKey]int{}
+		made := map[lineKey]bool{}
+		lost := map[int]bool{}
+		for i := range rapid.IntRange(5, 60).Draw(rt, "events") {
+			bi.now = bi.now.Add(500 * time.Millisecond)
+			h, w := rapid.IntRange(0, 1).Draw(rt, "holder"), rapid.IntRange(0, 1).Draw(rt, "writer")
+			switch rapid.SampledFrom([]string{"request", "offer", "offer", "write", "write", "kill holder", "kill writer"}).Draw(rt, "event") {
+			case "request":
+				li := line(fmt.Sprintf("dc.%08d-0000-7000-8000-000000000000", i), 0)
+				made[keyOf(&li)] = true
+				for _, le := range bi.holders {
+					le.Add(li, bi.now)
+				}
+			case "offer":
+				for _, li := range bi.holders[h].Due(0, bi.now) {
+					naive[keyOf(&li)]++
+				}
+				for key := range bi.holders[h].lines {
+					naive[key]++
+				}
+				bi.offer(h, w)
+			case "write":
+				fate := rapid.SampledFrom([]string{"ok", "lost", "down", "raced"}).Draw(rt, "fate")
+				bi.store.fates = []string{fate}
+				bi.write(w)
+			case "kill holder":
+				if len(lost) == 0 {
+					lost[h] = true
+					bi.holders[h] = &Ledger{Bound: 1000, Every: time.Second}
+				}
+			case "kill writer":
+				bi.writers[w] = &Writer{Bound: 1000}
+			}
+		}
+		bi.store.fates = nil
+		for range 4 {
+			bi.now = bi.now.Add(time.Minute)
+			bi.offer(0, 0)
+			bi.offer(1, 1)
+			for range 70 {
+				bi.write(0)
+				bi.write(1)
+			}
+		}
+		count := bi.store.count(rt)
+		for key := range made {
+			require.Equal(rt, 1, count[key])
+			if naive[key] > 1 {
+				naiveDoubled++
+			}
+		}
+		require.Len(rt, count, len(made))
+	})
+	require.Positive(t, naiveDoubled, "the naive writer must have billed twice")
+}
+
+func BenchmarkLine(b *testing.B) {
+	var lines []wire.BillLine
+	for range b.N {
+		lines = append(lines, line(NewRequestID("quito-north-a"), 0))
+	}
+	b.ResetTimer()
+	value, err := Encode(lines)
+	require.NoError(b, err)
+	b.ReportMetric(float64(len(value))/float64(b.N), "stored-B/op")
+}
--- a/internal/change/change.go
+++ b/internal/change/change.go
@@ -40,15 +40,18 @@
 	historySlots = 128
 	// maxTries bounds the tries against other operators and lost answers.
 	maxTries = 6
-	// firstPause grows with each try.
-	firstPause = 20 * time.Millisecond
 )
 
 // Changer makes changes. Its fields are set before use.
 type Changer struct {
 	Store Store
+	// Pause is the time before the second try; it doubles with each.
+	Pause time.Duration
 }
 
+// DefaultPause suits a service that answers in milliseconds.
+const DefaultPause = 20 * time.Millisecond
+
 // Apply makes a change and returns what is stored after it. The error is a
 // *result.Error; with result.StoreUnknown the same request may be repeated.
 func (ch *Changer) Apply(ctx context.Context, re Request, now time.Time) (*config.Envelope, error) {
@@ -56,7 +59,7 @@
 	written := false
 	for try := range maxTries {
 		if try > 0 {
-			pause(ctx, try)
+			ch.pause(ctx, try)
 		}
 		en, done, err := ch.once(ctx, re, now)
 		if done || err == nil && en != nil {
@@ -170,9 +173,9 @@
 	return result.StoreDown
 }
 
-func pause(ctx context.Context, try int) {
+func (ch *Changer) pause(ctx context.Context, try int) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(firstPause << try):
+	case <-time.After(ch.Pause << (try - 1)):
 	}
 }
--- a/internal/claim/log.go
+++ b/internal/claim/log.go
@@ -445,9 +445,14 @@
 	return value != ""
 }
 
+// Active reports whether anything waits for the log or the store.
+func (lo *Log) Active() bool {
+	return len(lo.queue) > 0 || len(lo.waiters) > 0 || lo.busy
+}
+
 // Idle reports whether the log was not used since a time and owes nothing.
 func (lo *Log) Idle(since time.Time) bool {
-	return lo.used.Before(since) && len(lo.queue) == 0 && len(lo.waiters) == 0 && !lo.busy
+	return lo.used.Before(since) && !lo.Active()
 }
 
 // Len returns how many durable claims are held.
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"slices"
-	"strconv"
 )
 
 // Op says how an object differs.
@@ -22,62 +20,61 @@
 	Op Op `json:"op"`
 	// Path is the list and name of the object, such as versions/menu@v2.
 	Path string `json:"path"`
+	// Body is the object as it is after the change, in JSON.
+	Body string `json:"body,omitempty"`
 }
 
 // Diff lists the objects in which two documents differ, by path.
 func Diff(from, to *Document) []Difference {
-	old, young := from.objects(), to.objects()
+	old := bodies(from)
 	var list []Difference
-	for path, body := range young {
-		have, ok := old[path]
-		if !ok {
-			list = append(list, Difference{Added, path})
-		} else if have != body {
-			list = append(list, Difference{Changed, path})
+	for _, ob := range to.objects() {
+		have, ok := old[ob.path]
+		switch {
+		case !ok:
+			list = append(list, Difference{Added, ob.path, ob.body})
+		case have != ob.body:
+			list = append(list, Difference{Changed, ob.path, ob.body})
 		}
+		delete(old, ob.path)
 	}
 	for path := range old {
-		if _, ok := young[path]; !ok {
-			list = append(list, Difference{Removed, path})
-		}
+		list = append(list, Difference{Removed, path, ""})
 	}
-	slices.SortFunc(list, func(a, b Difference) int { return cmp.Compare(a.Path, b.Path) })
+	slices.SortStableFunc(list, func(a, b Difference) int { return cmp.Compare(a.Path, b.Path) })
 	return list
 }
 
-// objects returns every object of the document, encoded, by path.
-func (do *Document) objects() map[string]string {
+func bodies(doc *Document) map[string]string {
 	all := map[string]string{}
-	if do == nil {
-		return all
-	}
-	put := func(path string, value any) {
-		body, _ := json.Marshal(value)
-		all[path] = string(body)
-	}
-	for i := range do.Models {
-		put("models/"+do.Models[i].Name, do.Models[i])
-	}
-	for i := range do.Versions {
-		put("versions/"+do.Versions[i].ID(), do.Versions[i])
-	}
-	for i := range do.Servers {
-		put("servers/"+do.Servers[i].Name, do.Servers[i])
-	}
-	for i := range do.Services {
-		put("services/"+do.Services[i].Name, do.Services[i])
-	}
-	for i := range do.Teams {
-		put("teams/"+do.Teams[i].Name, do.Teams[i])
+	for _, ob := range doc.objects() {
+		all[ob.path] = ob.body
 	}
-	for i := range do.Kinds {
-		put("kinds/"+do.Kinds[i].Name, do.Kinds[i])
+	return all
+}
+
+// Patch applies differences to a document and returns a new one. Added
+// objects go to the end of their lists; where that is not their place, the
+// digests of the two sides differ and the whole document is sent instead.
+func Patch(doc *Document, diff []Difference) (*Document, error) {
+	change := make(map[string]Difference, len(diff))
+	for _, di := range diff {
+		change[di.Path] = di
 	}
-	for i := range do.Rollouts {
-		put("rollouts/"+do.Rollouts[i].Model+"@"+do.Rollouts[i].To, do.Rollouts[i])
+	var all []object
+	for _, ob := range doc.objects() {
+		di, ok := change[ob.path]
+		switch {
+		case !ok:
+			all = append(all, ob)
+		case di.Op == Changed:
+			all = append(all, object{ob.path, di.Body})
+		}
 	}
-	for i := range do.Grants {
-		put("grants/"+strconv.Itoa(i), do.Grants[i])
+	for _, di := range diff {
+		if di.Op == Added {
+			all = append(all, object{di.Path, di.Body})
+		}
 	}
-	return all
+	return assemble(all)
 }
--- /dev/null
+++ b/internal/config/objects.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// object is one entry of a list of the document, as it is compared and sent.
+type object struct {
+	// path is the list and the entry's name, such as versions/menu@v2.
+	path string
+	// body is the entry in JSON, always written the same way.
+	body string
+}
+
+// objects returns every object of the document in its order.
+func (do *Document) objects() []object {
+	if do == nil {
+		return nil
+	}
+	var all []object
+	put := func(list, name string, value any) {
+		body, _ := json.Marshal(value)
+		all = append(all, object{list + "/" + name, string(body)})
+	}
+	for i := range do.Models {
+		put("models", do.Models[i].Name, &do.Models[i])
+	}
+	for i := range do.Versions {
+		put("versions", do.Versions[i].ID(), &do.Versions[i])
+	}
+	for i := range do.Servers {
+		put("servers", do.Servers[i].Name, &do.Servers[i])
+	}
+	for i := range do.Services {
+		put("services", do.Services[i].Name, &do.Services[i])
+	}
+	for i := range do.Teams {
+		put("teams", do.Teams[i].Name, &do.Teams[i])
+	}
+	for i := range do.Grants {
+		put("grants", strconv.Itoa(i), &do.Grants[i])
+	}
+	for i := range do.Kinds {
+		put("kinds", do.Kinds[i].Name, &do.Kinds[i])
+	}
+	for i := range do.Rollouts {
+		put("rollouts", do.Rollouts[i].Model+"@"+do.Rollouts[i].To, &do.Rollouts[i])
+	}
+	return all
+}
+
+// assemble makes a document of objects.
+func assemble(all []object) (*Document, error) {
+	var order []string
+	lists := map[string]*bytes.Buffer{}
+	for _, ob := range all {
+		list, _, _ := strings.Cut(ob.path, "/")
+		buf := lists[list]
+		if buf == nil {
+			buf = &bytes.Buffer{}
+			lists[list] = buf
+			order = append(order, list)
+		} else {
+			buf.WriteByte(',')
+		}
+		buf.WriteString(ob.body)
+	}
+	var whole bytes.Buffer
+	whole.WriteByte('{')
+	for i, list := range order {
+		if i > 0 {
+			whole.WriteByte(',')
+		}
+		whole.WriteString(strconv.Quote(list) + ":[")
+		whole.Write(lists[list].Bytes())
+		whole.WriteByte(']')
+	}
+	whole.WriteByte('}')
+	var doc Document
+	if err := json.Unmarshal(whole.Bytes(), &doc); err != nil {
+		return nil, eris.Wrap(err, "assemble configuration")
+	}
+	return &doc, nil
+}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -4,10 +4,13 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"encoding/json"
 	"reflect"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/selector"
 )
@@ -156,6 +159,12 @@
 // Document returns the document; it must not be changed.
 func (sn *Snapshot) Document() *Document { return sn.doc }
 
+// Digest returns a checksum of the document, the same in every process.
+func (sn *Snapshot) Digest() uint64 {
+	body, _ := json.Marshal(sn.doc)
+	return xxhash.Sum64(body)
+}
+
 // Digest returns the form in which a key is kept.
 func Digest(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -156,7 +156,7 @@
 // apply makes a change and takes it into force here at once; the watch would
 // bring it a little later.
 func (en *Entry) apply(w http.ResponseWriter, r *http.Request, re change.Request) {
-	ch := change.Changer{Store: en.Store}
+	ch := change.Changer{Store: en.Store, Pause: change.DefaultPause}
 	ev, err := ch.Apply(r.Context(), re, time.Now())
 	if err != nil {
 		if asResult(err).Code() == result.Conflict {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -36,10 +35,17 @@
 func (pe Peer) DataCentre() string { return pe.dataCentre }
 
 const (
-	// queueFrames bounds the frames that wait to be sent.
-	queueFrames = 1024
+	// dataFrames bounds the frames of answers that wait to be sent; their
+	// senders wait for room.
+	dataFrames = 128
+	// controlFrames bounds the other frames that wait; a peer so far behind
+	// loses the link.
+	controlFrames = 8192
 	// batchBytes is the size at which a batch is sent.
 	batchBytes = 64 << 10
+	// keepBytes is the size up to which a write buffer is kept for the next
+	// batch.
+	keepBytes = 8 << 10
 	// missedBeats is how many heartbeats may be missed.
 	missedBeats = 3
 )
@@ -60,19 +66,24 @@
 	// Heartbeat is the time between two heartbeats.
 	Heartbeat time.Duration
 
-	once  sync.Once
-	queue chan *wire.Frame
+	once sync.Once
+	// data holds frames of answers.
+	data chan *wire.Frame
+	// mu guards control, which holds all other frames; ready has room for one
+	// word that there are some.
+	mu      sync.Mutex
+	control []*wire.Frame
+	ready   chan struct{}
 	// done is closed when the link has ended.
 	done chan struct{}
-	// slow gets the word that the queue ran over.
+	// slow gets the word that too many control frames wait.
 	slow chan struct{}
-	// heard is when the last message came, in nanoseconds since 1970.
-	heard atomic.Int64
 }
 
 func (li *Link) init() {
 	li.once.Do(func() {
-		li.queue = make(chan *wire.Frame, queueFrames)
+		li.data = make(chan *wire.Frame, dataFrames)
+		li.ready = make(chan struct{}, 1)
 		li.done = make(chan struct{})
 		li.slow = make(chan struct{}, 1)
 	})
@@ -84,21 +95,21 @@
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	li.Conn.SetReadLimit(wire.MaxMessage)
-	li.heard.Store(time.Now().UnixNano())
+	watchdog := time.AfterFunc(missedBeats*li.Heartbeat, func() { stop(errSilent) })
+	defer watchdog.Stop()
 	var wg sync.WaitGroup
-	parts := []func(context.Context) error{li.read, li.write, li.beat, li.overrun}
-	for _, part := range parts {
-		wg.Go(func() { stop(part(ctx)) })
-	}
-	<-ctx.Done()
-	close(li.done)
-	_ = li.Conn.CloseNow()
+	wg.Go(func() {
+		stop(li.write(ctx))
+		close(li.done)
+		_ = li.Conn.CloseNow()
+	})
+	stop(li.read(ctx, watchdog))
 	wg.Wait()
 	return context.Cause(ctx)
 }
 
-// Send queues a frame. A peer that reads so slowly that the queue is full
-// loses the link. It reports whether the frame was queued.
+// Send queues a frame ahead of answers. A peer that reads so slowly that too
+// many wait loses the link. It reports whether the frame was queued.
 func (li *Link) Send(fr *wire.Frame) bool {
 	li.init()
 	select {
@@ -106,15 +117,25 @@
 		return false
 	default:
 	}
+	li.mu.Lock()
+	full := len(li.control) >= controlFrames
+	if !full {
+		li.control = append(li.control, fr)
+	}
+	li.mu.Unlock()
+	if full {
+		signal(li.slow)
+		return false
+	}
+	signal(li.ready)
+	return true
+}
+
+// signal leaves a word in a channel that has room for one.
+func signal(ch chan struct{}) {
 	select {
-	case li.queue <- fr:
-		return true
+	case ch <- struct{}{}:
 	default:
-		select {
-		case li.slow <- struct{}{}:
-		default:
-		}
-		return false
 	}
 }
 
@@ -123,7 +144,7 @@
 func (li *Link) SendWait(ctx context.Context, fr *wire.Frame) bool {
 	li.init()
 	select {
-	case li.queue <- fr:
+	case li.data <- fr:
 		return true
 	case <-li.done:
 		return false
@@ -138,15 +159,17 @@
 	return li.done
 }
 
-func (li *Link) read(ctx context.Context) error {
+// read hands frames on. Each message puts off the end that a silent peer
+// comes to.
+func (li *Link) read(ctx context.Context, watchdog *time.Timer) error {
 	for {
 		_, msg, err := li.Conn.Read(ctx)
 		if err != nil {
 			return eris.Wrap(err, "read")
 		}
-		li.heard.Store(time.Now().UnixNano())
+		watchdog.Reset(missedBeats * li.Heartbeat)
 		frames, err := wire.Decode(msg)
-		count("in", frames, len(msg))
+		metrics.In.Message(len(msg), dataBytes(frames), len(frames))
 		for _, fr := range frames {
 			li.Handler.Frame(li, fr)
 		}
@@ -156,84 +179,95 @@
 	}
 }
 
+// write sends what is queued and the heartbeats, in one goroutine: a process
+// has many links.
 func (li *Link) write(ctx context.Context) error {
-	var buf bytes.Buffer
-	batch := make([]*wire.Frame, 0, queueFrames)
+	var ba batch
+	ti := time.NewTicker(li.Heartbeat)
+	defer ti.Stop()
 	for {
+		ba.reset()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case fr := <-li.queue:
-			batch = append(batch[:0], fr)
+		case <-li.slow:
+			return errSlow
+		case <-li.ready:
+		case fr := <-li.data:
+			ba.add(fr)
+		case <-ti.C:
+			ba.add(li.Handler.Beat(li))
 		}
-		buf.Reset()
-		for i := 0; i < len(batch); i++ {
-			if err := wire.Append(&buf, batch[i]); err != nil {
-				return err
-			}
-			if next, ok := li.next(buf.Len()); ok {
-				batch = append(batch, next)
-			}
+		li.fill(&ba)
+		if err := ba.err; err != nil {
+			return err
+		}
+		if len(ba.frames) == 0 {
+			continue
 		}
-		count("out", batch, buf.Len())
-		if err := li.Conn.Write(ctx, websocket.MessageBinary, buf.Bytes()); err != nil {
+		metrics.Out.Message(ba.buf.Len(), dataBytes(ba.frames), len(ba.frames))
+		if err := li.Conn.Write(ctx, websocket.MessageBinary, ba.buf.Bytes()); err != nil {
 			return eris.Wrap(err, "write")
 		}
 	}
 }
 
-// overrun ends the link once its queue ran over.
-func (li *Link) overrun(ctx context.Context) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-li.slow:
-		return errSlow
+// fill adds all control frames that wait, and answers up to the batch's size.
+func (li *Link) fill(ba *batch) {
+	li.mu.Lock()
+	control := li.control
+	li.control = nil
+	li.mu.Unlock()
+	for _, fr := range control {
+		ba.add(fr)
+	}
+	for ba.buf.Len() < batchBytes {
+		select {
+		case fr := <-li.data:
+			ba.add(fr)
+		default:
+			return
+		}
 	}
 }
 
-// next returns a frame that waits, unless the batch is large enough.
-func (li *Link) next(size int) (*wire.Frame, bool) {
-	if size >= batchBytes {
-		return nil, false
-	}
-	select {
-	case fr := <-li.queue:
-		return fr, true
-	default:
-		return nil, false
+// batch is the frames of one message.
+type batch struct {
+	frames []*wire.Frame
+	buf    bytes.Buffer
+	err    error
+}
+
+func (ba *batch) reset() {
+	ba.frames = ba.frames[:0]
+	ba.buf.Reset()
+	if ba.buf.Cap() > keepBytes {
+		ba.buf = bytes.Buffer{}
 	}
 }
 
-func (li *Link) beat(ctx context.Context) error {
-	ti := time.NewTicker(li.Heartbeat)
-	defer ti.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-ti.C:
-			silent := now.UnixNano() - li.heard.Load()
-			if silent > missedBeats*li.Heartbeat.Nanoseconds() {
-				return errSilent
-			}
-			li.Send(li.Handler.Beat(li))
-		}
+func (ba *batch) add(fr *wire.Frame) {
+	if ba.err == nil {
+		ba.err = wire.Append(&ba.buf, fr)
+		ba.frames = append(ba.frames, fr)
 	}
 }
 
-// count splits a message's bytes into control and data, so that the budget
-// for control can be watched.
-func count(direction string, frames []*wire.Frame, size int) {
+// dataBytes returns the callers' part of a message, so that the budget for
+// control can be watched. The few bytes around a part of an answer count as
+// data too: they would not be there without it.
+func dataBytes(frames []*wire.Frame) int {
 	data := 0
 	for _, fr := range frames {
-		data += len(fr.Body)
+		if len(fr.Body) > 0 {
+			data += len(fr.Body) + dataOverhead
+		}
 		if fr.Open != nil {
 			data += len(fr.Open.Body)
 		}
 	}
-	metrics.LinkBytes.Add(direction+"_data", int64(data))
-	metrics.LinkBytes.Add(direction+"_control", int64(size-data))
-	metrics.LinkFrames.Add(direction, int64(len(frames)))
-	metrics.LinkFrames.Add(direction+"_messages", 1)
+	return data
 }
+
+// dataOverhead is the size of a data frame without its body.
+const dataOverhead = 20
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -36,6 +37,8 @@
 	})
 	ro.HandleFunc("/ready", no.ready)
 	ro.Handle("/metrics", no.Operator(expvar.Handler().ServeHTTP))
+	ro.Handle("/debug/pprof/profile", no.Operator(pprof.Profile))
+	ro.PathPrefix("/debug/pprof/").Handler(no.Operator(pprof.Index))
 	ro.Handle("/v1/timeline", no.Operator(func(w http.ResponseWriter, _ *http.Request) {
 		WriteJSON(w, http.StatusOK, no.Ring.Entries())
 	}))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 package node
 
 import (
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +32,8 @@
 	// mu guards replica and links.
 	mu      sync.Mutex
 	replica replica.Replica
+	// steps holds the newest differences, each from where the one before led.
+	steps []step
 	// links holds the open link to each peer.
 	links map[string]*link.Link
 	// snapshot is the replica's, readable without the lock.
@@ -171,29 +172,13 @@
 		}
 		no.act(no.replica.Wanted(box, fr.Revision))
 	case wire.Config:
-		no.received(li, fr.Config, now)
+		no.act(no.received(li, fr.Config))
 	default:
 		return false
 	}
 	return true
 }
 
-func (no *Node) received(li *link.Link, se *wire.Settings, now time.Time) {
-	if se.Revision <= no.replica.Revision() {
-		return
-	}
-	var doc config.Document
-	err := json.Unmarshal(se.Document, &doc)
-	if err == nil {
-		err = doc.Check()
-	}
-	if err != nil {
-		no.Note(timeline.Entry{Event: event.ConfigRefused, Detail: li.Peer.Box() + ": " + err.Error()})
-		return
-	}
-	no.act(no.replica.Received(config.Compile(se.Revision, &doc), now))
-}
-
 // act carries out the replica's decisions; the lock is held.
 func (no *Node) act(acs []replica.Action) {
 	for _, ac := range acs {
@@ -205,32 +190,11 @@
 		case replica.Want:
 			no.send(ac.Peer(), &wire.Frame{Kind: wire.Want, Revision: ac.Revision()})
 		case replica.Give:
-			no.give(ac.Peer())
+			no.give(ac.Peer(), ac.Revision())
 		}
 	}
 }
 
-func (no *Node) adopt() {
-	sn := no.replica.Snapshot()
-	no.snapshot.Store(sn)
-	no.Note(timeline.Entry{Event: event.ConfigInForce, Revision: sn.Revision()})
-	no.Adopted(sn)
-}
-
-func (no *Node) give(peer string) {
-	sn := no.replica.Snapshot()
-	doc, err := json.Marshal(sn.Document())
-	if err != nil {
-		no.Note(timeline.Entry{Event: event.ConfigRefused, Detail: err.Error()})
-		return
-	}
-	no.send(peer, &wire.Frame{
-		Kind:   wire.Config,
-		Config: &wire.Settings{Revision: sn.Revision(), Document: doc},
-		Stamp:  no.stamp(),
-	})
-}
-
 func (no *Node) send(peer string, fr *wire.Frame) {
 	if li := no.links[peer]; li != nil {
 		li.Send(fr)
--- /dev/null
+++ b/internal/node/spread.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/linnetrudder/linnetrudder/internal/config"
+	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/link"
+	"github.com/linnetrudder/linnetrudder/internal/replica"
+	"github.com/linnetrudder/linnetrudder/internal/timeline"
+	"github.com/linnetrudder/linnetrudder/internal/wire"
+)
+
+// keptSteps is how many of the newest changes can be sent as differences; a
+// peer that is further behind gets the whole document.
+const keptSteps = 32
+
+// step is the difference between two revisions that were in force here one
+// after the other.
+type step struct {
+	from, to uint64
+	// diff is the encoded list of differences.
+	diff []byte
+	// digest is the checksum of the document at to.
+	digest uint64
+}
+
+// adopt takes the replica's snapshot into force; the lock is held.
+func (no *Node) adopt() {
+	old := no.snapshot.Load()
+	sn := no.replica.Snapshot()
+	no.snapshot.Store(sn)
+	if old != nil {
+		no.keepStep(old, sn)
+	}
+	no.Note(timeline.Entry{Event: event.ConfigInForce, Revision: sn.Revision()})
+	no.Adopted(sn)
+}
+
+func (no *Node) keepStep(old, sn *config.Snapshot) {
+	diff, err := json.Marshal(config.Diff(old.Document(), sn.Document()))
+	if err != nil {
+		no.steps = nil
+		return
+	}
+	no.steps = append(no.steps, step{from: old.Revision(), to: sn.Revision(), diff: diff, digest: sn.Digest()})
+	if len(no.steps) > keptSteps {
+		no.steps = no.steps[1:]
+	}
+}
+
+// give sends a peer what is above the revision it holds: the kept steps if
+// they reach back that far, the whole document otherwise; the lock is held.
+func (no *Node) give(peer string, have uint64) {
+	for i := range no.steps {
+		if no.steps[i].from == have {
+			no.giveSteps(peer, no.steps[i:])
+			return
+		}
+	}
+	sn := no.replica.Snapshot()
+	doc, err := json.Marshal(sn.Document())
+	if err != nil {
+		no.Note(timeline.Entry{Event: event.ConfigRefused, Detail: err.Error()})
+		return
+	}
+	no.send(peer, &wire.Frame{
+		Kind:   wire.Config,
+		Config: &wire.Settings{Revision: sn.Revision(), Document: doc},
+		Stamp:  no.stamp(),
+	})
+}
+
+func (no *Node) giveSteps(peer string, steps []step) {
+	for _, st := range steps {
+		no.send(peer, &wire.Frame{
+			Kind:   wire.Config,
+			Config: &wire.Settings{Revision: st.to, Base: st.from, Document: st.diff, Digest: st.digest},
+			Stamp:  no.stamp(),
+		})
+	}
+}
+
+// received takes a configuration from a peer; the lock is held. Differences
+// that do not fit are answered by a request for the whole document.
+func (no *Node) received(li *link.Link, se *wire.Settings) []replica.Action {
+	if se.Revision <= no.replica.Revision() {
+		return nil
+	}
+	sn, err := no.decode(se)
+	if err != nil {
+		no.Note(timeline.Entry{Event: event.ConfigRefused, Detail: li.Peer.Box() + ": " + err.Error()})
+		if se.Base != 0 {
+			li.Send(&wire.Frame{Kind: wire.Want, Revision: 0})
+		}
+		return nil
+	}
+	return no.replica.Received(sn, time.Now())
+}
+
+var (
+	errBase   = eris.New("differences from a revision that is not held")
+	errDigest = eris.New("differences lead to another document")
+)
+
+func (no *Node) decode(se *wire.Settings) (*config.Snapshot, error) {
+	if se.Base != 0 {
+		return no.decodeStep(se)
+	}
+	var doc config.Document
+	if err := json.Unmarshal(se.Document, &doc); err != nil {
+		return nil, eris.Wrap(err, "decode configuration")
+	}
+	if err := doc.Check(); err != nil {
+		return nil, err
+	}
+	return config.Compile(se.Revision, &doc), nil
+}
+
+func (no *Node) decodeStep(se *wire.Settings) (*config.Snapshot, error) {
+	if se.Base != no.replica.Revision() {
+		return nil, errBase
+	}
+	var diff []config.Difference
+	if err := json.Unmarshal(se.Document, &diff); err != nil {
+		return nil, eris.Wrap(err, "decode differences")
+	}
+	doc, err := config.Patch(no.replica.Snapshot().Document(), diff)
+	if err != nil {
+		return nil, err
+	}
+	if err := doc.Check(); err != nil {
+		return nil, err
+	}
+	sn := config.Compile(se.Revision, doc)
+	if sn.Digest() != se.Digest {
+		return nil, errDigest
+	}
+	return sn, nil
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -26,6 +26,7 @@
 const (
 	OK                Code = 100
 	Stopped           Code = 101
+	Queued            Code = 102
 	BadRequest        Code = 200
 	BodyTooLarge      Code = 201
 	UnknownKey        Code = 202
@@ -113,6 +114,7 @@
 var rows = []Row{
 	{OK, "ok", http.StatusOK, Ran, 0, "the answer is complete"},
 	{Stopped, "stopped", statusClosed, MayHave, 0, "the caller went away and the request was cancelled"},
+	{Queued, "queued", http.StatusAccepted, DidNotRun, 0, "the attempt waits at its backend server; this is never a final answer"},
 	{BadRequest, "bad_request", http.StatusBadRequest, DidNotRun, 0, "the request body is not valid JSON of the documented form"},
 	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, DidNotRun, 0, "the request body is larger than the settings allow"},
 	{UnknownKey, "unknown_key", http.StatusUnauthorized, DidNotRun, 0, "the bearer key is missing, unknown or revoked"},
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -4,7 +4,6 @@
 package route
 
 import (
-	"slices"
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/result"
@@ -91,6 +90,8 @@
 	maxAttempts = 4
 	// maxHeld bounds the frames that are held for a missing one.
 	maxHeld = 64
+	// ackTimeout is how long an agent may take to say anything of an attempt.
+	ackTimeout = 500 * time.Millisecond
 	// verdictGrace is how long past the deadline a verdict may come.
 	verdictGrace = 250 * time.Millisecond
 )
@@ -99,16 +100,21 @@
 type phase string
 
 const (
-	sent     phase = "sent"
+	// sent means that the agent has said nothing yet.
+	sent phase = "sent"
+	// queued means that the agent holds the attempt.
+	queued phase = "queued"
+	// admitted means that the attempt was started.
 	admitted phase = "admitted"
-	over     phase = "over"
+	// over means that nothing of the attempt counts any more.
+	over phase = "over"
 )
 
 // attempt is one try at one server.
 type attempt struct {
 	number int
-	step   int
 	phase  phase
+	sentAt time.Time
 	// next is the sequence number of the frame to be taken next.
 	next uint32
 	// held are frames that came before their turn.
@@ -159,10 +165,14 @@
 // Verdict takes an agent's word on an attempt.
 func (re *Request) Verdict(number int, co result.Code, after time.Duration, now time.Time) []Action {
 	at := re.live(number)
-	if at == nil || at.phase != sent {
+	if at == nil || at.phase == admitted {
 		return nil
 	}
-	if co == result.OK {
+	switch co {
+	case result.Queued:
+		at.phase = queued
+		return nil
+	case result.OK:
 		at.phase = admitted
 		return nil
 	}
@@ -212,18 +222,21 @@
 	return re.giveUp(result.CallerTooSlow)
 }
 
-// Tick gives the request up if its time to start has passed.
+// Tick leaves an agent that says nothing, where the request may be repeated,
+// and gives the request up once its time to start has passed.
 func (re *Request) Tick(now time.Time) []Action {
 	at := re.current
-	if at == nil || at.phase != sent || now.Before(re.Deadline.Add(verdictGrace)) {
+	if re.closed || at == nil || at.phase == admitted || at.phase == over {
 		return nil
 	}
-	acs := re.cancel(at)
-	at.phase = over
-	if re.kept != nil {
-		return append(acs, re.settle(result.OK, 0)...)
+	if re.Repeatable && at.phase == sent && now.Sub(at.sentAt) >= ackTimeout {
+		return append(re.cancel(at), re.fail(at, result.LinkLost, now)...)
 	}
-	return append(acs, re.settle(result.LinkLost, 0)...)
+	if now.Before(re.Deadline.Add(verdictGrace)) {
+		return nil
+	}
+	at.phase = over
+	return append(re.cancel(at), re.settle(result.LinkLost, 0)...)
 }
 
 // live returns the attempt if it is the one whose answer counts.
@@ -311,7 +324,7 @@
 
 // dispatch sends the step to a server not tried yet; if there is none, the
 // code of the last refusal is final.
-func (re *Request) dispatch(co result.Code, after time.Duration, _ time.Time) []Action {
+func (re *Request) dispatch(co result.Code, after time.Duration, now time.Time) []Action {
 	what := re.Steps[re.step]
 	server, ok := re.Picker.Pick(what, re.tried)
 	if !ok {
@@ -320,7 +333,7 @@
 	re.tried = append(re.tried, server)
 	re.tries++
 	re.number++
-	re.current = &attempt{number: re.number, step: re.step, phase: sent, next: 1, held: map[uint32]*wire.Frame{}}
+	re.current = &attempt{number: re.number, phase: sent, sentAt: now, next: 1, held: map[uint32]*wire.Frame{}}
 	return []Action{{do: Dispatch, attempt: re.number, step: re.step, what: what, server: server}}
 }
 
@@ -357,6 +370,3 @@
 	re.closed = true
 	return []Action{{do: Close, code: co, retryAfter: after}}
 }
-
-// Tried returns a copy of the servers tried in this step.
-func (re *Request) Tried() []string { return slices.Clone(re.tried) }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -146,10 +146,12 @@
 // Settings carries the configuration from one process to another.
 type Settings struct {
 	Revision uint64 `cbor:"1,keyasint"`
-	// Base is the revision that Changes apply to; zero if Document is whole.
-	Base     uint64 `cbor:"2,keyasint,omitempty"`
+	// Base is the revision that the differences apply to; zero if Document is
+	// whole.
+	Base uint64 `cbor:"2,keyasint,omitempty"`
+	// Document is the whole document, or the list of differences, in JSON.
 	Document []byte `cbor:"3,keyasint,omitempty"`
-	// Digest is the checksum of the resulting document.
+	// Digest is the checksum of the document that differences lead to.
 	Digest uint64 `cbor:"4,keyasint,omitempty"`
 }
 
--- /dev/null
+++ b/standin/cmd/measure/changer.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/config"
+)
+
+// changer makes changes through an entry's administration API.
+type changer struct{ admin string }
+
+func (ch changer) apply(doc *config.Document) error {
+	body, err := json.Marshal(doc)
+	if err != nil {
+		return err
+	}
+	return ch.call(http.MethodPut, "/v1/config", body)
+}
+
+func (ch changer) call(method, path string, body []byte) error {
+	req, err := http.NewRequest(method, "http://"+ch.admin+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s %s: %s", method, path, resp.Status)
+	}
+	return nil
+}
+
+// every changes one version's share at a rate until the returned function is
+// called.
+func (ch changer) every(rate float64, _ int) func() {
+	if rate == 0 {
+		return func() {}
+	}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		ti := time.NewTicker(time.Duration(float64(time.Second) / rate))
+		defer ti.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-ti.C:
+				body := fmt.Sprintf(`{"state":"rolling-in","share":%.3f}`, float64(n%100)/1000)
+				_ = ch.call(http.MethodPost, "/v1/versions/menu/v2", []byte(body))
+			}
+		}
+	})
+	return func() {
+		close(stop)
+		wg.Wait()
+	}
+}
--- /dev/null
+++ b/standin/cmd/measure/links.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/boxes"
+	"github.com/linnetrudder/linnetrudder/internal/config"
+	"github.com/linnetrudder/linnetrudder/internal/selector"
+	"github.com/linnetrudder/linnetrudder/standin/fleet"
+	"github.com/linnetrudder/linnetrudder/standin/swarm"
+)
+
+// linksCmd measures one process with many peers.
+type linksCmd struct {
+	Role    string        `enum:"entry,agent" default:"entry" help:"The measured process."`
+	Peers   int           `default:"10" help:"How many peers it has."`
+	Servers int           `default:"100" help:"Backend servers in the configuration."`
+	Changes float64       `default:"0" help:"Changes of the configuration in a second."`
+	For     time.Duration `default:"20s" help:"How long to measure."`
+}
+
+// settle is how long the processes have to connect.
+const settle = 8 * time.Second
+
+// Run starts the process and its peers and prints what it used.
+func (cm *linksCmd) Run(fe *fleet.Fleet) error {
+	if err := fe.Platform(); err != nil {
+		return err
+	}
+	fe.Tune = func(se map[string]any) {
+		se["limits"] = map[string]any{}
+		se["platform"] = map[string]any{"store": fe.Store, "boxes": fe.Boxes, "boxes_ms": 5000}
+		se["log_level"] = "warn"
+	}
+	sw := &swarm.Swarm{Store: fe.Store, Boxes: fe.Boxes, Key: "demo-key"}
+	measured, list, err := cm.members(fe, sw)
+	if err != nil {
+		return err
+	}
+	if err := fe.List(list); err != nil {
+		return err
+	}
+	ch := changer{admin: entryAdmin(list)}
+	if err := ch.apply(document(cm.Servers)); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	before, err := take(measured)
+	if err != nil {
+		return err
+	}
+	stop := ch.every(cm.Changes, cm.Servers)
+	time.Sleep(cm.For)
+	stop()
+	after, err := take(measured)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s with %d peers, %d servers, %.2f changes/s: %s\n", cm.Role, cm.Peers, cm.Servers, cm.Changes, after.since(before))
+	return nil
+}
+
+// members starts the measured process and its peers in this process.
+func (cm *linksCmd) members(fe *fleet.Fleet, sw *swarm.Swarm) (*fleet.Member, []boxes.Box, error) {
+	var list []boxes.Box
+	role := boxes.Role(cm.Role)
+	me := fleet.Member{Box: "measured", Role: cm.Role, DataCentre: "dc", Server: "s-0", Backend: "127.0.0.1:1"}
+	measured, err := fe.Add(me)
+	if err != nil {
+		return nil, nil, err
+	}
+	list = append(list, boxes.Box{
+		Name: "measured", Role: role, DataCentre: "dc", Address: measured.Address,
+		Admin: measured.Admin, Server: measured.Server, State: boxes.Live,
+	})
+	for i := range cm.Peers {
+		var peer *swarm.Member
+		if role == boxes.Entry {
+			peer, err = sw.Agent(fmt.Sprintf("agent-%d", i), "dc", fmt.Sprintf("s-%d", i), "127.0.0.1:1")
+		} else {
+			peer, err = sw.Entry(fmt.Sprintf("entry-%d", i), "dc")
+		}
+		if err != nil {
+			return nil, nil, err
+		}
+		list = append(list, peer.Box)
+	}
+	return measured, list, nil
+}
+
+func entryAdmin(list []boxes.Box) string {
+	for _, bo := range list {
+		if bo.Role == boxes.Entry {
+			return bo.Admin
+		}
+	}
+	return ""
+}
+
+// document is a configuration with many backend servers.
+func document(servers int) *config.Document {
+	doc := &config.Document{
+		Models: []config.Model{{Name: "menu", Labels: selector.Labels{"tier": "strong"}}, {Name: "notes", Labels: selector.Labels{"tier": "cheap"}}},
+		Teams:  []config.Team{{Name: "team", KeyDigests: []string{config.Digest("key")}}},
+		Grants: []config.Grant{{Versions: &selector.Selector{}, Services: &selector.Selector{}}},
+	}
+	for _, ve := range []string{"v1", "v2"} {
+		doc.Versions = append(doc.Versions,
+			config.Version{Model: "menu", Name: ve, State: config.Serving, InputPrice: 10, OutputPrice: 20},
+			config.Version{Model: "notes", Name: ve, State: config.Serving, InputPrice: 1, OutputPrice: 2})
+	}
+	for i := range servers {
+		doc.Servers = append(doc.Servers, config.Server{
+			Name: fmt.Sprintf("s-%d", i), DataCentre: "dc", Slots: 4096,
+			Labels:   selector.Labels{"rack": fmt.Sprintf("r-%d", i%40), "accelerator": "eight"},
+			Versions: []string{"menu@v1", "menu@v2", "notes@v1", "notes@v2"},
+		})
+	}
+	return doc
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -34,6 +34,9 @@
 	return eris.Wrap(pr.cmd.Process.Signal(si), "signal "+pr.Name)
 }
 
+// ID returns the program's process id.
+func (pr *Process) ID() int { return pr.cmd.Process.Pid }
+
 // Wait waits until the program has ended, at most for a time. It reports
 // whether it has.
 func (pr *Process) Wait(most time.Duration) bool {
@@ -199,6 +202,11 @@
 			Address: me.Address, Admin: me.Admin, Server: me.Server, State: boxes.Live,
 		})
 	}
+	return fl.List(list)
+}
+
+// List replaces the list of boxes.
+func (fl *Fleet) List(list []boxes.Box) error {
 	return fl.put("http://"+fl.Boxes+"/v1/boxes", list)
 }
 
--- /dev/null
+++ b/standin/swarm/swarm.go
@@ -0,0 +1,124 @@
+// Package swarm runs entries and agents inside the calling process, over real
+// connections on loopback. Measurements use it for the many on the other side
+// of one measured process, and tests use it where no process must be killed.
+package swarm
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"github.com/linnetrudder/linnetrudder/internal/agent"
+	"github.com/linnetrudder/linnetrudder/internal/boxes"
+	"github.com/linnetrudder/linnetrudder/internal/entry"
+	"github.com/linnetrudder/linnetrudder/internal/kv"
+	"github.com/linnetrudder/linnetrudder/internal/node"
+	"github.com/linnetrudder/linnetrudder/internal/settings"
+	"github.com/linnetrudder/linnetrudder/internal/timeline"
+)
+
+// Swarm is a set of running processes' insides. Its exported fields are set
+// before use.
+type Swarm struct {
+	// Store and Boxes are the addresses of the platform's stand-ins.
+	Store, Boxes string
+	// Key is the shared key.
+	Key string
+	// Tune changes the settings of each member.
+	Tune func(se *settings.Settings)
+	// Log gets the members' logs; nil drops them.
+	Log io.Writer
+
+	wg sync.WaitGroup
+}
+
+// Member is one running entry or agent.
+type Member struct {
+	// Box is how the member stands in the list of boxes.
+	Box boxes.Box
+	// Node is the member's common part.
+	Node *node.Node
+	// Stop begins a planned stop.
+	Stop context.CancelFunc
+	// Ended is closed when the member has ended.
+	Ended chan struct{}
+}
+
+// Agent starts an agent before a backend server.
+func (sw *Swarm) Agent(box, dataCentre, server, backend string) (*Member, error) {
+	me, listener, admin, err := sw.member(box, dataCentre, boxes.Agent)
+	if err != nil {
+		return nil, err
+	}
+	me.Box.Server = server
+	me.Node.Settings.Server = settings.Server{Name: server, Address: backend}
+	ag := &agent.Agent{Node: me.Node, Links: listener, Admin: admin, HTTP: &http.Client{}, Store: sw.store()}
+	sw.run(me, ag.Run)
+	return me, nil
+}
+
+// Entry starts an entry.
+func (sw *Swarm) Entry(box, dataCentre string) (*Member, error) {
+	me, listener, admin, err := sw.member(box, dataCentre, boxes.Entry)
+	if err != nil {
+		return nil, err
+	}
+	list := &boxes.Client{Address: sw.Boxes, Timeout: me.Node.Settings.Platform.Timeout(), HTTP: &http.Client{}}
+	en := &entry.Entry{Node: me.Node, Callers: listener, Admin: admin, Store: sw.store(), Boxes: list}
+	sw.run(me, en.Run)
+	return me, nil
+}
+
+// Wait waits until every member has ended.
+func (sw *Swarm) Wait() { sw.wg.Wait() }
+
+func (sw *Swarm) member(box, dataCentre string, role boxes.Role) (*Member, net.Listener, net.Listener, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	admin, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	se := settings.Default()
+	se.Box, se.DataCentre, se.SharedKey = box, dataCentre, sw.Key
+	se.Listen, se.Admin = listener.Addr().String(), admin.Addr().String()
+	se.Platform.Store, se.Platform.Boxes = sw.Store, sw.Boxes
+	if sw.Tune != nil {
+		sw.Tune(&se)
+	}
+	lo := zerolog.Nop()
+	if sw.Log != nil {
+		lo = zerolog.New(sw.Log).With().Str("box", box).Logger()
+	}
+	me := &Member{
+		Box: boxes.Box{
+			Name: box, Role: role, DataCentre: dataCentre, Address: se.Listen, Admin: se.Admin, State: boxes.Live,
+		},
+		Node:  &node.Node{Settings: se, Log: lo, Ring: &timeline.Ring{Box: box, DataCentre: dataCentre}},
+		Ended: make(chan struct{}),
+	}
+	return me, listener, admin, nil
+}
+
+func (sw *Swarm) run(me *Member, serve func(context.Context) error) {
+	ctx, stop := context.WithCancel(context.Background())
+	me.Stop = stop
+	sw.wg.Go(func() {
+		defer close(me.Ended)
+		_ = serve(ctx)
+	})
+}
+
+func (sw *Swarm) store() *kv.Client {
+	return &kv.Client{
+		Address: sw.Store, Timeout: settings.Default().Platform.Timeout(),
+		Limiter: rate.NewLimiter(rate.Inf, 1), HTTP: &http.Client{},
+	}
+}
