--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -28,7 +28,9 @@
 	servers  map[string]*Server
 	services map[string]*Service
 	kinds    map[string]*Kind
-	teams    map[string]*TeamView
+	// substitutes holds, for each kind, the versions that may stand in.
+	substitutes map[string][]*Version
+	teams       map[string]*TeamView
 	// byDigest finds a team by the digest of a key; the digest is compared
 	// again in constant time.
 	byDigest map[string]*TeamView
@@ -57,15 +59,16 @@
 // Compile indexes a document that has passed Check.
 func Compile(revision uint64, doc *Document) *Snapshot {
 	sn := &Snapshot{
-		revision: revision,
-		doc:      doc,
-		versions: make(map[string]*Version, len(doc.Versions)),
-		byModel:  make(map[string][]*Version, len(doc.Models)),
-		servers:  make(map[string]*Server, len(doc.Servers)),
-		services: make(map[string]*Service, len(doc.Services)),
-		kinds:    make(map[string]*Kind, len(doc.Kinds)),
-		teams:    make(map[string]*TeamView, len(doc.Teams)),
-		byDigest: make(map[string]*TeamView, len(doc.Teams)),
+		revision:    revision,
+		doc:         doc,
+		versions:    make(map[string]*Version, len(doc.Versions)),
+		byModel:     make(map[string][]*Version, len(doc.Models)),
+		servers:     make(map[string]*Server, len(doc.Servers)),
+		services:    make(map[string]*Service, len(doc.Services)),
+		kinds:       make(map[string]*Kind, len(doc.Kinds)),
+		substitutes: make(map[string][]*Version, len(doc.Kinds)),
+		teams:       make(map[string]*TeamView, len(doc.Teams)),
+		byDigest:    make(map[string]*TeamView, len(doc.Teams)),
 	}
 	for i := range doc.Versions {
 		ve := &doc.Versions[i]
@@ -78,9 +81,7 @@
 	for i := range doc.Services {
 		sn.services[doc.Services[i].Name] = &doc.Services[i]
 	}
-	for i := range doc.Kinds {
-		sn.kinds[doc.Kinds[i].Name] = &doc.Kinds[i]
-	}
+	sn.compileKinds()
 	sn.compileTeams()
 	return sn
 }
@@ -201,12 +202,15 @@
 // Service returns a plain service by name, or nil.
 func (sn *Snapshot) Service(name string) *Service { return sn.services[name] }
 
+// plainKind is how requests of a kind without an entry are served.
+var plainKind Kind
+
 // Kind returns how requests of a kind are served; an unknown kind is plain.
 func (sn *Snapshot) Kind(name string) *Kind {
 	if ki := sn.kinds[name]; ki != nil {
 		return ki
 	}
-	return &Kind{Name: name}
+	return &plainKind
 }
 
 // Deadline returns how long a request of the kind may wait for its start.
@@ -246,20 +250,27 @@
 	return result.OK
 }
 
-// Substitutes returns the versions that the kind lets stand in for a model.
+// Substitutes returns the versions that the kind lets stand in for a model;
+// the list must not be changed.
 func (sn *Snapshot) Substitutes(ki *Kind) []*Version {
-	if ki.Substitutes == nil {
-		return nil
-	}
+	return sn.substitutes[ki.Name]
+}
+
+func (sn *Snapshot) compileKinds() {
 	all := sn.versionLabels()
-	var list []*Version
-	for i := range sn.doc.Versions {
-		ve := &sn.doc.Versions[i]
-		if ki.Substitutes.Match(all[ve.ID()]) {
-			list = append(list, ve)
+	for i := range sn.doc.Kinds {
+		ki := &sn.doc.Kinds[i]
+		sn.kinds[ki.Name] = ki
+		if ki.Substitutes == nil {
+			continue
+		}
+		for k := range sn.doc.Versions {
+			ve := &sn.doc.Versions[k]
+			if ki.Substitutes.Match(all[ve.ID()]) {
+				sn.substitutes[ki.Name] = append(sn.substitutes[ki.Name], ve)
+			}
 		}
 	}
-	return list
 }
 
 func jsonName(fi reflect.StructField) string {
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -96,6 +96,7 @@
 	co := fl.act(fl.route.Begin(time.Now()))
 	ti := time.NewTicker(giveUpCheck)
 	defer ti.Stop()
+	waiting := true
 	for co == 0 {
 		select {
 		case <-r.Context().Done():
@@ -105,10 +106,24 @@
 		case <-fl.ready:
 			co = fl.read()
 		}
+		waiting = fl.watch(ti, waiting)
 	}
 	return co
 }
 
+// watch lets the ticker run only while time can change anything: an answer
+// that comes in needs no clock.
+func (fl *flight) watch(ti *time.Ticker, before bool) bool {
+	waiting := fl.route.Waiting()
+	switch {
+	case waiting && !before:
+		ti.Reset(giveUpCheck)
+	case !waiting && before:
+		ti.Stop()
+	}
+	return waiting
+}
+
 // giveUpCheck is how often a request without a verdict is looked at.
 const giveUpCheck = 50 * time.Millisecond
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -89,6 +89,9 @@
 		return nil
 	}
 	re.peers[peer] = max(re.peers[peer], revision)
+	if revision <= re.Revision() {
+		return nil
+	}
 	return re.ask(now)
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -162,6 +162,12 @@
 // Closed reports whether the final answer was decided.
 func (re *Request) Closed() bool { return re.closed }
 
+// Waiting reports whether time alone can change what becomes of the request.
+func (re *Request) Waiting() bool {
+	at := re.current
+	return !re.closed && at != nil && (at.phase == sent || at.phase == queued)
+}
+
 // Verdict takes an agent's word on an attempt.
 func (re *Request) Verdict(number int, co result.Code, after time.Duration, now time.Time) []Action {
 	at := re.live(number)
@@ -225,10 +231,10 @@
 // Tick leaves an agent that says nothing, where the request may be repeated,
 // and gives the request up once its time to start has passed.
 func (re *Request) Tick(now time.Time) []Action {
-	at := re.current
-	if re.closed || at == nil || at.phase == admitted || at.phase == over {
+	if !re.Waiting() {
 		return nil
 	}
+	at := re.current
 	if re.Repeatable && at.phase == sent && now.Sub(at.sentAt) >= ackTimeout {
 		return append(re.cancel(at), re.fail(at, result.LinkLost, now)...)
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -80,8 +80,23 @@
 	en.bad[version] = bad
 }
 
-// ServeHTTP answers a chat request; GET /runs answers with the counts.
+func (en *Engine) allVersions() map[string]int {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	all := make(map[string]int, len(en.versions))
+	for version, n := range en.versions {
+		all[version] = n
+	}
+	return all
+}
+
+// ServeHTTP answers a chat request; GET /runs and /versions answer with the
+// counts.
 func (en *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/versions" {
+		_ = json.NewEncoder(w).Encode(en.allVersions())
+		return
+	}
 	if r.Method == http.MethodGet {
 		_ = json.NewEncoder(w).Encode(en.AllRuns())
 		return
