perf: bills at a sixth of their size, and an outage that stays within bounds

Cause: worked out for docs/CAPACITY.md, three costs of bills broke the budget at the target's size: - a line took 181 B in the store (BenchmarkLine), so that the home of a busy document rewrote it at more than 12 KB/s; - a line that was not confirmed was handed on again every 20 s for ever: at 54,000 held lines 324 KB/s from one entry; - the writer held every repeat of a line once more, found by reading it for this sum; TestTheWriterHoldsALineOnceHoweverOftenItIsHandedOn.

Changes: documents in CBOR with a list of names, 32 B a line; repeats back off to ten minutes; a writer says what it holds, and an entry lets go of that beyond 10,000 lines, since the agent that ran the request holds it too.

Ruled out: one document for each batch of lines. Doubles would then have to be found over documents, and that is what the request id's place avoids.

Conclusion: two boxes hold each line at any time; an outage costs bounded memory.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -203,8 +203,9 @@
 		ag.takeClaims(li, fr.Claims)
 	case wire.Bill:
 		ag.mu.Lock()
-		ag.writer.Take(li.Peer.Box(), fr.Bills, time.Now())
+		taken := ag.writer.Take(li.Peer.Box(), fr.Bills, time.Now())
 		ag.mu.Unlock()
+		li.Send(&wire.Frame{Kind: wire.Taken, Bills: taken})
 	case wire.Billed:
 		ag.mu.Lock()
 		ag.ledger.Durable(fr.Bills)
--- a/internal/bill/bill_test.go
+++ b/internal/bill/bill_test.go
@@ -130,6 +130,39 @@
 	require.Zero(t, le.Len())
 }
 
+func TestAnOutageCostsFewRepeats(t *testing.T) {
+	le := Ledger{Bound: 10, Every: 20 * time.Second}
+	le.Add(line("a", 0), start)
+	offers := 0
+	for now := start; now.Before(start.Add(time.Hour)); now = now.Add(time.Second) {
+		offers += len(le.Due(10, now))
+	}
+	require.LessOrEqual(t, offers, 11)
+	require.GreaterOrEqual(t, offers, 6, "a writer that was lost is replaced in ten minutes")
+}
+
+func TestAnEntryLetsGoOfWhatItsWriterHolds(t *testing.T) {
+	le := Ledger{Bound: 10, Spare: 1}
+	le.Add(line("a", 0), start)
+	le.Taken([]wire.BillLine{line("a", 0)})
+	require.Equal(t, 1, le.Len(), "a few are kept all the same")
+	le.Add(line("b", 0), start)
+	le.Taken([]wire.BillLine{line("b", 0)})
+	require.Equal(t, 1, le.Len())
+}
+
+func TestTheWriterHoldsALineOnceHoweverOftenItIsHandedOn(t *testing.T) {
+	wr := Writer{Bound: 10}
+	id := NewRequestID("dc")
+	for range 100 {
+		require.Len(t, wr.Take("e1", []wire.BillLine{line(id, 0)}, start), 1)
+	}
+	require.Equal(t, 1, wr.size)
+	due, _ := wr.Due(start, true)
+	require.Len(t, due.Lines(), 1)
+	require.Len(t, wr.Written(due.Key(), true, start), 1)
+}
+
 func TestTheWriterAcknowledgesOnlyWhatIsDurable(t *testing.T) {
 	wr := Writer{Flush: time.Second, Bound: 10}
 	id := NewRequestID("dc")
@@ -244,6 +277,24 @@
 	require.Positive(t, naiveDoubled, "the naive writer must have billed twice")
 }
 
+func FuzzDecode(f *testing.F) {
+	good, err := Encode([]wire.BillLine{line(NewRequestID("dc"), 0), line(NewRequestID("dc"), 1)})
+	require.NoError(f, err)
+	f.Add(good)
+	f.Add([]byte{0xa2, 0x01})
+	f.Fuzz(func(t *testing.T, value []byte) {
+		doc, err := Decode(value)
+		if err != nil {
+			return
+		}
+		again, err := Encode(doc)
+		require.NoError(t, err)
+		back, err := Decode(again)
+		require.NoError(t, err)
+		require.Len(t, back, len(doc))
+	})
+}
+
 func BenchmarkLine(b *testing.B) {
 	var lines []wire.BillLine
 	for range b.N {
--- /dev/null
+++ b/internal/bill/codec.go
@@ -0,0 +1,129 @@
+package bill
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/linnetrudder/linnetrudder/internal/wire"
+)
+
+// stored is a document as it is kept: names once, lines by their places in
+// the list of names. A document is written again with each batch, so its size
+// is what bills cost.
+type stored struct {
+	Names []string     `cbor:"1,keyasint"`
+	Lines []storedLine `cbor:"2,keyasint"`
+}
+
+// storedLine is one line. The fields but for ID, Step and the numbers of
+// tokens and money are places in the list of names.
+type storedLine struct {
+	_                  struct{} `cbor:",toarray"`
+	ID                 []byte
+	DataCentre         int
+	Step               int
+	Team               int
+	Version            int
+	Kind               int
+	Box                int
+	Prompt, Completion int64
+	Cost               int64
+}
+
+// names gives each name a place.
+type names struct {
+	list  []string
+	place map[string]int
+}
+
+func (na *names) add(name string) int {
+	if i, ok := na.place[name]; ok {
+		return i
+	}
+	i := len(na.list)
+	na.list = append(na.list, name)
+	na.place[name] = i
+	return i
+}
+
+// Encode writes a document in a stable order.
+func Encode(doc []wire.BillLine) ([]byte, error) {
+	slices.SortFunc(doc, func(a, b wire.BillLine) int {
+		return cmp.Or(cmp.Compare(a.Request, b.Request), cmp.Compare(a.Step, b.Step))
+	})
+	na := names{place: map[string]int{}}
+	st := stored{Lines: make([]storedLine, 0, len(doc))}
+	for i := range doc {
+		li := &doc[i]
+		dc, id, err := splitRequest(li.Request)
+		if err != nil {
+			return nil, err
+		}
+		st.Lines = append(st.Lines, storedLine{
+			ID: id[:], DataCentre: na.add(dc), Step: li.Step, Team: na.add(li.Team), Version: na.add(li.Version),
+			Kind: na.add(li.Kind), Box: na.add(li.Box),
+			Prompt: li.Usage.Prompt, Completion: li.Usage.Completion, Cost: li.Cost,
+		})
+	}
+	st.Names = na.list
+	value, err := cbor.Marshal(st)
+	return value, eris.Wrap(err, "bill document")
+}
+
+// Decode reads a document; nothing reads as an empty one.
+func Decode(value []byte) ([]wire.BillLine, error) {
+	if len(value) == 0 {
+		return nil, nil
+	}
+	var st stored
+	if err := cbor.Unmarshal(value, &st); err != nil {
+		return nil, eris.Wrap(err, "bill document")
+	}
+	doc := make([]wire.BillLine, 0, len(st.Lines))
+	for i := range st.Lines {
+		li, err := st.line(&st.Lines[i])
+		if err != nil {
+			return nil, err
+		}
+		doc = append(doc, li)
+	}
+	return doc, nil
+}
+
+func (st *stored) line(sl *storedLine) (wire.BillLine, error) {
+	id, err := uuid.FromBytes(sl.ID)
+	if err != nil {
+		return wire.BillLine{}, eris.Wrap(err, "bill line")
+	}
+	li := wire.BillLine{
+		Step: sl.Step, Cost: sl.Cost,
+		Usage: wire.Usage{Prompt: sl.Prompt, Completion: sl.Completion},
+	}
+	dc := ""
+	for _, part := range []struct {
+		into  *string
+		place int
+	}{{&dc, sl.DataCentre}, {&li.Team, sl.Team}, {&li.Version, sl.Version}, {&li.Kind, sl.Kind}, {&li.Box, sl.Box}} {
+		if part.place < 0 || part.place >= len(st.Names) {
+			return wire.BillLine{}, eris.New("bill line: no such name")
+		}
+		*part.into = st.Names[part.place]
+	}
+	li.Request = dc + "." + id.String()
+	return li, nil
+}
+
+// splitRequest returns the data centre and the number of a request id.
+func splitRequest(request string) (string, uuid.UUID, error) {
+	dot := strings.LastIndexByte(request, '.')
+	if dot < 0 {
+		return "", uuid.Nil, eris.Errorf("request id %q names no data centre", request)
+	}
+	id, err := uuid.Parse(request[dot+1:])
+	return request[:dot], id, eris.Wrapf(err, "request id %q", request)
+}
--- a/internal/bill/document.go
+++ b/internal/bill/document.go
@@ -5,16 +5,11 @@
 package bill
 
 import (
-	"cmp"
-	"encoding/json"
 	"fmt"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
-	"github.com/rotisserie/eris"
 
 	"github.com/linnetrudder/linnetrudder/internal/wire"
 )
@@ -41,18 +36,14 @@
 
 // DocumentKey returns the key of the document that holds a request's lines.
 func DocumentKey(request string) (string, error) {
-	dot := strings.LastIndexByte(request, '.')
-	if dot < 0 {
-		return "", eris.Errorf("request id %q names no data centre", request)
-	}
-	id, err := uuid.Parse(request[dot+1:])
+	dc, id, err := splitRequest(request)
 	if err != nil {
-		return "", eris.Wrapf(err, "request id %q", request)
+		return "", err
 	}
 	sec, nsec := id.Time().UnixTime()
 	win := time.Unix(sec, nsec).UnixMilli() / window.Milliseconds()
 	shard := xxhash.Sum64String(request) % shards
-	return fmt.Sprintf("%s%s/%d/%d", Prefix, request[:dot], win, shard), nil
+	return fmt.Sprintf("%s%s/%d/%d", Prefix, dc, win, shard), nil
 }
 
 // lineKey is what is unique about a line.
@@ -80,24 +71,3 @@
 	}
 	return doc, added
 }
-
-// Decode reads a document; nothing reads as an empty one.
-func Decode(value []byte) ([]wire.BillLine, error) {
-	if len(value) == 0 {
-		return nil, nil
-	}
-	var doc []wire.BillLine
-	if err := json.Unmarshal(value, &doc); err != nil {
-		return nil, eris.Wrap(err, "bill document")
-	}
-	return doc, nil
-}
-
-// Encode writes a document in a stable order.
-func Encode(doc []wire.BillLine) ([]byte, error) {
-	slices.SortFunc(doc, func(a, b wire.BillLine) int {
-		return cmp.Or(cmp.Compare(a.Request, b.Request), cmp.Compare(a.Step, b.Step))
-	})
-	value, err := json.Marshal(doc)
-	return value, eris.Wrap(err, "bill document")
-}
--- a/internal/bill/ledger.go
+++ b/internal/bill/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"time"
+	"unique"
 
 	"github.com/linnetrudder/linnetrudder/internal/wire"
 )
@@ -10,10 +11,15 @@
 // held is a line that is not known to be durable.
 type held struct {
 	line wire.BillLine
-	// next is when it is handed on, for the first time or again.
+	// next is when it is handed on, for the first time or again; wait is the
+	// time after that until it is handed on once more.
 	next time.Time
+	wait time.Duration
 }
 
+// maxWait bounds the time until a line is handed on again.
+const maxWait = 10 * time.Minute
+
 // Ledger holds lines until they are known to be durable. Both the entry and
 // the agent of a request hold its lines, so that the loss of one box loses
 // nothing. Its exported fields are set before use; it is not safe for
@@ -23,8 +29,11 @@
 	Bound int
 	// Grace is how long a new line stays before it is handed on.
 	Grace time.Duration
-	// Every is the time after which a line is handed on again.
+	// Every is the time after which a line is handed on again; it doubles each
+	// time, so that an hour of outage costs few bytes.
 	Every time.Duration
+	// Spare is how many lines are held although another box has taken them.
+	Spare int
 
 	// lines holds each line once, in any order.
 	lines map[lineKey]*held
@@ -37,10 +46,20 @@
 	}
 	key := keyOf(&li)
 	if le.lines[key] == nil {
-		le.lines[key] = &held{line: li, next: now.Add(le.Grace)}
+		le.lines[key] = &held{line: intern(li), next: now.Add(le.Grace), wait: le.Every}
 	}
 }
 
+// intern lets lines share the few names that they hold. An outage of the
+// store may leave tens of thousands of them in memory.
+func intern(li wire.BillLine) wire.BillLine {
+	li.Team = unique.Make(li.Team).Value()
+	li.Version = unique.Make(li.Version).Value()
+	li.Kind = unique.Make(li.Kind).Value()
+	li.Box = unique.Make(li.Box).Value()
+	return li
+}
+
 // Full reports whether work that would add a line must be refused.
 func (le *Ledger) Full() bool { return len(le.lines) >= le.Bound }
 
@@ -51,7 +70,16 @@
 // that would have handed them on.
 func (le *Ledger) Hurry(now time.Time) {
 	for _, he := range le.lines {
-		he.next = now
+		he.next, he.wait = now, le.Every
+	}
+}
+
+// Taken forgets lines that their writer holds in memory, if too many are held
+// here. The agent that ran a request holds its line in any case, so two boxes
+// still do.
+func (le *Ledger) Taken(lines []wire.BillLine) {
+	if len(le.lines) > le.Spare {
+		le.Durable(lines)
 	}
 }
 
@@ -64,7 +92,8 @@
 			break
 		}
 		if !now.Before(he.next) {
-			he.next = now.Add(le.Every)
+			he.next = now.Add(he.wait)
+			he.wait = min(2*he.wait, maxWait)
 			due = append(due, he.line)
 		}
 	}
--- a/internal/bill/writer.go
+++ b/internal/bill/writer.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"time"
+	"unique"
 
 	"github.com/linnetrudder/linnetrudder/internal/wire"
 )
@@ -34,18 +35,32 @@
 // Peer returns whom to tell.
 func (ac Ack) Peer() string { return ac.peer }
 
-// Lines returns the durable lines.
+// Lines returns the durable lines, each by request, step and box alone.
 func (ac Ack) Lines() []wire.BillLine { return ac.lines }
 
 // batch is what waits for one document.
 type batch struct {
+	// lines holds each line once.
 	lines []wire.BillLine
-	// owners holds, for each peer, the lines that it handed on.
-	owners map[string][]wire.BillLine
+	// owners holds the peers that handed each line on, each once.
+	owners map[lineKey][]string
 	// since is when the first of the lines came.
 	since time.Time
 }
 
+// add notes that a peer hands a line on. It reports whether the line is new.
+func (ba *batch) add(peer string, li wire.BillLine) bool {
+	key := keyOf(&li)
+	peers, known := ba.owners[key]
+	if !slices.Contains(peers, peer) {
+		ba.owners[key] = append(peers, unique.Make(peer).Value())
+	}
+	if !known {
+		ba.lines = append(ba.lines, li)
+	}
+	return !known
+}
+
 // Writer gathers the lines of many peers into few writes. Its exported fields
 // are set before use; it is not safe for concurrent use.
 type Writer struct {
@@ -61,27 +76,36 @@
 	size    int
 }
 
-// Take accepts lines from a peer. Lines whose request id is malformed are
-// dropped; no peer of ours makes such.
-func (wr *Writer) Take(peer string, lines []wire.BillLine, now time.Time) {
+// Take accepts lines from a peer and returns those that it holds now. Lines
+// whose request id is malformed are dropped; no peer of ours makes such.
+func (wr *Writer) Take(peer string, lines []wire.BillLine, now time.Time) []wire.BillLine {
+	var taken []wire.BillLine
 	if wr.waiting == nil {
 		wr.waiting = map[string]*batch{}
 		wr.writing = map[string]*batch{}
 	}
-	for _, li := range lines {
+	for i := range lines {
+		li := intern(lines[i])
 		key, err := DocumentKey(li.Request)
 		if err != nil || wr.size >= wr.Bound {
 			continue
 		}
 		ba := wr.waiting[key]
 		if ba == nil {
-			ba = &batch{owners: map[string][]wire.BillLine{}, since: now}
+			ba = &batch{owners: map[lineKey][]string{}, since: now}
 			wr.waiting[key] = ba
 		}
-		ba.lines = append(ba.lines, li)
-		ba.owners[peer] = append(ba.owners[peer], li)
-		wr.size++
+		if ba.add(peer, li) {
+			wr.size++
+		}
+		taken = append(taken, reference(&li))
 	}
+	return taken
+}
+
+// reference is what of a line its holders need to find it.
+func reference(li *wire.BillLine) wire.BillLine {
+	return wire.BillLine{Request: li.Request, Step: li.Step, Box: li.Box}
 }
 
 // Due returns the oldest document whose batch has waited long enough and that
@@ -108,15 +132,23 @@
 	}
 	delete(wr.writing, key)
 	wr.size -= len(ba.lines)
-	if !ok {
-		for _, peer := range slices.Sorted(maps.Keys(ba.owners)) {
-			wr.Take(peer, ba.owners[peer], now)
+	byPeer := map[string][]wire.BillLine{}
+	for i := range ba.lines {
+		for _, peer := range ba.owners[keyOf(&ba.lines[i])] {
+			byPeer[peer] = append(byPeer[peer], ba.lines[i])
 		}
-		return nil
 	}
 	var acs []Ack
-	for _, peer := range slices.Sorted(maps.Keys(ba.owners)) {
-		acs = append(acs, Ack{peer: peer, lines: ba.owners[peer]})
+	for _, peer := range slices.Sorted(maps.Keys(byPeer)) {
+		if !ok {
+			wr.Take(peer, byPeer[peer], now)
+			continue
+		}
+		ac := Ack{peer: peer}
+		for i := range byPeer[peer] {
+			ac.lines = append(ac.lines, reference(&byPeer[peer][i]))
+		}
+		acs = append(acs, ac)
 	}
 	return acs
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,6 +35,8 @@
 	tickEvery = 500 * time.Millisecond
 	// billRepeat is the time after which lines are handed on again.
 	billRepeat = 20 * time.Second
+	// spareBills is how many lines an entry holds although their writers do.
+	spareBills = 10_000
 	// drainCheck is how often a planned stop looks whether all has ended.
 	drainCheck = 20 * time.Millisecond
 )
@@ -120,7 +122,7 @@
 	en.board = balance.Board{DataCentre: se.DataCentre}
 	en.view = member.View{Self: se.Box}
 	en.budget = budget.Budget{Ratio: se.Limits.RetryRatio}
-	en.ledger = bill.Ledger{Bound: se.Limits.Bills, Every: billRepeat}
+	en.ledger = bill.Ledger{Bound: se.Limits.Bills, Every: billRepeat, Spare: spareBills}
 	en.dialers = map[string]dialer{}
 	en.serverOf = map[string]string{}
 	en.boxOf = map[string]string{}
@@ -177,6 +179,10 @@
 		en.mu.Unlock()
 	case wire.Bill:
 		en.hold(fr.Bills)
+	case wire.Taken:
+		en.mu.Lock()
+		en.ledger.Taken(fr.Bills)
+		en.mu.Unlock()
 	case wire.Billed:
 		en.billed(fr.Bills)
 	case wire.Claimed:
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -47,6 +47,8 @@
 	Claimed Kind = "claimed"
 	// Bill hands bill records on.
 	Bill Kind = "bill"
+	// Taken names records that their writer holds in memory.
+	Taken Kind = "taken"
 	// Billed names records that are durable.
 	Billed Kind = "billed"
 )
@@ -251,7 +253,7 @@
 		ok = fr.Stream != 0
 	case Config:
 		ok = fr.Config != nil
-	case Beat, Offer, Want, Peers, Claim, Claimed, Bill, Billed:
+	case Beat, Offer, Want, Peers, Claim, Claimed, Bill, Taken, Billed:
 	default:
 		ok = false
 	}
