feat: learn quality from ratings and roll versions out by a sequential test

Cause: versions were chosen by the operators' expectation alone, and a roll-out had no judge.

Ruled out: disagreement of the teams.

--- a/internal/choice/choice.go
+++ b/internal/choice/choice.go
@@ -84,9 +84,17 @@
 // Code is result.OK if there is at least one step.
 func (pl Plan) Code() result.Code { return pl.code }
 
-// exploration is the part of requests on which a cheaper, little known
-// version is tried.
-const exploration = 0.02
+const (
+	// leastExploration and mostExploration bound the part of requests on which
+	// a cheaper version is tried that may meet the target for all that is
+	// known. Between them, as much is tried as the version in use is better
+	// than it must be, if what is tried falls short by assumedShortfall.
+	leastExploration = 0.05
+	mostExploration  = 0.25
+	assumedShortfall = 0.4
+	// tolerance is how far below the target a bound may be.
+	tolerance = 0.01
+)
 
 // Choose plans a request.
 func Choose(sn *config.Snapshot, ask Ask, es Estimates, re Reach) Plan {
@@ -234,46 +242,68 @@
 	if !ki.Cascade {
 		return
 	}
-	if first := cascade(list, best, ask, es); first != nil {
+	if first := cascade(list, best, ki, ask, es); first != nil {
 		pl.steps = []string{first.ID(), best.ID()}
 		pl.reason = "cheaper first try, then " + reason
 	}
 }
 
 // target returns the cheapest version that meets the kind's target with
-// confidence; one that may meet it is tried now and then; if none does, the
-// best there is.
+// confidence. Now and then it returns a cheaper one that may meet it, to learn;
+// the bounds come together as ratings come in, so that this ends by itself. If
+// none meets the target, it is the best there is.
 func target(list []*config.Version, ki *config.Kind, ask Ask, es Estimates) (*config.Version, string) {
-	best, bestMean := list[0], -1.0
+	best, reason := list[0], "best quality, none surely meets the target"
+	bestMean, slack := -1.0, 0.0
+	var maybe []*config.Version
 	for _, ve := range list {
 		mean, lower := es.Quality(ask.Team, ask.Kind, ve)
-		if lower >= ki.Target {
-			return ve, "cheapest that meets the target"
+		if lower >= ki.Target-tolerance {
+			best, reason = ve, "cheapest that meets the target"
+			slack = lower - ki.Target
+			break
 		}
-		if mean >= ki.Target && ask.Explore < exploration {
-			return ve, "tried to learn its quality"
+		if upper := 2*mean - lower; upper >= ki.Target {
+			maybe = append(maybe, ve)
 		}
 		if mean > bestMean {
 			best, bestMean = ve, mean
 		}
 	}
-	return best, "best quality, none meets the target"
+	part := min(mostExploration, leastExploration+slack/assumedShortfall)
+	if len(maybe) > 0 && ask.Explore < part {
+		return maybe[int(ask.Explore/part*float64(len(maybe)))], "tried to learn its quality"
+	}
+	return best, reason
 }
 
 // cascade returns a cheaper version that is worth trying first: the try and
-// the part of requests that go on must cost less than going straight.
-func cascade(list []*config.Version, best *config.Version, ask Ask, es Estimates) *config.Version {
+// the part of requests that go on must cost less than going straight, and what
+// is kept must surely not pull the quality below the target. Now and then it is
+// enough that it may not, to learn.
+func cascade(list []*config.Version, best *config.Version, ki *config.Kind, ask Ask, es Estimates) *config.Version {
 	straight := Cost(best, ask.Kind, es)
+	strong, _ := es.Quality(ask.Team, ask.Kind, best)
 	var first *config.Version
 	least := straight
 	for _, ve := range list {
 		if ve == best {
 			break
 		}
-		cost := Cost(ve, ask.Kind, es) + (1-es.PassRate(ask.Team, ask.Kind, ve))*straight
-		if cost < least {
+		pass := es.PassRate(ask.Team, ask.Kind, ve)
+		kept, sure := es.Quality(ask.Team, KeptKind(ask.Kind), ve)
+		if ask.Explore < leastExploration {
+			sure = min(1, 2*kept-sure)
+		}
+		cost := Cost(ve, ask.Kind, es) + (1-pass)*straight
+		if cost < least && pass*sure+(1-pass)*strong >= ki.Target-tolerance {
 			first, least = ve, cost
 		}
 	}
 	return first
 }
+
+// KeptKind is the kind under which the ratings of first tries that were kept
+// are learnt. They were chosen for being good, so they say nothing of what the
+// version makes of all requests.
+func KeptKind(kind string) string { return kind + "/kept" }
--- a/internal/quality/codec.go
+++ b/internal/quality/codec.go
@@ -46,3 +46,6 @@
 	ta.MergeLines(lines)
 	return ta, nil
 }
+
+// Cells returns how many cells the table holds.
+func (ta *Table) Cells() int { return len(ta.cells) }
--- a/internal/quality/quality.go
+++ b/internal/quality/quality.go
@@ -30,14 +30,19 @@
 const (
 	// priorN is how many ratings the operators' expectation is worth.
 	priorN = 4
-	// poolN is how many ratings of a team the ratings of all teams are worth.
-	// It is small, so that a team's own experience soon counts for more.
-	poolN = 12
-	// z is how many standard errors the lower bound is below the mean.
-	z = 1.64
+	// leastShared and mostShared bound how many of a team's own ratings those
+	// of all teams are worth. Between them the teams' agreement decides.
+	leastShared = 10
+	mostShared  = 400
+	// z is how many standard errors the lower bound is below the mean. A
+	// version that is a little short is soon found out by its own ratings, so
+	// more caution costs more than it saves (docs/design/versions.md).
+	z = 1.0
 	// maxN bounds the memory of a cell: beyond it the old counts half, so that
 	// a change shows.
 	maxN = 4000
+	// minVariance keeps an estimate of few, equal ratings from looking sure.
+	minVariance = 0.01
 )
 
 // Add adds one rating.
@@ -61,14 +66,23 @@
 	}
 }
 
+// pool is what all teams know of a kind and version.
+type pool struct {
+	count Count
+	// teams holds the cells that the count is the sum of.
+	teams []Cell
+	// shared is how many own ratings the pool is worth to a team; it is
+	// reckoned anew when stale.
+	shared float64
+	stale  bool
+}
+
 // Table holds the counts of all cells. The zero value is empty and ready. It
 // is not safe for concurrent use.
 type Table struct {
 	cells map[Cell]Count
-	// pooled sums the cells of all teams; the team of its keys is empty. Each
-	// team's part is bounded, so that a large team hides no small one's
-	// failures.
-	pooled map[Cell]Count
+	// pools sums the cells of all teams; the team of its keys is empty.
+	pools map[Cell]*pool
 }
 
 // Add adds one rating.
@@ -82,58 +96,100 @@
 func (ta *Table) Merge(ce Cell, co Count) {
 	if ta.cells == nil {
 		ta.cells = map[Cell]Count{}
-		ta.pooled = map[Cell]Count{}
+		ta.pools = map[Cell]*pool{}
+	}
+	key := Cell{Kind: ce.Kind, Version: ce.Version}
+	po := ta.pools[key]
+	if po == nil {
+		po = &pool{}
+		ta.pools[key] = po
+	}
+	have, ok := ta.cells[ce]
+	if !ok {
+		po.teams = append(po.teams, ce)
 	}
-	have := ta.cells[ce]
 	have.Merge(co)
 	ta.cells[ce] = have
-	pool := Cell{Kind: ce.Kind, Version: ce.Version}
-	all := ta.pooled[pool]
-	all.Merge(co)
-	ta.pooled[pool] = all
-}
-
-// Cells returns the table's counts; the map must not be changed.
-func (ta *Table) Cells() map[Cell]Count { return ta.cells }
-
-// Pooled returns the count of all teams for a kind and version.
-func (ta *Table) Pooled(kind, version string) Count {
-	return ta.pooled[Cell{Kind: kind, Version: version}]
+	po.count.Merge(co)
+	po.stale = true
 }
 
 // OfVersion returns the count of all teams and kinds for a version.
 func (ta *Table) OfVersion(version string) Count {
 	var all Count
-	for ce, co := range ta.pooled {
+	for ce, co := range ta.cells {
 		if ce.Version == version {
-			all.Merge(co)
+			all.N += co.N
+			all.Sum += co.Sum
+			all.Low += co.Low
 		}
 	}
 	return all
 }
 
-// Quality returns the expected rating and a bound that it is above with high
-// confidence. A team's own ratings count fully, those of all teams as much as
-// a few of its own, and the operators' expectation as much as a few of those.
+// Quality returns the expected rating and a bound that the true one is above
+// five times in six. A team's own ratings count fully. Those of all teams count for
+// as much as the teams agree: where one differs, it soon goes by its own.
 func (ta *Table) Quality(team, kind string, ve *config.Version) (mean, lower float64) {
-	pool := ta.pooled[Cell{Kind: kind, Version: ve.ID()}]
-	poolMean := (pool.Sum + priorN*ve.Quality) / (pool.N + priorN)
+	po := ta.pools[Cell{Kind: kind, Version: ve.ID()}]
+	if po == nil {
+		return ve.Quality, 0
+	}
+	poolMean := (po.count.Sum + priorN*ve.Quality) / (po.count.N + priorN)
+	shared := min(ta.shared(po), po.count.N)
 	own := ta.cells[Cell{Team: team, Kind: kind, Version: ve.ID()}]
-	mean = (own.Sum + poolN*poolMean) / (own.N + poolN)
-	// The pool's weight grows with its own certainty, up to poolN.
-	weight := own.N + poolN*pool.N/(pool.N+poolN)
+	weight := own.N + shared
+	mean = (own.Sum + shared*poolMean) / max(1, weight)
 	if weight < 1 {
-		return mean, 0
+		return ve.Quality, 0
 	}
 	// Ratings lie in [0, 1], so their variance is at most mean * (1 - mean).
-	spread := math.Sqrt(max(0, mean*(1-mean)) / weight)
+	spread := math.Sqrt(max(minVariance, mean*(1-mean)) / weight)
 	return mean, max(0, mean-z*spread)
 }
 
-// PassRate returns how often an answer was good enough, as far as is known.
+// TryKind is the kind under which it is counted how many first tries of a kind
+// were kept.
+func TryKind(kind string) string { return kind + "/tries" }
+
+// AddTry notes whether a first try was kept.
+func (ta *Table) AddTry(team, kind, version string, kept bool) {
+	score := 0.0
+	if kept {
+		score = 1
+	}
+	ta.Add(Cell{Team: team, Kind: TryKind(kind), Version: version}, score)
+}
+
+// PassRate returns how often a first try is kept.
 func (ta *Table) PassRate(team, kind string, ve *config.Version) float64 {
-	own := ta.cells[Cell{Team: team, Kind: kind, Version: ve.ID()}]
-	pool := ta.pooled[Cell{Kind: kind, Version: ve.ID()}]
-	poolPass := (pool.N - pool.Low + priorN*ve.Quality) / (pool.N + priorN)
-	return (own.N - own.Low + poolN*poolPass) / (own.N + poolN)
+	mean, _ := ta.Quality(team, TryKind(kind), ve)
+	return mean
+}
+
+// shared returns how many own ratings a pool is worth. It compares the spread
+// of the teams' means with what chance alone makes, by the moment estimator of
+// DerSimonian and Laird for the variance between groups.
+func (ta *Table) shared(po *pool) float64 {
+	if !po.stale {
+		return po.shared
+	}
+	po.stale = false
+	po.shared = mostShared
+	mean := po.count.Sum / po.count.N
+	variance := max(minVariance, mean*(1-mean))
+	spread, n, squares := 0.0, 0.0, 0.0
+	for _, ce := range po.teams {
+		co := ta.cells[ce]
+		if co.N > 0 {
+			spread += co.N * (co.Sum/co.N - mean) * (co.Sum/co.N - mean) / variance
+			n += co.N
+			squares += co.N * co.N
+		}
+	}
+	excess := spread - float64(len(po.teams)-1)
+	if room := n - squares/max(1, n); excess > 0 && room > 0 {
+		po.shared = min(mostShared, max(leastShared, room/excess))
+	}
+	return po.shared
 }
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -77,10 +77,15 @@
 }
 
 const (
-	// alarm is the cumulative sum at which a version counts as bad. It is the
-	// logarithm of about how many requests go by between two false alarms for
-	// each that a true one takes.
-	alarm = 7.0
+	// falseAlarms is about how often a good version is rolled back by one of the
+	// tests. The cumulative sum that it takes grows with the logarithm of what
+	// was seen, so that a roll-out of any length spends the same chance, and
+	// the first requests of a bad version are few.
+	falseAlarms = 0.005
+	// information is what one request tells, on average, of two rates that are
+	// some times apart; firstRequests keeps the first few from deciding alone.
+	information   = 0.05
+	firstRequests = 50
 	// floorRate is the least failure rate that is taken for normal.
 	floorRate = 0.005
 	// worse is how many times the normal rate counts as bad.
@@ -114,9 +119,9 @@
 	pr.Failures = sum(pr.Failures, float64(fresh.Failed), float64(fresh.Started), good.failure, bad.failure)
 	pr.Ratings = sum(pr.Ratings, fresh.Low, fresh.Rated, good.low, bad.low)
 	switch {
-	case pr.Failures >= alarm:
+	case pr.Failures >= alarm(float64(version.Started)):
 		return pr.reverse("failures"), 0
-	case pr.Ratings >= alarm:
+	case pr.Ratings >= alarm(version.Rated):
 		return pr.reverse("low ratings"), 0
 	case pr.cleared(plan, now, good, bad):
 		return pr.grow(plan, now)
@@ -124,6 +129,12 @@
 	return pr, plan.Steps[min(pr.Step, len(plan.Steps)-1)]
 }
 
+// alarm returns the cumulative sum at which a version counts as bad after a
+// number of outcomes.
+func alarm(seen float64) float64 {
+	return math.Log((seen + firstRequests) * information / falseAlarms)
+}
+
 func (pr Progress) reverse(reason string) Progress {
 	pr.Verdict = Reversed
 	pr.Reason = reason
--- /dev/null
+++ b/standin/trial/rollouts.go
@@ -0,0 +1,192 @@
+package trial
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/config"
+	"github.com/linnetrudder/linnetrudder/internal/rollout"
+)
+
+// Release is the input of the roll-out experiment: a new version takes over
+// from one that serves.
+type Release struct {
+	// Rate is the model's requests in a second.
+	Rate int
+	// GoodFailures and GoodLow are the rates of failures and of low ratings of
+	// the version that serves.
+	GoodFailures, GoodLow float64
+	// Failures and Low are those of the new version, from TurnsBad on; before,
+	// it is as good as the other.
+	Failures, Low float64
+	TurnsBad      time.Duration
+	// Rated is the part of answers that is rated, after RatingLag. Tallies are
+	// seen after Lag.
+	Rated          float64
+	Lag, RatingLag time.Duration
+	// Interrupted is when nobody decides for a while.
+	Interrupted [2]time.Duration
+	// For is how long to watch.
+	For  time.Duration
+	Seed uint64
+}
+
+// ReleaseOutcome is what one strategy did.
+type ReleaseOutcome struct {
+	Strategy string
+	// Exposure is how many requests went to the version after it was bad.
+	Exposure int
+	Reversed bool
+	// Full is when the version had all new work; zero if never.
+	Full time.Duration
+}
+
+// releaser decides the new version's share once a second.
+type releaser interface {
+	share(now time.Time, version, others rollout.Tally) float64
+	name() string
+}
+
+// plan is what operators of all strategies write.
+func plan() *config.Rollout {
+	return &config.Rollout{
+		Model: "m", To: "v2", Steps: []float64{0.01, 0.05, 0.2, 0.5, 1}, HoldSeconds: 60, MaxFailureRate: 0.05,
+	}
+}
+
+// ours is the system.
+type ours struct{ pr rollout.Progress }
+
+func (*ours) name() string { return "linnetrudder" }
+
+func (ou *ours) share(now time.Time, version, others rollout.Tally) float64 {
+	next, share := rollout.Decide(plan(), ou.pr, now, version, others)
+	ou.pr = next
+	return share
+}
+
+// ladder takes fixed steps and looks at the failure rate before each.
+type ladder struct {
+	title  string
+	steps  []float64
+	every  time.Duration
+	begin  time.Time
+	seen   rollout.Tally
+	step   int
+	bad    bool
+	begun  bool
+	lastly bool
+}
+
+func (la *ladder) name() string { return la.title }
+
+// lowRate is the rate of low ratings at which a ladder goes back.
+const lowRate = 0.25
+
+func (la *ladder) share(now time.Time, version, _ rollout.Tally) float64 {
+	if !la.begun {
+		la.begun, la.begin = true, now
+	}
+	if la.bad {
+		return 0
+	}
+	if now.Sub(la.begin) >= la.every {
+		started := float64(version.Started - la.seen.Started)
+		failed := float64(version.Failed - la.seen.Failed)
+		rated, low := version.Rated-la.seen.Rated, version.Low-la.seen.Low
+		la.bad = started > 0 && failed/started > plan().MaxFailureRate || rated > 0 && low/rated > lowRate
+		la.seen, la.begin = version, now
+		if la.step < len(la.steps)-1 {
+			la.step++
+		}
+		if la.bad {
+			return 0
+		}
+	}
+	return la.steps[la.step]
+}
+
+// Rollouts runs every strategy on the same release.
+func Rollouts(re Release) []ReleaseOutcome {
+	return []ReleaseOutcome{
+		re.run(&ladder{title: "all at once, looked at every 10 min", steps: []float64{1}, every: 10 * time.Minute}),
+		re.run(&ladder{title: "fixed ladder, a step every 10 min", steps: plan().Steps, every: 10 * time.Minute}),
+		re.run(&ours{}),
+	}
+}
+
+// lagged holds tallies until they are seen.
+type lagged struct {
+	lag  int
+	past []rollout.Tally
+}
+
+func (la *lagged) push(ta rollout.Tally) rollout.Tally {
+	la.past = append(la.past, ta)
+	return la.past[max(0, len(la.past)-1-la.lag)]
+}
+
+func (re Release) run(st releaser) ReleaseOutcome {
+	ra := rand.New(rand.NewPCG(re.Seed, 11))
+	out := ReleaseOutcome{Strategy: st.name()}
+	begin := time.Unix(1_800_000_000, 0)
+	var real, other rollout.Tally
+	seen := [2]lagged{{lag: int(re.Lag.Seconds())}, {lag: int(re.Lag.Seconds())}}
+	rated := [2]lagged{{lag: int(re.RatingLag.Seconds())}, {lag: int(re.RatingLag.Seconds())}}
+	share := 0.0
+	for sec := range int(re.For.Seconds()) {
+		at := time.Duration(sec) * time.Second
+		if at < re.Interrupted[0] || at >= re.Interrupted[1] {
+			share = st.share(begin.Add(at), view(&seen[0], &rated[0], real), view(&seen[1], &rated[1], other))
+		} else {
+			view(&seen[0], &rated[0], real)
+			view(&seen[1], &rated[1], other)
+		}
+		bad := at >= re.TurnsBad && (re.Failures > re.GoodFailures || re.Low > re.GoodLow)
+		for range re.Rate {
+			if ra.Float64() >= share {
+				re.request(ra, &other, re.GoodFailures, re.GoodLow)
+				continue
+			}
+			if bad {
+				out.Exposure++
+				re.request(ra, &real, re.Failures, re.Low)
+			} else {
+				re.request(ra, &real, re.GoodFailures, re.GoodLow)
+			}
+		}
+		if share >= 1 && out.Full == 0 {
+			out.Full = at
+		}
+		out.Reversed = share == 0
+	}
+	return out
+}
+
+// view returns what of a tally is seen by now: counts after their lag, ratings
+// after theirs.
+func view(counts, ratings *lagged, ta rollout.Tally) rollout.Tally {
+	seen := counts.push(ta)
+	late := ratings.push(ta)
+	seen.Rated, seen.Low = late.Rated, late.Low
+	return seen
+}
+
+func (re Release) request(ra *rand.Rand, ta *rollout.Tally, failures, low float64) {
+	ta.Started++
+	if ra.Float64() < failures {
+		ta.Failed++
+		return
+	}
+	if ra.Float64() < re.Rated {
+		ta.Rated++
+		if ra.Float64() < low {
+			ta.Low++
+		}
+	}
+}
+
+func (ro ReleaseOutcome) String() string {
+	return fmt.Sprintf("%s: exposed %d, reversed %t, full after %s", ro.Strategy, ro.Exposure, ro.Reversed, ro.Full)
+}
--- /dev/null
+++ b/standin/trial/rollouts_test.go
@@ -0,0 +1,82 @@
+package trial
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// release is a good version; tests change what is wrong with it.
+func release(seed uint64) Release {
+	return Release{
+		Rate: 50, GoodFailures: 0.01, GoodLow: 0.08, Failures: 0.01, Low: 0.08, Rated: 0.3,
+		Lag: 5 * time.Second, RatingLag: time.Minute, For: 2 * time.Hour, Seed: seed,
+	}
+}
+
+// sums adds up what each strategy did over many seeds.
+type sums struct {
+	exposure, reversed, full int
+}
+
+func over(n int, change func(re *Release)) map[string]sums {
+	by := map[string]sums{}
+	for seed := range n {
+		re := release(uint64(seed))
+		change(&re)
+		for _, ou := range Rollouts(re) {
+			su := by[ou.Strategy]
+			su.exposure += ou.Exposure
+			if ou.Reversed {
+				su.reversed++
+			}
+			if ou.Full > 0 {
+				su.full++
+			}
+			by[ou.Strategy] = su
+		}
+	}
+	return by
+}
+
+const (
+	ladderName = "fixed ladder, a step every 10 min"
+	oursName   = "linnetrudder"
+	runs       = 40
+)
+
+func TestGoodVersionsGetThrough(t *testing.T) {
+	by := over(runs, func(*Release) {})
+	t.Log(by)
+	require.Zero(t, by[oursName].reversed)
+	require.Equal(t, runs, by[oursName].full)
+	require.LessOrEqual(t, by[oursName].reversed, by[ladderName].reversed, "no more false alarms than the ladder")
+}
+
+func TestBadVersionsAreReversed(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(re *Release)
+	}{
+		{"fails from the start", func(re *Release) { re.Failures = 0.2 }},
+		{"fails a little", func(re *Release) { re.Failures = 0.08 }},
+		{"low ratings", func(re *Release) { re.Low = 0.4 }},
+		{"turns bad half-way", func(re *Release) { re.Failures, re.TurnsBad = 0.3, 20*time.Minute }},
+		{"turns bad after all", func(re *Release) { re.Failures, re.TurnsBad = 0.3, 90*time.Minute }},
+		{"interrupted", func(re *Release) {
+			re.Failures = 0.2
+			re.Interrupted = [2]time.Duration{2 * time.Second, 10 * time.Minute}
+		}},
+	} {
+		by := over(runs, tc.change)
+		t.Log(tc.name, by)
+		require.Equal(t, runs, by[oursName].reversed, tc.name)
+		if tc.name == "interrupted" {
+			// Nobody decides for ten minutes, so both keep the first share.
+			require.LessOrEqual(t, by[oursName].exposure, by[ladderName].exposure, tc.name)
+			continue
+		}
+		require.Less(t, by[oursName].exposure, by[ladderName].exposure, tc.name)
+	}
+}
--- /dev/null
+++ b/standin/trial/versions_test.go
@@ -0,0 +1,46 @@
+package trial
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// seeds is how many markets a test looks at.
+const seeds = 8
+
+func market(seed uint64, cascade bool) Market {
+	return Market{Requests: 60_000, Rated: 0.3, Wrong: 0.02, Delay: 500, Seed: seed, Cascade: cascade}
+}
+
+func byStrategy(all []Outcome) map[string]Outcome {
+	by := map[string]Outcome{}
+	for _, ou := range all {
+		by[ou.Strategy] = ou
+	}
+	return by
+}
+
+func TestCostAtTheQualityTarget(t *testing.T) {
+	ratio := 0.0
+	for seed := range uint64(seeds) {
+		by := byStrategy(Versions(market(seed, false)))
+		ours := by["linnetrudder"]
+		require.GreaterOrEqual(t, ours.Met, 0.99, "seed %d: the target is met", seed)
+		require.Less(t, by["always the small one"].Met, 0.5)
+		require.Less(t, by["round robin"].Met, 0.7)
+		require.Less(t, ours.Cost, 0.6*by["always the large one"].Cost)
+		ratio += ours.Cost / by["best fixed in hindsight"].Cost / seeds
+	}
+	require.Less(t, ratio, 1.1, "within a tenth of the best fixed assignment, cold start included")
+}
+
+func TestACascadeCostsLessAtTheSameTarget(t *testing.T) {
+	for seed := range uint64(seeds) {
+		without := byStrategy(Versions(market(seed, false)))["linnetrudder"]
+		with := byStrategy(Versions(market(seed, true)))["linnetrudder"]
+		t.Log(with)
+		require.GreaterOrEqual(t, with.Met, 0.99)
+		require.Less(t, with.Cost, without.Cost)
+	}
+}
