feat: roll-outs decide themselves in the running path

Cause: the sequential test stood in the experiment only.

The leader of each data centre adds up outcomes and ratings, decides from what all have stored, stores the progress by compare-and-swap, and lets the configuration follow it under an operation id that makes it once. Ruled out: a progress for each data centre (each would have to see its own bad requests), and a lease for one controller (compare-and-swap does it with no renewal).

Found on the way: a kept first try after a failed second step was said to be of the second version (TestACascadeFallsBackOnItsFirstAnswer now asks); a caller that went away counted as a failure of the server; the demo's cascade no longer happened, since first tries must now be known to be good, and the demo plays the rating service for that.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -37,6 +37,10 @@
 // do runs the attempt to its end and tells the entry.
 func (ru *run) do(ctx context.Context) {
 	co, us := ru.call(ctx)
+	if co != result.OK && ctx.Err() != nil {
+		// The caller or its entry went away; that says nothing of the server.
+		co = result.Stopped
+	}
 	var lines []wire.BillLine
 	if co == result.OK {
 		lines = []wire.BillLine{ru.ag.bill(ru.at, us)}
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -39,6 +39,7 @@
 	add(http.MethodGet, "/v1/bill", en.getBill)
 	add(http.MethodGet, "/v1/boxes", en.getBoxes)
 	add(http.MethodPost, "/v1/explain", en.postExplain)
+	add(http.MethodPost, "/v1/ratings", en.postRatings)
 	return ro
 }
 
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -99,10 +99,12 @@
 }
 
 func (en *Entry) choose(as *ask) choice.Plan {
+	en.mu.Lock()
+	defer en.mu.Unlock()
 	return choice.Choose(en.Node.Snapshot(), choice.Ask{
 		Team: as.team, Kind: as.kind, Model: as.model, Pinned: as.pinned,
 		Draw: rand.Float64(), Explore: rand.Float64(),
-	}, en.estimates, pick{en})
+	}, estimates{Table: en.lessons.table}, &en.board)
 }
 
 // fly runs the request on the chosen steps.
@@ -115,7 +117,7 @@
 		en: en, w: w, ask: as, streams: map[int]uint64{}, ready: make(chan struct{}, 1),
 		route: &route.Request{
 			Steps: steps, Repeatable: !as.once, Deadline: as.deadline,
-			Picker: pick{en}, Retries: pick{en}, Judge: judge{},
+			Picker: pick{en}, Retries: pick{en}, Judge: judge{en: en, as: as},
 		},
 	}
 	co := fl.fly(r)
@@ -174,16 +176,19 @@
 }
 
 // judge keeps a first answer that came whole, with success, and that its
-// engine is confident of.
-type judge struct{}
+// engine is confident of. What it decides is learnt.
+type judge struct {
+	en *Entry
+	as *ask
+}
 
 // minConfidence is the least confidence of a first answer that is kept.
 const minConfidence = 0.5
 
 // Good says whether the answer is kept.
-func (judge) Good(status int, body []byte, us *wire.Usage) bool {
-	if status != http.StatusOK || len(body) == 0 || us == nil {
-		return false
-	}
-	return us.Confidence == 0 || us.Confidence >= minConfidence
+func (ju judge) Good(what string, status int, body []byte, us *wire.Usage) bool {
+	kept := status == http.StatusOK && len(body) > 0 && us != nil &&
+		(us.Confidence == 0 || us.Confidence >= minConfidence)
+	ju.en.tried(ju.as, what, kept)
+	return kept
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,7 +18,6 @@
 	"github.com/linnetrudder/linnetrudder/internal/bill"
 	"github.com/linnetrudder/linnetrudder/internal/boxes"
 	"github.com/linnetrudder/linnetrudder/internal/budget"
-	"github.com/linnetrudder/linnetrudder/internal/choice"
 	"github.com/linnetrudder/linnetrudder/internal/claim"
 	"github.com/linnetrudder/linnetrudder/internal/config"
 	"github.com/linnetrudder/linnetrudder/internal/event"
@@ -26,6 +25,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/link"
 	"github.com/linnetrudder/linnetrudder/internal/member"
 	"github.com/linnetrudder/linnetrudder/internal/node"
+	"github.com/linnetrudder/linnetrudder/internal/rollout"
 	"github.com/linnetrudder/linnetrudder/internal/timeline"
 	"github.com/linnetrudder/linnetrudder/internal/wire"
 )
@@ -80,8 +80,8 @@
 	serverOf, boxOf map[string]string
 	// flights holds the request that waits for each attempt's frames.
 	flights map[uint64]*ticket
-	// estimates is what has been learnt of the versions.
-	estimates choice.Estimates
+	// lessons is what has been learnt of the versions.
+	lessons lessons
 	// pins remembers the versions of sessions seen here; turned is when its
 	// newest generation began.
 	pins   pinCache
@@ -104,6 +104,8 @@
 	en.supervisor.Add(node.Service{Name: "admin", Serving: en.serveAdmin})
 	en.supervisor.Add(node.Service{Name: "boxes", Serving: en.followBoxes})
 	en.supervisor.Add(node.Service{Name: "watch", Serving: en.watchStore})
+	en.supervisor.Add(node.Service{Name: "lessons", Serving: en.learn})
+	en.supervisor.Add(node.Service{Name: "rollouts", Serving: en.followRollouts})
 	en.supervisor.Add(node.Service{Name: "ticks", Serving: en.tick})
 	ended := en.supervisor.ServeBackground(work)
 	en.Node.Note(timeline.Entry{Event: event.ProcessStarted, Detail: "entry"})
@@ -127,7 +129,7 @@
 	en.serverOf = map[string]string{}
 	en.boxOf = map[string]string{}
 	en.flights = map[uint64]*ticket{}
-	en.estimates = choice.Prior{}
+	en.lessons = newLessons()
 	en.claims = map[string][]chan wire.ClaimLine{}
 	en.Node.Adopted = en.adopted
 }
@@ -168,6 +170,9 @@
 	if fr.Load != nil {
 		en.mu.Lock()
 		en.board.Load(en.serverOf[li.Peer.Box()], *fr.Load)
+		for _, ou := range fr.Load.Versions {
+			en.lessons.count(li.Peer.Box(), ou.Version, rollout.Tally{Started: ou.Started, Failed: ou.Failed})
+		}
 		en.mu.Unlock()
 	}
 	switch fr.Kind {
@@ -251,10 +256,3 @@
 	defer pi.en.mu.Unlock()
 	return pi.en.budget.Take(now)
 }
-
-// Has reports whether any usable server holds the version.
-func (pi pick) Has(version string) bool {
-	pi.en.mu.Lock()
-	defer pi.en.mu.Unlock()
-	return pi.en.board.Has(version)
-}
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -21,6 +21,7 @@
 const (
 	headerRequest = "X-Linnetrudder-Request"
 	headerVersion = "X-Linnetrudder-Version"
+	headerKept    = "X-Linnetrudder-Kept"
 )
 
 // ticket finds the request that an attempt belongs to.
@@ -165,7 +166,7 @@
 		case route.Cancel:
 			fl.cancel(ac.Attempt())
 		case route.DeliverHead:
-			fl.head(ac.Head())
+			fl.head(ac)
 		case route.Deliver:
 			_, _ = fl.w.Write(ac.Body())
 		case route.Close:
@@ -219,11 +220,15 @@
 	}
 }
 
-func (fl *flight) head(he *wire.AnswerHead) {
-	fl.w.Header().Set("Content-Type", he.Type)
+func (fl *flight) head(ac route.Action) {
+	fl.version = ac.What()
+	fl.w.Header().Set("Content-Type", ac.Head().Type)
 	fl.w.Header().Set(headerRequest, fl.ask.id)
 	fl.w.Header().Set(headerVersion, fl.version)
-	fl.w.WriteHeader(he.Status)
+	if ac.Kept() {
+		fl.w.Header().Set(headerKept, "true")
+	}
+	fl.w.WriteHeader(ac.Head().Status)
 	fl.started = true
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -50,3 +50,10 @@
 	ranked := rendezvous.Rank("watch", vi.Entries())
 	return slices.Contains(ranked[:min(watchers, len(ranked))], vi.Self)
 }
+
+// Leads reports whether this entry is the first of those that watch. At most a
+// few lead at once while entries come and go; what a leader does must bear
+// that.
+func (vi *View) Leads() bool {
+	return rendezvous.First("watch", vi.Entries()) == vi.Self
+}
--- /dev/null
+++ b/internal/rollout/apply.go
@@ -0,0 +1,109 @@
+package rollout
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/linnetrudder/linnetrudder/internal/config"
+)
+
+// Prefix is where the progress of roll-outs is kept, OutcomesPrefix where each
+// data centre adds up what became of its requests.
+const (
+	Prefix         = "linnetrudder/rollouts/"
+	OutcomesPrefix = "linnetrudder/outcomes/"
+)
+
+// Operation returns the id of the change of configuration that a progress
+// leads to. Whoever makes it again changes nothing.
+func (pr Progress) Operation() string {
+	body, _ := json.Marshal([]any{pr.Version, pr.Step, pr.Verdict, pr.Since.UnixNano()})
+	return "rollout " + string(body)
+}
+
+// Apply returns the document in which the progress holds, or the same one if
+// it holds already. It reports whether anything changed. A version that an
+// operator has withdrawn stays so.
+func Apply(doc *config.Document, plan *config.Rollout, pr Progress, share float64) (*config.Document, bool) {
+	next := *doc
+	next.Versions = append([]config.Version(nil), doc.Versions...)
+	changed := false
+	set := func(ve *config.Version, state config.State, share float64) {
+		if ve.State != config.Withdrawn && (ve.State != state || ve.Share != share) {
+			ve.State, ve.Share = state, share
+			changed = true
+		}
+	}
+	for i := range next.Versions {
+		ve := &next.Versions[i]
+		switch {
+		case ve.Model != plan.Model:
+		case ve.Name == plan.To && pr.Verdict == Reversed:
+			set(ve, config.Withdrawn, 0)
+		case ve.Name == plan.To && pr.Verdict == Done:
+			set(ve, config.Serving, 0)
+		case ve.Name == plan.To:
+			set(ve, config.RollingIn, share)
+		case pr.Verdict == Done && ve.State == config.Serving:
+			set(ve, config.RollingOut, 0)
+		case pr.Verdict == Reversed && ve.State == config.RollingOut:
+			set(ve, config.Serving, 0)
+		}
+	}
+	if !changed {
+		return doc, false
+	}
+	return &next, true
+}
+
+// Withdrawn reports whether an operator has withdrawn the plan's version.
+func Withdrawn(doc *config.Document, plan *config.Rollout) bool {
+	for i := range doc.Versions {
+		ve := &doc.Versions[i]
+		if ve.Model == plan.Model && ve.Name == plan.To {
+			return ve.State == config.Withdrawn
+		}
+	}
+	return true
+}
+
+// Tallies holds a tally for each version.
+type Tallies map[string]Tally
+
+// Add adds one version's tally.
+func (ts Tallies) Add(version string, ta Tally) { ts[version] = ts[version].Add(ta) }
+
+// Split returns the tally of the plan's version, and that of the other
+// versions of its model together.
+func (ts Tallies) Split(doc *config.Document, plan *config.Rollout) (version, others Tally) {
+	for i := range doc.Versions {
+		ve := &doc.Versions[i]
+		switch {
+		case ve.Model != plan.Model:
+		case ve.Name == plan.To:
+			version = ts[ve.ID()]
+		default:
+			others = others.Add(ts[ve.ID()])
+		}
+	}
+	return version, others
+}
+
+// DecodeTallies reads what a data centre has stored; nothing reads as empty.
+func DecodeTallies(value []byte) (Tallies, error) {
+	ts := Tallies{}
+	if len(value) == 0 {
+		return ts, nil
+	}
+	return ts, eris.Wrap(json.Unmarshal(value, &ts), "outcomes")
+}
+
+// DecodeProgress reads a stored progress; nothing reads as not begun.
+func DecodeProgress(value []byte) (Progress, error) {
+	var pr Progress
+	if len(value) == 0 {
+		return pr, nil
+	}
+	return pr, eris.Wrap(json.Unmarshal(value, &pr), "roll-out")
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -24,8 +24,8 @@
 
 // Judge says whether the answer of a first try is good enough to keep.
 type Judge interface {
-	// Good is given the whole answer.
-	Good(status int, body []byte, us *wire.Usage) bool
+	// Good is given the version and its whole answer.
+	Good(what string, status int, body []byte, us *wire.Usage) bool
 }
 
 // Do is what the shell must do.
@@ -51,6 +51,7 @@
 	attempt    int
 	step       int
 	what       string
+	kept       bool
 	server     string
 	head       *wire.AnswerHead
 	body       []byte
@@ -67,9 +68,12 @@
 // Step returns the place in the cascade, from 0.
 func (ac Action) Step() int { return ac.step }
 
-// What returns the version or plain service to run.
+// What returns the version or plain service to run, or that the answer is of.
 func (ac Action) What() string { return ac.what }
 
+// Kept reports whether the answer is a first try that was kept.
+func (ac Action) Kept() bool { return ac.kept }
+
 // Server returns the server to send to.
 func (ac Action) Server() string { return ac.server }
 
@@ -113,6 +117,7 @@
 // attempt is one try at one server.
 type attempt struct {
 	number int
+	what   string
 	phase  phase
 	sentAt time.Time
 	// next is the sequence number of the frame to be taken next.
@@ -261,7 +266,7 @@
 		at.head = fr.Head
 		if re.last() {
 			re.delivered = true
-			return []Action{{do: DeliverHead, head: fr.Head}}
+			return []Action{{do: DeliverHead, what: at.what, head: fr.Head}}
 		}
 	case wire.Data:
 		if re.last() {
@@ -283,7 +288,7 @@
 	if re.last() {
 		return re.close(result.OK, 0)
 	}
-	if at.head != nil && re.Judge.Good(at.head.Status, at.body, at.usage) {
+	if at.head != nil && re.Judge.Good(at.what, at.head.Status, at.body, at.usage) {
 		re.kept = at
 		return re.settle(result.OK, 0)
 	}
@@ -339,7 +344,7 @@
 	re.tried = append(re.tried, server)
 	re.tries++
 	re.number++
-	re.current = &attempt{number: re.number, phase: sent, sentAt: now, next: 1, held: map[uint32]*wire.Frame{}}
+	re.current = &attempt{number: re.number, what: what, phase: sent, sentAt: now, next: 1, held: map[uint32]*wire.Frame{}}
 	return []Action{{do: Dispatch, attempt: re.number, step: re.step, what: what, server: server}}
 }
 
@@ -350,7 +355,10 @@
 		return re.close(co, after)
 	}
 	re.delivered = true
-	acs := []Action{{do: DeliverHead, head: re.kept.head}, {do: Deliver, body: re.kept.body}}
+	acs := []Action{
+		{do: DeliverHead, what: re.kept.what, kept: true, head: re.kept.head},
+		{do: Deliver, body: re.kept.body},
+	}
 	return append(acs, re.close(result.OK, 0)...)
 }
 
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -36,7 +36,7 @@
 // confident keeps answers that hold the word good.
 type confident struct{}
 
-func (confident) Good(_ int, body []byte, _ *wire.Usage) bool {
+func (confident) Good(_ string, _ int, body []byte, _ *wire.Usage) bool {
 	return strings.Contains(string(body), "good")
 }
 
@@ -65,11 +65,15 @@
 	codes []result.Code
 	sent  []string
 	after time.Duration
+	// by is the version that the answer is said to be of.
+	by string
 }
 
 func (sc *script) add(acs []Action) {
 	for _, ac := range acs {
 		switch ac.Do() {
+		case DeliverHead:
+			sc.by = ac.What()
 		case Deliver:
 			sc.body += string(ac.Body())
 		case Close:
@@ -207,6 +211,7 @@
 		sc.add(re.Verdict(n, result.Overloaded, 0, start))
 	}
 	require.Equal(t, "poor", sc.body)
+	require.Equal(t, "cheap@v1", sc.by, "the answer is of the version that gave it")
 	require.Equal(t, []result.Code{result.OK}, sc.codes)
 }
 
--- a/standin/cmd/demo/steps.go
+++ b/standin/cmd/demo/steps.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -9,12 +10,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
+	"github.com/linnetrudder/linnetrudder/internal/entry"
 	"github.com/linnetrudder/linnetrudder/standin/engine"
 	"github.com/linnetrudder/linnetrudder/standin/fleet"
 	"github.com/linnetrudder/linnetrudder/standin/plain"
@@ -45,6 +48,7 @@
 	{"chat through both entries", (*demo).chat},
 	{"stream", (*demo).stream},
 	{"a session keeps its version", (*demo).session},
+	{"ratings of first tries", (*demo).rate},
 	{"a cascade", (*demo).cascade},
 	{"a plain call that may not be repeated", (*demo).plainCall},
 	{"withdraw a version", (*demo).withdraw},
@@ -203,6 +207,28 @@
 	return nil
 }
 
+// ratings is how many ratings make the system sure of first tries.
+const ratings = 40
+
+// rate plays the rating service: first tries of drafts that were kept were
+// good. Without that, the system goes straight to the strong model.
+func (de *demo) rate() error {
+	one := entry.Rating{Team: "kitchen-a", Kind: "draft", Version: "notes@v1", Kept: true, Score: 1}
+	body, err := json.Marshal(slices.Repeat([]entry.Rating{one}, ratings))
+	if err != nil {
+		return err
+	}
+	resp, err := http.Post("http://"+de.entries[0].Admin+"/v1/ratings", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("ratings: %s", resp.Status)
+	}
+	return nil
+}
+
 func (de *demo) cascade() error {
 	version, err := de.ask(0, "kitchen-key", "auto", option.WithHeader("X-Linnetrudder-Kind", "draft"))
 	if err != nil {
@@ -296,7 +322,7 @@
 	if err != nil {
 		return err
 	}
-	if !strings.Contains(out, "request_escalated") && !strings.Contains(out, "attempt_admitted") {
+	if !strings.Contains(out, "request_escalated") || !strings.Contains(out, "attempt_admitted") {
 		return fmt.Errorf("the time line shows no attempt")
 	}
 	_, err = de.ctl("status")
--- a/standin/e2e/site_test.go
+++ b/standin/e2e/site_test.go
@@ -330,11 +330,3 @@
 		require.Equal(si.t, 1, n, "billed once: %s", id)
 	}
 }
-
-func codes(calls []call) map[result.Code]int {
-	count := map[result.Code]int{}
-	for _, ca := range calls {
-		count[ca.code]++
-	}
-	return count
-}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -91,12 +91,16 @@
 }
 
 // ServeHTTP answers a chat request; GET /runs and /versions answer with the
-// counts.
+// counts, and PUT /bad?version=V&bad=true makes a version fail.
 func (en *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/versions" {
 		_ = json.NewEncoder(w).Encode(en.allVersions())
 		return
 	}
+	if r.Method == http.MethodPut {
+		en.SetBad(r.URL.Query().Get("version"), r.URL.Query().Get("bad") == "true")
+		return
+	}
 	if r.Method == http.MethodGet {
 		_ = json.NewEncoder(w).Encode(en.AllRuns())
 		return
--- a/standin/trial/rollouts.go
+++ b/standin/trial/rollouts.go
@@ -18,7 +18,7 @@
 	// the version that serves.
 	GoodFailures, GoodLow float64
 	// Failures and Low are those of the new version, from TurnsBad on; before,
-	// it is as good as the other.
+	// it is as good as the old.
 	Failures, Low float64
 	TurnsBad      time.Duration
 	// Rated is the part of answers that is rated, after RatingLag. Tallies are
@@ -68,15 +68,14 @@
 
 // ladder takes fixed steps and looks at the failure rate before each.
 type ladder struct {
-	title  string
-	steps  []float64
-	every  time.Duration
-	begin  time.Time
-	seen   rollout.Tally
-	step   int
-	bad    bool
-	begun  bool
-	lastly bool
+	title string
+	steps []float64
+	every time.Duration
+	begin time.Time
+	seen  rollout.Tally
+	step  int
+	bad   bool
+	begun bool
 }
 
 func (la *ladder) name() string { return la.title }
@@ -131,29 +130,29 @@
 	ra := rand.New(rand.NewPCG(re.Seed, 11))
 	out := ReleaseOutcome{Strategy: st.name()}
 	begin := time.Unix(1_800_000_000, 0)
-	var real, other rollout.Tally
+	var young, old rollout.Tally
 	seen := [2]lagged{{lag: int(re.Lag.Seconds())}, {lag: int(re.Lag.Seconds())}}
 	rated := [2]lagged{{lag: int(re.RatingLag.Seconds())}, {lag: int(re.RatingLag.Seconds())}}
 	share := 0.0
 	for sec := range int(re.For.Seconds()) {
 		at := time.Duration(sec) * time.Second
 		if at < re.Interrupted[0] || at >= re.Interrupted[1] {
-			share = st.share(begin.Add(at), view(&seen[0], &rated[0], real), view(&seen[1], &rated[1], other))
+			share = st.share(begin.Add(at), view(&seen[0], &rated[0], young), view(&seen[1], &rated[1], old))
 		} else {
-			view(&seen[0], &rated[0], real)
-			view(&seen[1], &rated[1], other)
+			view(&seen[0], &rated[0], young)
+			view(&seen[1], &rated[1], old)
 		}
 		bad := at >= re.TurnsBad && (re.Failures > re.GoodFailures || re.Low > re.GoodLow)
 		for range re.Rate {
 			if ra.Float64() >= share {
-				re.request(ra, &other, re.GoodFailures, re.GoodLow)
+				re.request(ra, &old, re.GoodFailures, re.GoodLow)
 				continue
 			}
 			if bad {
 				out.Exposure++
-				re.request(ra, &real, re.Failures, re.Low)
+				re.request(ra, &young, re.Failures, re.Low)
 			} else {
-				re.request(ra, &real, re.GoodFailures, re.GoodLow)
+				re.request(ra, &young, re.GoodFailures, re.GoodLow)
 			}
 		}
 		if share >= 1 && out.Full == 0 {
