feat: fenced orders to backend servers, and proofs of what callers see

Cause: loading and unloading was left to operators, and nothing showed the callers' side, leaving, and bad input over real processes.

Orders: a lease on a server is taken by compare-and-swap only when there is an order to give; its number grows; a holder checks the lease just before each order, and a new one waits the old lease out. Ruled out: leases that are renewed (1,500 renewals every 10 s are more than the platform's writes).

Found on the way: - with bounded offers, a lone agent told 6 of its 50 entries of a change and the rest waited for a heartbeat of 8 s, above the users' 7 s (seen as 15 kB/s on an idle agent in a measurement that began too early). A process goes on telling while most of those who were told did not have the revision; TestALoneAgentTellsEverybody; - a planned stop of everything waited its whole bound, since an entry ended before it told agents which lines are durable. It does so last now.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BIN := $(CURDIR)/bin
 
-.PHONY: demo test build lint
+.PHONY: build demo test experiments
 
 build:
 	go build -o $(BIN)/ ./cmd/... ./standin/cmd/...
@@ -10,3 +10,6 @@
 
 test:
 	go test -race ./... ./standin/...
+
+experiments: build
+	$(BIN)/experiment --out docs/experiments
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -84,6 +84,9 @@
 	Services []string `json:"services,omitempty"`
 	// Slots is how many requests run on it at once.
 	Slots int `json:"slots" validate:"min=1,max=4096"`
+	// Orders lets the system load and unload versions on the server, so that
+	// it holds the list above.
+	Orders bool `json:"orders,omitempty"`
 	// Leaving is set by operators before they take the server away.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,6 +40,8 @@
 	spareBills = 10_000
 	// drainCheck is how often a planned stop looks whether all has ended.
 	drainCheck = 20 * time.Millisecond
+	// lastWords is how long the links have to send what was queued last.
+	lastWords = 100 * time.Millisecond
 )
 
 // Store is what is used of the key-value service.
@@ -238,6 +240,10 @@
 		en.offerBills(time.Now())
 		time.Sleep(drainCheck)
 	}
+	for _, li := range en.Node.Links() {
+		li.Send(&wire.Frame{Kind: wire.Billed, Bills: en.told(li.Peer.Box())})
+	}
+	time.Sleep(lastWords)
 }
 
 func (en *Entry) drained() bool {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -36,6 +36,7 @@
 	LinkRefused         ID = 502
 	BoxesChanged        ID = 503
 	ServerLeaving       ID = 504
+	OrderGiven          ID = 505
 	BillWritten         ID = 600
 	BillHeld            ID = 601
 	ClaimWon            ID = 602
@@ -90,6 +91,7 @@
 	{LinkRefused, "link_refused", "a peer did not prove the shared key"},
 	{BoxesChanged, "boxes_changed", "the list of boxes changed"},
 	{ServerLeaving, "server_leaving", "a backend server is leaving"},
+	{OrderGiven, "order_given", "the agent ordered its backend server to load or unload a version"},
 	{BillWritten, "bill_written", "bill records are durable"},
 	{BillHeld, "bill_held", "bill records wait for the key-value service"},
 	{ClaimWon, "claim_won", "a claim is durable"},
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -81,6 +81,9 @@
 	Queue int
 
 	snapshot *config.Snapshot
+	// held is what the server said that it holds; it counts only where the
+	// configuration leaves loading to the system.
+	held []string
 	// confirmed is false from a freeze until a peer has answered since.
 	confirmed bool
 	// leaving is never unset.
@@ -165,6 +168,9 @@
 	return ga.fill(now)
 }
 
+// Hold notes which versions the server said that it holds.
+func (ga *Gate) Hold(versions []string) { ga.held = slices.Clone(versions) }
+
 // Confirmed reports whether the configuration is known to be fresh.
 func (ga *Gate) Confirmed() bool { return ga.confirmed }
 
@@ -220,6 +226,8 @@
 		return ga.judgeService(at)
 	case !slices.Contains(ga.server().Versions, at.Version):
 		return result.VersionNotHere
+	case ga.server().Orders && !slices.Contains(ga.held, at.Version):
+		return result.VersionNotHere
 	}
 	return ga.snapshot.MayStart(at.Team, at.Version, at.InSession)
 }
--- /dev/null
+++ b/internal/order/order_test.go
@@ -0,0 +1,174 @@
+package order
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/linnetrudder/linnetrudder/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+var (
+	start    = time.Unix(1_800_000_000, 0)
+	errLost  = errors.New("answer lost")
+	errFence = errors.New("lower fencing number")
+)
+
+func idle(string) bool { return false }
+
+// world is one server, which may check fencing numbers, and the stored lease.
+type world struct {
+	checks bool
+	held   []string
+	fence  uint64
+	lease  Lease
+	index  uint64
+	// orders lists who gave which order when.
+	orders []given
+}
+
+type given struct {
+	holder string
+	fence  uint64
+	at     time.Time
+}
+
+func (wo *world) do(ke *Keeper, ac Action, fate error, now time.Time) {
+	switch ac.Do() {
+	case Look:
+		ke.Looked(wo.held, fate, now)
+	case Read:
+		ke.Have(wo.lease, wo.index, fate, now)
+	case Take:
+		if ac.Index() == wo.index {
+			wo.lease = ac.Lease()
+			wo.index++
+		}
+		ke.Took(fate, now)
+	default:
+		ke.Ordered(errors.Join(wo.order(ac, now), fate), now)
+	}
+}
+
+func (wo *world) order(ac Action, now time.Time) error {
+	if wo.checks && ac.Lease().Fence < wo.fence {
+		return errFence
+	}
+	wo.fence = max(wo.fence, ac.Lease().Fence)
+	wo.orders = append(wo.orders, given{ac.Lease().Holder, ac.Lease().Fence, now})
+	if ac.Do() == Load {
+		wo.held = append(wo.held, ac.Version())
+	} else {
+		wo.held = slices.DeleteFunc(wo.held, func(ve string) bool { return ve == ac.Version() })
+	}
+	return nil
+}
+
+// settle lets a keeper act for a while.
+func (wo *world) settle(ke *Keeper, now time.Time, span time.Duration) {
+	for end := now.Add(span); now.Before(end); now = now.Add(time.Second) {
+		if ac, ok := ke.Next(idle, now); ok {
+			wo.do(ke, ac, nil, now)
+		}
+	}
+}
+
+func TestTheServerFollowsTheConfiguration(t *testing.T) {
+	wo := &world{held: []string{"m@v0"}}
+	ke := &Keeper{Holder: "a"}
+	ke.Want([]string{"m@v1", "m@v2"})
+	wo.settle(ke, start, time.Minute)
+	require.Equal(t, []string{"m@v1", "m@v2"}, wo.held)
+	require.True(t, ke.Holds("m@v2"))
+	orders := len(wo.orders)
+	wo.settle(ke, start.Add(time.Hour), time.Minute)
+	require.Len(t, wo.orders, orders, "nothing to do, nothing done")
+}
+
+func TestAVersionInUseIsNotUnloaded(t *testing.T) {
+	wo := &world{held: []string{"m@v0"}}
+	ke := &Keeper{Holder: "a"}
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(time.Second) {
+		if ac, ok := ke.Next(func(string) bool { return true }, now); ok {
+			wo.do(ke, ac, nil, now)
+		}
+	}
+	require.Equal(t, []string{"m@v0"}, wo.held)
+}
+
+func TestANewAgentWaitsTheOldLeaseOut(t *testing.T) {
+	wo := &world{}
+	old, young := &Keeper{Holder: "old"}, &Keeper{Holder: "young"}
+	old.Want([]string{"m@v1"})
+	wo.settle(old, start, 6*time.Second)
+	require.Len(t, wo.orders, 1)
+	young.Want([]string{"m@v2"})
+	wo.settle(young, start.Add(6*time.Second), 2*leaseFor)
+	require.Equal(t, []string{"m@v2"}, wo.held)
+	require.Equal(t, "young", wo.orders[1].holder)
+	require.True(t, wo.orders[1].at.After(wo.orders[0].at.Add(leaseFor)))
+	// The old one wakes up and still wants its version.
+	old.Want([]string{"m@v3"})
+	ac, ok := old.Next(idle, start.Add(leaseFor+20*time.Second))
+	for ok && ac.Do() != Load && ac.Do() != Unload {
+		wo.do(old, ac, nil, start.Add(leaseFor+20*time.Second))
+		ac, ok = old.Next(idle, start.Add(leaseFor+20*time.Second))
+	}
+	require.False(t, ok, "it gives no order under the other's lease: %v", ac)
+}
+
+// TestOneHolderAtATime freezes and restarts agents, loses answers and lets
+// them race for one server that checks nothing. No two holders give orders
+// within one lease, and fencing numbers only grow. The naive keeper, which
+// orders whenever it sees a difference, breaks that.
+func TestOneHolderAtATime(t *testing.T) {
+	naiveBroken := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		wo := &world{checks: rapid.Bool().Draw(rt, "checks")}
+		keepers := []*Keeper{{Holder: "a"}, {Holder: "b"}}
+		now := start
+		lastNaive := ""
+		var lastAt time.Time
+		for range rapid.IntRange(10, 120).Draw(rt, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(100, 8000).Draw(rt, "ms")) * time.Millisecond)
+			k := rapid.IntRange(0, 1).Draw(rt, "keeper")
+			ke := keepers[k]
+			switch rapid.SampledFrom([]string{"act", "act", "act", "want", "restart"}).Draw(rt, "event") {
+			case "want":
+				ke.Want(rapid.SampledFrom([][]string{{"m@v1"}, {"m@v2"}, {"m@v1", "m@v2"}}).Draw(rt, "versions"))
+			case "restart":
+				fresh := &Keeper{Holder: ke.Holder + "'"}
+				fresh.Want(ke.wanted)
+				keepers[k] = fresh
+			case "act":
+				if _, version := ke.difference(idle); version != "" {
+					if lastNaive != "" && lastNaive != ke.Holder && now.Sub(lastAt) < leaseFor {
+						naiveBroken++
+					}
+					lastNaive, lastAt = ke.Holder, now
+				}
+				if ac, ok := ke.Next(idle, now); ok {
+					var fate error
+					if rapid.IntRange(0, 4).Draw(rt, "fate") == 0 {
+						fate = errLost
+					}
+					wo.do(ke, ac, fate, now)
+				}
+			}
+		}
+		for i := 1; i < len(wo.orders); i++ {
+			before, after := wo.orders[i-1], wo.orders[i]
+			require.GreaterOrEqual(rt, after.fence, before.fence)
+			if before.holder != after.holder {
+				require.Greater(rt, after.fence, before.fence)
+			}
+		}
+	})
+	require.Positive(t, naiveBroken, "the naive keepers must have ordered at the same time")
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -53,6 +53,10 @@
 	AgentFanout = 6
 )
 
+// waveEvery is the time after which it is seen how many of those who were told
+// of a revision did not have it.
+const waveEvery = 500 * time.Millisecond
+
 // wantTimeout is how long one peer may take to answer before another is asked.
 const wantTimeout = time.Second
 
@@ -61,19 +65,32 @@
 type Replica struct {
 	// Self is the process's own box.
 	Self string
-	// Fanout bounds the peers that a new revision is offered to at once; zero
-	// means all. The others hear of it from heartbeats or from one another.
+	// Fanout bounds the peers that a new revision is offered to at first; zero
+	// means all. More are told while most of those who were did not have it;
+	// the others hear of it from one another, or from heartbeats.
 	Fanout int
 
 	// snapshot is the highest revision ever held; it never goes back.
 	snapshot *config.Snapshot
 	// peers holds the highest revision each connected peer has offered.
 	peers map[string]uint64
+	// told holds the highest revision that each peer was offered.
+	told map[string]uint64
+	// wave is the newest batch of offers.
+	wave wave
 	// asked is the peer that was asked last, "" if none is to answer.
 	asked   string
 	askedAt time.Time
 }
 
+// wave is a batch of offers of one revision.
+type wave struct {
+	revision uint64
+	at       time.Time
+	// sent counts the offers, wanted the peers that did not have it yet.
+	sent, wanted int
+}
+
 // Snapshot returns the revision in force, nil before the first.
 func (re *Replica) Snapshot() *config.Snapshot { return re.snapshot }
 
@@ -84,14 +101,16 @@
 func (re *Replica) PeerUp(peer string) []Action {
 	if re.peers == nil {
 		re.peers = map[string]uint64{}
+		re.told = map[string]uint64{}
 	}
 	re.peers[peer] = 0
-	return []Action{{do: Offer, peer: peer, revision: re.Revision()}}
+	return []Action{re.offer(peer)}
 }
 
 // PeerDown forgets a peer; if it owed an answer, another is asked.
 func (re *Replica) PeerDown(peer string, now time.Time) []Action {
 	delete(re.peers, peer)
+	delete(re.told, peer)
 	if re.asked != peer {
 		return nil
 	}
@@ -114,7 +133,10 @@
 // Wanted answers a peer that holds the given revision.
 func (re *Replica) Wanted(peer string, revision uint64) []Action {
 	if re.Revision() <= revision {
-		return []Action{{do: Offer, peer: peer, revision: re.Revision()}}
+		return []Action{re.offer(peer)}
+	}
+	if re.wave.revision == re.Revision() && re.told[peer] == re.Revision() {
+		re.wave.wanted++
 	}
 	return []Action{{do: Give, peer: peer, revision: revision}}
 }
@@ -127,16 +149,34 @@
 	}
 	re.snapshot = sn
 	re.asked = ""
-	acs := []Action{{do: Adopt, revision: sn.Revision()}}
-	for _, peer := range re.audience() {
-		acs = append(acs, Action{do: Offer, peer: peer, revision: sn.Revision()})
-	}
+	acs := append([]Action{{do: Adopt, revision: sn.Revision()}}, re.spread(re.Fanout, now)...)
 	return append(acs, re.ask(now)...)
 }
 
-// Tick asks another peer if the one asked has not answered.
+// Tick asks another peer if the one asked has not answered, and goes on
+// spreading a revision that most of those who were told did not have.
 func (re *Replica) Tick(now time.Time) []Action {
-	return re.ask(now)
+	acs := re.ask(now)
+	wa := re.wave
+	if wa.sent == 0 || wa.revision != re.Revision() || now.Sub(wa.at) < waveEvery || 2*wa.wanted < wa.sent {
+		return acs
+	}
+	return append(acs, re.spread(2*wa.sent, now)...)
+}
+
+// spread offers the revision in force to some peers that were not told of it.
+func (re *Replica) spread(most int, now time.Time) []Action {
+	var acs []Action
+	for _, peer := range re.audience(most) {
+		acs = append(acs, re.offer(peer))
+	}
+	re.wave = wave{revision: re.Revision(), at: now, sent: len(acs)}
+	return acs
+}
+
+func (re *Replica) offer(peer string) Action {
+	re.told[peer] = re.Revision()
+	return Action{do: Offer, peer: peer, revision: re.Revision()}
 }
 
 // Behind returns how many connected peers have not yet offered the revision
@@ -193,20 +233,21 @@
 	return have == re.peers[than] && than == re.asked
 }
 
-// audience returns the peers to offer the revision in force to: other ones for
-// each revision and process, so that together they reach everybody.
-func (re *Replica) audience() []string {
+// audience returns peers that are not known to hold the revision in force and
+// were not told of it, at most a number of them unless that is zero: other ones
+// for each revision and process, so that together they reach everybody.
+func (re *Replica) audience(most int) []string {
 	var behind []string
 	for _, peer := range re.sortedPeers() {
-		if re.peers[peer] < re.Revision() {
+		if re.peers[peer] < re.Revision() && re.told[peer] < re.Revision() {
 			behind = append(behind, peer)
 		}
 	}
-	if re.Fanout == 0 || len(behind) <= re.Fanout {
+	if most == 0 || len(behind) <= most {
 		return behind
 	}
 	key := re.Self + "/" + strconv.FormatUint(re.Revision(), 10)
-	return rendezvous.Rank(key, behind)[:re.Fanout]
+	return rendezvous.Rank(key, behind)[:most]
 }
 
 func (re *Replica) sortedPeers() []string {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -201,6 +201,35 @@
 	require.Less(t, sent, entries*agents/2, "fewer messages than half the links")
 }
 
+// TestALoneAgentTellsEverybody spreads a change where no other process helps,
+// and without heartbeats.
+func TestALoneAgentTellsEverybody(t *testing.T) {
+	const entries = 60
+	me := &mesh{replicas: map[string]*Replica{"a": {Self: "a", Fanout: AgentFanout}}, now: start}
+	for i := range entries {
+		na := fmt.Sprintf("e%d", i)
+		me.replicas[na] = &Replica{Self: na, Fanout: EntryFanout}
+		me.replicas[na].PeerUp("a")
+		me.replicas["a"].PeerUp(na)
+	}
+	me.act("e0", me.replicas["e0"].Received(snapshot(1), me.now))
+	for range 6 {
+		for len(me.wire) > 0 {
+			ms := me.wire[0]
+			me.wire = me.wire[1:]
+			me.deliver(ms)
+		}
+		me.now = me.now.Add(waveEvery)
+		for na, re := range me.replicas {
+			me.act(na, re.Tick(me.now))
+		}
+	}
+	for na, re := range me.replicas {
+		require.Equal(t, uint64(1), re.Revision(), na)
+	}
+	require.Less(t, me.now.Sub(start), 7*time.Second)
+}
+
 func BenchmarkOffered(b *testing.B) {
 	for _, peers := range []int{10, 50, 200} {
 		b.Run(fmt.Sprintf("peers=%d", peers), func(b *testing.B) {
--- a/standin/cmd/measure/links.go
+++ b/standin/cmd/measure/links.go
@@ -21,7 +21,7 @@
 }
 
 // settle is how long the processes have to connect.
-const settle = 8 * time.Second
+const settle = 12 * time.Second
 
 // Run starts the process and its peers and prints what it used.
 func (cm *linksCmd) Run(fe *fleet.Fleet) error {
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -21,6 +21,7 @@
 	Listen     string        `required:"" help:"IP number and port."`
 	Tokens     int           `default:"8" help:"Length of an engine's answers."`
 	Pace       time.Duration `default:"5ms" help:"Time between two tokens."`
+	Fenced     bool          `help:"Whether an engine checks fencing numbers."`
 	Confidence float64       `help:"Confidence that an engine reports."`
 	Takes      time.Duration `default:"1ms" help:"How long a plain call runs."`
 }
@@ -33,7 +34,7 @@
 	handlers := map[string]http.Handler{
 		"store":  &store.Store{},
 		"boxes":  &boxlist.List{},
-		"engine": &engine.Engine{Tokens: fl.Tokens, Pace: fl.Pace, Confidence: fl.Confidence},
+		"engine": &engine.Engine{Tokens: fl.Tokens, Pace: fl.Pace, Confidence: fl.Confidence, Fenced: fl.Fenced},
 		"plain":  &plain.Service{Takes: fl.Takes},
 	}
 	srv := &http.Server{Addr: fl.Listen, Handler: handlers[fl.Kind], ReadHeaderTimeout: headerTimeout}
--- a/standin/e2e/site_test.go
+++ b/standin/e2e/site_test.go
@@ -21,6 +21,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/wire"
 	"github.com/linnetrudder/linnetrudder/standin/engine"
 	"github.com/linnetrudder/linnetrudder/standin/fleet"
+	"github.com/linnetrudder/linnetrudder/standin/store"
 )
 
 const (
@@ -43,7 +44,10 @@
 // centres in turn.
 func newSite(t *testing.T, servers int, pace time.Duration) *site {
 	si := &site{t: t, fleet: &fleet.Fleet{Bin: bin, Dir: t.TempDir()}}
-	t.Cleanup(func() { _ = si.fleet.Stop() })
+	t.Cleanup(func() {
+		_ = si.fleet.Fault(store.Faults{})
+		_ = si.fleet.Stop()
+	})
 	require.NoError(t, si.fleet.Platform())
 	for i := range servers {
 		name := fmt.Sprintf("s-%d", i)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +18,8 @@
 	Tokens int
 	// Pace is the time between two tokens.
 	Pace time.Duration
+	// Fenced makes the engine refuse orders with a lower fencing number.
+	Fenced bool
 	// Confidence is reported with each answer if it is not zero.
 	Confidence float64
 
@@ -28,6 +31,11 @@
 	running  int
 	// bad makes requests of a version fail.
 	bad map[string]bool
+	// held is what orders made the engine load; fence is the highest number.
+	held  []string
+	fence uint64
+	// orders lists the fencing numbers of the orders taken.
+	orders []uint64
 }
 
 type chat struct {
@@ -80,6 +88,44 @@
 	en.bad[version] = bad
 }
 
+// Order is an order as engines take it.
+type Order struct {
+	Do      string `json:"do"`
+	Version string `json:"version"`
+	Fence   uint64 `json:"fence"`
+}
+
+// Held is what an engine says of itself.
+type Held struct {
+	Versions []string `json:"versions"`
+	// Fences lists the numbers of the orders taken so far.
+	Fences []uint64 `json:"fences"`
+}
+
+func (en *Engine) serveOrders(w http.ResponseWriter, r *http.Request) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if r.Method == http.MethodGet {
+		_ = json.NewEncoder(w).Encode(Held{Versions: en.held, Fences: en.orders})
+		return
+	}
+	var or Order
+	if err := json.NewDecoder(r.Body).Decode(&or); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if en.Fenced && or.Fence < en.fence {
+		http.Error(w, "lower fencing number", http.StatusConflict)
+		return
+	}
+	en.fence = max(en.fence, or.Fence)
+	en.orders = append(en.orders, or.Fence)
+	en.held = slices.DeleteFunc(en.held, func(ve string) bool { return ve == or.Version })
+	if or.Do == "load" {
+		en.held = append(en.held, or.Version)
+	}
+}
+
 func (en *Engine) allVersions() map[string]int {
 	en.mu.Lock()
 	defer en.mu.Unlock()
@@ -90,13 +136,22 @@
 	return all
 }
 
-// ServeHTTP answers a chat request; GET /runs and /versions answer with the
+// ServeHTTP answers a chat request; GET /runs, /versions and
+// /running answer with the
 // counts, and PUT /bad?version=V&bad=true makes a version fail.
 func (en *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/orders" {
+		en.serveOrders(w, r)
+		return
+	}
 	if r.URL.Path == "/versions" {
 		_ = json.NewEncoder(w).Encode(en.allVersions())
 		return
 	}
+	if r.URL.Path == "/running" {
+		_ = json.NewEncoder(w).Encode(en.Running())
+		return
+	}
 	if r.Method == http.MethodPut {
 		en.SetBad(r.URL.Query().Get("version"), r.URL.Query().Get("bad") == "true")
 		return
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -194,12 +194,21 @@
 }
 
 // Publish puts the members on the list of boxes.
-func (fl *Fleet) Publish() error {
+func (fl *Fleet) Publish() error { return fl.publish(nil) }
+
+// PublishLeaving puts the members on the list with one that leaves.
+func (fl *Fleet) PublishLeaving(leaver *Member) error { return fl.publish(leaver) }
+
+func (fl *Fleet) publish(leaver *Member) error {
 	list := make([]boxes.Box, 0, len(fl.members))
 	for _, me := range fl.members {
+		state := boxes.Live
+		if me == leaver {
+			state = boxes.Leaving
+		}
 		list = append(list, boxes.Box{
 			Name: me.Box, Role: boxes.Role(me.Role), DataCentre: me.DataCentre,
-			Address: me.Address, Admin: me.Admin, Server: me.Server, State: boxes.Live,
+			Address: me.Address, Admin: me.Admin, Server: me.Server, State: state,
 		})
 	}
 	return fl.List(list)
