fix: a hidden usage event left a blank line behind; files split, logic merged

Cause: the blank line that ends a hidden event was looked for only in the same part of the stream. With the event's end cut off by a read, the caller got an empty line too many. Ruled out: the length of the read buffer.

--- a/cmd/linnetrudder/root.go
+++ b/cmd/linnetrudder/root.go
@@ -1,20 +1,9 @@
 package main
 
 import (
-	"errors"
-	"fmt"
 	"io"
 
-	"github.com/alecthomas/kong"
-
-	"github.com/linnetrudder/linnetrudder/internal/result"
-)
-
-// The exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
+	"github.com/linnetrudder/linnetrudder/internal/command"
 )
 
 // root lists the commands; each has a file of its own.
@@ -29,30 +18,13 @@
 
 // execute runs the command line and returns the exit code.
 func execute(args []string, out, errOut io.Writer) int {
-	var ro root
-	pa, err := kong.New(&ro, kong.Name("linnetrudder"),
-		kong.Description("A model-aware router for versions and cascades."), kong.Writers(out, errOut))
-	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return exitUsage
-	}
-	ct, err := pa.Parse(args)
-	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return exitUsage
-	}
-	if err := ct.Run(&streams{out: out, err: errOut}); err != nil {
-		report(errOut, err)
-		return exitFailed
-	}
-	return exitOK
-}
-
-func report(errOut io.Writer, err error) {
-	var er *result.Error
-	if errors.As(err, &er) {
-		fmt.Fprintf(errOut, "%d %s\n", er.Code(), er.Error())
-		return
+	pr := command.Program{
+		Name:        "linnetrudder",
+		Description: "A model-aware router for versions and cascades.",
+		Root:        &root{},
+		Bind:        func() []any { return []any{&streams{out: out, err: errOut}} },
+		Out:         out,
+		Err:         errOut,
 	}
-	fmt.Fprintln(errOut, err)
+	return pr.Run(args)
 }
--- a/cmd/linnetrudderctl/root.go
+++ b/cmd/linnetrudderctl/root.go
@@ -2,21 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"fmt"
 	"io"
 
-	"github.com/alecthomas/kong"
 	"github.com/rotisserie/eris"
 
-	"github.com/linnetrudder/linnetrudder/internal/result"
-)
-
-// The exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
+	"github.com/linnetrudder/linnetrudder/internal/command"
 )
 
 // root lists the commands; each has a file of its own.
@@ -59,30 +49,16 @@
 // execute runs the command line and returns the exit code.
 func execute(args []string, out, errOut io.Writer) int {
 	var ro root
-	pa, err := kong.New(&ro, kong.Name("linnetrudderctl"),
-		kong.Description("Operate linnetrudder."), kong.Writers(out, errOut))
-	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return exitUsage
-	}
-	ct, err := pa.Parse(args)
-	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return exitUsage
-	}
-	cl := &client{admins: ro.Admin, key: ro.Key, operator: ro.Operator}
-	if err := ct.Run(cl, &printer{out: out, json: ro.JSON}); err != nil {
-		report(errOut, err)
-		return exitFailed
-	}
-	return exitOK
-}
-
-func report(errOut io.Writer, err error) {
-	var er *result.Error
-	if errors.As(err, &er) {
-		fmt.Fprintf(errOut, "%d %s\n", er.Code(), er.Error())
-		return
+	pr := command.Program{
+		Name:        "linnetrudderctl",
+		Description: "Operate linnetrudder.",
+		Root:        &ro,
+		Bind: func() []any {
+			cl := &client{admins: ro.Admin, key: ro.Key, operator: ro.Operator}
+			return []any{cl, &printer{out: out, json: ro.JSON}}
+		},
+		Out: out,
+		Err: errOut,
 	}
-	fmt.Fprintln(errOut, err)
+	return pr.Run(args)
 }
--- /dev/null
+++ b/cmd/linnetrudderctl/root_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/linnetrudder/linnetrudder/internal/boxes"
+	"github.com/linnetrudder/linnetrudder/internal/command"
+	"github.com/linnetrudder/linnetrudder/internal/config"
+	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/node"
+	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/timeline"
+	"github.com/linnetrudder/linnetrudder/internal/wire"
+)
+
+// fake is an entry's administration API with canned answers by path.
+type fake struct {
+	address string
+	answers map[string]any
+	// operations holds the operation ids of writes.
+	operations []string
+	// fail answers every call with this code if it is not zero.
+	fail result.Code
+}
+
+func newFake(t *testing.T, answers map[string]any) *fake {
+	fa := &fake{answers: answers}
+	srv := httptest.NewServer(fa)
+	t.Cleanup(srv.Close)
+	fa.address = srv.Listener.Addr().String()
+	return fa
+}
+
+func (fa *fake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet {
+		fa.operations = append(fa.operations, r.Header.Get("Linnetrudder-Operation"))
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+	if fa.fail != 0 {
+		node.WriteError(w, result.New(fa.fail, "here"))
+		return
+	}
+	answer, ok := fa.answers[r.Method+" "+r.URL.Path]
+	if !ok {
+		node.WriteError(w, result.New(result.UnknownPath, r.URL.Path))
+		return
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func run(fa string, args ...string) (int, string, string) {
+	var out, errOut bytes.Buffer
+	code := execute(append(args, "--admin", fa), &out, &errOut)
+	return code, out.String(), errOut.String()
+}
+
+func TestBillSums(t *testing.T) {
+	fa := newFake(t, map[string]any{"GET /v1/bill": []wire.BillLine{
+		{Request: "a", Team: "t", Version: "m@v1", Usage: wire.Usage{Prompt: 2, Completion: 3}, Cost: 5},
+		{Request: "b", Team: "t", Version: "m@v1", Usage: wire.Usage{Prompt: 1, Completion: 1}, Cost: 2},
+		{Request: "c", Team: "u", Version: "m@v1", Cost: 9},
+	}})
+	code, out, _ := run(fa.address, "bill", "--team", "t")
+	require.Equal(t, command.OK, code)
+	require.Equal(t, "t\tm@v1\t2 lines\t3+4 tokens\tcost 7\n", out)
+	_, out, _ = run(fa.address, "bill", "--json")
+	var sums []billSum
+	require.NoError(t, json.Unmarshal([]byte(out), &sums))
+	require.Len(t, sums, 2)
+}
+
+func TestTimelineMergesAllBoxes(t *testing.T) {
+	entry := func(ms int64, box string) timeline.Entry {
+		return timeline.Entry{Stamp: timeline.Stamp{Wall: ms}, Box: box, Event: event.RequestRouted, Name: "request_routed", Request: "r"}
+	}
+	other := newFake(t, map[string]any{"GET /v1/timeline": []timeline.Entry{entry(2, "agent")}})
+	fa := newFake(t, nil)
+	fa.answers = map[string]any{
+		"GET /v1/timeline": []timeline.Entry{entry(1, "entry"), entry(3, "entry")},
+		"GET /v1/boxes":    []boxes.Box{{Name: "e", Admin: fa.address}, {Name: "a", Admin: other.address}, {Name: "dead", Admin: "127.0.0.1:1"}},
+	}
+	code, out, _ := run(fa.address, "timeline", "--request", "r")
+	require.Equal(t, command.OK, code)
+	first, second := strings.Index(out, "entry"), strings.Index(out, "agent")
+	require.Less(t, first, second)
+	require.Equal(t, 3, strings.Count(out, "request_routed"))
+	require.Contains(t, out, "no answer from dead")
+	_, out, _ = run(fa.address, "timeline", "--request", "none")
+	require.NotContains(t, out, "request_routed")
+}
+
+func TestAWriteKeepsItsOperationOverEntries(t *testing.T) {
+	down := newFake(t, nil)
+	down.fail = result.StoreUnknown
+	up := newFake(t, map[string]any{"POST /v1/versions/m/v1": config.Change{Revision: 4}})
+	code, out, _ := run(down.address+","+up.address, "withdraw", "m@v1")
+	require.Equal(t, command.OK, code)
+	require.Contains(t, out, "m@v1 is withdrawn as of revision 4")
+	require.Len(t, down.operations, 1)
+	require.Equal(t, down.operations, up.operations, "the same id, so that it is made once")
+}
+
+func TestARefusalIsNotTriedElsewhere(t *testing.T) {
+	first, second := newFake(t, nil), newFake(t, nil)
+	first.fail = result.Conflict
+	code, _, errOut := run(first.address+","+second.address, "withdraw", "m@v1")
+	require.Equal(t, command.Failed, code)
+	require.Contains(t, errOut, "606 conflict")
+	require.Contains(t, errOut, "here")
+	require.Empty(t, second.operations)
+}
+
+func TestAVersionNeedsItsModel(t *testing.T) {
+	fa := newFake(t, nil)
+	code, _, errOut := run(fa.address, "rollout", "v1", "--share", "0.1")
+	require.Equal(t, command.Failed, code)
+	require.Contains(t, errOut, "want model@version")
+	require.Empty(t, fa.operations)
+}
+
+func TestDiffNamesWhatChanges(t *testing.T) {
+	doc := &config.Document{Models: []config.Model{{Name: "notes"}, {Name: "old"}}}
+	fa := newFake(t, map[string]any{"GET /v1/config": config.Envelope{Revision: 3, Document: doc}})
+	code, out, errOut := run(fa.address, "diff", "../../examples/fleet.jsonc")
+	require.Equal(t, command.OK, code, errOut)
+	require.Contains(t, out, "changed models/notes")
+	require.Contains(t, out, "removed models/old")
+	require.Contains(t, out, "added teams/kitchen-a")
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,7 +22,6 @@
 	"github.com/linnetrudder/linnetrudder/internal/kv"
 	"github.com/linnetrudder/linnetrudder/internal/link"
 	"github.com/linnetrudder/linnetrudder/internal/member"
-	"github.com/linnetrudder/linnetrudder/internal/metrics"
 	"github.com/linnetrudder/linnetrudder/internal/node"
 	"github.com/linnetrudder/linnetrudder/internal/order"
 	"github.com/linnetrudder/linnetrudder/internal/rendezvous"
@@ -83,14 +82,6 @@
 	nonce uint64
 }
 
-// stream is an attempt that waits or runs.
-type stream struct {
-	li *link.Link
-	at *wire.Attempt
-	// cancel stops a run; it is nil while the attempt waits.
-	cancel context.CancelFunc
-}
-
 // Run serves until the context ends, and then ends all work in progress.
 func (ag *Agent) Run(ctx context.Context) error {
 	ag.prepare()
@@ -259,99 +250,6 @@
 	ag.act(ag.gate.Reconfigure(sn, time.Now()))
 }
 
-func (ag *Agent) open(li *link.Link, fr *wire.Frame) {
-	key := gate.Key{Peer: li.Peer.Box(), Stream: fr.Stream}
-	ag.mu.Lock()
-	defer ag.mu.Unlock()
-	ag.streams[key] = &stream{li: li, at: fr.Open}
-	if ag.ledger.Full() {
-		ag.refuse(key, fr.Open, result.BillsFull, 0)
-		return
-	}
-	ag.act(ag.gate.Open(key, fr.Open, time.Now()))
-	if st := ag.streams[key]; st != nil && st.cancel == nil {
-		li.Send(&wire.Frame{Kind: wire.Verdict, Stream: key.Stream, Code: result.Queued})
-		ag.Node.Note(timeline.Entry{Event: event.AttemptQueued, Request: fr.Open.Request, Team: fr.Open.Team, Version: fr.Open.Version})
-	}
-}
-
-// act carries out the gate's decisions; the lock is held.
-func (ag *Agent) act(acs []gate.Action) {
-	for _, ac := range acs {
-		if ac.Do() == gate.Refuse {
-			ag.refuse(ac.Key(), ac.Attempt(), ac.Code(), ac.RetryAfter())
-			continue
-		}
-		ag.start(ac.Key(), ac.Attempt())
-	}
-}
-
-func (ag *Agent) refuse(key gate.Key, at *wire.Attempt, co result.Code, after time.Duration) {
-	st := ag.streams[key]
-	delete(ag.streams, key)
-	lo := ag.load()
-	st.li.Send(&wire.Frame{
-		Kind: wire.Verdict, Stream: key.Stream, Code: co, RetryAfterMS: after.Milliseconds(),
-		Load: &lo, Revision: ag.gate.Revision(), Stamp: ag.Node.Stamp(),
-	})
-	metrics.Attempts.Add(result.Of(co).Name(), 1)
-	ag.Node.Note(timeline.Entry{
-		Event: event.AttemptRefused, Request: at.Request, Team: at.Team, Version: at.Version,
-		Detail: result.Of(co).Name(),
-	})
-}
-
-func (ag *Agent) start(key gate.Key, at *wire.Attempt) {
-	st := ag.streams[key]
-	ctx, cancel := context.WithCancel(context.Background())
-	st.cancel = cancel
-	lo := ag.load()
-	st.li.Send(&wire.Frame{
-		Kind: wire.Verdict, Stream: key.Stream, Code: result.OK,
-		Load: &lo, Revision: ag.gate.Revision(), Stamp: ag.Node.Stamp(),
-	})
-	ag.Node.Note(timeline.Entry{Event: event.AttemptAdmitted, Request: at.Request, Team: at.Team, Version: at.Version})
-	ru := &run{ag: ag, li: st.li, key: key, at: at}
-	go func() {
-		defer cancel()
-		ru.do(ctx)
-	}()
-}
-
-// cancel stops an attempt that waits or runs.
-func (ag *Agent) cancel(key gate.Key) {
-	ag.mu.Lock()
-	defer ag.mu.Unlock()
-	st := ag.streams[key]
-	if st == nil {
-		return
-	}
-	if ag.gate.Cancel(key, time.Now()) {
-		delete(ag.streams, key)
-	}
-	if st.cancel != nil {
-		st.cancel()
-	}
-	ag.Node.Note(timeline.Entry{Event: event.AttemptCancelled, Request: st.at.Request, Version: st.at.Version})
-}
-
-// cutStreams stops the attempts of a lost link, but for those that run and
-// may not be repeated.
-func (ag *Agent) cutStreams(li *link.Link) {
-	ag.mu.Lock()
-	ag.ledger.Hurry(time.Now())
-	var cut []gate.Key
-	for key, st := range ag.streams {
-		if st.li == li && (st.cancel == nil || !st.at.Once) {
-			cut = append(cut, key)
-		}
-	}
-	ag.mu.Unlock()
-	for _, key := range cut {
-		ag.cancel(key)
-	}
-}
-
 // count notes an outcome; the lock is held.
 func (ag *Agent) count(version string, co result.Code) {
 	ou := ag.outcomes[version]
@@ -367,24 +265,17 @@
 
 // tick refuses what is too late, notices a freeze and hands bills on.
 func (ag *Agent) tick(ctx context.Context) error {
-	ti := time.NewTicker(tickEvery)
-	defer ti.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-ti.C:
-			ag.Node.Tick(now)
-			ag.mu.Lock()
-			ag.act(ag.gate.Tick(now))
-			confirmed := ag.gate.Confirmed()
-			ag.mu.Unlock()
-			if !confirmed {
-				ag.questionAll()
-			}
-			ag.offerBills(now)
+	return node.Every(ctx, tickEvery, func(now time.Time) {
+		ag.Node.Tick(now)
+		ag.mu.Lock()
+		ag.act(ag.gate.Tick(now))
+		confirmed := ag.gate.Confirmed()
+		ag.mu.Unlock()
+		if !confirmed {
+			ag.questionAll()
 		}
-	}
+		ag.offerBills(now)
+	})
 }
 
 func (ag *Agent) questionAll() {
--- a/internal/agent/answer.go
+++ b/internal/agent/answer.go
@@ -43,6 +43,9 @@
 	size  int64
 	usage *wire.Usage
 	done  bool
+	// skipBlank is set after a hidden event, until the blank line that ends it
+	// has come, which may be in another part.
+	skipBlank bool
 }
 
 // pass takes a part of the answer and returns what to pass on.
@@ -68,18 +71,18 @@
 	if bytes.Contains(lines, doneLine) {
 		me.done = true
 	}
-	if !bytes.Contains(lines, usageMark) {
+	if !me.skipBlank && !bytes.Contains(lines, usageMark) {
 		return lines
 	}
 	out := make([]byte, 0, len(lines))
-	skipBlank := false
 	for line := range bytes.Lines(lines) {
-		if skipBlank && len(bytes.TrimSpace(line)) == 0 {
-			skipBlank = false
+		blank := len(bytes.TrimSpace(line)) == 0
+		if me.skipBlank && blank {
+			me.skipBlank = false
 			continue
 		}
 		if bytes.Contains(line, usageMark) && me.read(bytes.TrimPrefix(line, dataPrefix)) && me.hideUsage {
-			skipBlank = true
+			me.skipBlank = true
 			continue
 		}
 		out = append(out, line...)
--- a/internal/agent/bills.go
+++ b/internal/agent/bills.go
@@ -7,6 +7,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/bill"
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/node"
 	"github.com/linnetrudder/linnetrudder/internal/timeline"
 	"github.com/linnetrudder/linnetrudder/internal/wire"
 )
@@ -37,16 +38,7 @@
 
 // writeBills writes the batches that this agent gathers for its data centre.
 func (ag *Agent) writeBills(ctx context.Context) error {
-	ti := time.NewTicker(writeCheck)
-	defer ti.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ti.C:
-			ag.writeDue(ctx)
-		}
-	}
+	return node.Every(ctx, writeCheck, func(time.Time) { ag.writeDue(ctx) })
 }
 
 func (ag *Agent) writeDue(ctx context.Context) {
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/node"
 	"github.com/linnetrudder/linnetrudder/internal/order"
 	"github.com/linnetrudder/linnetrudder/internal/timeline"
 )
@@ -35,17 +36,10 @@
 // keepVersions lets the backend server hold what the configuration says, if
 // the configuration leaves that to the system.
 func (ag *Agent) keepVersions(ctx context.Context) error {
-	ti := time.NewTicker(orderCheck)
-	defer ti.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ti.C:
-			for ag.orderOnce(ctx) {
-			}
+	return node.Every(ctx, orderCheck, func(time.Time) {
+		for ag.orderOnce(ctx) {
 		}
-	}
+	})
 }
 
 // orderOnce does one thing. It reports whether there may be another.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -206,21 +206,14 @@
 
 // tick hands bills on and asks again for what was not answered.
 func (en *Entry) tick(ctx context.Context) error {
-	ti := time.NewTicker(tickEvery)
-	defer ti.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-ti.C:
-			en.Node.Tick(now)
-			if now.Sub(en.offered) >= en.Node.Settings.Limits.BillFlush() {
-				en.offered = now
-				en.offerBills(now)
-			}
-			en.turnPins(now)
+	return node.Every(ctx, tickEvery, func(now time.Time) {
+		en.Node.Tick(now)
+		if now.Sub(en.offered) >= en.Node.Settings.Limits.BillFlush() {
+			en.offered = now
+			en.offerBills(now)
 		}
-	}
+		en.turnPins(now)
+	})
 }
 
 func (en *Entry) turnPins(now time.Time) {
--- a/internal/node/supervisor.go
+++ b/internal/node/supervisor.go
@@ -36,3 +36,17 @@
 		},
 	})
 }
+
+// Every calls a function again and again until the context ends.
+func Every(ctx context.Context, pause time.Duration, do func(now time.Time)) error {
+	ti := time.NewTicker(pause)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ti.C:
+			do(now)
+		}
+	}
+}
