feat: explain a request that was made; tests for what had none

Cause: explain answered only for a request that was thought of; choice, member, selector, timeline and the client of the key-value service had no tests of their own.

Each entry keeps the plans of its newest 2,000 requests. Ruled out: the time line, which has no room for candidates and estimates.

--- a/cmd/linnetrudderctl/client.go
+++ b/cmd/linnetrudderctl/client.go
@@ -54,7 +54,11 @@
 	if !eris.As(err, &er) {
 		return true
 	}
-	return er.Code() == result.StoreUnknown || er.Code() == result.StoreDown || er.Code() == result.NoConfiguration
+	switch er.Code() {
+	case result.StoreUnknown, result.StoreDown, result.NoConfiguration, result.UnknownRequest:
+		return true
+	}
+	return false
 }
 
 func (cl *client) callOne(admin, method, path, operation string, body []byte, into any) error {
--- a/cmd/linnetrudderctl/explain.go
+++ b/cmd/linnetrudderctl/explain.go
@@ -14,7 +14,8 @@
 
 // explainCmd asks why.
 type explainCmd struct {
-	Team    string `required:"" help:"Team of the request."`
+	Request string `help:"Id of a request that was made; the entries that kept it are asked."`
+	Team    string `help:"Team of a request that is only thought of."`
 	Model   string `default:"auto" help:"Model that the caller names."`
 	Kind    string `help:"Kind of the request."`
 	Session string `help:"Session of the request."`
@@ -22,8 +23,11 @@
 
 // Run asks an entry what it would do.
 func (cm *explainCmd) Run(cl *client, pr *printer) error {
+	if (cm.Request == "") == (cm.Team == "") {
+		return result.New(result.BadRequest, "give either --request or --team")
+	}
 	body, err := json.Marshal(map[string]string{
-		"team": cm.Team, "model": cm.Model, "kind": cm.Kind, "session": cm.Session,
+		"request": cm.Request, "team": cm.Team, "model": cm.Model, "kind": cm.Kind, "session": cm.Session,
 	})
 	if err != nil {
 		return eris.Wrap(err, "explain")
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -231,8 +231,10 @@
 	node.WriteJSON(w, http.StatusOK, list)
 }
 
-// explainForm is a request that is only thought of.
+// explainForm names a request that was made, or describes one that is only
+// thought of.
 type explainForm struct {
+	Request string `json:"request"`
 	Team    string `json:"team"`
 	Kind    string `json:"kind"`
 	Model   string `json:"model"`
@@ -266,11 +268,28 @@
 		node.WriteError(w, result.New(result.NoConfiguration, ""))
 		return
 	}
+	if form.Request != "" {
+		en.explainMade(w, form.Request)
+		return
+	}
 	as := &ask{team: form.Team, kind: form.Kind, model: form.Model, session: form.Session}
 	en.findPin(as)
 	node.WriteJSON(w, http.StatusOK, explain(en.choose(as)))
 }
 
+// explainMade answers with the plan of a request that came through this entry
+// not long ago.
+func (en *Entry) explainMade(w http.ResponseWriter, request string) {
+	en.mu.Lock()
+	pl, ok := en.plans.get(request)
+	en.mu.Unlock()
+	if !ok {
+		node.WriteError(w, result.New(result.UnknownRequest, request))
+		return
+	}
+	node.WriteJSON(w, http.StatusOK, explain(pl))
+}
+
 func explain(pl choice.Plan) Explanation {
 	ex := Explanation{Steps: pl.Steps(), Reason: pl.Reason(), Code: pl.Code()}
 	for _, ca := range pl.Candidates() {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -101,10 +101,14 @@
 func (en *Entry) choose(as *ask) choice.Plan {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	return choice.Choose(en.Node.Snapshot(), choice.Ask{
+	pl := choice.Choose(en.Node.Snapshot(), choice.Ask{
 		Team: as.team, Kind: as.kind, Model: as.model, Pinned: as.pinned,
 		Draw: rand.Float64(), Explore: rand.Float64(),
 	}, estimates{Table: en.lessons.table}, &en.board)
+	if as.id != "" {
+		en.plans.put(as.id, pl)
+	}
+	return pl
 }
 
 // fly runs the request on the chosen steps.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -93,6 +93,8 @@
 	// newest generation began.
 	pins   pinCache
 	turned time.Time
+	// plans holds why the newest requests went where they went.
+	plans planLog
 	// claims holds the requests that wait for a claim, by key.
 	claims map[string][]chan wire.ClaimLine
 	// homesOf ranks the agents for each claim log.
--- /dev/null
+++ b/internal/entry/plans.go
@@ -0,0 +1,34 @@
+package entry
+
+import "github.com/linnetrudder/linnetrudder/internal/choice"
+
+// maxPlans is how many plans are kept for operators who ask why.
+const maxPlans = 2000
+
+// planLog keeps the newest plans by request id.
+type planLog struct {
+	plans map[string]choice.Plan
+	// ring holds the ids in the order of their coming; next is the oldest once
+	// it is full.
+	ring []string
+	next int
+}
+
+func (pl *planLog) get(request string) (choice.Plan, bool) {
+	plan, ok := pl.plans[request]
+	return plan, ok
+}
+
+func (pl *planLog) put(request string, plan choice.Plan) {
+	if pl.plans == nil {
+		pl.plans = map[string]choice.Plan{}
+	}
+	pl.plans[request] = plan
+	if len(pl.ring) < maxPlans {
+		pl.ring = append(pl.ring, request)
+		return
+	}
+	delete(pl.plans, pl.ring[pl.next])
+	pl.ring[pl.next] = request
+	pl.next = (pl.next + 1) % maxPlans
+}
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,74 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// views are the pictures of a number of entries that all see the same agents.
+func views(entries int) []*View {
+	var names []string
+	for i := range entries {
+		names = append(names, fmt.Sprintf("e%d", i))
+	}
+	var all []*View
+	for _, na := range names {
+		vi := &View{Self: na}
+		vi.Peers("agent-1", names)
+		vi.Peers("agent-2", names[:1])
+		all = append(all, vi)
+	}
+	return all
+}
+
+func count(all []*View, duty func(vi *View) bool) int {
+	n := 0
+	for _, vi := range all {
+		if duty(vi) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestTwoWatchAndOneLeads(t *testing.T) {
+	for _, entries := range []int{2, 3, 46} {
+		all := views(entries)
+		require.Equal(t, 2, count(all, (*View).Watches))
+		require.Equal(t, 1, count(all, (*View).Leads))
+	}
+	alone := &View{Self: "e"}
+	require.True(t, alone.Watches())
+	require.True(t, alone.Leads())
+}
+
+func TestALostWatcherIsReplaced(t *testing.T) {
+	all := views(10)
+	for i, vi := range all {
+		if !vi.Leads() {
+			continue
+		}
+		rest := append(append([]*View{}, all[:i]...), all[i+1:]...)
+		var names []string
+		for _, ot := range rest {
+			names = append(names, ot.Self)
+		}
+		for _, ot := range rest {
+			ot.AgentDown("agent-2")
+			ot.Peers("agent-1", names)
+		}
+		require.Equal(t, 2, count(rest, (*View).Watches))
+		require.Equal(t, 1, count(rest, (*View).Leads))
+		return
+	}
+	t.Fatal("nobody leads")
+}
+
+func TestWhoHearsOfNobodyTakesTheDuty(t *testing.T) {
+	vi := views(10)[9]
+	vi.AgentDown("agent-1")
+	vi.AgentDown("agent-2")
+	require.True(t, vi.Watches(), "a duty done twice costs a read; one done by nobody costs the promise")
+}
--- a/standin/cmd/demo/steps.go
+++ b/standin/cmd/demo/steps.go
@@ -36,6 +36,8 @@
 	entries     []*fleet.Member
 	// requests counts what must stand on the bill.
 	requests int
+	// last is the id of the newest chat request.
+	last string
 }
 
 // steps is the demo in its order.
@@ -144,6 +146,7 @@
 		return "", err
 	}
 	de.requests++
+	de.last = resp.Header.Get("X-Linnetrudder-Request")
 	version := resp.Header.Get("X-Linnetrudder-Version")
 	text := done.Choices[0].Message.Content
 	fmt.Printf("%s answered %q\n", version, text)
@@ -325,6 +328,9 @@
 	if !strings.Contains(out, "request_escalated") || !strings.Contains(out, "attempt_admitted") {
 		return fmt.Errorf("the time line shows no attempt")
 	}
+	if _, err := de.ctl("explain", "--request", de.last); err != nil {
+		return err
+	}
 	_, err = de.ctl("status")
 	return err
 }
