--- a/standin/e2e/failure_test.go
+++ b/standin/e2e/failure_test.go
@@ -146,7 +146,7 @@
 	// A shorter freeze is within the seconds that a change may take to be in
 	// force; a longer one must not lead to an old decision.
 	time.Sleep(freeze)
-	revision := si.setState("m@v2", config.Withdrawn)
+	revision := si.setV2(config.Withdrawn)
 	si.waitRevision(revision, si.agents[1], si.entries[0], si.entries[1])
 	before := si.began(frozen, "m@v2")
 	require.NoError(t, frozen.Process.Signal(syscall.SIGCONT))
@@ -165,7 +165,7 @@
 
 func TestANewEntryLearnsTheConfigurationWhileTheStoreIsDown(t *testing.T) {
 	si := newSite(t, 2, time.Millisecond)
-	revision := si.setState("m@v2", config.RollingOut)
+	revision := si.setV2(config.RollingOut)
 	si.waitRevision(revision, si.fleet.Members()...)
 	require.NoError(t, si.fleet.Fault(store.Faults{Down: true}))
 	en := si.addEntry("entry-new", "dc-0")
@@ -175,7 +175,7 @@
 
 func TestAStoreThatLostItsDataRevertsNothing(t *testing.T) {
 	si := newSite(t, 2, time.Millisecond)
-	revision := si.setState("m@v2", config.Withdrawn)
+	revision := si.setV2(config.Withdrawn)
 	si.waitRevision(revision, si.fleet.Members()...)
 	old := config.Envelope{Revision: 1, Document: si.document()}
 	require.NoError(t, si.putStore(config.StoreKey, old))
--- a/standin/e2e/partition_test.go
+++ b/standin/e2e/partition_test.go
@@ -107,7 +107,7 @@
 
 	// One side changes the configuration; the other keeps serving what it
 	// holds, makes no change of its own, and refuses keys at once.
-	revision := pa.setState("m@v2", config.Withdrawn)
+	revision := pa.setV2(config.Withdrawn)
 	pa.waitRevision(revision, pa.entries[0], pa.agents[0])
 	pa.served(3)
 	require.NoError(t, fleet.Until(bound, "an answer on the cut-off side", func() bool {
--- a/standin/e2e/site_test.go
+++ b/standin/e2e/site_test.go
@@ -122,11 +122,11 @@
 	}))
 }
 
-// setState changes a version's state and returns the revision.
-func (si *site) setState(version string, state config.State) uint64 {
+// setV2 changes the state of m@v2 and returns the revision.
+func (si *site) setV2(state config.State) uint64 {
 	var ch config.Change
-	path := "/v1/versions/" + strings.Replace(version, "@", "/", 1)
-	require.NoError(si.t, si.admin(si.entries[0], http.MethodPost, path, map[string]any{"state": state}, &ch))
+	body := map[string]any{"state": state}
+	require.NoError(si.t, si.admin(si.entries[0], http.MethodPost, "/v1/versions/m/v2", body, &ch))
 	return ch.Revision
 }
 
