fix: an entry that comes back is not taken for what it was before

Cause: an agent named an attempt by the entry's box and the entry's number for it. An entry that was killed and started again numbers from one, and a call that may not be cut was still running under the same name: the new attempt replaced it, and the agent crashed when the old one ended. Found by reading the code for the landing; the new test failed with code 500 and a dead agent.

Ruled out: numbering from a random start, five bytes more in each frame of an answer, and two starts may still meet.

An attempt is now named by the link it came on.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -60,6 +62,9 @@
 	// Store is the key-value service.
 	Store Store
 
+	// links numbers the links that were accepted.
+	links atomic.Uint64
+
 	// mu guards what follows. It may be taken while the node's lock is held,
 	// so nothing under it may call what takes the node's lock.
 	mu     sync.Mutex
@@ -138,6 +143,7 @@
 		return
 	}
 	li.Handler = ag
+	li.Name = fmt.Sprintf("%s#%d", li.Peer.Box(), ag.links.Add(1))
 	li.Heartbeat = ag.Node.Settings.Limits.Heartbeat()
 	ag.Node.LinkUp(li)
 	ag.tellPeers()
@@ -212,7 +218,7 @@
 	case wire.Open:
 		ag.open(li, fr)
 	case wire.Cancel:
-		ag.cancel(gate.Key{Peer: li.Peer.Box(), Stream: fr.Stream})
+		ag.cancel(gate.Key{Link: li.Name, Stream: fr.Stream})
 	case wire.Claim:
 		ag.takeClaims(li, fr.Claims)
 	case wire.Bill:
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -43,7 +43,7 @@
 	}
 	var lines []wire.BillLine
 	if co == result.OK {
-		lines = []wire.BillLine{ru.ag.bill(ru.at, us)}
+		lines = []wire.BillLine{ru.bill(us)}
 	}
 	lo := ru.ag.ended(ru.key, ru.at, co)
 	ru.send(ctx, &wire.Frame{Kind: wire.End, Code: co, Usage: us, Bills: lines, Load: &lo, Stamp: ru.ag.Node.Stamp()})
@@ -138,8 +138,10 @@
 	return result.ServerFailed
 }
 
-// bill makes the line of a whole answer and holds it.
-func (ag *Agent) bill(at *wire.Attempt, us *wire.Usage) wire.BillLine {
+// bill makes the line of a whole answer and holds it. If the entry of the
+// request is gone, the line is handed to another one at once.
+func (ru *run) bill(us *wire.Usage) wire.BillLine {
+	ag, at := ru.ag, ru.at
 	li := wire.BillLine{Request: at.Request, Step: at.Step, Team: at.Team, Version: at.Version, Kind: at.Kind, Usage: *us, Box: ag.Node.Settings.Box}
 	if at.Service != "" {
 		li.Version = at.Service
@@ -151,6 +153,11 @@
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
 	ag.ledger.Add(li, time.Now())
+	select {
+	case <-ru.li.Done():
+		ag.ledger.Hurry(time.Now())
+	default:
+	}
 	return li
 }
 
--- a/internal/agent/streams.go
+++ b/internal/agent/streams.go
@@ -22,7 +22,7 @@
 }
 
 func (ag *Agent) open(li *link.Link, fr *wire.Frame) {
-	key := gate.Key{Peer: li.Peer.Box(), Stream: fr.Stream}
+	key := gate.Key{Link: li.Name, Stream: fr.Stream}
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
 	ag.streams[key] = &stream{li: li, at: fr.Open}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -12,9 +12,9 @@
 	"github.com/linnetrudder/linnetrudder/internal/wire"
 )
 
-// Key names an attempt: the entry that sent it and its number there.
+// Key names an attempt: the link it came on and its number there.
 type Key struct {
-	Peer   string
+	Link   string
 	Stream uint64
 }
 
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -50,7 +50,7 @@
 }
 
 func open(ga *Gate, stream uint64, at *wire.Attempt, now time.Time) []Action {
-	return ga.Open(Key{Peer: "entry", Stream: stream}, at, now)
+	return ga.Open(Key{Link: "entry", Stream: stream}, at, now)
 }
 
 func TestOpenStartsOnlyWhatIsAllowed(t *testing.T) {
@@ -129,7 +129,7 @@
 		now = now.Add(time.Second)
 		ga.Tick(now)
 	}
-	ga.Ended(Key{Peer: "entry", Stream: 1}, now)
+	ga.Ended(Key{Link: "entry", Stream: 1}, now)
 	open(ga, 2, attempt("one", "m@v1"), now)
 	acs := open(ga, 3, attempt("one", "m@v1"), now)
 	require.Len(t, acs, 1)
@@ -147,7 +147,7 @@
 	require.Len(t, acs, 1)
 	require.Equal(t, result.ShareExceeded, acs[0].Code())
 	require.Equal(t, "one", acs[0].Attempt().Team)
-	next := ga.Ended(Key{Peer: "entry", Stream: 1}, start)
+	next := ga.Ended(Key{Link: "entry", Stream: 1}, start)
 	require.Len(t, next, 1)
 	require.Equal(t, "two", next[0].Attempt().Team, "the team that ran nothing comes before the second of the other")
 }
@@ -161,7 +161,7 @@
 	require.Equal(t, result.Leaving, acs[0].Code())
 	require.False(t, ga.Idle())
 	require.Equal(t, result.Leaving, open(ga, 3, attempt("one", "m@v1"), start)[0].Code())
-	ga.Ended(Key{Peer: "entry", Stream: 1}, start)
+	ga.Ended(Key{Link: "entry", Stream: 1}, start)
 	require.True(t, ga.Idle())
 }
 
@@ -199,7 +199,7 @@
 		}
 		for i := range rapid.IntRange(1, 60).Draw(rt, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(rt, "ms")) * time.Millisecond)
-			key := Key{Peer: "entry", Stream: uint64(i + 1)}
+			key := Key{Link: "entry", Stream: uint64(i + 1)}
 			switch rapid.SampledFrom([]string{"open", "open", "end", "tick", "change"}).Draw(rt, "event") {
 			case "open":
 				see(ga.Open(key, attempt("one", "m@v2"), now))
@@ -229,7 +229,7 @@
 	at := attempt("one", "m@v1")
 	b.ReportAllocs()
 	for i := range b.N {
-		key := Key{Peer: "entry", Stream: uint64(i)}
+		key := Key{Link: "entry", Stream: uint64(i)}
 		ga.Open(key, at, start)
 		ga.Ended(key, start)
 	}
@@ -237,7 +237,7 @@
 
 func ExampleGate_Load() {
 	ga := newGate(fatal{}, 1, config.Serving, 2)
-	ga.Open(Key{Peer: "entry", Stream: 1}, attempt("one", "m@v1"), start)
+	ga.Open(Key{Link: "entry", Stream: 1}, attempt("one", "m@v1"), start)
 	fmt.Println(ga.Load().Running, ga.Load().Slots)
 	// Output: 1 2
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -61,6 +61,9 @@
 	Conn *websocket.Conn
 	// Peer is who was proved to be at the other end.
 	Peer Peer
+	// Name is unique among the links that a process has had, so that a peer
+	// that starts anew is not taken for what it was before.
+	Name string
 	// Handler takes the frames.
 	Handler Handler
 	// Heartbeat is the time between two heartbeats.
--- a/standin/e2e/failure_test.go
+++ b/standin/e2e/failure_test.go
@@ -314,3 +314,34 @@
 	require.NotEmpty(t, seen)
 	si.waitRevision(highest, si.fleet.Members()...)
 }
+
+// TestAnEntryComesBackWhileItsOldCallStillRuns kills an entry whose call may
+// not be cut, and starts it again under the same name: its attempts are
+// numbered from one again, and must not be taken for the old ones.
+func TestAnEntryComesBackWhileItsOldCallStillRuns(t *testing.T) {
+	si := newSite(t, 1, 250*time.Millisecond)
+	doc := si.document()
+	doc.Servers[0].Slots = 1
+	doc.Kinds[0].DeadlineMS = 30_000
+	si.apply(doc)
+	si.waitRevision(2, si.fleet.Members()...)
+	go si.ask(si.entries[1], call{kind: "once"})
+	require.NoError(t, fleet.Until(bound, "the call to run", func() bool { return len(si.runs()) == 1 }))
+	require.NoError(t, si.entries[1].Process.Signal(syscall.SIGKILL))
+	require.True(t, si.entries[1].Process.Wait(bound))
+	require.NoError(t, si.fleet.Restart(si.entries[1]))
+	si.waitRevision(2, si.entries[1])
+	ca := si.ask(si.entries[1], call{kind: "once"})
+	require.True(t, ca.whole, "%+v", ca)
+	require.Equal(t, 1, si.most(), "one slot, one at a time")
+	require.False(t, si.agents[0].Process.Wait(0), "the agent lives")
+	require.NoError(t, fleet.Until(bound, "both calls on the bill", func() bool { return len(si.bills()) == 2 }))
+	si.checkCalls([]call{ca})
+}
+
+// most returns how many requests ran at once on the first engine at the most.
+func (si *site) most() int {
+	var n int
+	require.NoError(si.t, si.getJSON("http://"+si.agents[0].Backend+"/most", &n))
+	return n
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -29,6 +29,8 @@
 	// versions counts the requests that began, by version.
 	versions map[string]int
 	running  int
+	// most is how many ran at once at the most.
+	most int
 	// bad makes requests of a version fail.
 	bad map[string]bool
 	// held is what orders made the engine load; fence is the highest number.
@@ -71,11 +73,11 @@
 	return en.versions[version]
 }
 
-// Running returns how many requests run now.
-func (en *Engine) Running() int {
+// Running returns how many requests run now, and ran at once at the most.
+func (en *Engine) Running() (now, most int) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	return en.running
+	return en.running, en.most
 }
 
 // SetBad makes a version fail, or heals it.
@@ -136,8 +138,8 @@
 	return all
 }
 
-// ServeHTTP answers a chat request; GET /runs, /versions and
-// /running answer with the
+// ServeHTTP answers a chat request; GET /runs, /versions,
+// /running and /most answer with the
 // counts, and PUT /bad?version=V&bad=true makes a version fail.
 func (en *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/orders" {
@@ -148,8 +150,9 @@
 		_ = json.NewEncoder(w).Encode(en.allVersions())
 		return
 	}
-	if r.URL.Path == "/running" {
-		_ = json.NewEncoder(w).Encode(en.Running())
+	if r.URL.Path == "/running" || r.URL.Path == "/most" {
+		running, most := en.Running()
+		_ = json.NewEncoder(w).Encode(map[bool]int{true: running, false: most}[r.URL.Path == "/running"])
 		return
 	}
 	if r.Method == http.MethodPut {
@@ -192,6 +195,7 @@
 	en.runs[id]++
 	en.versions[version]++
 	en.running++
+	en.most = max(en.most, en.running)
 	return en.bad[version]
 }
 
--- a/standin/trial/load.go
+++ b/standin/trial/load.go
@@ -319,7 +319,7 @@
 	jo.tries++
 	po.boards[jo.entry].Sent(server)
 	po.stream++
-	key := gate.Key{Peer: fmt.Sprint(jo.entry), Stream: po.stream}
+	key := gate.Key{Link: fmt.Sprint(jo.entry), Stream: po.stream}
 	po.jobs[key] = jo
 	i := serverNumber(server)
 	st.at(now.Add(wireDelay), func(now time.Time) {
