--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(BIN)/demo --bin $(BIN) --config examples/fleet.jsonc
 
 test:
-	go test -race ./... ./standin/...
+	go test -race -count=1 ./... ./standin/...
 
 experiments: build
 	$(BIN)/experiment --out docs/experiments
