--- a/cmd/linnetrudderctl/root_test.go
+++ b/cmd/linnetrudderctl/root_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -93,6 +95,12 @@
 	require.Less(t, first, second)
 	require.Equal(t, 3, strings.Count(out, "request_routed"))
 	require.Contains(t, out, "no answer from dead")
+	picture := filepath.Join(t.TempDir(), "line.svg")
+	code, _, _ = run(fa.address, "timeline", "--picture", picture)
+	require.Equal(t, command.OK, code)
+	drawn, err := os.ReadFile(picture)
+	require.NoError(t, err)
+	require.Equal(t, 3, bytes.Count(drawn, []byte("<circle")))
 	_, out, _ = run(fa.address, "timeline", "--request", "none")
 	require.NotContains(t, out, "request_routed")
 }
--- a/cmd/linnetrudderctl/timeline.go
+++ b/cmd/linnetrudderctl/timeline.go
@@ -1,11 +1,15 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"os"
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/linnetrudder/linnetrudder/internal/boxes"
 	"github.com/linnetrudder/linnetrudder/internal/timeline"
 )
@@ -16,6 +20,7 @@
 	Team    string        `help:"Only this team."`
 	Version string        `help:"Only this version."`
 	Last    time.Duration `help:"Only this long back from now."`
+	Picture string        `help:"Write an SVG picture to this file." type:"path"`
 }
 
 // Run asks each box and merges.
@@ -34,6 +39,9 @@
 		return err
 	}
 	all := slices.DeleteFunc(timeline.Merge(lists...), func(en timeline.Entry) bool { return !cm.wants(en, time.Now()) })
+	if cm.Picture != "" {
+		return cm.draw(all)
+	}
 	return pr.show(all, func(w io.Writer) {
 		for _, en := range all {
 			at := time.UnixMilli(en.Stamp.Wall).UTC().Format("15:04:05.000")
@@ -46,6 +54,15 @@
 	})
 }
 
+// draw writes the picture.
+func (cm *timelineCmd) draw(all []timeline.Entry) error {
+	var buf bytes.Buffer
+	if err := timeline.Draw(&buf, all); err != nil {
+		return err
+	}
+	return eris.Wrap(os.WriteFile(cm.Picture, buf.Bytes(), 0o600), "picture")
+}
+
 func (cm *timelineCmd) wants(en timeline.Entry, now time.Time) bool {
 	if cm.Last > 0 && en.Stamp.Wall < now.Add(-cm.Last).UnixMilli() {
 		return false
--- a/standin/cmd/measure/bills.go
+++ b/standin/cmd/measure/bills.go
@@ -27,26 +27,18 @@
 	if err := fe.Fault(store.Faults{Down: true}); err != nil {
 		return err
 	}
-	beforeEntry, err := take(entry)
-	if err != nil {
-		return err
-	}
-	beforeAgent, err := take(agent)
+	before, err := takeBoth(entry, agent)
 	if err != nil {
 		return err
 	}
 	ru := lo.drive(paths[1])
-	afterEntry, err := take(entry)
-	if err != nil {
-		return err
-	}
-	afterAgent, err := take(agent)
+	after, err := takeBoth(entry, agent)
 	if err != nil {
 		return err
 	}
 	n := float64(ru.first.TotalCount())
 	fmt.Printf("store down, %.0f requests answered, %d failed: entry %+.0f B, agent %+.0f B a request held\n",
-		n, ru.failed, float64(afterEntry.rss-beforeEntry.rss)/n, float64(afterAgent.rss-beforeAgent.rss)/n)
+		n, ru.failed, float64(after.entry.rss-before.entry.rss)/n, float64(after.agent.rss-before.agent.rss)/n)
 	if err := fe.Fault(store.Faults{}); err != nil {
 		return err
 	}
@@ -55,6 +47,6 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("after the outage: %d store calls to write %.0f lines\n", caught.store-afterAgent.store, n)
+	fmt.Printf("after the outage: %d store calls to write %.0f lines\n", caught.store-after.agent.store, n)
 	return nil
 }
--- a/standin/cmd/measure/hold.go
+++ b/standin/cmd/measure/hold.go
@@ -29,11 +29,7 @@
 	if err != nil {
 		return err
 	}
-	idleEntry, err := take(entry)
-	if err != nil {
-		return err
-	}
-	idleAgent, err := take(agent)
+	idle, err := takeBoth(entry, agent)
 	if err != nil {
 		return err
 	}
@@ -46,17 +42,13 @@
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(5 * time.Second)
-	fullEntry, err := take(entry)
-	if err != nil {
-		return err
-	}
-	fullAgent, err := take(agent)
+	full, err := takeBoth(entry, agent)
 	if err != nil {
 		return err
 	}
-	fmt.Printf("entry: idle %.1f MB, with %d streams %.1f MB, %.1f kB a stream\n", float64(idleEntry.rss)/1e6, cm.Streams,
-		float64(fullEntry.rss)/1e6, float64(fullEntry.rss-idleEntry.rss)/1e3/float64(cm.Streams))
-	fmt.Printf("agent: idle %.1f MB, with %d streams %.1f MB, %.1f kB a stream\n", float64(idleAgent.rss)/1e6, cm.Streams,
-		float64(fullAgent.rss)/1e6, float64(fullAgent.rss-idleAgent.rss)/1e3/float64(cm.Streams))
+	fmt.Printf("entry: idle %.1f MB, with %d streams %.1f MB, %.1f kB a stream\n", float64(idle.entry.rss)/1e6, cm.Streams,
+		float64(full.entry.rss)/1e6, float64(full.entry.rss-idle.entry.rss)/1e3/float64(cm.Streams))
+	fmt.Printf("agent: idle %.1f MB, with %d streams %.1f MB, %.1f kB a stream\n", float64(idle.agent.rss)/1e6, cm.Streams,
+		float64(full.agent.rss)/1e6, float64(full.agent.rss-idle.agent.rss)/1e3/float64(cm.Streams))
 	return nil
 }
--- a/standin/cmd/measure/load.go
+++ b/standin/cmd/measure/load.go
@@ -34,20 +34,12 @@
 		return err
 	}
 	for _, pa := range paths {
-		beforeEntry, err := take(entry)
-		if err != nil {
-			return err
-		}
-		beforeAgent, err := take(agent)
+		before, err := takeBoth(entry, agent)
 		if err != nil {
 			return err
 		}
 		ru := cm.drive(pa)
-		afterEntry, err := take(entry)
-		if err != nil {
-			return err
-		}
-		afterAgent, err := take(agent)
+		after, err := takeBoth(entry, agent)
 		if err != nil {
 			return err
 		}
@@ -55,11 +47,11 @@
 			fmt.Printf("%d failed with %s\n", n, why)
 		}
 		tokens := float64(ru.first.TotalCount()) * float64(cm.Tokens)
-		cpu := (afterEntry.cpu - beforeEntry.cpu) + (afterAgent.cpu - beforeAgent.cpu)
+		cpu := (after.entry.cpu - before.entry.cpu) + (after.agent.cpu - before.agent.cpu)
 		fmt.Printf("%s: %d requests, %d failed, first byte p50 %d us, p99 %d us; cpu %.2f us/token (entry %.2f, agent %.2f)\n",
 			pa.name, ru.first.TotalCount(), ru.failed, ru.first.ValueAtQuantile(50), ru.first.ValueAtQuantile(99),
-			cpu.Seconds()*1e6/tokens, (afterEntry.cpu-beforeEntry.cpu).Seconds()*1e6/tokens,
-			(afterAgent.cpu-beforeAgent.cpu).Seconds()*1e6/tokens)
+			cpu.Seconds()*1e6/tokens, (after.entry.cpu-before.entry.cpu).Seconds()*1e6/tokens,
+			(after.agent.cpu-before.agent.cpu).Seconds()*1e6/tokens)
 	}
 	return nil
 }
--- a/standin/cmd/measure/proc.go
+++ b/standin/cmd/measure/proc.go
@@ -72,3 +72,15 @@
 		100*(sa.cpu-be.cpu).Seconds()/sec, float64(sa.rss)/1e6,
 		float64(sa.control-be.control)/sec, float64(sa.messages-be.messages)/sec, float64(sa.store-be.store)/sec)
 }
+
+// both is a sample of an entry and one of an agent.
+type both struct{ entry, agent sample }
+
+func takeBoth(entry, agent *fleet.Member) (both, error) {
+	en, err := take(entry)
+	if err != nil {
+		return both{}, err
+	}
+	ag, err := take(agent)
+	return both{entry: en, agent: ag}, err
+}
