--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -79,8 +79,8 @@
 	outcomes map[string]*wire.Outcome
 	// logs holds the claim logs that this agent is home to, by shard.
 	logs map[int]*claim.Log
-	// keeper gives orders to the backend server.
-	keeper order.Keeper
+	// reconciler gives orders to the backend server.
+	reconciler order.Reconciler
 	// wake has room for one word that a log may have something to do.
 	wake chan struct{}
 	// nonce is the newest question that confirms the configuration.
@@ -97,7 +97,7 @@
 	sup.Add(node.Service{Name: "admin", Serving: ag.serveAdmin})
 	sup.Add(node.Service{Name: "ticks", Serving: ag.tick})
 	sup.Add(node.Service{Name: "bills", Serving: ag.writeBills})
-	sup.Add(node.Service{Name: "orders", Serving: ag.keepVersions})
+	sup.Add(node.Service{Name: "orders", Serving: ag.reconcileVersions})
 	sup.Add(node.Service{Name: "claims", Serving: ag.serveClaims})
 	ended := sup.ServeBackground(work)
 	ag.Node.Note(timeline.Entry{Event: event.ProcessStarted, Detail: "agent of " + ag.Node.Settings.Server.Name})
@@ -117,7 +117,7 @@
 	ag.ledger = bill.Ledger{Bound: se.Limits.Bills, Grace: ownGrace, Every: billRepeat}
 	ag.writer = bill.Writer{Flush: se.Limits.BillFlush(), Bound: se.Limits.Bills}
 	ag.streams = map[gate.Key]*stream{}
-	ag.keeper = order.Keeper{Holder: se.Box + "/" + uuid.NewString()}
+	ag.reconciler = order.Reconciler{Holder: se.Box + "/" + uuid.NewString()}
 	ag.logs = map[int]*claim.Log{}
 	ag.wake = make(chan struct{}, 1)
 	ag.outcomes = map[string]*wire.Outcome{}
@@ -294,7 +294,7 @@
 func (ag *Agent) drain() {
 	ag.Node.Stop()
 	ag.mu.Lock()
-	ag.ledger.Hurry(time.Now())
+	ag.ledger.MakeDue(time.Now())
 	ag.act(ag.gate.Leave(time.Now()))
 	ag.mu.Unlock()
 	for _, li := range ag.Node.Links() {
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -33,9 +33,9 @@
 	Versions []string `json:"versions"`
 }
 
-// keepVersions lets the backend server hold what the configuration says, if
+// reconcileVersions lets the backend server hold what the configuration says, if
 // the configuration leaves that to the system.
-func (ag *Agent) keepVersions(ctx context.Context) error {
+func (ag *Agent) reconcileVersions(ctx context.Context) error {
 	return node.Every(ctx, orderCheck, func(time.Time) {
 		for ag.orderOnce(ctx) {
 		}
@@ -53,8 +53,8 @@
 		return false
 	}
 	ag.mu.Lock()
-	ag.keeper.Want(se.Versions)
-	ac, ok := ag.keeper.Next(ag.runs, time.Now())
+	ag.reconciler.Want(se.Versions)
+	ac, ok := ag.reconciler.Next(ag.runs, time.Now())
 	ag.mu.Unlock()
 	if ok {
 		ag.doOrder(ctx, ac)
@@ -79,7 +79,7 @@
 		held, err := ag.look(ctx)
 		ag.mu.Lock()
 		defer ag.mu.Unlock()
-		ag.keeper.Looked(held, err, time.Now())
+		ag.reconciler.Looked(held, err, time.Now())
 		if err == nil {
 			ag.gate.Hold(held)
 		}
@@ -91,7 +91,7 @@
 		}
 		ag.mu.Lock()
 		defer ag.mu.Unlock()
-		ag.keeper.Have(lease, pair.Index, err, time.Now())
+		ag.reconciler.Have(lease, pair.Index, err, time.Now())
 	case order.Take:
 		value, err := json.Marshal(ac.Lease())
 		if err == nil {
@@ -99,13 +99,13 @@
 		}
 		ag.mu.Lock()
 		defer ag.mu.Unlock()
-		ag.keeper.Took(err, time.Now())
+		ag.reconciler.Took(err, time.Now())
 	default:
 		err := ag.send(ctx, ac)
 		ag.Node.Note(timeline.Entry{Event: event.OrderGiven, Version: ac.Version(), Detail: string(ac.Do()) + orderOutcome(err)})
 		ag.mu.Lock()
 		defer ag.mu.Unlock()
-		ag.keeper.Ordered(err, time.Now())
+		ag.reconciler.Ordered(err, time.Now())
 	}
 }
 
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -155,7 +155,7 @@
 	ag.ledger.Add(li, time.Now())
 	select {
 	case <-ru.li.Done():
-		ag.ledger.Hurry(time.Now())
+		ag.ledger.MakeDue(time.Now())
 	default:
 	}
 	return li
--- a/internal/agent/streams.go
+++ b/internal/agent/streams.go
@@ -101,7 +101,7 @@
 // may not be repeated.
 func (ag *Agent) cutStreams(li *link.Link) {
 	ag.mu.Lock()
-	ag.ledger.Hurry(time.Now())
+	ag.ledger.MakeDue(time.Now())
 	var cut []gate.Key
 	for key, st := range ag.streams {
 		if st.li == li && (st.cancel == nil || !st.at.Once) {
--- a/internal/bill/ledger.go
+++ b/internal/bill/ledger.go
@@ -66,9 +66,9 @@
 // Len returns how many lines are held.
 func (le *Ledger) Len() int { return len(le.lines) }
 
-// Hurry makes every line due, because the process stops or has lost the peer
+// MakeDue makes every line due, because the process stops or has lost the peer
 // that would have handed them on.
-func (le *Ledger) Hurry(now time.Time) {
+func (le *Ledger) MakeDue(now time.Time) {
 	for _, he := range le.lines {
 		he.next, he.wait = now, le.Every
 	}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -44,7 +44,7 @@
 		en.refuse(w, as, err)
 		return
 	}
-	en.fly(w, r, as, steps)
+	en.exchange(w, r, as, steps)
 }
 
 func (en *Entry) serveCall(w http.ResponseWriter, r *http.Request) {
@@ -57,7 +57,7 @@
 		en.refuse(w, as, err)
 		return
 	}
-	en.fly(w, r, as, []string{as.service})
+	en.exchange(w, r, as, []string{as.service})
 }
 
 // enter counts a request in progress until the returned function is called.
@@ -104,31 +104,31 @@
 	pl := choice.Choose(en.Node.Snapshot(), choice.Ask{
 		Team: as.team, Kind: as.kind, Model: as.model, Pinned: as.pinned,
 		Draw: rand.Float64(), Explore: rand.Float64(),
-	}, estimates{Table: en.lessons.table}, &en.board)
+	}, estimates{Table: en.learnt.table}, &en.board)
 	if as.id != "" {
 		en.plans.put(as.id, pl)
 	}
 	return pl
 }
 
-// fly runs the request on the chosen steps.
-func (en *Entry) fly(w http.ResponseWriter, r *http.Request, as *ask, steps []string) {
+// exchange runs the request on the chosen steps.
+func (en *Entry) exchange(w http.ResponseWriter, r *http.Request, as *ask, steps []string) {
 	en.Node.Note(timeline.Entry{Event: event.RequestReceived, Request: as.id, Team: as.team, Detail: as.kind})
 	en.mu.Lock()
 	en.budgets.Of(as.team).Earn(time.Now())
 	en.mu.Unlock()
-	fl := &flight{
+	ex := &exchange{
 		en: en, w: w, ask: as, streams: map[int]uint64{}, ready: make(chan struct{}, 1),
 		route: &route.Request{
 			Steps: steps, Repeatable: !as.once, Deadline: as.deadline,
 			Picker: pick{en: en}, Retries: pick{en: en, team: as.team}, Judge: judge{en: en, as: as},
 		},
 	}
-	co := fl.fly(r)
+	co := ex.serve(r)
 	if result.Of(co).Run() == result.DidNotRun {
 		en.releaseKey(as)
 	}
-	if co != result.OK && fl.started {
+	if co != result.OK && ex.started {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,8 +40,8 @@
 	spareBills = 10_000
 	// drainCheck is how often a planned stop looks whether all has ended.
 	drainCheck = 20 * time.Millisecond
-	// lastWords is how long the links have to send what was queued last.
-	lastWords = 100 * time.Millisecond
+	// flushWait is how long the links have to send what was queued last.
+	flushWait = 100 * time.Millisecond
 )
 
 // Store is what is used of the key-value service.
@@ -85,10 +85,10 @@
 	dialers map[string]dialer
 	// serverOf and boxOf map an agent's box to its backend server and back.
 	serverOf, boxOf map[string]string
-	// flights holds the request that waits for each attempt's frames.
-	flights map[uint64]*ticket
-	// lessons is what has been learnt of the versions.
-	lessons lessons
+	// attempts holds the request that waits for each attempt's frames.
+	attempts map[uint64]*sentAttempt
+	// learnt is what has been learnt of the versions.
+	learnt learnt
 	// pins remembers the versions of sessions seen here; turned is when its
 	// newest generation began.
 	pins   pinCache
@@ -113,7 +113,7 @@
 	en.supervisor.Add(node.Service{Name: "admin", Serving: en.serveAdmin})
 	en.supervisor.Add(node.Service{Name: "boxes", Serving: en.followBoxes})
 	en.supervisor.Add(node.Service{Name: "watch", Serving: en.watchStore})
-	en.supervisor.Add(node.Service{Name: "lessons", Serving: en.learn})
+	en.supervisor.Add(node.Service{Name: "learnt", Serving: en.learn})
 	en.supervisor.Add(node.Service{Name: "rollouts", Serving: en.followRollouts})
 	en.supervisor.Add(node.Service{Name: "ticks", Serving: en.tick})
 	ended := en.supervisor.ServeBackground(work)
@@ -139,8 +139,8 @@
 	en.dialers = map[string]dialer{}
 	en.serverOf = map[string]string{}
 	en.boxOf = map[string]string{}
-	en.flights = map[uint64]*ticket{}
-	en.lessons = newLessons()
+	en.attempts = map[uint64]*sentAttempt{}
+	en.learnt = newLearnt()
 	en.claims = map[string][]chan wire.ClaimLine{}
 	en.Node.Adopted = en.adopted
 }
@@ -182,7 +182,7 @@
 		en.mu.Lock()
 		en.board.Load(en.serverOf[li.Peer.Box()], *fr.Load)
 		for _, ou := range fr.Load.Versions {
-			en.lessons.count(li.Peer.Box(), ou.Version, rollout.Tally{Started: ou.Started, Failed: ou.Failed})
+			en.learnt.count(li.Peer.Box(), ou.Version, rollout.Tally{Started: ou.Started, Failed: ou.Failed})
 		}
 		en.mu.Unlock()
 	}
@@ -238,7 +238,7 @@
 	for _, li := range en.Node.Links() {
 		li.Send(&wire.Frame{Kind: wire.Billed, Bills: en.told(li.Peer.Box())})
 	}
-	time.Sleep(lastWords)
+	time.Sleep(flushWait)
 }
 
 func (en *Entry) drained() bool {
--- a/internal/entry/learn.go
+++ b/internal/entry/learn.go
@@ -43,8 +43,8 @@
 	Score float64 `json:"score"`
 }
 
-// lessons is what an entry has learnt and what it has not stored yet.
-type lessons struct {
+// learnt is what an entry has learnt and what it has not stored yet.
+type learnt struct {
 	// table is what all data centres have stored, as last read.
 	table *quality.Table
 	// fresh holds the ratings, outcomes the tallies to be added to the store.
@@ -55,8 +55,8 @@
 	counted map[string]map[string]rollout.Tally
 }
 
-func newLessons() lessons {
-	return lessons{
+func newLearnt() learnt {
+	return learnt{
 		table:    &quality.Table{},
 		outcomes: rollout.Tallies{},
 		counted:  map[string]map[string]rollout.Tally{},
@@ -65,7 +65,7 @@
 
 // count adds what an agent's counters have grown by. The first report of an
 // agent, or of one that was replaced, only sets where to count from.
-func (le *lessons) count(box, version string, ta rollout.Tally) {
+func (le *learnt) count(box, version string, ta rollout.Tally) {
 	byVersion := le.counted[box]
 	if byVersion == nil {
 		byVersion = map[string]rollout.Tally{}
@@ -111,12 +111,12 @@
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	for _, ra := range list {
-		en.lessons.rate(ra)
+		en.learnt.rate(ra)
 	}
 	node.WriteJSON(w, http.StatusOK, map[string]int{"taken": len(list)})
 }
 
-func (le *lessons) rate(ra Rating) {
+func (le *learnt) rate(ra Rating) {
 	kind := ra.Kind
 	if ra.Kept {
 		kind = choice.KeptKind(kind)
@@ -135,8 +135,8 @@
 func (en *Entry) tried(as *ask, version string, kept bool) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	en.lessons.fresh.AddTry(as.team, as.kind, version, kept)
-	en.lessons.table.AddTry(as.team, as.kind, version, kept)
+	en.learnt.fresh.AddTry(as.team, as.kind, version, kept)
+	en.learnt.table.AddTry(as.team, as.kind, version, kept)
 }
 
 // learn stores what is fresh and reads what all have stored.
@@ -146,23 +146,23 @@
 		now := time.Now()
 		if now.Sub(added) >= addEvery {
 			added = now
-			en.storeLessons(ctx)
+			en.storeLearnt(ctx)
 		}
 		if now.Sub(read) >= readEvery {
 			read = now.Add(-rand.N(readEvery / 4))
-			en.readLessons(ctx)
+			en.readLearnt(ctx)
 		}
 		sleep(ctx, time.Second)
 	}
 	return ctx.Err()
 }
 
-// storeLessons adds what is fresh to the data centre's documents. What cannot
+// storeLearnt adds what is fresh to the data centre's documents. What cannot
 // be added is kept for the next time.
-func (en *Entry) storeLessons(ctx context.Context) {
+func (en *Entry) storeLearnt(ctx context.Context) {
 	en.mu.Lock()
-	fresh, outcomes := en.lessons.fresh, en.lessons.outcomes
-	en.lessons.fresh, en.lessons.outcomes = quality.Table{}, rollout.Tallies{}
+	fresh, outcomes := en.learnt.fresh, en.learnt.outcomes
+	en.learnt.fresh, en.learnt.outcomes = quality.Table{}, rollout.Tallies{}
 	leads := en.view.Leads()
 	en.mu.Unlock()
 	if !leads {
@@ -173,13 +173,13 @@
 	dc := en.Node.Settings.DataCentre
 	if fresh.Cells() > 0 && !en.merge(ctx, ratingsPrefix+dc, addRatings(&fresh)) {
 		en.mu.Lock()
-		en.lessons.fresh.MergeLines(fresh.Lines())
+		en.learnt.fresh.MergeLines(fresh.Lines())
 		en.mu.Unlock()
 	}
 	if len(outcomes) > 0 && !en.merge(ctx, rollout.OutcomesPrefix+dc, addOutcomes(outcomes)) {
 		en.mu.Lock()
 		for version, ta := range outcomes {
-			en.lessons.outcomes.Add(version, ta)
+			en.learnt.outcomes.Add(version, ta)
 		}
 		en.mu.Unlock()
 	}
@@ -243,9 +243,9 @@
 	return false
 }
 
-// readLessons reads what all data centres have stored, and keeps what is
+// readLearnt reads what all data centres have stored, and keeps what is
 // fresh here on top.
-func (en *Entry) readLessons(ctx context.Context) {
+func (en *Entry) readLearnt(ctx context.Context) {
 	pairs, err := en.Store.List(ctx, ratingsPrefix)
 	if err != nil {
 		en.Node.Note(timeline.Entry{Event: event.StoreCallFailed, Detail: err.Error()})
@@ -260,6 +260,6 @@
 	}
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	all.MergeLines(en.lessons.fresh.Lines())
-	en.lessons.table = all
+	all.MergeLines(en.learnt.fresh.Lines())
+	en.learnt.table = all
 }
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -2,7 +2,7 @@
 // unload versions, so that what the server holds follows the configuration. An
 // order carries a fencing number that grows with each lease on the server; a
 // holder whose lease is over, as after a freeze, gives no order, and a new one
-// waits the old lease out, since not every server checks the number. Keeper
+// waits the old lease out, since not every server checks the number. Reconciler
 // does no I/O and reads no clock.
 package order
 
@@ -70,9 +70,9 @@
 // Index returns what the stored lease's index must be.
 func (ac Action) Index() uint64 { return ac.index }
 
-// Keeper keeps one server's versions. Its exported fields are set before use;
+// Reconciler keeps one server's versions. Its exported fields are set before use;
 // it is not safe for concurrent use.
-type Keeper struct {
+type Reconciler struct {
 	// Holder names this process.
 	Holder string
 
@@ -92,58 +92,58 @@
 }
 
 // Want says which versions the server is to hold.
-func (ke *Keeper) Want(versions []string) { ke.wanted = slices.Clone(versions) }
+func (re *Reconciler) Want(versions []string) { re.wanted = slices.Clone(versions) }
 
 // Holds reports whether the server is known to hold a version.
-func (ke *Keeper) Holds(version string) bool { return slices.Contains(ke.held, version) }
+func (re *Reconciler) Holds(version string) bool { return slices.Contains(re.held, version) }
 
 // Next returns what to do now, if anything. running says whether work of a
 // version is in progress; such a version is not unloaded.
-func (ke *Keeper) Next(running func(version string) bool, now time.Time) (Action, bool) {
-	if ke.busy || now.Before(ke.notBefore) {
+func (re *Reconciler) Next(running func(version string) bool, now time.Time) (Action, bool) {
+	if re.busy || now.Before(re.notBefore) {
 		return Action{}, false
 	}
-	ac, ok := ke.next(running, now)
-	ke.busy = ok
+	ac, ok := re.next(running, now)
+	re.busy = ok
 	return ac, ok
 }
 
-func (ke *Keeper) next(running func(string) bool, now time.Time) (Action, bool) {
-	if !ke.looked {
+func (re *Reconciler) next(running func(string) bool, now time.Time) (Action, bool) {
+	if !re.looked {
 		return Action{do: Look}, true
 	}
-	do, version := ke.difference(running)
+	do, version := re.difference(running)
 	switch {
 	case version == "":
 		return Action{}, false
-	case !ke.read:
+	case !re.read:
 		return Action{do: Read}, true
-	case ke.mine(now):
-		return Action{do: do, version: version, lease: ke.lease}, true
-	case now.Before(ke.lease.Until.Add(margin)) && ke.lease.Holder != ke.Holder:
-		ke.notBefore = ke.lease.Until.Add(margin)
+	case re.mine(now):
+		return Action{do: do, version: version, lease: re.lease}, true
+	case now.Before(re.lease.Until.Add(margin)) && re.lease.Holder != re.Holder:
+		re.notBefore = re.lease.Until.Add(margin)
 		return Action{}, false
 	}
-	lease := Lease{Holder: ke.Holder, Fence: ke.lease.Fence + 1, Until: now.Add(leaseFor)}
-	return Action{do: Take, lease: lease, index: ke.index}, true
+	lease := Lease{Holder: re.Holder, Fence: re.lease.Fence + 1, Until: now.Add(leaseFor)}
+	return Action{do: Take, lease: lease, index: re.index}, true
 }
 
 // mine reports whether the lease is held here for long enough to give an
 // order.
-func (ke *Keeper) mine(now time.Time) bool {
-	return ke.lease.Holder == ke.Holder && now.Add(margin).Before(ke.lease.Until)
+func (re *Reconciler) mine(now time.Time) bool {
+	return re.lease.Holder == re.Holder && now.Add(margin).Before(re.lease.Until)
 }
 
 // difference returns the next order that brings the server closer to what is
 // wanted: first loads, in the order of the configuration.
-func (ke *Keeper) difference(running func(string) bool) (Do, string) {
-	for _, version := range ke.wanted {
-		if !slices.Contains(ke.held, version) {
+func (re *Reconciler) difference(running func(string) bool) (Do, string) {
+	for _, version := range re.wanted {
+		if !slices.Contains(re.held, version) {
 			return Load, version
 		}
 	}
-	for _, version := range ke.held {
-		if !slices.Contains(ke.wanted, version) && !running(version) {
+	for _, version := range re.held {
+		if !slices.Contains(re.wanted, version) && !running(version) {
 			return Unload, version
 		}
 	}
@@ -151,42 +151,42 @@
 }
 
 // Looked takes the server's word on what it holds.
-func (ke *Keeper) Looked(held []string, err error, now time.Time) {
-	if ke.done(err, now) {
-		ke.held = slices.Clone(held)
-		ke.looked = true
+func (re *Reconciler) Looked(held []string, err error, now time.Time) {
+	if re.done(err, now) {
+		re.held = slices.Clone(held)
+		re.looked = true
 	}
 }
 
 // Have takes the lease as the store holds it; a missing one is the zero value
 // with index zero.
-func (ke *Keeper) Have(lease Lease, index uint64, err error, now time.Time) {
-	if ke.done(err, now) {
-		ke.lease, ke.index, ke.read = lease, index, true
+func (re *Reconciler) Have(lease Lease, index uint64, err error, now time.Time) {
+	if re.done(err, now) {
+		re.lease, re.index, re.read = lease, index, true
 	}
 }
 
 // Took takes the outcome of a Take. Whether it was made or not, the store is
 // read again: its answer has the index, and shows a write whose answer was
 // lost.
-func (ke *Keeper) Took(err error, now time.Time) {
-	ke.read = false
-	ke.done(err, now)
+func (re *Reconciler) Took(err error, now time.Time) {
+	re.read = false
+	re.done(err, now)
 }
 
 // Ordered takes the outcome of an order. A server that refuses it has seen a
 // higher fencing number, so the lease is read again.
-func (ke *Keeper) Ordered(err error, now time.Time) {
-	ke.looked = false
-	if !ke.done(err, now) {
-		ke.read = false
+func (re *Reconciler) Ordered(err error, now time.Time) {
+	re.looked = false
+	if !re.done(err, now) {
+		re.read = false
 	}
 }
 
-func (ke *Keeper) done(err error, now time.Time) bool {
-	ke.busy = false
+func (re *Reconciler) done(err error, now time.Time) bool {
+	re.busy = false
 	if err != nil {
-		ke.notBefore = now.Add(retryPause)
+		re.notBefore = now.Add(retryPause)
 	}
 	return err == nil
 }
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -39,20 +39,20 @@
 	at     time.Time
 }
 
-func (wo *world) do(ke *Keeper, ac Action, fate error, now time.Time) {
+func (wo *world) do(re *Reconciler, ac Action, fate error, now time.Time) {
 	switch ac.Do() {
 	case Look:
-		ke.Looked(wo.held, fate, now)
+		re.Looked(wo.held, fate, now)
 	case Read:
-		ke.Have(wo.lease, wo.index, fate, now)
+		re.Have(wo.lease, wo.index, fate, now)
 	case Take:
 		if ac.Index() == wo.index {
 			wo.lease = ac.Lease()
 			wo.index++
 		}
-		ke.Took(fate, now)
+		re.Took(fate, now)
 	default:
-		ke.Ordered(errors.Join(wo.order(ac, now), fate), now)
+		re.Ordered(errors.Join(wo.order(ac, now), fate), now)
 	}
 }
 
@@ -70,33 +70,33 @@
 	return nil
 }
 
-// settle lets a keeper act for a while.
-func (wo *world) settle(ke *Keeper, now time.Time, span time.Duration) {
+// settle lets a reconciler act for a while.
+func (wo *world) settle(re *Reconciler, now time.Time, span time.Duration) {
 	for end := now.Add(span); now.Before(end); now = now.Add(time.Second) {
-		if ac, ok := ke.Next(idle, now); ok {
-			wo.do(ke, ac, nil, now)
+		if ac, ok := re.Next(idle, now); ok {
+			wo.do(re, ac, nil, now)
 		}
 	}
 }
 
 func TestTheServerFollowsTheConfiguration(t *testing.T) {
 	wo := &world{held: []string{"m@v0"}}
-	ke := &Keeper{Holder: "a"}
-	ke.Want([]string{"m@v1", "m@v2"})
-	wo.settle(ke, start, time.Minute)
+	re := &Reconciler{Holder: "a"}
+	re.Want([]string{"m@v1", "m@v2"})
+	wo.settle(re, start, time.Minute)
 	require.Equal(t, []string{"m@v1", "m@v2"}, wo.held)
-	require.True(t, ke.Holds("m@v2"))
+	require.True(t, re.Holds("m@v2"))
 	orders := len(wo.orders)
-	wo.settle(ke, start.Add(time.Hour), time.Minute)
+	wo.settle(re, start.Add(time.Hour), time.Minute)
 	require.Len(t, wo.orders, orders, "nothing to do, nothing done")
 }
 
 func TestAVersionInUseIsNotUnloaded(t *testing.T) {
 	wo := &world{held: []string{"m@v0"}}
-	ke := &Keeper{Holder: "a"}
+	re := &Reconciler{Holder: "a"}
 	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(time.Second) {
-		if ac, ok := ke.Next(func(string) bool { return true }, now); ok {
-			wo.do(ke, ac, nil, now)
+		if ac, ok := re.Next(func(string) bool { return true }, now); ok {
+			wo.do(re, ac, nil, now)
 		}
 	}
 	require.Equal(t, []string{"m@v0"}, wo.held)
@@ -104,7 +104,7 @@
 
 func TestANewAgentWaitsTheOldLeaseOut(t *testing.T) {
 	wo := &world{}
-	old, young := &Keeper{Holder: "old"}, &Keeper{Holder: "young"}
+	old, young := &Reconciler{Holder: "old"}, &Reconciler{Holder: "young"}
 	old.Want([]string{"m@v1"})
 	wo.settle(old, start, 6*time.Second)
 	require.Len(t, wo.orders, 1)
@@ -125,40 +125,40 @@
 
 // TestOneHolderAtATime freezes and restarts agents, loses answers and lets
 // them race for one server that checks nothing. No two holders give orders
-// within one lease, and fencing numbers only grow. The naive keeper, which
+// within one lease, and fencing numbers only grow. The naive reconciler, which
 // orders whenever it sees a difference, breaks that.
 func TestOneHolderAtATime(t *testing.T) {
 	naiveBroken := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		wo := &world{checks: rapid.Bool().Draw(rt, "checks")}
-		keepers := []*Keeper{{Holder: "a"}, {Holder: "b"}}
+		reconcilers := []*Reconciler{{Holder: "a"}, {Holder: "b"}}
 		now := start
 		lastNaive := ""
 		var lastAt time.Time
 		for range rapid.IntRange(10, 120).Draw(rt, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(100, 8000).Draw(rt, "ms")) * time.Millisecond)
-			k := rapid.IntRange(0, 1).Draw(rt, "keeper")
-			ke := keepers[k]
+			k := rapid.IntRange(0, 1).Draw(rt, "reconciler")
+			re := reconcilers[k]
 			switch rapid.SampledFrom([]string{"act", "act", "act", "want", "restart"}).Draw(rt, "event") {
 			case "want":
-				ke.Want(rapid.SampledFrom([][]string{{"m@v1"}, {"m@v2"}, {"m@v1", "m@v2"}}).Draw(rt, "versions"))
+				re.Want(rapid.SampledFrom([][]string{{"m@v1"}, {"m@v2"}, {"m@v1", "m@v2"}}).Draw(rt, "versions"))
 			case "restart":
-				fresh := &Keeper{Holder: ke.Holder + "'"}
-				fresh.Want(ke.wanted)
-				keepers[k] = fresh
+				fresh := &Reconciler{Holder: re.Holder + "'"}
+				fresh.Want(re.wanted)
+				reconcilers[k] = fresh
 			case "act":
-				if _, version := ke.difference(idle); version != "" {
-					if lastNaive != "" && lastNaive != ke.Holder && now.Sub(lastAt) < leaseFor {
+				if _, version := re.difference(idle); version != "" {
+					if lastNaive != "" && lastNaive != re.Holder && now.Sub(lastAt) < leaseFor {
 						naiveBroken++
 					}
-					lastNaive, lastAt = ke.Holder, now
+					lastNaive, lastAt = re.Holder, now
 				}
-				if ac, ok := ke.Next(idle, now); ok {
+				if ac, ok := re.Next(idle, now); ok {
 					var fate error
 					if rapid.IntRange(0, 4).Draw(rt, "fate") == 0 {
 						fate = errLost
 					}
-					wo.do(ke, ac, fate, now)
+					wo.do(re, ac, fate, now)
 				}
 			}
 		}
@@ -170,5 +170,5 @@
 			}
 		}
 	})
-	require.Positive(t, naiveBroken, "the naive keepers must have ordered at the same time")
+	require.Positive(t, naiveBroken, "the naive reconcilers must have ordered at the same time")
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -53,9 +53,9 @@
 	AgentFanout = 6
 )
 
-// waveEvery is the time after which it is seen how many of those who were told
+// roundEvery is the time after which it is seen how many of those who were told
 // of a revision did not have it.
-const waveEvery = 500 * time.Millisecond
+const roundEvery = 500 * time.Millisecond
 
 // wantTimeout is how long one peer may take to answer before another is asked.
 const wantTimeout = time.Second
@@ -76,15 +76,15 @@
 	peers map[string]uint64
 	// told holds the highest revision that each peer was offered.
 	told map[string]uint64
-	// wave is the newest batch of offers.
-	wave wave
+	// round is the newest batch of offers.
+	round round
 	// asked is the peer that was asked last, "" if none is to answer.
 	asked   string
 	askedAt time.Time
 }
 
-// wave is a batch of offers of one revision.
-type wave struct {
+// round is a batch of offers of one revision.
+type round struct {
 	revision uint64
 	at       time.Time
 	// sent counts the offers, wanted the peers that did not have it yet.
@@ -135,8 +135,8 @@
 	if re.Revision() <= revision {
 		return []Action{re.offer(peer)}
 	}
-	if re.wave.revision == re.Revision() && re.told[peer] == re.Revision() {
-		re.wave.wanted++
+	if re.round.revision == re.Revision() && re.told[peer] == re.Revision() {
+		re.round.wanted++
 	}
 	return []Action{{do: Give, peer: peer, revision: revision}}
 }
@@ -157,20 +157,20 @@
 // spreading a revision that most of those who were told did not have.
 func (re *Replica) Tick(now time.Time) []Action {
 	acs := re.ask(now)
-	wa := re.wave
-	if wa.sent == 0 || wa.revision != re.Revision() || now.Sub(wa.at) < waveEvery || 2*wa.wanted < wa.sent {
+	ro := re.round
+	if ro.sent == 0 || ro.revision != re.Revision() || now.Sub(ro.at) < roundEvery || 2*ro.wanted < ro.sent {
 		return acs
 	}
-	return append(acs, re.spread(2*wa.sent, now)...)
+	return append(acs, re.spread(2*ro.sent, now)...)
 }
 
 // spread offers the revision in force to some peers that were not told of it.
 func (re *Replica) spread(most int, now time.Time) []Action {
 	var acs []Action
-	for _, peer := range re.audience(most) {
+	for _, peer := range re.recipients(most) {
 		acs = append(acs, re.offer(peer))
 	}
-	re.wave = wave{revision: re.Revision(), at: now, sent: len(acs)}
+	re.round = round{revision: re.Revision(), at: now, sent: len(acs)}
 	return acs
 }
 
@@ -233,10 +233,10 @@
 	return have == re.peers[than] && than == re.asked
 }
 
-// audience returns peers that are not known to hold the revision in force and
+// recipients returns peers that are not known to hold the revision in force and
 // were not told of it, at most a number of them unless that is zero: other ones
 // for each revision and process, so that together they reach everybody.
-func (re *Replica) audience(most int) []string {
+func (re *Replica) recipients(most int) []string {
 	var behind []string
 	for _, peer := range re.sortedPeers() {
 		if re.peers[peer] < re.Revision() && re.told[peer] < re.Revision() {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -219,7 +219,7 @@
 			me.wire = me.wire[1:]
 			me.deliver(ms)
 		}
-		me.now = me.now.Add(waveEvery)
+		me.now = me.now.Add(roundEvery)
 		for na, re := range me.replicas {
 			me.act(na, re.Tick(me.now))
 		}
