fix: "not run" is not said after an earlier attempt may have run

Cause: a repeatable request that ran on one server and was lost there was tried elsewhere; if that was refused, the caller got the refusal's code, which says "did not run". Ruled out: the agents' refusals, which are facts about their own attempt.

The route remembers an attempt that may have run, and gives its code with the refusal's time to come back. An end without a head is no answer.

Also: a naive version for leaving servers.

--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -165,6 +165,42 @@
 	require.True(t, ga.Idle())
 }
 
+// TestLeavingAgainstNaive lets a server leave by each signal while attempts
+// come. The gate starts nothing after it; the naive version, which waits for the
+// platform's list, goes on.
+func TestLeavingAgainstNaive(t *testing.T) {
+	naiveStarted := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		ga := newGate(rt, 1, config.Serving, 4)
+		byConfig := rapid.Bool().Draw(rt, "by configuration")
+		leaves := rapid.IntRange(1, 20).Draw(rt, "leaves at")
+		// The list says so only later.
+		listed := leaves + rapid.IntRange(1, 10).Draw(rt, "lag")
+		for i := 1; i < 30; i++ {
+			now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+			switch {
+			case i == leaves && byConfig:
+				doc := document(config.Serving, 4)
+				doc.Servers[0].Leaving = true
+				ga.Reconfigure(config.Compile(2, doc), now)
+			case i == leaves:
+				ga.Leave(now)
+			}
+			acs := open(ga, uint64(i), attempt("one", "m@v1"), now)
+			if i < leaves {
+				require.Equal(rt, Start, acs[0].Do())
+				ga.Ended(acs[0].Key(), now)
+				continue
+			}
+			require.Equal(rt, result.Leaving, acs[0].Code())
+			if i < listed {
+				naiveStarted++
+			}
+		}
+	})
+	require.Positive(t, naiveStarted, "the naive version must have started work on a leaving server")
+}
+
 // naive starts whatever comes, as a gate that trusts the entries would.
 type naive struct{ running map[Key]bool }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -154,6 +154,9 @@
 	// tries counts the attempts of this step.
 	tries  int
 	number int
+	// doubt is the code of an attempt that may have run without an answer,
+	// zero if there was none. After it no refusal says "did not run".
+	doubt result.Code
 	// delivered is true once the caller has got a part of an answer.
 	delivered bool
 	closed    bool
@@ -283,12 +286,15 @@
 	if fr.Code != result.OK {
 		return re.fail(at, fr.Code, now)
 	}
+	if at.head == nil {
+		return re.fail(at, result.ServerFailed, now)
+	}
 	at.phase = over
 	at.usage = fr.Usage
 	if re.last() {
 		return re.close(result.OK, 0)
 	}
-	if at.head != nil && re.Judge.Good(at.what, at.head.Status, at.body, at.usage) {
+	if re.Judge.Good(at.what, at.head.Status, at.body, at.usage) {
 		re.kept = at
 		return re.settle(result.OK, 0)
 	}
@@ -306,7 +312,11 @@
 // fail decides what follows an attempt that broke after it was sent.
 func (re *Request) fail(at *attempt, co result.Code, now time.Time) []Action {
 	at.phase = over
-	safe := re.Repeatable || result.Of(co).Run() == result.DidNotRun
+	surely := result.Of(co).Run() == result.DidNotRun
+	if !surely {
+		re.doubt = co
+	}
+	safe := re.Repeatable || surely
 	if re.delivered {
 		return re.close(result.AnswerBroken, 0)
 	}
@@ -351,7 +361,10 @@
 // settle closes the request, with the answer of an earlier step if there is
 // one.
 func (re *Request) settle(co result.Code, after time.Duration) []Action {
-	if re.kept == nil || re.kept.head == nil {
+	if re.doubt != 0 && result.Of(co).Run() == result.DidNotRun {
+		co = re.doubt
+	}
+	if re.kept == nil {
 		return re.close(co, after)
 	}
 	re.delivered = true
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -215,6 +215,14 @@
 	require.Equal(t, []result.Code{result.OK}, sc.codes)
 }
 
+func TestAnEndWithoutAHeadIsNoAnswer(t *testing.T) {
+	re := newRequest(false, "m@v1")
+	var sc script
+	sc.add(re.Begin(start))
+	sc.add(re.Frame(1, end(1, result.OK), start))
+	require.Equal(t, []result.Code{result.ServerFailed}, sc.codes)
+}
+
 func TestACallerThatLeavesFreesTheServer(t *testing.T) {
 	re := newRequest(true, "m@v1")
 	re.Begin(start)
@@ -315,3 +323,41 @@
 		}
 	})
 }
+
+// TestNotRunAgainstNaive plays attempts that reach their server or do not,
+// verdicts that are lost with the link, and refusals. Whenever the route says
+// "did not run", no attempt has run. The naive relay, which says so whenever it
+// got no answer, is wrong in some schedules.
+func TestNotRunAgainstNaive(t *testing.T) {
+	naiveWrong := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		re := newRequest(rapid.Bool().Draw(rt, "repeatable"), "m@v1")
+		var sc script
+		sc.add(re.Begin(start))
+		ran := false
+		for n := 1; n <= len(sc.sent) && len(sc.codes) == 0; n++ {
+			now := start.Add(time.Duration(n) * 10 * time.Millisecond)
+			switch rapid.SampledFrom([]string{"refused", "lost before it started", "ran and lost", "failed"}).Draw(rt, "fate") {
+			case "refused":
+				sc.add(re.Verdict(n, result.Overloaded, 0, now))
+			case "lost before it started":
+				sc.add(re.Lost(n, now))
+			case "ran and lost":
+				ran = true
+				sc.add(re.Lost(n, now))
+			case "failed":
+				ran = true
+				sc.add(re.Verdict(n, result.OK, 0, now))
+				sc.add(re.Frame(n, end(1, result.ServerFailed), now))
+			}
+		}
+		require.Len(rt, sc.codes, 1)
+		if ran {
+			naiveWrong++
+		}
+		if result.Of(sc.codes[0]).Run() == result.DidNotRun {
+			require.False(rt, ran, "%v", sc.codes)
+		}
+	})
+	require.Positive(t, naiveWrong, "the naive relay must have been wrong")
+}
