fix: two copies of a keyed request through one entry do not both run

Cause: a home's answer on a key reached every request of the entry that waited for it, and "won" was read as one's own victory whoever had won. Two copies that came through the same entry at once could both run. The tests had sent copies through two entries. A refusal meant for one copy also refused the other.

Each request now compares the winner with its own value, and takes a refusal only if it is named. A durable claim that was waited for in vain is given back.

--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -17,6 +17,8 @@
 const (
 	// claimTimeout is a little more than a home takes to refuse a claim.
 	claimTimeout = 2500 * time.Millisecond
+	// claimAnswers is how many answers may wait for one request.
+	claimAnswers = 8
 	// claimHomes is how many homes are tried.
 	claimHomes = 2
 )
@@ -128,7 +130,7 @@
 
 // claimAt asks one home. It reports whether the home answered.
 func (en *Entry) claimAt(ctx context.Context, li *link.Link, cl wire.ClaimLine) (wire.ClaimLine, bool) {
-	got := make(chan wire.ClaimLine, 1)
+	got := make(chan wire.ClaimLine, claimAnswers)
 	en.mu.Lock()
 	en.claims[cl.Key] = append(en.claims[cl.Key], got)
 	en.mu.Unlock()
@@ -136,20 +138,42 @@
 	if !li.Send(&wire.Frame{Kind: wire.Claim, Claims: []wire.ClaimLine{cl}}) {
 		return wire.ClaimLine{}, false
 	}
-	select {
-	case won := <-got:
-		if won.Code == result.KeyAlreadyUsed && won.Value == cl.Value {
-			won.Code = result.OK
+	for {
+		select {
+		case won := <-got:
+			if verdict, mine := judgeClaim(cl, won); mine {
+				return verdict, true
+			}
+			continue
+		case <-li.Done():
+		case <-ctx.Done():
 		}
-		return won, true
-	case <-li.Done():
-	case <-ctx.Done():
+		if cl.Durable {
+			// It may still become durable; then it is given back, since its
+			// request is not going to run. A session's claim stays, for its
+			// value is not this request's alone.
+			cl.Release = true
+			li.Send(&wire.Frame{Kind: wire.Claim, Claims: []wire.ClaimLine{cl}})
+		}
+		return wire.ClaimLine{}, false
+	}
+}
+
+// judgeClaim reads a home's answer on a key for one of the requests that wait
+// for it. A winner is the same for all of them and each compares it with its
+// own value; a refusal is for the request that it names alone.
+func judgeClaim(asked, got wire.ClaimLine) (verdict wire.ClaimLine, mine bool) {
+	if got.Code == result.ClaimsUnavailable {
+		return got, got.Value == asked.Value
+	}
+	got.Code = result.KeyAlreadyUsed
+	if got.Value == asked.Value {
+		got.Code = result.OK
 	}
-	return wire.ClaimLine{}, false
+	return got, true
 }
 
-// claimed hands an answer to every request that waits for the key; each
-// compares the winner with its own value.
+// claimed hands an answer to every request that waits for the key.
 func (en *Entry) claimed(lines []wire.ClaimLine) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
--- /dev/null
+++ b/internal/entry/claims_test.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/linnetrudder/linnetrudder/internal/link"
+	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/wire"
+)
+
+// race lets two requests of one entry claim the same key, and hands in the
+// home's answers one after the other.
+func race(t *testing.T, answers ...wire.ClaimLine) map[string]wire.ClaimLine {
+	got := map[string]wire.ClaimLine{}
+	synctest.Test(t, func(t *testing.T) {
+		en := &Entry{claims: map[string][]chan wire.ClaimLine{}}
+		li := &link.Link{}
+		results := make(chan [2]wire.ClaimLine, 2)
+		for _, value := range []string{"a", "b"} {
+			go func() {
+				cl := wire.ClaimLine{Key: "k", Value: value, Durable: true}
+				won, _ := en.claimAt(t.Context(), li, cl)
+				results <- [2]wire.ClaimLine{cl, won}
+			}()
+		}
+		synctest.Wait()
+		for _, an := range answers {
+			en.claimed([]wire.ClaimLine{an})
+			synctest.Wait()
+		}
+		for range 2 {
+			re := <-results
+			got[re[0].Value] = re[1]
+		}
+		require.Empty(t, en.claims)
+	})
+	return got
+}
+
+func TestTwoRequestsOfOneEntryDoNotBothWinAKey(t *testing.T) {
+	got := race(t, wire.ClaimLine{Key: "k", Value: "a", Code: result.OK})
+	require.Equal(t, result.OK, got["a"].Code)
+	require.Equal(t, result.KeyAlreadyUsed, got["b"].Code, "the other's victory is not its own")
+	require.Equal(t, "a", got["b"].Value)
+}
+
+func TestARefusalIsForItsOwnRequestAlone(t *testing.T) {
+	got := race(t,
+		wire.ClaimLine{Key: "k", Value: "a", Code: result.ClaimsUnavailable},
+		wire.ClaimLine{Key: "k", Value: "b", Code: result.OK})
+	require.Equal(t, result.ClaimsUnavailable, got["a"].Code)
+	require.Equal(t, result.OK, got["b"].Code)
+}
--- a/standin/e2e/failure_test.go
+++ b/standin/e2e/failure_test.go
@@ -315,6 +315,31 @@
 	si.waitRevision(highest, si.fleet.Members()...)
 }
 
+func TestAKeyRunsOnceThroughOneEntry(t *testing.T) {
+	si := newSite(t, 2, time.Millisecond)
+	const copies = 8
+	for round := range 5 {
+		var wg sync.WaitGroup
+		calls := make([]call, copies)
+		for i := range calls {
+			wg.Go(func() {
+				calls[i] = si.ask(si.entries[0], call{idempotency: fmt.Sprint("k", round), kind: "once"})
+			})
+		}
+		wg.Wait()
+		whole := 0
+		for _, ca := range calls {
+			if ca.whole {
+				whole++
+				continue
+			}
+			require.Equal(t, result.KeyAlreadyUsed, ca.code, "%+v", ca)
+		}
+		require.Equal(t, 1, whole)
+		si.checkCalls(calls)
+	}
+}
+
 // TestAnEntryComesBackWhileItsOldCallStillRuns kills an entry whose call may
 // not be cut, and starts it again under the same name: its attempts are
 // numbered from one again, and must not be taken for the old ones.
