fix: the demo's cascade does not hang on chance

The draft had drawn the rolling-in version of the cheap model (one in ten), of whose first tries nothing was known, so it went straight to the strong one; one in twenty would have tried the cheap one alone to learn. Seen in the logs of that run: no escalation. Ruled out: a lost bill line (20 attempts, 20 lines).

The demo's rating service now rates both versions and the strong one, so that the choice is sure.

--- a/standin/cmd/demo/steps.go
+++ b/standin/cmd/demo/steps.go
@@ -210,14 +210,24 @@
 	return nil
 }
 
-// ratings is how many ratings make the system sure of first tries.
-const ratings = 40
+// ratings is how many ratings of each sort make the system sure.
+const ratings = 60
 
-// rate plays the rating service: first tries of drafts that were kept were
-// good. Without that, the system goes straight to the strong model.
+// rate plays the rating service: the strong model's drafts are good, the cheap
+// one's are not, but its first tries that were kept are. Without that the system
+// goes straight to the strong model, and now and then tries the cheap one.
 func (de *demo) rate() error {
-	one := entry.Rating{Team: "kitchen-a", Kind: "draft", Version: "notes@v1", Kept: true, Score: 1}
-	body, err := json.Marshal(slices.Repeat([]entry.Rating{one}, ratings))
+	var list []entry.Rating
+	add := func(version string, kept bool, score float64) {
+		one := entry.Rating{Team: "kitchen-a", Kind: "draft", Version: version, Kept: kept, Score: score}
+		list = append(list, slices.Repeat([]entry.Rating{one}, ratings)...)
+	}
+	add("menu@v1", false, 1)
+	for _, version := range []string{"notes@v1", "notes@v2"} {
+		add(version, false, 0.3)
+		add(version, true, 1)
+	}
+	body, err := json.Marshal(list)
 	if err != nil {
 		return err
 	}
