refactor: no code or event that nothing gives

Cause: a last read of the whole change: three result codes and two events stood in the tables and docs and no path gave them. Ruled out: paths that should give them; each case has another code (a spent retry budget gives the last refusal's).

Behaviour is as it was; the numbers are not used again.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -9,42 +9,40 @@
 // 3 request at an agent, 4 configuration, 5 connections and membership,
 // 6 bills and claims, 7 roll-outs, 8 the key-value service.
 const (
-	ProcessStarted      ID = 100
-	ProcessStopping     ID = 101
-	ProcessStopped      ID = 102
-	ServiceRestarted    ID = 103
-	RequestReceived     ID = 200
-	RequestRouted       ID = 201
-	RequestRetried      ID = 202
-	RequestEscalated    ID = 203
-	RequestAnswered     ID = 204
-	RequestRefused      ID = 205
-	RequestFailed       ID = 206
-	AttemptAdmitted     ID = 300
-	AttemptQueued       ID = 301
-	AttemptRefused      ID = 302
-	AttemptEnded        ID = 303
-	AttemptCancelled    ID = 304
-	ConfigAccepted      ID = 400
-	ConfigInForce       ID = 401
-	ConfigRefused       ID = 402
-	ConfigConflict      ID = 403
-	WatchStarted        ID = 404
-	WatchStopped        ID = 405
-	LinkUp              ID = 500
-	LinkDown            ID = 501
-	LinkRefused         ID = 502
-	BoxesChanged        ID = 503
-	ServerLeaving       ID = 504
-	OrderGiven          ID = 505
-	BillWritten         ID = 600
-	BillHeld            ID = 601
-	ClaimWon            ID = 602
-	ClaimLost           ID = 603
-	RolloutStep         ID = 700
-	RolloutReversed     ID = 701
-	StoreCallFailed     ID = 800
-	StoreAnswerResolved ID = 801
+	ProcessStarted   ID = 100
+	ProcessStopping  ID = 101
+	ProcessStopped   ID = 102
+	ServiceRestarted ID = 103
+	RequestReceived  ID = 200
+	RequestRouted    ID = 201
+	RequestRetried   ID = 202
+	RequestEscalated ID = 203
+	RequestAnswered  ID = 204
+	RequestRefused   ID = 205
+	RequestFailed    ID = 206
+	AttemptAdmitted  ID = 300
+	AttemptQueued    ID = 301
+	AttemptRefused   ID = 302
+	AttemptEnded     ID = 303
+	AttemptCancelled ID = 304
+	ConfigAccepted   ID = 400
+	ConfigInForce    ID = 401
+	ConfigRefused    ID = 402
+	ConfigConflict   ID = 403
+	WatchStarted     ID = 404
+	WatchStopped     ID = 405
+	LinkUp           ID = 500
+	LinkDown         ID = 501
+	LinkRefused      ID = 502
+	BoxesChanged     ID = 503
+	OrderGiven       ID = 505
+	BillWritten      ID = 600
+	BillHeld         ID = 601
+	ClaimWon         ID = 602
+	ClaimLost        ID = 603
+	RolloutStep      ID = 700
+	RolloutReversed  ID = 701
+	StoreCallFailed  ID = 800
 )
 
 // Row describes one event for people.
@@ -90,7 +88,6 @@
 	{LinkDown, "link_down", "a connection between two processes has ended"},
 	{LinkRefused, "link_refused", "a peer did not prove the shared key"},
 	{BoxesChanged, "boxes_changed", "the list of boxes changed"},
-	{ServerLeaving, "server_leaving", "a backend server is leaving"},
 	{OrderGiven, "order_given", "the agent ordered its backend server to load or unload a version"},
 	{BillWritten, "bill_written", "bill records are durable"},
 	{BillHeld, "bill_held", "bill records wait for the key-value service"},
@@ -99,7 +96,6 @@
 	{RolloutStep, "rollout_step", "a version's share of new work changed"},
 	{RolloutReversed, "rollout_reversed", "a version was rolled back"},
 	{StoreCallFailed, "store_call_failed", "a call to the key-value service failed"},
-	{StoreAnswerResolved, "store_answer_resolved", "a lost answer was resolved by reading back"},
 }
 
 var names = func() map[ID]string {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -40,14 +40,12 @@
 	VersionNoNewWork  Code = 302
 	KeyAlreadyUsed    Code = 303
 	VersionNotHere    Code = 304
-	SessionMoved      Code = 305
 	NoConfiguration   Code = 400
 	NoServer          Code = 401
 	Overloaded        Code = 402
 	DeadlinePassed    Code = 403
 	Leaving           Code = 404
 	ShareExceeded     Code = 405
-	RetryBudgetSpent  Code = 406
 	BillsFull         Code = 407
 	ClaimsUnavailable Code = 408
 	LinkLost          Code = 500
@@ -63,7 +61,6 @@
 	ConfigTooLarge    Code = 605
 	Conflict          Code = 606
 	NotOperator       Code = 607
-	LowerRevision     Code = 608
 	StoreDown         Code = 700
 	StoreUnknown      Code = 701
 	StoreBudget       Code = 702
@@ -128,14 +125,12 @@
 	{VersionNoNewWork, "version_no_new_sessions", http.StatusConflict, DidNotRun, 0, "the version is rolling out and takes only its own sessions"},
 	{KeyAlreadyUsed, "key_already_used", http.StatusConflict, DidNotRun, 0, "the idempotency key belongs to an earlier request; this one did not run"},
 	{VersionNotHere, "version_not_here", http.StatusServiceUnavailable, DidNotRun, soon, "the backend server does not hold the version"},
-	{SessionMoved, "session_elsewhere", http.StatusConflict, DidNotRun, soon, "the session is pinned to another version"},
 	{NoConfiguration, "no_configuration", http.StatusServiceUnavailable, DidNotRun, soon, "the process has no configuration yet"},
 	{NoServer, "no_server", http.StatusServiceUnavailable, DidNotRun, soon, "no backend server with an allowed version is reachable"},
 	{Overloaded, "overloaded", http.StatusTooManyRequests, DidNotRun, soon, "all places and the queue are taken"},
 	{DeadlinePassed, "deadline", http.StatusGatewayTimeout, DidNotRun, soon, "the request could not start before its deadline"},
 	{Leaving, "leaving", http.StatusServiceUnavailable, DidNotRun, soon, "the process or backend server is leaving"},
 	{ShareExceeded, "share_exceeded", http.StatusTooManyRequests, DidNotRun, soon, "the team has taken its share while others wait"},
-	{RetryBudgetSpent, "retry_budget", http.StatusServiceUnavailable, DidNotRun, later, "the budget for retries is spent"},
 	{BillsFull, "bills_full", http.StatusServiceUnavailable, DidNotRun, later, "too many bill records wait for the key-value service"},
 	{ClaimsUnavailable, "claims_unavailable", http.StatusServiceUnavailable, DidNotRun, later, "the claim on the key could not be made; nothing ran"},
 	{LinkLost, "link_lost", http.StatusBadGateway, MayHave, 0, "the connection was lost after the request was sent"},
@@ -151,7 +146,6 @@
 	{ConfigTooLarge, "configuration_too_large", http.StatusRequestEntityTooLarge, DidNotRun, 0, "the configuration is larger than one value may be"},
 	{Conflict, "conflict", http.StatusConflict, DidNotRun, 0, "another change came first"},
 	{NotOperator, "not_operator", http.StatusUnauthorized, DidNotRun, 0, "the operator key is missing or unknown"},
-	{LowerRevision, "lower_revision", http.StatusConflict, DidNotRun, 0, "the store holds a lower revision than the one in force"},
 	{StoreDown, "store_down", http.StatusServiceUnavailable, DidNotRun, later, "the key-value service gives no answer"},
 	{StoreUnknown, "store_unknown", http.StatusServiceUnavailable, MayHave, later, "the write may have been made; ask again with the same operation id"},
 	{StoreBudget, "store_budget", http.StatusServiceUnavailable, DidNotRun, soon, "the budget for calls to the key-value service is spent"},
