--- a/cmd/linnetrudder/check.go
+++ b/cmd/linnetrudder/check.go
@@ -6,16 +6,20 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/linnetrudder/linnetrudder/internal/settings"
+	"github.com/linnetrudder/linnetrudder/platform"
 )
 
 // checkCmd checks a settings file.
 type checkCmd struct {
-	Settings string `help:"Settings file, JSON with comments." required:"" type:"path"`
-	Role     string `help:"Role to check for." enum:"entry,agent" default:"entry"`
+	Settings string `help:"Settings file, JSON with comments; TOML for a gateway." required:"" type:"path"`
+	Role     string `help:"Role to check for." enum:"entry,agent,gateway" default:"entry"`
 }
 
 // Run prints the effective settings.
 func (ch *checkCmd) Run(st *streams) error {
+	if ch.Role == "gateway" {
+		return ch.checkGateway(st)
+	}
 	se, err := settings.Load(ch.Settings, ch.Role)
 	if err != nil {
 		return err
@@ -26,6 +30,18 @@
 	if se.Platform.Token != "" {
 		se.Platform.Token = "(set)"
 	}
+	return printSettings(st, se)
+}
+
+func (ch *checkCmd) checkGateway(st *streams) error {
+	se, err := platform.Load(ch.Settings)
+	if err != nil {
+		return err
+	}
+	return printSettings(st, se)
+}
+
+func printSettings(st *streams, se any) error {
 	enc := json.NewEncoder(st.out)
 	enc.SetIndent("", "  ")
 	return eris.Wrap(enc.Encode(se), "print settings")
--- a/cmd/linnetrudder/root.go
+++ b/cmd/linnetrudder/root.go
@@ -8,9 +8,10 @@
 
 // root lists the commands; each has a file of its own.
 type root struct {
-	Entry entryCmd `cmd:"" help:"Serve callers on an entry box. Example: linnetrudder entry --settings entry.jsonc"`
-	Agent agentCmd `cmd:"" help:"Guard the backend server of this box. Example: linnetrudder agent --settings agent.jsonc"`
-	Check checkCmd `cmd:"" help:"Check a settings file and print the effective settings. Example: linnetrudder check --role entry --settings entry.jsonc"`
+	Entry   entryCmd   `cmd:"" help:"Serve callers on an entry box. Example: linnetrudder entry --settings entry.jsonc"`
+	Agent   agentCmd   `cmd:"" help:"Guard the backend server of this box. Example: linnetrudder agent --settings agent.jsonc"`
+	Gateway gatewayCmd `cmd:"" help:"Serve callers on the users' platform. Example: linnetrudder gateway --settings local.toml"`
+	Check   checkCmd   `cmd:"" help:"Check a settings file and print the effective settings. Example: linnetrudder check --role entry --settings entry.jsonc"`
 }
 
 // streams are where a command writes.
--- /dev/null
+++ b/internal/budget/window.go
@@ -0,0 +1,67 @@
+package budget
+
+import "time"
+
+// windowParts is how many parts a window is counted in; an outcome is
+// forgotten at most one part too late.
+const windowParts = 20
+
+// part counts what happened in one part of a window.
+type part struct{ requests, repeats int }
+
+// Window bounds repeats within any span of time to a ratio of the requests in
+// it. Where each of several processes holds to its own window, their sum holds
+// as well, whatever the share of each. Its exported fields are set before use;
+// it is not safe for concurrent use.
+type Window struct {
+	// Span is the length of the window.
+	Span time.Duration
+	// Ratio is how many repeats each request allows.
+	Ratio float64
+	// Slack is how many repeats are allowed besides.
+	Slack float64
+
+	parts [windowParts]part
+	// newest is the number of the newest part since the zero time.
+	newest int64
+}
+
+// Request notes a request.
+func (wi *Window) Request(now time.Time) {
+	wi.at(now).requests++
+}
+
+// Take reports whether one more repeat is allowed and takes it.
+func (wi *Window) Take(now time.Time) bool {
+	pa := wi.at(now)
+	if wi.Left(now) < 1 {
+		return false
+	}
+	pa.repeats++
+	return true
+}
+
+// Left returns how many repeats are allowed now.
+func (wi *Window) Left(now time.Time) float64 {
+	wi.at(now)
+	var all part
+	for _, pa := range wi.parts {
+		all.requests += pa.requests
+		all.repeats += pa.repeats
+	}
+	return wi.Ratio*float64(all.requests) + wi.Slack - float64(all.repeats)
+}
+
+// at returns the part of the present time and clears those that have passed.
+func (wi *Window) at(now time.Time) *part {
+	number := now.UnixNano() / int64(wi.Span/windowParts)
+	if number > wi.newest+windowParts || wi.newest == 0 {
+		wi.parts = [windowParts]part{}
+		wi.newest = number
+	}
+	for wi.newest < number {
+		wi.newest++
+		wi.parts[wi.newest%windowParts] = part{}
+	}
+	return &wi.parts[wi.newest%windowParts]
+}
--- /dev/null
+++ b/internal/direct/direct.go
@@ -0,0 +1,295 @@
+// Package direct decides at a gateway what becomes of one request that is sent
+// straight to backend servers: which attempts are made, which answer the caller
+// gets, how a broken stream goes on, and what is final. It does no I/O and reads
+// no clock.
+package direct
+
+import (
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/result"
+)
+
+// Picker chooses a backend server.
+type Picker interface {
+	// Pick returns the id of a server for a model, "" for a plain service, that
+	// is not among those tried.
+	Pick(model string, tried []string, now time.Time) (string, bool)
+}
+
+// Retries bounds the attempts beyond the first of each request.
+type Retries interface {
+	// Take reports whether one more is allowed and takes it.
+	Take(now time.Time) bool
+}
+
+// Cascade chooses models.
+type Cascade interface {
+	// First returns the place of the model to ask first.
+	First(now time.Time) int
+	// Next returns the place of the model to ask instead of keeping an answer,
+	// or false if the answer is kept.
+	Next(place, confidence int, now time.Time) (int, bool)
+}
+
+// Do is what the shell must do next.
+type Do string
+
+// The things to do.
+const (
+	// Send makes an attempt; one that is still open is dropped first.
+	Send Do = "send"
+	// Deliver gives the caller the answer at hand.
+	Deliver Do = "deliver"
+	// Refuse ends the request with a code; nothing was delivered.
+	Refuse Do = "refuse"
+	// Abort breaks the caller's answer off; a part of it was delivered.
+	Abort Do = "abort"
+)
+
+// Step is one thing to do.
+type Step struct {
+	do       Do
+	attempt  int
+	server   string
+	model    string
+	patience time.Time
+	resume   bool
+	code     result.Code
+	after    time.Duration
+}
+
+// Do returns what to do.
+func (st Step) Do() Do { return st.do }
+
+// Attempt returns the attempt's number, from 1.
+func (st Step) Attempt() int { return st.attempt }
+
+// Server returns the id of the server to send to.
+func (st Step) Server() string { return st.server }
+
+// Model returns the model to ask, "" for a plain service.
+func (st Step) Model() string { return st.model }
+
+// Patience returns when an attempt without the head of an answer is given up.
+func (st Step) Patience() time.Time { return st.patience }
+
+// Resume reports whether the attempt continues a stream.
+func (st Step) Resume() bool { return st.resume }
+
+// Code returns the final code of a refusal.
+func (st Step) Code() result.Code { return st.code }
+
+// RetryAfter returns when a refused caller may come back.
+func (st Step) RetryAfter() time.Duration { return st.after }
+
+const (
+	// spareSends is how many attempts beyond the allowed runs may be refused by
+	// servers before the request is.
+	spareSends = 2
+	// patiencePart is the part of the target latency after which an attempt
+	// that may be repeated is given up for another: late enough to count as an
+	// offer (a quarter), early enough that the second try can be in time.
+	patiencePart = 0.6
+	// minLeft is the least time left in which an attempt is still made.
+	minLeft = 5 * time.Millisecond
+	// serverError is the first status that says that a server failed.
+	serverError = 500
+)
+
+// Request is one request in progress. Its exported fields are set before
+// Begin; it is not safe for concurrent use.
+type Request struct {
+	// Models may answer, smallest first; empty for a plain service.
+	Models []string
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// Resumable streams may be continued elsewhere.
+	Resumable bool
+	// MaxRuns is how many attempts may run.
+	MaxRuns int
+	// Received is when the request came, Target when its answer is late, and
+	// Deadline when it is given up.
+	Received, Target, Deadline time.Time
+	Picker                     Picker
+	Retries                    Retries
+	Cascade                    Cascade
+
+	// place is the model asked now.
+	place int
+	tried []string
+	// sends counts attempts, runs those that ran or may have.
+	sends, runs int
+	// doubt is true once an attempt may have run without an answer.
+	doubt     bool
+	delivered bool
+}
+
+// Runs returns how many attempts ran or may have run.
+func (re *Request) Runs() int { return re.runs }
+
+// Doubt reports whether an attempt may have run without an answer.
+func (re *Request) Doubt() bool { return re.doubt }
+
+// Begin makes the first attempt.
+func (re *Request) Begin(now time.Time) Step {
+	if len(re.Models) > 0 {
+		re.place = re.Cascade.First(now)
+	}
+	return re.send(result.NoServer, 0, now)
+}
+
+// Refused takes a server's word that the attempt did not run.
+func (re *Request) Refused(after time.Duration, now time.Time) Step {
+	return re.again(result.Overloaded, after, now)
+}
+
+// Unsent says that the attempt never reached the server.
+func (re *Request) Unsent(now time.Time) Step {
+	return re.again(result.NotDispatched, 0, now)
+}
+
+// Lost says that the attempt was sent and gave no answer: it may have run.
+func (re *Request) Lost(now time.Time) Step {
+	re.runs++
+	re.doubt = true
+	if !re.Idempotent {
+		return re.refuse(result.LinkLost, 0, now)
+	}
+	return re.again(result.LinkLost, 0, now)
+}
+
+// Answered takes the head of an answer, for a plain service with its whole
+// body. confidence is the model's own rating of the answer from 0 to 100.
+func (re *Request) Answered(status, confidence int, now time.Time) Step {
+	re.runs++
+	switch {
+	case status >= serverError:
+		return re.failed(now)
+	case len(re.Models) > 0 && re.Idempotent:
+		if next, ok := re.Cascade.Next(re.place, confidence, now); ok {
+			if st, ok := re.escalate(next, now); ok {
+				return st
+			}
+		}
+	}
+	return re.deliver()
+}
+
+// Broken says that the stream being delivered broke off.
+func (re *Request) Broken(now time.Time) Step {
+	if !re.Resumable || !re.mayRun(now) {
+		return Step{do: Abort, code: result.AnswerBroken}
+	}
+	server, ok := re.Picker.Pick(re.model(), re.tried, now)
+	if !ok || !re.Retries.Take(now) {
+		return Step{do: Abort, code: result.AnswerBroken}
+	}
+	return re.attempt(server, now)
+}
+
+// failed decides on an answer by which the server says that it failed: another
+// server is tried where that is allowed, otherwise it is the caller's.
+func (re *Request) failed(now time.Time) Step {
+	if re.delivered {
+		return re.Broken(now)
+	}
+	if !re.Idempotent || !re.mayRun(now) {
+		return re.deliver()
+	}
+	server, ok := re.Picker.Pick(re.model(), re.tried, now)
+	if !ok || !re.Retries.Take(now) {
+		return re.deliver()
+	}
+	return re.attempt(server, now)
+}
+
+// escalate asks a larger model instead of keeping an answer, if that can be
+// done now.
+func (re *Request) escalate(place int, now time.Time) (Step, bool) {
+	if !re.mayRun(now) {
+		return Step{}, false
+	}
+	server, ok := re.Picker.Pick(re.Models[place], nil, now)
+	if !ok || !re.Retries.Take(now) {
+		return Step{}, false
+	}
+	re.place = place
+	re.tried = nil
+	return re.attempt(server, now), true
+}
+
+// again makes another attempt after one that gave nothing.
+func (re *Request) again(co result.Code, after time.Duration, now time.Time) Step {
+	switch {
+	case re.delivered:
+		return re.Broken(now)
+	case re.sends >= re.MaxRuns+spareSends, !re.mayRun(now), !re.Retries.Take(now):
+		return re.refuse(co, after, now)
+	}
+	return re.send(co, after, now)
+}
+
+// mayRun reports whether one more run is allowed and has time.
+func (re *Request) mayRun(now time.Time) bool {
+	return re.runs < re.MaxRuns && re.Deadline.Sub(now) > minLeft
+}
+
+func (re *Request) model() string {
+	if len(re.Models) == 0 {
+		return ""
+	}
+	return re.Models[re.place]
+}
+
+// send makes an attempt at a server not tried yet; if there is none, the code
+// is final.
+func (re *Request) send(co result.Code, after time.Duration, now time.Time) Step {
+	if re.Deadline.Sub(now) <= minLeft {
+		return re.refuse(result.DeadlinePassed, 0, now)
+	}
+	server, ok := re.Picker.Pick(re.model(), re.tried, now)
+	if !ok {
+		return re.refuse(co, after, now)
+	}
+	return re.attempt(server, now)
+}
+
+func (re *Request) attempt(server string, now time.Time) Step {
+	re.tried = append(re.tried, server)
+	re.sends++
+	return Step{
+		do: Send, attempt: re.sends, server: server, model: re.model(),
+		patience: re.patience(now), resume: re.delivered,
+	}
+}
+
+// patience returns how long an attempt may give nothing. The last one that is
+// allowed has all the time there is.
+func (re *Request) patience(now time.Time) time.Time {
+	if !re.Idempotent || re.runs+1 >= re.MaxRuns {
+		return re.Deadline
+	}
+	until := now.Add(time.Duration(patiencePart * float64(re.Target.Sub(re.Received))))
+	if until.After(re.Deadline) {
+		return re.Deadline
+	}
+	return until
+}
+
+func (re *Request) deliver() Step {
+	re.delivered = true
+	return Step{do: Deliver, model: re.model()}
+}
+
+// refuse ends the request. After an attempt that may have run, no code says
+// that the request did not.
+func (re *Request) refuse(co result.Code, after time.Duration, now time.Time) Step {
+	if re.doubt || re.runs > 0 {
+		co = result.LinkLost
+	}
+	if after == 0 {
+		after = result.Of(co).RetryAfter()
+	}
+	return Step{do: Refuse, code: co, after: after}
+}
--- /dev/null
+++ b/internal/direct/direct_test.go
@@ -0,0 +1,185 @@
+package direct
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/linnetrudder/linnetrudder/internal/result"
+)
+
+var t0 = time.Unix(1000, 0)
+
+// servers picks the first that was not tried.
+type servers []string
+
+func (se servers) Pick(_ string, tried []string, _ time.Time) (string, bool) {
+	if len(tried) >= len(se) {
+		return "", false
+	}
+	return se[len(tried)], true
+}
+
+// purse allows a number of retries.
+type purse int
+
+func (pu *purse) Take(time.Time) bool {
+	*pu--
+	return *pu >= 0
+}
+
+// threshold is a cascade of two models.
+type threshold int
+
+func (threshold) First(time.Time) int { return 0 }
+
+func (th threshold) Next(place, confidence int, _ time.Time) (int, bool) {
+	return 1, place == 0 && confidence < int(th)
+}
+
+func request(change func(re *Request)) *Request {
+	retries := purse(10)
+	re := &Request{
+		Idempotent: true, MaxRuns: 3, Received: t0, Target: t0.Add(time.Second), Deadline: t0.Add(4 * time.Second),
+		Picker: servers{"a", "b", "c", "d", "e", "f"}, Retries: &retries, Cascade: threshold(50),
+	}
+	if change != nil {
+		change(re)
+	}
+	return re
+}
+
+func TestAnUnsafeRequestIsNotRepeatedOnceItMayHaveRun(t *testing.T) {
+	re := request(func(re *Request) { re.Idempotent, re.MaxRuns = false, 1 })
+	require.Equal(t, Send, re.Begin(t0).Do())
+	st := re.Lost(t0)
+	require.Equal(t, Refuse, st.Do())
+	require.Equal(t, result.MayHave, result.Of(st.Code()).Run())
+}
+
+func TestAnUnsafeRequestThatDidNotRunGoesElsewhere(t *testing.T) {
+	re := request(func(re *Request) { re.Idempotent, re.MaxRuns = false, 1 })
+	require.Equal(t, "a", re.Begin(t0).Server())
+	require.Equal(t, "b", re.Refused(0, t0).Server())
+	require.Equal(t, "c", re.Unsent(t0).Server())
+	st := re.Refused(time.Second, t0)
+	require.Equal(t, Refuse, st.Do())
+	require.Equal(t, result.DidNotRun, result.Of(st.Code()).Run())
+	require.Equal(t, time.Second, st.RetryAfter())
+}
+
+func TestAnUnsafeFailureIsTheCallersAnswer(t *testing.T) {
+	re := request(func(re *Request) { re.Idempotent, re.MaxRuns = false, 1 })
+	re.Begin(t0)
+	require.Equal(t, Deliver, re.Answered(500, -1, t0).Do())
+}
+
+func TestASafeFailureIsRepeatedAsOftenAsAllowed(t *testing.T) {
+	re := request(nil)
+	re.Begin(t0)
+	require.Equal(t, "b", re.Answered(500, -1, t0).Server())
+	require.Equal(t, "c", re.Lost(t0).Server())
+	st := re.Answered(500, -1, t0)
+	require.Equal(t, Deliver, st.Do(), "three runs are the most")
+}
+
+func TestTheRetryBudgetEndsARequest(t *testing.T) {
+	re := request(func(re *Request) { pu := purse(0); re.Retries = &pu })
+	re.Begin(t0)
+	st := re.Lost(t0)
+	require.Equal(t, Refuse, st.Do())
+	require.Equal(t, result.MayHave, result.Of(st.Code()).Run())
+}
+
+func TestADoubtfulAnswerEscalatesOnce(t *testing.T) {
+	re := request(func(re *Request) { re.Models = []string{"small", "large"} })
+	require.Equal(t, "small", re.Begin(t0).Model())
+	st := re.Answered(200, 10, t0)
+	require.Equal(t, Send, st.Do())
+	require.Equal(t, "large", st.Model())
+	require.Equal(t, Deliver, re.Answered(200, 10, t0).Do())
+}
+
+func TestAnAnswerIsKeptWhereNothingBetterCanBeHad(t *testing.T) {
+	re := request(func(re *Request) {
+		pu := purse(0)
+		re.Models, re.Retries = []string{"small", "large"}, &pu
+	})
+	re.Begin(t0)
+	require.Equal(t, Deliver, re.Answered(200, 10, t0).Do())
+}
+
+func TestABrokenStreamGoesOnElsewhere(t *testing.T) {
+	re := request(func(re *Request) { re.Models, re.Resumable = []string{"small", "large"}, true })
+	re.Begin(t0)
+	require.Equal(t, Deliver, re.Answered(200, 90, t0).Do())
+	st := re.Broken(t0)
+	require.Equal(t, Send, st.Do())
+	require.True(t, st.Resume())
+	require.Equal(t, "small", st.Model())
+	require.Equal(t, "b", st.Server())
+	require.Equal(t, Abort, request(nil).Broken(t0).Do(), "one that may not be resumed is broken off")
+}
+
+func TestPatienceLeavesTimeForASecondTry(t *testing.T) {
+	re := request(func(re *Request) { re.MaxRuns = 2 })
+	require.Equal(t, t0.Add(600*time.Millisecond), re.Begin(t0).Patience())
+	require.Equal(t, re.Deadline, re.Lost(t0).Patience(), "the last try has all the time")
+}
+
+// Whatever happens, no more attempts run than allowed, one that is not
+// idempotent runs once, and "did not run" is said only if nothing may have.
+func TestPromisesHoldForAnyOutcomes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		re := request(func(re *Request) {
+			re.Idempotent = rapid.Bool().Draw(rt, "idempotent")
+			re.Resumable = re.Idempotent && rapid.Bool().Draw(rt, "resumable")
+			re.MaxRuns = rapid.IntRange(1, 4).Draw(rt, "runs")
+			if rapid.Bool().Draw(rt, "models") {
+				re.Models = []string{"small", "large"}
+			}
+		})
+		now, ran, sent := t0, 0, 0
+		st := re.Begin(now)
+		for range 30 {
+			if st.Do() == Send {
+				sent++
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(rt, "pause")) * time.Millisecond)
+			switch {
+			case st.Do() == Refuse || st.Do() == Abort:
+				if result.Of(st.Code()).Run() == result.DidNotRun && ran > 0 {
+					rt.Fatal("said not run")
+				}
+				return
+			case st.Do() == Deliver:
+				if !re.Resumable || rapid.Bool().Draw(rt, "whole") {
+					return
+				}
+				st = re.Broken(now)
+				continue
+			}
+			switch rapid.IntRange(0, 4).Draw(rt, "outcome") {
+			case 0:
+				st = re.Refused(0, now)
+			case 1:
+				st = re.Unsent(now)
+			case 2:
+				ran++
+				st = re.Lost(now)
+			case 3:
+				ran++
+				st = re.Answered(500, -1, now)
+			case 4:
+				ran++
+				st = re.Answered(200, rapid.IntRange(0, 100).Draw(rt, "confidence"), now)
+			}
+			if ran > re.MaxRuns || !re.Idempotent && ran > 1 || sent > re.MaxRuns+spareSends+re.MaxRuns {
+				rt.Fatal(fmt.Sprintf("%d runs, %d sends", ran, sent))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,61 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+
+func ids(di *Directory) []string {
+	var list []string
+	for _, se := range di.Servers("s") {
+		list = append(list, se.ID)
+	}
+	return list
+}
+
+func TestADrainingServerTakesNothingNew(t *testing.T) {
+	var di Directory
+	di.Put(Server{ID: "a", Service: "s"})
+	di.Put(Server{ID: "b", Service: "s"})
+	di.Put(Server{ID: "b", Service: "s", Draining: true})
+	require.Equal(t, []string{"a"}, ids(&di))
+	require.NotNil(t, di.Get("b"))
+}
+
+func TestARemovedServerIsGoneAtOnce(t *testing.T) {
+	var di Directory
+	di.Put(Server{ID: "a", Service: "s"})
+	di.Remove("a", t0)
+	require.Empty(t, ids(&di))
+}
+
+func TestAnEntryThatLapsedInAnOutageIsGivenTimeToComeBack(t *testing.T) {
+	var di Directory
+	di.Put(Server{ID: "a", Service: "s"})
+	di.Put(Server{ID: "b", Service: "s"})
+	di.StoreLost()
+	di.StoreBack(at(10))
+	di.Replace(nil, at(10.1))
+	require.Len(t, ids(&di), 2)
+	di.Put(Server{ID: "a", Service: "s"})
+	require.Empty(t, di.Tick(at(11.9)))
+	require.Equal(t, []string{"b"}, di.Tick(at(12)))
+	require.Equal(t, []string{"a"}, ids(&di))
+	di.Remove("a", at(13))
+	require.Empty(t, ids(&di), "an entry that goes when all is well is gone at once")
+}
+
+func TestNothingIsDroppedWhileTheStoreIsAway(t *testing.T) {
+	var di Directory
+	di.Put(Server{ID: "a", Service: "s"})
+	di.StoreLost()
+	di.Remove("a", at(1))
+	require.Empty(t, di.Tick(at(60)))
+	require.Len(t, ids(&di), 1)
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -13,6 +13,8 @@
 	ProcessStopping  ID = 101
 	ProcessStopped   ID = 102
 	ServiceRestarted ID = 103
+	SettingsReloaded ID = 104
+	SettingsRefused  ID = 105
 	RequestReceived  ID = 200
 	RequestRouted    ID = 201
 	RequestRetried   ID = 202
@@ -20,6 +22,7 @@
 	RequestAnswered  ID = 204
 	RequestRefused   ID = 205
 	RequestFailed    ID = 206
+	RequestResumed   ID = 207
 	AttemptAdmitted  ID = 300
 	AttemptQueued    ID = 301
 	AttemptRefused   ID = 302
@@ -36,13 +39,24 @@
 	LinkRefused      ID = 502
 	BoxesChanged     ID = 503
 	OrderGiven       ID = 505
+	ServerListed     ID = 510
+	ServerDraining   ID = 511
+	ServerGone       ID = 512
+	ServerEjected    ID = 513
+	ServerReturned   ID = 514
 	BillWritten      ID = 600
 	BillHeld         ID = 601
 	ClaimWon         ID = 602
 	ClaimLost        ID = 603
 	RolloutStep      ID = 700
 	RolloutReversed  ID = 701
+	RolloutOrdered   ID = 702
+	PhaseStored      ID = 703
 	StoreCallFailed  ID = 800
+	StoreLost        ID = 801
+	StoreRegained    ID = 802
+	StateRead        ID = 803
+	HistoryGone      ID = 804
 )
 
 // Row describes one event for people.
@@ -66,6 +80,8 @@
 	{ProcessStopping, "process_stopping", "a planned stop has begun; no new work is taken"},
 	{ProcessStopped, "process_stopped", "all work in progress has ended"},
 	{ServiceRestarted, "service_restarted", "the supervisor restarted a part of the process"},
+	{SettingsReloaded, "settings_reloaded", "a changed settings file was read and is in force"},
+	{SettingsRefused, "settings_refused", "a changed settings file is not valid; what was in force stays"},
 	{RequestReceived, "request_received", "a caller's request was read and its team known"},
 	{RequestRouted, "request_routed", "an attempt was sent to a backend server"},
 	{RequestRetried, "request_retried", "a refused or failed attempt is followed by another"},
@@ -73,6 +89,7 @@
 	{RequestAnswered, "request_answered", "the whole answer was delivered"},
 	{RequestRefused, "request_refused", "the request was refused and did not run"},
 	{RequestFailed, "request_failed", "the request ended without a whole answer"},
+	{RequestResumed, "request_resumed", "a broken stream is continued at another backend server"},
 	{AttemptAdmitted, "attempt_admitted", "the agent started an attempt on its backend server"},
 	{AttemptQueued, "attempt_queued", "the agent put an attempt into its queue"},
 	{AttemptRefused, "attempt_refused", "the agent refused an attempt; it did not run"},
@@ -89,13 +106,24 @@
 	{LinkRefused, "link_refused", "a peer did not prove the shared key"},
 	{BoxesChanged, "boxes_changed", "the list of boxes changed"},
 	{OrderGiven, "order_given", "the agent ordered its backend server to load or unload a version"},
+	{ServerListed, "server_listed", "a backend server is on the list"},
+	{ServerDraining, "server_draining", "a backend server is leaving and gets nothing new"},
+	{ServerGone, "server_gone", "a backend server is no longer on the list"},
+	{ServerEjected, "server_ejected", "a backend server's answers failed and it is not used for a while"},
+	{ServerReturned, "server_returned", "an ejected backend server answered and is used again"},
 	{BillWritten, "bill_written", "bill records are durable"},
 	{BillHeld, "bill_held", "bill records wait for the key-value service"},
 	{ClaimWon, "claim_won", "a claim is durable"},
 	{ClaimLost, "claim_lost", "a claim was made by somebody else before"},
 	{RolloutStep, "rollout_step", "a version's share of new work changed"},
 	{RolloutReversed, "rollout_reversed", "a version was rolled back"},
+	{RolloutOrdered, "rollout_ordered", "an operator's order to roll a version out came"},
+	{PhaseStored, "phase_stored", "the phase of a roll-out was written, or another process came first"},
 	{StoreCallFailed, "store_call_failed", "a call to the key-value service failed"},
+	{StoreLost, "store_lost", "the key-value service gives no answers"},
+	{StoreRegained, "store_regained", "the key-value service answers again"},
+	{StateRead, "state_read", "everything that is kept was read from the key-value service"},
+	{HistoryGone, "history_gone", "the key-value service has forgotten what a watch would go on from"},
 }
 
 var names = func() map[ID]string {
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/direct"
+	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/result"
+)
+
+// wholeBytes is the longest answer of a plain service that is read whole
+// before it is delivered, so that a broken one can be repeated elsewhere.
+const wholeBytes = 1 << 20
+
+// sent is one attempt in progress or ended.
+type sent struct {
+	ex     *exchange
+	step   direct.Step
+	server directory.Server
+	began  time.Time
+	cancel context.CancelFunc
+	// answer is nil until the head came.
+	answer *Answer
+	// body is the whole body of an answer that is not a stream.
+	body []byte
+	// rest is what follows body of one that is longer than wholeBytes.
+	rest io.Reader
+	err  error
+	over bool
+}
+
+// status returns the status of the answer, zero if there is none.
+func (se *sent) status() int {
+	if se.answer == nil {
+		return 0
+	}
+	return se.answer.Status
+}
+
+// open makes an attempt and waits for the head of its answer, for a plain
+// service for the whole.
+func (ex *exchange) open(ctx context.Context, step direct.Step) *sent {
+	ga := ex.ga
+	now := time.Now()
+	se := &sent{ex: ex, step: step, began: now}
+	ex.attempts[step.Attempt()] = se
+	ga.mu.Lock()
+	listed := ga.servers.Get(step.Server())
+	if listed == nil {
+		ga.mu.Unlock()
+		se.err, se.over, se.cancel = ErrUnsent, true, func() {}
+		return se
+	}
+	se.server = *listed
+	ga.pool.Started(se.server.ID, now)
+	ga.mu.Unlock()
+	ctx, se.cancel = context.WithCancel(ctx)
+	if step.Attempt() > 1 {
+		ex.noteAttempt(se)
+	}
+	patience := time.AfterFunc(time.Until(step.Patience()), se.cancel)
+	se.call(ctx)
+	patience.Stop()
+	return se
+}
+
+func (se *sent) call(ctx context.Context) {
+	ex := se.ex
+	se.answer, se.err = ex.ga.Backend.Call(ctx, &Attempt{
+		Ask: ex.as, Body: ex.body, Server: se.server, Team: ex.team, Model: se.step.Model(),
+		Left: ex.left(time.Now()), LastEvent: ex.lastEvent(se.step),
+	})
+	if se.err != nil || se.answer.Stream {
+		return
+	}
+	se.body, se.err = io.ReadAll(io.LimitReader(se.answer.Body, wholeBytes))
+	if se.err == nil && len(se.body) == wholeBytes {
+		se.rest = se.answer.Body
+	}
+}
+
+// left returns how long a server may work: what is left of the caller's time,
+// not the route's, since a server that stops early fails where a gateway would
+// still have delivered.
+func (ex *exchange) left(now time.Time) time.Duration {
+	if ex.as.Patience > 0 {
+		return max(time.Millisecond, ex.as.Received.Add(ex.as.Patience).Sub(now))
+	}
+	return max(time.Millisecond, ex.request.Deadline.Sub(now))
+}
+
+func (ex *exchange) lastEvent(step direct.Step) string {
+	if step.Resume() && ex.delivered != "" {
+		return ex.delivered
+	}
+	return ex.as.LastEvent
+}
+
+// outcome tells the request what became of an attempt until the head of its
+// answer.
+func (ex *exchange) outcome(ctx context.Context, se *sent) direct.Step {
+	now := time.Now()
+	var refusal *Refusal
+	switch {
+	case errors.As(se.err, &refusal):
+		se.end("refused")
+		if refusal.Gone {
+			ex.forgetServer(se)
+		}
+		return ex.request.Refused(refusal.After, now)
+	case errors.Is(se.err, ErrUnsent):
+		se.end("unsent")
+		ex.ga.judge(ctx, se, false, now)
+		return ex.request.Unsent(now)
+	case se.err != nil:
+		se.end("lost")
+		ex.ga.judge(ctx, se, false, now)
+		return ex.request.Lost(now)
+	}
+	good := se.answer.Status < serverFailed
+	if !good || !se.answer.Stream {
+		ex.ga.judge(ctx, se, good, now)
+	}
+	return ex.request.Answered(se.answer.Status, se.answer.Confidence, now)
+}
+
+// serverFailed is the first status that says that a server failed.
+const serverFailed = 500
+
+// judge notes what an attempt says of its server. What ended because the
+// caller left, or its time, says nothing.
+func (ga *Gateway) judge(ctx context.Context, se *sent, good bool, now time.Time) {
+	if ctx.Err() != nil && !good {
+		return
+	}
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.observe(se.server.Service, se.server.Version, !good)
+	if good {
+		if ga.pool.Succeeded(se.server.ID) {
+			ga.noteServer(event.ServerReturned, se.server.ID, "it answered again")
+		}
+		return
+	}
+	if ga.pool.Failed(se.server.ID, now) {
+		ga.noteServer(event.ServerEjected, se.server.ID, "its answers failed")
+	}
+}
+
+// forgetServer takes a server out of use whose address another one has.
+func (ex *exchange) forgetServer(se *sent) {
+	ex.ga.mu.Lock()
+	defer ex.ga.mu.Unlock()
+	ex.ga.servers.Remove(se.server.ID, time.Now())
+	ex.ga.noteServer(event.ServerGone, se.server.ID, "another server has its address")
+}
+
+// end frees what the attempt holds.
+func (se *sent) end(outcome string) {
+	se.cancel()
+	if se.over {
+		return
+	}
+	se.over = true
+	if se.answer != nil {
+		_ = se.answer.Body.Close()
+	}
+	se.ex.ga.mu.Lock()
+	se.ex.ga.pool.Ended(se.server.ID)
+	se.ex.ga.mu.Unlock()
+	countAttempt(se.server.Service, outcome)
+}
+
+// drop ends an attempt whose answer is not wanted any more.
+func (se *sent) drop() { se.end("dropped") }
+
+// noteAttempt logs an attempt beyond the first with what led to it.
+func (ex *exchange) noteAttempt(se *sent) {
+	id := event.RequestRetried
+	before := ex.attempts[se.step.Attempt()-1]
+	why := ""
+	switch {
+	case se.step.Resume():
+		id = event.RequestResumed
+	case before.err != nil:
+		why = before.err.Error()
+	case before.step.Model() != se.step.Model():
+		id = event.RequestEscalated
+	}
+	le := ex.ga.Log.Info().Int("event", int(id)).Str("request", ex.as.ID).Int("attempt", se.step.Attempt()).
+		Str("server", se.server.ID).Str("model", se.step.Model()).Str("before", before.server.ID).
+		Int("before_status", before.status()).Dur("before_ms", se.began.Sub(before.began))
+	if before.answer != nil {
+		le = le.Int("confidence", before.answer.Confidence)
+	}
+	le.Str("why", why).Str("last_event", ex.delivered).Msg(event.Name(id))
+}
+
+// copyRest gives the caller what follows the part of a long answer that was
+// read before.
+func (se *sent) copyRest(an Responder) error {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := se.rest.Read(buf)
+		if n > 0 {
+			if werr := an.Part(bytes.Clone(buf[:n])); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return result.New(result.AnswerBroken, err.Error())
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/routing"
+)
+
+const (
+	// watchWait is how long one watch waits for a change. Each answer confirms
+	// the configuration, so it is well below the bound on its age.
+	watchWait = time.Second
+	// pauseLeast and pauseMost bound the time between two calls to a service
+	// that gives no answers.
+	pauseLeast = 100 * time.Millisecond
+	pauseMost  = 400 * time.Millisecond
+)
+
+// follow keeps the state up to date: it reads everything, then watches, and
+// reads again when the history has gone.
+func (ga *Gateway) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		sent := time.Now()
+		st, err := ga.Source.Read(ctx)
+		if err != nil {
+			ga.lost(ctx, err)
+			continue
+		}
+		ga.replace(st, sent)
+		ga.watch(ctx, st.Revision)
+	}
+}
+
+func (ga *Gateway) watch(ctx context.Context, revision uint64) {
+	for ctx.Err() == nil {
+		sent := time.Now()
+		st, err := ga.Source.Watch(ctx, revision, watchWait)
+		if errors.Is(err, ErrHistoryGone) {
+			ga.Log.Warn().Int("event", int(event.HistoryGone)).Uint64("revision", revision).Msg(event.Name(event.HistoryGone))
+			return
+		}
+		if err != nil {
+			ga.lost(ctx, err)
+			continue
+		}
+		ga.apply(st, sent)
+		revision = st.Revision
+	}
+}
+
+// lost notes a failed call and waits for a while.
+func (ga *Gateway) lost(ctx context.Context, why error) {
+	if ctx.Err() != nil {
+		return
+	}
+	ga.mu.Lock()
+	was := ga.connected
+	ga.connected = false
+	ga.servers.StoreLost()
+	age := time.Since(ga.confirmed)
+	ga.mu.Unlock()
+	storeFailures.Inc()
+	if was {
+		ga.Log.Warn().Int("event", int(event.StoreLost)).Dur("age_ms", age).Err(why).Msg(event.Name(event.StoreLost))
+	}
+	sleep(ctx, pauseLeast+rand.N(pauseMost-pauseLeast))
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	ti := time.NewTimer(pause)
+	defer ti.Stop()
+	select {
+	case <-ctx.Done():
+	case <-ti.C:
+	}
+}
+
+// confirm notes that the state is as it was at the time of the call. The lock
+// is held.
+func (ga *Gateway) confirm(sent time.Time) {
+	if sent.After(ga.confirmed) {
+		ga.confirmed = sent
+	}
+	if ga.connected {
+		return
+	}
+	ga.connected = true
+	ga.servers.StoreBack(time.Now())
+	ga.Log.Info().Int("event", int(event.StoreRegained)).Msg(event.Name(event.StoreRegained))
+}
+
+// replace takes the whole state.
+func (ga *Gateway) replace(st State, sent time.Time) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.confirm(sent)
+	var list []directory.Server
+	for _, ch := range st.Changes {
+		if ch.Server != nil {
+			list = append(list, *ch.Server)
+			continue
+		}
+		ga.change(ch)
+	}
+	ga.servers.Replace(list, time.Now())
+	ga.Log.Info().Int("event", int(event.StateRead)).Uint64("revision", st.Revision).
+		Int("servers", len(list)).Msg(event.Name(event.StateRead))
+}
+
+// apply takes what a watch returned.
+func (ga *Gateway) apply(st State, sent time.Time) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.confirm(sent)
+	for _, ch := range st.Changes {
+		ga.change(ch)
+	}
+}
+
+// change takes one change; the lock is held.
+func (ga *Gateway) change(ch Change) {
+	switch {
+	case ch.Document != nil:
+		ga.adopt(ch.Document)
+	case ch.Server != nil:
+		ga.putServer(ch.Server)
+	case ch.Gone != "":
+		ga.servers.Remove(ch.Gone, time.Now())
+		if ga.servers.Get(ch.Gone) == nil {
+			ga.pool.Forget(ch.Gone)
+			ga.noteServer(event.ServerGone, ch.Gone, "its entry ended")
+		}
+	case ch.Order != nil:
+		ga.ordered(*ch.Order)
+	case ch.Phase != nil:
+		ga.stored(*ch.Phase)
+	case ch.Unreadable != nil:
+		ga.Log.Error().Int("event", int(event.ConfigRefused)).Err(ch.Unreadable).Msg(event.Name(event.ConfigRefused))
+	}
+}
+
+func (ga *Gateway) putServer(se *directory.Server) {
+	old := ga.servers.Get(se.ID)
+	ga.servers.Put(*se)
+	switch {
+	case old == nil:
+		ga.noteServer(event.ServerListed, se.ID, se.Service+" "+se.Version+" "+se.Address)
+	case se.Draining && !old.Draining:
+		ga.noteServer(event.ServerDraining, se.ID, se.Service)
+	}
+}
+
+// adopt takes a newer configuration into force; a lower version never is. The
+// lock is held.
+func (ga *Gateway) adopt(doc *routing.Document) {
+	held := ga.table.Load().Version()
+	if doc.Version <= held {
+		return
+	}
+	ta, err := routing.Compile(*doc)
+	if err != nil {
+		ga.Log.Error().Int("event", int(event.ConfigRefused)).Uint64("version", doc.Version).Err(err).Msg(event.Name(event.ConfigRefused))
+		return
+	}
+	ga.table.Store(ta)
+	ga.Log.Info().Int("event", int(event.ConfigInForce)).Uint64("version", doc.Version).Uint64("before", held).
+		Int("routes", len(doc.Routes)).Int("teams", len(doc.Teams)).Msg(event.Name(event.ConfigInForce))
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/linnetrudder/linnetrudder/internal/budget"
+	"github.com/linnetrudder/linnetrudder/internal/cascade"
+	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/pool"
+	"github.com/linnetrudder/linnetrudder/internal/routing"
+)
+
+const (
+	// tickEvery is how often roll-outs and missing servers are looked at.
+	tickEvery = 100 * time.Millisecond
+	// ownRatio is the part of the retry ratio that is used, since requests at
+	// the edge of a window are counted by another clock.
+	ownRatio = 0.94
+	// ownSlack is the retries that one gateway allows itself besides; the
+	// platform's slack is for all together, and how many there are is not known.
+	ownSlack = 2
+	// staleMargin is what is taken off the bound on the configuration's age: a
+	// watch may hear nothing for a second although changes are made, and a
+	// clock may run a little slow.
+	staleMargin = 1300 * time.Millisecond
+	// denyAge is the age of the configuration up to which "no such route" and
+	// "no such key" are said; with an older one they might be there by now.
+	denyAge = 2500 * time.Millisecond
+)
+
+// Gateway serves callers. Its exported fields are set before Run and Serve.
+type Gateway struct {
+	Log        zerolog.Logger
+	DataCentre string
+	// Bounds may be changed later by SetBounds.
+	Bounds  Bounds
+	Source  Source
+	Backend Backend
+	Cascade cascade.Policy
+
+	// table is the configuration in force, nil before the first.
+	table atomic.Pointer[routing.Table]
+	// stopping is set once a planned stop has begun.
+	stopping atomic.Bool
+	// inProgress counts the requests that are being served.
+	inProgress atomic.Int64
+
+	// mu guards what follows.
+	mu        sync.Mutex
+	confirmed time.Time
+	connected bool
+	servers   directory.Directory
+	pool      pool.Pool
+	// retries holds the window of each service.
+	retries map[string]*budget.Window
+	// rollouts holds the newest roll-out of each service.
+	rollouts map[string]*timedRollout
+	// phases holds the stored phase of each service's roll-out.
+	phases map[string]StoredPhase
+}
+
+// Run follows the key-value service until the context ends.
+func (ga *Gateway) Run(ctx context.Context) error {
+	ga.mu.Lock()
+	ga.pool = pool.Pool{DataCentre: ga.DataCentre, Directory: &ga.servers}
+	ga.retries = map[string]*budget.Window{}
+	ga.rollouts = map[string]*timedRollout{}
+	ga.phases = map[string]StoredPhase{}
+	ga.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { ga.tick(ctx) })
+	ga.follow(ctx)
+	wg.Wait()
+	return ctx.Err()
+}
+
+// Stop begins a planned stop: the gateway says that it is not ready, and goes
+// on to serve what reaches it.
+func (ga *Gateway) Stop() {
+	if ga.stopping.CompareAndSwap(false, true) {
+		ga.Log.Info().Int("event", int(event.ProcessStopping)).
+			Int64("in_progress", ga.inProgress.Load()).Msg(event.Name(event.ProcessStopping))
+	}
+}
+
+// Stopping reports whether a planned stop has begun.
+func (ga *Gateway) Stopping() bool { return ga.stopping.Load() }
+
+// InProgress returns how many requests are being served.
+func (ga *Gateway) InProgress() int { return int(ga.inProgress.Load()) }
+
+// Table returns the configuration in force, nil before the first.
+func (ga *Gateway) Table() *routing.Table { return ga.table.Load() }
+
+// Ready reports whether new callers may be sent here.
+func (ga *Gateway) Ready(now time.Time) bool {
+	return !ga.stopping.Load() && ga.table.Load() != nil && ga.fresh(now)
+}
+
+// age returns how old the configuration may be at the most.
+func (ga *Gateway) age(now time.Time) time.Duration {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return now.Sub(ga.confirmed)
+}
+
+// fresh reports whether keys may be accepted.
+func (ga *Gateway) fresh(now time.Time) bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.Bounds.Revoke == 0 || now.Sub(ga.confirmed) < ga.Bounds.Revoke-staleMargin
+}
+
+// SetBounds takes changed bounds.
+func (ga *Gateway) SetBounds(bo Bounds) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.Bounds = bo
+	clear(ga.retries)
+}
+
+func (ga *Gateway) tick(ctx context.Context) {
+	ti := time.NewTicker(tickEvery)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ti.C:
+			ga.dropMissing(now)
+			ga.advanceRollouts(ctx, now)
+		}
+	}
+}
+
+func (ga *Gateway) dropMissing(now time.Time) {
+	ga.mu.Lock()
+	dropped := ga.servers.Tick(now)
+	for _, id := range dropped {
+		ga.pool.Forget(id)
+	}
+	ga.mu.Unlock()
+	for _, id := range dropped {
+		ga.noteServer(event.ServerGone, id, "its entry did not come back")
+	}
+}
+
+func (ga *Gateway) noteServer(id event.ID, server, detail string) {
+	ga.Log.Info().Int("event", int(id)).Str("server", server).Str("detail", detail).Msg(event.Name(id))
+}
+
+// window returns the retry window of a service; the lock is held.
+func (ga *Gateway) window(service string) *budget.Window {
+	wi := ga.retries[service]
+	if wi == nil {
+		wi = &budget.Window{Span: ga.Bounds.RetryWindow, Ratio: ga.Bounds.RetryRatio * ownRatio, Slack: ownSlack}
+		ga.retries[service] = wi
+	}
+	return wi
+}
+
+// random returns a number for a choice.
+func random() uint64 { return rand.Uint64() }
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,23 @@
+package gateway
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/linnetrudder/linnetrudder/internal/result"
+)
+
+var storeFailures = metrics.NewCounter(`linnetrudder_store_failures_total`)
+
+// countRequest counts a final outcome and its latency in seconds.
+func countRequest(kind string, co result.Code, seconds float64) {
+	name := result.Of(co).Name()
+	metrics.GetOrCreateCounter(fmt.Sprintf(`linnetrudder_requests_total{kind=%q,outcome=%q}`, kind, name)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`linnetrudder_request_seconds{kind=%q}`, kind)).Update(seconds)
+}
+
+// countAttempt counts what became of an attempt.
+func countAttempt(service, outcome string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`linnetrudder_attempts_total{service=%q,outcome=%q}`, service, outcome)).Inc()
+}
--- /dev/null
+++ b/internal/gateway/rollouts.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/pool"
+	"github.com/linnetrudder/linnetrudder/internal/rollout"
+)
+
+// writeEvery is the least time between two tries to store a phase.
+const writeEvery = 300 * time.Millisecond
+
+// timedRollout is the newest roll-out of a service.
+type timedRollout struct {
+	order  Order
+	canary rollout.Canary
+	// tried is when the phase was last tried to be stored.
+	tried time.Time
+	// storing is true while a call is in progress.
+	storing bool
+}
+
+// ordered takes an operator's order; the lock is held.
+func (ga *Gateway) ordered(or Order) {
+	old := ga.rollouts[or.Plan.Service]
+	if old != nil && old.order.Revision >= or.Revision {
+		return
+	}
+	ro := &timedRollout{order: or, canary: rollout.Canary{Plan: or.Plan, Began: time.Now()}}
+	ga.rollouts[or.Plan.Service] = ro
+	ga.Log.Info().Int("event", int(event.RolloutOrdered)).Str("service", or.Plan.Service).
+		Str("version", or.Plan.Version).Dur("within_ms", or.Plan.Within).Msg(event.Name(event.RolloutOrdered))
+	if ph, ok := ga.phases[or.Plan.Service]; ok && ph.Order == or.Revision {
+		ga.enter(ro, ph.Phase)
+	}
+}
+
+// stored takes a phase that was kept by any gateway; the lock is held.
+func (ga *Gateway) stored(ph StoredPhase) {
+	if ga.phases[ph.Service].Revision >= ph.Revision {
+		return
+	}
+	ga.phases[ph.Service] = ph
+	if ro := ga.rollouts[ph.Service]; ro != nil && ro.order.Revision == ph.Order {
+		ga.enter(ro, ph.Phase)
+	}
+}
+
+func (ga *Gateway) enter(ro *timedRollout, ph rollout.Phase) {
+	if ro.canary.Phase() == ph {
+		return
+	}
+	ro.canary.Enter(ph)
+	id := event.RolloutStep
+	if ph == rollout.Failed {
+		id = event.RolloutReversed
+	}
+	tried, bad := ro.canary.Counts()
+	ga.Log.Info().Int("event", int(id)).Str("service", ro.order.Plan.Service).Str("version", ro.order.Plan.Version).
+		Str("phase", string(ph)).Int("tried_here", tried).Int("bad_here", bad).Msg(event.Name(id))
+}
+
+// restrict narrows an attempt to the version that its session belongs to. The
+// lock is held.
+func (ga *Gateway) restrict(ask pool.Ask, session string) pool.Ask {
+	ro := ga.rollouts[ask.Service]
+	if ro == nil {
+		return ask
+	}
+	ask.Version = ro.order.Plan.Version
+	if !ro.canary.New(session) {
+		ask.Except = true
+		return ask
+	}
+	ask.Only = true
+	if _, ok := ga.pool.Pick(ask, 0, time.Now()); !ok && ro.canary.Phase() != rollout.Complete {
+		// No server of the new version is there.
+		ask.Only, ask.Except = false, true
+	}
+	return ask
+}
+
+// observe takes the outcome of an attempt for the roll-out of its service. The
+// lock is held.
+func (ga *Gateway) observe(service, version string, bad bool) {
+	ro := ga.rollouts[service]
+	if ro == nil || ro.canary.Phase() == rollout.Complete || ro.canary.Phase() == rollout.Failed {
+		return
+	}
+	was := ro.canary.Bad()
+	if ro.canary.Observe(version == ro.order.Plan.Version, bad) && !was {
+		// The store may be away: this gateway stops using the version at once.
+		ga.enter(ro, rollout.Failed)
+		ro.tried = time.Time{}
+	}
+}
+
+// advanceRollouts stores the phases that are due.
+func (ga *Gateway) advanceRollouts(ctx context.Context, now time.Time) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	for _, ro := range ga.rollouts {
+		ph, due := ga.dueFor(ro, now)
+		if !due || ro.storing || now.Sub(ro.tried) < writeEvery {
+			continue
+		}
+		ro.tried, ro.storing = now, true
+		go ga.store(ctx, ro, ph)
+	}
+}
+
+// dueFor returns the phase to store: the next one, or one that this gateway is
+// in and that is not kept yet.
+func (ga *Gateway) dueFor(ro *timedRollout, now time.Time) (StoredPhase, bool) {
+	kept := ga.phases[ro.order.Plan.Service]
+	next := StoredPhase{Service: ro.order.Plan.Service, Order: ro.order.Revision, Phase: ro.canary.Phase(), Revision: kept.Revision}
+	if ph, due := ro.canary.Due(now); due {
+		next.Phase = ph
+		return next, true
+	}
+	return next, kept.Order != ro.order.Revision || kept.Phase != ro.canary.Phase()
+}
+
+func (ga *Gateway) store(ctx context.Context, ro *timedRollout, ph StoredPhase) {
+	kept, err := ga.Source.Store(ctx, ro.order, ph)
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ro.storing = false
+	level := ga.Log.Info()
+	if err != nil {
+		level = ga.Log.Warn().Err(err)
+	}
+	level.Int("event", int(event.PhaseStored)).Str("service", ph.Service).Str("phase", string(ph.Phase)).
+		Uint64("compared", ph.Revision).Bool("kept", kept).Msg(event.Name(event.PhaseStored))
+}
--- /dev/null
+++ b/internal/gateway/types.go
@@ -0,0 +1,188 @@
+// Package gateway serves callers by calling backend servers directly, without
+// an agent beside them. It holds the state that the decisions need and carries
+// them out; an adapter translates between it and the protocols of a platform.
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/rollout"
+	"github.com/linnetrudder/linnetrudder/internal/routing"
+)
+
+// Ask is a caller's request as an adapter decodes it. Its fields are exported
+// because it is data without behaviour.
+type Ask struct {
+	// ID is the caller's name for this attempt of its own.
+	ID string
+	// Host and Path select the route.
+	Host, Path string
+	// Key proves the team; empty if the caller sent none.
+	Key string
+	// Received is when the head of the request had been read.
+	Received time.Time
+	// Patience is how long the caller will wait; zero if it did not say.
+	Patience time.Duration
+	// AnyModel is set where the choice of the model is left to the system.
+	AnyModel bool
+	// Session groups requests of one conversation; empty if there is none.
+	Session string
+	// Prompt holds the parts of the prompt that requests share, in order.
+	Prompt []PromptPart
+	// PromptTokens and OutputTokens are the size of a generation, the second a
+	// bound; zero if they are not known.
+	PromptTokens, OutputTokens int
+	// LastEvent is the last event that the caller has of a stream it resumes.
+	LastEvent string
+	// ReadBody reads the whole body. Its error carries a result code.
+	ReadBody func() ([]byte, error)
+	// Wire is what the adapter needs to make the call; it is not read here.
+	Wire any
+}
+
+// PromptPart is one part of a prompt.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// Attempt is one call to a backend server.
+type Attempt struct {
+	Ask    *Ask
+	Body   []byte
+	Server directory.Server
+	// Team is the name of the caller's team; empty on a public route.
+	Team string
+	// Model is the model to name; empty to leave what the caller named.
+	Model string
+	// Left is how long the server may work.
+	Left time.Duration
+	// LastEvent is the event after which a stream goes on; empty for the start.
+	LastEvent string
+}
+
+// Answer is the head of a backend server's answer and its body.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body must be closed. A read error other than io.EOF means that the answer
+	// broke off.
+	Body io.ReadCloser
+	// Stream is set for server-sent events.
+	Stream bool
+	// Confidence is the model's own rating from 0 to 100, below zero if it gave
+	// none.
+	Confidence int
+}
+
+// Backend calls backend servers. Errors are *Refusal, ErrUnsent or others; after
+// the last kind the attempt may have run.
+type Backend interface {
+	Call(ctx context.Context, at *Attempt) (*Answer, error)
+}
+
+// Refusal is a server's word that an attempt did not run and never will.
+type Refusal struct {
+	// Reason says what the server gave as its reason.
+	Reason string
+	// After is when the server may be asked again; zero if it did not say.
+	After time.Duration
+	// Gone is set if another server now has the address.
+	Gone bool
+}
+
+// Error returns the reason.
+func (re *Refusal) Error() string { return "refused: " + re.Reason }
+
+// ErrUnsent means that an attempt never reached its server.
+var ErrUnsent = eris.New("attempt was not sent")
+
+// Responder answers one caller. Its methods are called in the order of a valid
+// answer.
+type Responder interface {
+	// Whole gives a whole answer.
+	Whole(status int, header http.Header, body []byte) error
+	// Head begins a stream.
+	Head(status int, header http.Header) error
+	// Part gives the next part of a stream.
+	Part(part []byte) error
+	// Refuse gives a final code and when to come back, zero for not at all.
+	Refuse(co result.Code, detail string, after time.Duration)
+	// Abort breaks the connection, so that a part is not taken for the whole.
+	Abort()
+}
+
+// State is everything that is kept in the key-value service.
+type State struct {
+	// Revision is the service's when the state was read.
+	Revision uint64
+	Changes  []Change
+}
+
+// Change is one change of what is kept. Exactly one field is set.
+type Change struct {
+	// Document is a newer configuration.
+	Document *routing.Document
+	// Server is a backend server's entry; Gone the id of one whose entry ended.
+	Server *directory.Server
+	Gone   string
+	// Order is a roll-out that an operator has ordered.
+	Order *Order
+	// Phase is how far gateways are with a roll-out.
+	Phase *StoredPhase
+	// Unreadable says what could not be decoded.
+	Unreadable error
+}
+
+// Order is an operator's order to roll out a version.
+type Order struct {
+	Plan rollout.Plan
+	// Revision tells two orders of the same version apart.
+	Revision uint64
+}
+
+// StoredPhase is the phase of a roll-out as it is kept.
+type StoredPhase struct {
+	Service string
+	// Order is the revision of the order that the phase belongs to.
+	Order uint64
+	Phase rollout.Phase
+	// Revision is what the next change is compared with.
+	Revision uint64
+}
+
+// ErrHistoryGone means that a watch cannot go on from its revision.
+var ErrHistoryGone = eris.New("the history of the key-value service does not reach back")
+
+// Source is the platform's key-value service.
+type Source interface {
+	// Read reads everything.
+	Read(ctx context.Context) (State, error)
+	// Watch returns what changed after a revision, or nothing when the wait is
+	// over, and the revision to go on from.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (State, error)
+	// Store keeps a phase if the stored one still has the revision that it
+	// names. It reports whether it does.
+	Store(ctx context.Context, or Order, ph StoredPhase) (bool, error)
+}
+
+// Bounds are the platform's figures that the gateway holds to.
+type Bounds struct {
+	// Revoke is how old the configuration may be at which a key is accepted;
+	// zero for no bound.
+	Revoke time.Duration
+	// Apply is how soon a change of the configuration must be in force.
+	Apply time.Duration
+	// RetryRatio, RetryWindow and RetrySlack bound attempts beyond the first
+	// over all gateways.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+}
--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/linnetrudder/linnetrudder/internal/result"
 )
 
@@ -48,6 +50,12 @@
 	}}
 }
 
+// Encode returns the body of the answer.
+func (pr Problem) Encode() ([]byte, error) {
+	body, err := json.Marshal(pr)
+	return body, eris.Wrap(err, "encode problem")
+}
+
 // WriteError answers with an error; one without a code is a bad request.
 func WriteError(w http.ResponseWriter, err error) {
 	var er *result.Error
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -24,46 +24,47 @@
 // 3 refused by policy, 4 no room or no server now, 5 failed on the way,
 // 6 settings and configuration, 7 the platform's key-value service.
 const (
-	OK                Code = 100
-	Stopped           Code = 101
-	Queued            Code = 102
-	BadRequest        Code = 200
-	BodyTooLarge      Code = 201
-	UnknownKey        Code = 202
-	UnknownModel      Code = 203
-	UnknownPath       Code = 204
-	BadIdempotencyKey Code = 205
-	BadSession        Code = 206
-	UnknownRequest    Code = 207
-	VersionNotAllowed Code = 300
-	VersionWithdrawn  Code = 301
-	VersionNoNewWork  Code = 302
-	KeyAlreadyUsed    Code = 303
-	VersionNotHere    Code = 304
-	NoConfiguration   Code = 400
-	NoServer          Code = 401
-	Overloaded        Code = 402
-	DeadlinePassed    Code = 403
-	Leaving           Code = 404
-	ShareExceeded     Code = 405
-	BillsFull         Code = 407
-	ClaimsUnavailable Code = 408
-	LinkLost          Code = 500
-	ServerFailed      Code = 501
-	AnswerBroken      Code = 502
-	CallerTooSlow     Code = 503
-	NotDispatched     Code = 504
-	BadSettings       Code = 600
-	BadConfiguration  Code = 601
-	UnknownField      Code = 602
-	BadReference      Code = 603
-	HostName          Code = 604
-	ConfigTooLarge    Code = 605
-	Conflict          Code = 606
-	NotOperator       Code = 607
-	StoreDown         Code = 700
-	StoreUnknown      Code = 701
-	StoreBudget       Code = 702
+	OK                 Code = 100
+	Stopped            Code = 101
+	Queued             Code = 102
+	BadRequest         Code = 200
+	BodyTooLarge       Code = 201
+	UnknownKey         Code = 202
+	UnknownModel       Code = 203
+	UnknownPath        Code = 204
+	BadIdempotencyKey  Code = 205
+	BadSession         Code = 206
+	UnknownRequest     Code = 207
+	VersionNotAllowed  Code = 300
+	VersionWithdrawn   Code = 301
+	VersionNoNewWork   Code = 302
+	KeyAlreadyUsed     Code = 303
+	VersionNotHere     Code = 304
+	NoConfiguration    Code = 400
+	NoServer           Code = 401
+	Overloaded         Code = 402
+	DeadlinePassed     Code = 403
+	Leaving            Code = 404
+	ShareExceeded      Code = 405
+	BillsFull          Code = 407
+	ClaimsUnavailable  Code = 408
+	StaleConfiguration Code = 409
+	LinkLost           Code = 500
+	ServerFailed       Code = 501
+	AnswerBroken       Code = 502
+	CallerTooSlow      Code = 503
+	NotDispatched      Code = 504
+	BadSettings        Code = 600
+	BadConfiguration   Code = 601
+	UnknownField       Code = 602
+	BadReference       Code = 603
+	HostName           Code = 604
+	ConfigTooLarge     Code = 605
+	Conflict           Code = 606
+	NotOperator        Code = 607
+	StoreDown          Code = 700
+	StoreUnknown       Code = 701
+	StoreBudget        Code = 702
 )
 
 // Row is the line of the table that describes one code.
@@ -133,6 +134,7 @@
 	{ShareExceeded, "share_exceeded", http.StatusTooManyRequests, DidNotRun, soon, "the team has taken its share while others wait"},
 	{BillsFull, "bills_full", http.StatusServiceUnavailable, DidNotRun, later, "too many bill records wait for the key-value service"},
 	{ClaimsUnavailable, "claims_unavailable", http.StatusServiceUnavailable, DidNotRun, later, "the claim on the key could not be made; nothing ran"},
+	{StaleConfiguration, "stale_configuration", http.StatusServiceUnavailable, DidNotRun, soon, "the configuration is too old to accept a key by it"},
 	{LinkLost, "link_lost", http.StatusBadGateway, MayHave, 0, "the connection was lost after the request was sent"},
 	{ServerFailed, "server_failed", http.StatusBadGateway, MayHave, 0, "the backend server failed after the request was sent to it"},
 	{AnswerBroken, "answer_broken", http.StatusBadGateway, Ran, 0, "the answer broke off after a part of it was delivered"},
--- /dev/null
+++ b/internal/rollout/canary_test.go
@@ -0,0 +1,107 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var began = time.Unix(1000, 0)
+
+func canary() *Canary {
+	return &Canary{Plan: Plan{Service: "s", Version: "v2", Within: 20 * time.Second}, Began: began}
+}
+
+func TestEverySessionIsPlacedAlikeAndOnlyMovesToTheNewVersion(t *testing.T) {
+	a, b := canary(), canary()
+	b.Began = began.Add(time.Minute)
+	count := 0
+	for i := range 10_000 {
+		session := fmt.Sprint(i)
+		require.Equal(t, a.New(session), b.New(session))
+		if a.New(session) {
+			count++
+		}
+	}
+	require.InDelta(t, TryingShare*10_000, count, 150)
+	a.Enter(Shifting)
+	require.True(t, a.New("any"))
+	a.Enter(Trying)
+	require.Equal(t, Shifting, a.Phase(), "a phase never goes back")
+	a.Enter(Failed)
+	require.False(t, a.New("any"))
+}
+
+func TestAGoodVersionShiftsInTheSecondHalfAndFinishesInTime(t *testing.T) {
+	ca := canary()
+	for range 100 {
+		ca.Observe(true, false)
+	}
+	_, due := ca.Due(began.Add(10 * time.Second))
+	require.False(t, due, "sessions keep the old version through the first half")
+	ph, due := ca.Due(began.Add(12 * time.Second))
+	require.True(t, due)
+	require.Equal(t, Shifting, ph)
+	ca.Enter(ph)
+	_, due = ca.Due(began.Add(14 * time.Second))
+	require.False(t, due)
+	ph, _ = ca.Due(began.Add(18 * time.Second))
+	require.Equal(t, Complete, ph)
+}
+
+func TestABadVersionIsFoundAfterFewAnswers(t *testing.T) {
+	for _, rate := range []float64{0.3, 0.5, 1} {
+		ra := rand.New(rand.NewPCG(1, 2))
+		worst := 0
+		for range 200 {
+			ca := canary()
+			bad := 0
+			for !ca.Bad() {
+				isBad := ra.Float64() < rate
+				if isBad {
+					bad++
+				}
+				ca.Observe(true, isBad)
+			}
+			worst = max(worst, bad)
+		}
+		require.LessOrEqual(t, worst, 8, rate)
+	}
+}
+
+func TestAGoodVersionIsSeldomTakenForBad(t *testing.T) {
+	ra := rand.New(rand.NewPCG(1, 2))
+	wrong := 0
+	for range 1000 {
+		ca := canary()
+		for range 100 {
+			ca.Observe(false, ra.Float64() < 0.01)
+			ca.Observe(true, ra.Float64() < 0.01)
+		}
+		if ca.Bad() {
+			wrong++
+		}
+	}
+	require.LessOrEqual(t, wrong, 10)
+}
+
+func TestAVersionThatFailsAsTheOldOneDoesIsNotBad(t *testing.T) {
+	ra := rand.New(rand.NewPCG(1, 2))
+	wrong := 0
+	for range 500 {
+		ca := canary()
+		for range 400 {
+			ca.Observe(false, ra.Float64() < 0.14)
+		}
+		for range 60 {
+			ca.Observe(true, ra.Float64() < 0.14)
+		}
+		if ca.Bad() {
+			wrong++
+		}
+	}
+	require.LessOrEqual(t, wrong, 5)
+}
