fix: a roll-out that is finished is not undone by one gateway's late verdict

Complete now overrules; nothing is stored after an end. Test: gateway.TestAVerdictAfterTheEndIsNotStored, red before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,12 +68,7 @@
 
 // Run follows the key-value service until the context ends.
 func (ga *Gateway) Run(ctx context.Context) error {
-	ga.mu.Lock()
-	ga.pool = pool.Pool{DataCentre: ga.DataCentre, Directory: &ga.servers}
-	ga.retries = map[string]*budget.Window{}
-	ga.rollouts = map[string]*timedRollout{}
-	ga.phases = map[string]StoredPhase{}
-	ga.mu.Unlock()
+	ga.prepare()
 	var wg sync.WaitGroup
 	wg.Go(func() { ga.tick(ctx) })
 	ga.follow(ctx)
@@ -81,6 +76,15 @@
 	return ctx.Err()
 }
 
+func (ga *Gateway) prepare() {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.pool = pool.Pool{DataCentre: ga.DataCentre, Directory: &ga.servers}
+	ga.retries = map[string]*budget.Window{}
+	ga.rollouts = map[string]*timedRollout{}
+	ga.phases = map[string]StoredPhase{}
+}
+
 // Stop begins a planned stop: the gateway says that it is not ready, and goes
 // on to serve what reaches it.
 func (ga *Gateway) Stop() {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -70,14 +70,14 @@
 		return ask
 	}
 	ask.Version = ro.order.Plan.Version
-	if !ro.canary.New(session) {
-		ask.Except = true
+	ask.Only = ro.canary.New(session)
+	ask.Except = !ask.Only
+	if ro.canary.Phase() == rollout.Failed {
 		return ask
 	}
-	ask.Only = true
-	if _, ok := ga.pool.Pick(ask, 0, time.Now()); !ok && ro.canary.Phase() != rollout.Complete {
-		// No server of the new version is there.
-		ask.Only, ask.Except = false, true
+	if _, ok := ga.pool.Pick(ask, 0, time.Now()); !ok {
+		// No server of that version is there (yet or any more).
+		ask.Only, ask.Except = ask.Except, ask.Only
 	}
 	return ask
 }
@@ -115,6 +115,9 @@
 // in and that is not kept yet.
 func (ga *Gateway) dueFor(ro *timedRollout, now time.Time) (StoredPhase, bool) {
 	kept := ga.phases[ro.order.Plan.Service]
+	if kept.Order == ro.order.Revision && (kept.Phase == rollout.Complete || kept.Phase == rollout.Failed) {
+		return StoredPhase{}, false
+	}
 	next := StoredPhase{Service: ro.order.Plan.Service, Order: ro.order.Revision, Phase: ro.canary.Phase(), Revision: kept.Revision}
 	if ph, due := ro.canary.Due(now); due {
 		next.Phase = ph
--- /dev/null
+++ b/internal/gateway/rollouts_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/linnetrudder/linnetrudder/internal/rollout"
+)
+
+func rolling(t *testing.T) (*Gateway, *timedRollout) {
+	t.Helper()
+	ga := &Gateway{Log: zerolog.Nop()}
+	ga.prepare()
+	ga.ordered(Order{Revision: 7, Plan: rollout.Plan{Service: "s", Version: "v2", Within: 20 * time.Second}})
+	return ga, ga.rollouts["s"]
+}
+
+func TestANewOrderIsStoredAsTrying(t *testing.T) {
+	ga, ro := rolling(t)
+	ph, due := ga.dueFor(ro, time.Now())
+	require.True(t, due)
+	require.Equal(t, StoredPhase{Service: "s", Order: 7, Phase: rollout.Trying}, ph)
+	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Trying, Revision: 9})
+	_, due = ga.dueFor(ro, time.Now())
+	require.False(t, due)
+}
+
+func TestABadVersionIsLeftAtOnceAndTheVerdictIsStored(t *testing.T) {
+	ga, ro := rolling(t)
+	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Trying, Revision: 9})
+	for range 20 {
+		ga.observe("s", "v2", true)
+	}
+	require.Equal(t, rollout.Failed, ro.canary.Phase())
+	ph, due := ga.dueFor(ro, time.Now())
+	require.True(t, due)
+	require.Equal(t, StoredPhase{Service: "s", Order: 7, Phase: rollout.Failed, Revision: 9}, ph)
+}
+
+// Once a roll-out is finished its old servers are stopped: a verdict of one
+// gateway that comes later must neither be stored nor acted on.
+func TestAVerdictAfterTheEndIsNotStored(t *testing.T) {
+	ga, ro := rolling(t)
+	for range 20 {
+		ga.observe("s", "v2", true)
+	}
+	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Complete, Revision: 12})
+	require.Equal(t, rollout.Complete, ro.canary.Phase())
+	_, due := ga.dueFor(ro, time.Now().Add(time.Minute))
+	require.False(t, due)
+}
+
+func TestAPhaseOfAnOlderOrderSaysNothing(t *testing.T) {
+	ga, ro := rolling(t)
+	ga.stored(StoredPhase{Service: "s", Order: 3, Phase: rollout.Complete, Revision: 5})
+	require.Equal(t, rollout.Trying, ro.canary.Phase())
+	ph, due := ga.dueFor(ro, time.Now())
+	require.True(t, due)
+	require.Equal(t, uint64(5), ph.Revision, "the older phase is what the write is compared with")
+}
--- a/internal/rollout/canary.go
+++ b/internal/rollout/canary.go
@@ -10,7 +10,8 @@
 // key-value service, so that all gateways compute the same share.
 type Phase string
 
-// The phases, in order; Failed may follow each but Complete.
+// The phases, in order. Failed may follow each but Complete, after which the
+// old version's servers are stopped and nothing can go back.
 const (
 	// Trying gives a small share of the sessions to the new version.
 	Trying Phase = "trying"
@@ -85,7 +86,9 @@
 	}
 }
 
-var order = map[Phase]int{Trying: 0, Shifting: 1, Complete: 2, Failed: 3}
+// order ranks the phases; what is stored as complete overrules a gateway that
+// took the version for bad on its own.
+var order = map[Phase]int{Trying: 0, Shifting: 1, Failed: 2, Complete: 3}
 
 // New reports whether a session's request goes to the new version. Every
 // gateway computes the same from the stored phase.
--- a/internal/rollout/canary_test.go
+++ b/internal/rollout/canary_test.go
@@ -105,3 +105,22 @@
 	}
 	require.LessOrEqual(t, wrong, 5)
 }
+
+// A gateway that takes a version for bad after the others have finished the
+// roll-out must not hold on to an old version whose servers were stopped.
+func TestAFinishedRolloutIsNotUndone(t *testing.T) {
+	ca := canary()
+	ca.Enter(Shifting)
+	for range 20 {
+		ca.Observe(true, true)
+	}
+	require.True(t, ca.Bad())
+	ca.Enter(Failed)
+	ca.Enter(Complete)
+	require.Equal(t, Complete, ca.Phase())
+	require.True(t, ca.New("any"))
+	_, due := ca.Due(began.Add(time.Minute))
+	require.False(t, due)
+	ca.Enter(Failed)
+	require.Equal(t, Complete, ca.Phase())
+}
