perf: servers are chosen by the work before an answer, and prompts by their shared part

Cause: the affinity key was the last part of a prompt, which is the request's own, so that attempts were spread at random; and load was counted in attempts, although a long prompt for the largest model is a hundred times the work of a short one. Ruled out: predicting hard requests (confidence does not depend on team, session, subject, size or hint: variance within groups equals the whole).

--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -6,7 +6,7 @@
 // defaultKeep is the confidence, from 0 to 100, from which a smaller model's
 // answer is kept. Trials on the users' sites: 50 was worth 0.83, 70 was worth
 // 0.82, 85 was worth 0.77 (docs/design/platform.md).
-const defaultKeep = 50
+const defaultKeep = 55
 
 // Policy holds what decides. The zero value uses the defaults.
 type Policy struct {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,6 +23,8 @@
 	step   direct.Step
 	server directory.Server
 	began  time.Time
+	// work is the prompt's, in tokens of the smallest model; for the pool.
+	work   float64
 	cancel context.CancelFunc
 	// answer is nil until the head came.
 	answer *Answer
@@ -57,7 +59,8 @@
 		return se
 	}
 	se.server = *listed
-	ga.pool.Started(se.server.ID, now)
+	se.work = ex.work(step.Model())
+	ga.pool.Started(se.server.ID, se.work, now)
 	ga.mu.Unlock()
 	ctx, se.cancel = context.WithCancel(ctx)
 	if step.Attempt() > 1 {
@@ -66,6 +69,9 @@
 	patience := time.AfterFunc(time.Until(step.Patience()), se.cancel)
 	se.call(ctx)
 	patience.Stop()
+	ga.mu.Lock()
+	ga.pool.Read(se.server.ID, se.work)
+	ga.mu.Unlock()
 	return se
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -15,6 +15,9 @@
 	// watchWait is how long one watch waits for a change. Each answer confirms
 	// the configuration, so it is well below the bound on its age.
 	watchWait = time.Second
+	// gather is how long changes that follow one another are waited for, so that
+	// they cost one call: far below the bound on applying a configuration.
+	gather = 100 * time.Millisecond
 	// pauseLeast and pauseMost bound the time between two calls to a service
 	// that gives no answers.
 	pauseLeast = 100 * time.Millisecond
@@ -50,6 +53,9 @@
 		}
 		ga.apply(st, sent)
 		revision = st.Revision
+		if len(st.Changes) > 0 {
+			sleep(ctx, gather)
+		}
 	}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -129,8 +129,9 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ask := ga.restrict(pool.Ask{Service: ex.service, Tried: tried}, ex.session)
-	if len(ex.as.Prompt) > 0 {
-		ask.Affinity = ex.as.Prompt[len(ex.as.Prompt)-1].ID + model
+	if id, tokens := ex.as.shared(); id != "" {
+		ask.Affinity = id + "\x00" + model
+		ask.Held = float64(tokens) * ex.factor(model)
 	}
 	se, ok := ga.pool.Pick(ask, random(), now)
 	if !ok {
@@ -139,6 +140,27 @@
 	return se.ID, true
 }
 
+// factor returns how much more work a token of a model is than one of the
+// smallest, by what the models cost.
+func (ex *exchange) factor(model string) float64 {
+	sv := ex.table.Service(ex.service)
+	if sv == nil || len(ex.route.Models) == 0 {
+		return 1
+	}
+	least, cost := sv.Costs[ex.route.Models[0]], sv.Costs[model]
+	if least <= 0 || cost <= 0 {
+		return 1
+	}
+	return cost / least
+}
+
+// work returns how much work the prompt is for a model, if a server holds what
+// other requests share of it.
+func (ex *exchange) work(model string) float64 {
+	_, shared := ex.as.shared()
+	return float64(max(0, ex.as.PromptTokens-shared)) * ex.factor(model)
+}
+
 // Take takes a retry from the service's window.
 func (ex *exchange) Take(now time.Time) bool {
 	ex.ga.mu.Lock()
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -47,6 +47,20 @@
 	Wire any
 }
 
+// shared returns the id and the length in tokens of the longest start of the
+// prompt that a server may hold from other requests: the last part is the
+// request's own.
+func (as *Ask) shared() (id string, tokens int) {
+	for i, pa := range as.Prompt {
+		if i > 0 && i == len(as.Prompt)-1 {
+			break
+		}
+		id = pa.ID
+		tokens += pa.Tokens
+	}
+	return id, tokens
+}
+
 // PromptPart is one part of a prompt.
 type PromptPart struct {
 	ID     string
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -15,13 +15,12 @@
 )
 
 const (
-	// affinityBound is how much more than the mean load a server may have and
-	// still be chosen for the prompt that it holds (consistent hashing with
-	// bounded loads uses 1.25 to 2).
-	affinityBound = 1.5
-	// affinityRoom is the load, in attempts, up to which a server is chosen for
-	// the prompt that it holds, however idle the others are.
-	affinityRoom = 3
+	// attemptWork is what an attempt in progress adds to its server's load
+	// besides its prompt, in tokens: it slows each step of the others a little.
+	attemptWork = 60
+	// crowd is how many times its own load a process takes a server's to be,
+	// since others send to it as well and know as little of this one.
+	crowd = 2.0
 	// remoteCost is the load that a server in another data centre must have
 	// less than one in the own to be preferred, in attempts.
 	remoteCost = 2
@@ -34,9 +33,12 @@
 	// and to servers of any other version if Except is set.
 	Version      string
 	Only, Except bool
-	// Affinity is the start of the prompt that a server may hold; empty for
+	// Affinity names the start of the prompt that a server may hold; empty for
 	// requests without one.
 	Affinity string
+	// Held is the work of reading that start, in tokens of the smallest model; a
+	// server that holds it is spared it.
+	Held float64
 	// Tried holds the ids of servers that are not to be chosen again.
 	Tried []string
 }
@@ -51,6 +53,9 @@
 	outliers outlier.Detector
 	// running counts the own attempts in progress by server id.
 	running map[string]int
+	// reading is the work of the own prompts that servers have not read yet, by
+	// server id, in tokens of the smallest model.
+	reading map[string]float64
 }
 
 // Pick returns a server for an attempt. If every server that fits was ejected,
@@ -75,25 +80,30 @@
 		return nil, false
 	}
 	if ask.Affinity != "" {
-		return po.holder(usable, ask.Affinity), true
+		return po.holder(usable, ask), true
 	}
 	return po.leastLoaded(usable, random), true
 }
 
-// holder returns the server that ranks first for the prompt by rendezvous
-// hashing among those whose load is within the bound.
-func (po *Pool) holder(list []*directory.Server, key string) *directory.Server {
-	total := 0
+// holder returns the server that will probably have read the prompt first: the
+// one that ranks first by rendezvous hashing holds its start already, any other
+// must read it too, and each has its load to work off before.
+func (po *Pool) holder(list []*directory.Server, ask Ask) *directory.Server {
+	home := first(list, ask.Affinity)
+	best, least := home, crowd*po.load(home.ID)
 	for _, se := range list {
-		total += po.running[se.ID]
+		if work := crowd*po.load(se.ID) + ask.Held; se != home && work < least {
+			best, least = se, work
+		}
 	}
-	bound := max(affinityRoom, affinityBound*float64(total+1)/float64(len(list)))
+	return best
+}
+
+// first returns the server that ranks first for a key.
+func first(list []*directory.Server, key string) *directory.Server {
 	var best *directory.Server
 	most := uint64(0)
 	for _, se := range list {
-		if float64(po.running[se.ID]) > bound {
-			continue
-		}
 		if we := xxhash.Sum64String(key + "\x00" + se.ID); best == nil || we > most {
 			best, most = se, we
 		}
@@ -101,6 +111,12 @@
 	return best
 }
 
+// load returns the own work that a server has still to do, in tokens of the
+// smallest model.
+func (po *Pool) load(id string) float64 {
+	return po.reading[id] + attemptWork*float64(po.running[id])
+}
+
 // leastLoaded returns the server with the fewest own attempts, those in
 // another data centre charged for the way; equals are chosen at random.
 func (po *Pool) leastLoaded(list []*directory.Server, random uint64) *directory.Server {
@@ -120,20 +136,28 @@
 	return best
 }
 
-// Started notes an attempt.
-func (po *Pool) Started(id string, now time.Time) {
+// Started notes an attempt whose prompt is so much work to read.
+func (po *Pool) Started(id string, work float64, now time.Time) {
 	if po.running == nil {
 		po.running = map[string]int{}
+		po.reading = map[string]float64{}
 	}
 	po.running[id]++
+	po.reading[id] += work
 	po.outliers.Sent(id, now)
 }
 
+// Read notes that the prompt of an attempt was read, or is not to be any more.
+func (po *Pool) Read(id string, work float64) {
+	po.reading[id] = max(0, po.reading[id]-work)
+}
+
 // Ended notes the end of an attempt.
 func (po *Pool) Ended(id string) {
 	po.running[id]--
 	if po.running[id] <= 0 {
 		delete(po.running, id)
+		delete(po.reading, id)
 	}
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -22,15 +22,19 @@
 
 func TestAPromptKeepsItsServerWhileTheLoadAllows(t *testing.T) {
 	po := pool(6)
-	first, ok := po.Pick(Ask{Service: "svc", Affinity: "p"}, 1, now)
+	ask := Ask{Service: "svc", Affinity: "p", Held: 5000}
+	home, ok := po.Pick(ask, 1, now)
 	require.True(t, ok)
-	for range affinityRoom + 1 {
-		again, _ := po.Pick(Ask{Service: "svc", Affinity: "p"}, 2, now)
-		require.Equal(t, first.ID, again.ID)
-		po.Started(first.ID, now)
+	for range 2 {
+		again, _ := po.Pick(ask, 2, now)
+		require.Equal(t, home.ID, again.ID)
+		po.Started(home.ID, 2000, now)
 	}
-	other, _ := po.Pick(Ask{Service: "svc", Affinity: "p"}, 3, now)
-	require.NotEqual(t, first.ID, other.ID)
+	other, _ := po.Pick(ask, 3, now)
+	require.NotEqual(t, home.ID, other.ID, "waiting there is longer than reading it elsewhere")
+	po.Read(home.ID, 4000)
+	again, _ := po.Pick(ask, 4, now)
+	require.Equal(t, home.ID, again.ID)
 }
 
 func TestTheLeastLoadedOfTheOwnDataCentreIsChosen(t *testing.T) {
@@ -40,8 +44,8 @@
 		require.Equal(t, "dc0", se.DataCentre)
 	}
 	for range 5 {
-		po.Started("s0", now)
-		po.Started("s3", now)
+		po.Started("s0", 0, now)
+		po.Started("s3", 0, now)
 	}
 	se, _ := po.Pick(Ask{Service: "svc"}, 0, now)
 	require.NotEqual(t, "dc0", se.DataCentre)
