perf: attempts carry their urgency to the server

Change: the route's or team's priority goes with each attempt, and an attempt that follows another comes before a first one of the same rank.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -78,8 +78,8 @@
 func (se *sent) call(ctx context.Context) {
 	ex := se.ex
 	se.answer, se.err = ex.ga.Backend.Call(ctx, &Attempt{
-		Ask: ex.as, Body: ex.body, Server: se.server, Team: ex.team, Model: se.step.Model(),
-		Left: ex.left(time.Now()), LastEvent: ex.lastEvent(se.step),
+		Ask: ex.as, Body: ex.body, Server: se.server, Team: ex.team(), Model: se.step.Model(),
+		Urgency: ex.urgency(se.step), Left: ex.left(time.Now()), LastEvent: ex.lastEvent(se.step),
 	})
 	if se.err != nil || se.answer.Stream {
 		return
@@ -90,6 +90,23 @@
 	}
 }
 
+// urgency ranks an attempt by the priority of its team or route; among equals,
+// one that follows another comes first, since a part of its time has passed.
+func (ex *exchange) urgency(step direct.Step) int {
+	urgency := 2 * ex.priority()
+	if step.Attempt() == 1 && ex.as.LastEvent == "" {
+		urgency++
+	}
+	return urgency
+}
+
+func (ex *exchange) priority() int {
+	if te := ex.holder; te != nil && te.Priority != nil {
+		return *te.Priority
+	}
+	return ex.route.Priority
+}
+
 // left returns how long a server may work: what is left of the caller's time,
 // not the route's, since a server that stops early fails where a gateway would
 // still have delivered.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -44,9 +44,10 @@
 	as *Ask
 	an Responder
 
-	table   *routing.Table
-	route   *routing.Route
-	team    string
+	table *routing.Table
+	route *routing.Route
+	// holder is the team that holds the caller's key, nil on a public route.
+	holder  *routing.Team
 	service string
 	session string
 	body    []byte
@@ -79,12 +80,20 @@
 		if te == nil {
 			return ex.denied(result.UnknownKey)
 		}
-		ex.team = te.Name
+		ex.holder = te
 	}
 	ex.prepare()
 	return result.OK
 }
 
+// team returns the name of the caller's team, "" on a public route.
+func (ex *exchange) team() string {
+	if ex.holder == nil {
+		return ""
+	}
+	return ex.holder.Name
+}
+
 // denied returns the code for what the configuration does not hold: with an
 // old configuration that says nothing.
 func (ex *exchange) denied(co result.Code) result.Code {
@@ -250,7 +259,7 @@
 		kind, route = string(ex.route.Kind), ex.route.Name
 	}
 	countRequest(kind, co, took.Seconds())
-	le := ex.ga.Log.Info().Int("event", int(id)).Str("request", ex.as.ID).Str("route", route).Str("team", ex.team).
+	le := ex.ga.Log.Info().Int("event", int(id)).Str("request", ex.as.ID).Str("route", route).Str("team", ex.team()).
 		Int("code", int(co)).Uint64("version", ex.table.Version()).Dur("age_ms", ex.age).Dur("ms", took).
 		Int("sends", len(ex.attempts)).Int("runs", ex.request.Runs())
 	if last := ex.attempts[len(ex.attempts)]; last != nil {
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -76,6 +76,8 @@
 	Team string
 	// Model is the model to name; empty to leave what the caller named.
 	Model string
+	// Urgency ranks the attempt at its server; 0 is served first.
+	Urgency int
 	// Left is how long the server may work.
 	Left time.Duration
 	// LastEvent is the event after which a stream goes on; empty for the start.
