fix: failing servers do not roll a good version back; slow pools are not given up on

What a server did not say itself is no longer an answer of its version, and bad answers must come from 30% of the servers tried. A head four times later than usual is a bad answer, so that a version that is only slow is found.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -32,6 +32,13 @@
 	Next(place, confidence int, now time.Time) (int, bool)
 }
 
+// Pace knows how long servers take.
+type Pace interface {
+	// Usual returns how long the head of a model's answer usually takes now,
+	// zero if that is not known.
+	Usual(model string) time.Duration
+}
+
 // Do is what the shell must do next.
 type Do string
 
@@ -91,6 +98,10 @@
 	// that may be repeated is given up for another: late enough to count as an
 	// offer (a quarter), early enough that the second try can be in time.
 	patiencePart = 0.6
+	// patienceTimes is how many times the usual time an attempt is waited for
+	// where that is longer: giving up what is only slow would add to the load
+	// that slows it.
+	patienceTimes = 4
 	// minLeft is the least time left in which an attempt is still made.
 	minLeft = 5 * time.Millisecond
 	// serverError is the first status that says that a server failed.
@@ -114,6 +125,7 @@
 	Picker                     Picker
 	Retries                    Retries
 	Cascade                    Cascade
+	Pace                       Pace
 
 	// place is the model asked now.
 	place int
@@ -270,7 +282,8 @@
 	if !re.Idempotent || re.runs+1 >= re.MaxRuns {
 		return re.Deadline
 	}
-	until := now.Add(time.Duration(patiencePart * float64(re.Target.Sub(re.Received))))
+	wait := time.Duration(patiencePart * float64(re.Target.Sub(re.Received)))
+	until := now.Add(max(wait, patienceTimes*re.Pace.Usual(re.model())))
 	if until.After(re.Deadline) {
 		return re.Deadline
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,10 +69,28 @@
 	patience := time.AfterFunc(time.Until(step.Patience()), se.cancel)
 	se.call(ctx)
 	patience.Stop()
+	se.headCame(time.Now())
+	return se
+}
+
+// headCame notes how long the head of an answer took, or that it was not waited
+// for any longer.
+func (se *sent) headCame(now time.Time) {
+	ga, took := se.ex.ga, now.Sub(se.began)
 	ga.mu.Lock()
+	defer ga.mu.Unlock()
 	ga.pool.Read(se.server.ID, se.work)
-	ga.mu.Unlock()
-	return se
+	if se.err != nil && now.Before(se.step.Patience()) {
+		return
+	}
+	name := se.server.Service + "\x00" + se.step.Model()
+	usual := ga.pace.Usual(name)
+	if se.err == nil {
+		ga.observe(se.server, se.answer.Status >= serverFailed, took, usual)
+	}
+	if !ga.isNew(se.server) {
+		ga.pace.Observe(name, took)
+	}
 }
 
 func (se *sent) call(ctx context.Context) {
@@ -163,7 +181,6 @@
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.observe(se.server.Service, se.server.Version, !good)
 	if good {
 		if ga.pool.Succeeded(se.server.ID) {
 			ga.noteServer(event.ServerReturned, se.server.ID, "it answered again")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/cascade"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/pace"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
 )
@@ -58,6 +59,8 @@
 	connected bool
 	servers   directory.Directory
 	pool      pool.Pool
+	// pace knows how long heads take, by service and model.
+	pace pace.Meter
 	// retries holds the window of each service.
 	retries map[string]*budget.Window
 	// rollouts holds the newest roll-out of each service.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
 	"github.com/linnetrudder/linnetrudder/internal/rollout"
@@ -82,15 +83,29 @@
 	return ask
 }
 
-// observe takes the outcome of an attempt for the roll-out of its service. The
-// lock is held.
-func (ga *Gateway) observe(service, version string, bad bool) {
-	ro := ga.rollouts[service]
+// isNew reports whether a server runs a version that is being tried. The lock is
+// held.
+func (ga *Gateway) isNew(se directory.Server) bool {
+	ro := ga.rollouts[se.Service]
+	return ro != nil && ro.canary.Phase() == rollout.Trying && se.Version == ro.order.Plan.Version
+}
+
+// slowTimes is how many times the old version's usual time to the head of an
+// answer counts as a bad answer: bad versions are said to be several times
+// slower, and long prompts take up to three times the usual.
+const slowTimes = 4
+
+// observe takes the answer of a server for the roll-out of its service: a
+// failure, or a head that came late, is a bad one. What the server did not say
+// itself, such as a lost connection, is no answer. The lock is held.
+func (ga *Gateway) observe(se directory.Server, failed bool, head, usual time.Duration) {
+	ro := ga.rollouts[se.Service]
 	if ro == nil || ro.canary.Phase() == rollout.Complete || ro.canary.Phase() == rollout.Failed {
 		return
 	}
+	bad := failed || usual > 0 && head > slowTimes*usual
 	was := ro.canary.Bad()
-	if ro.canary.Observe(version == ro.order.Plan.Version, bad) && !was {
+	if ro.canary.Observe(se.ID, se.Version == ro.order.Plan.Version, bad) && !was {
 		// The store may be away: this gateway stops using the version at once.
 		ga.enter(ro, rollout.Failed)
 		ro.tried = time.Time{}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -125,7 +125,7 @@
 		Idempotent: ro.Idempotent(), Resumable: ro.Kind == routing.Streaming && ro.Resumable,
 		MaxRuns:  max(plainAttempts, ro.Attempts),
 		Received: as.Received, Target: as.Received.Add(ro.Target), Deadline: as.Received.Add(limit),
-		Picker: ex, Retries: ex, Cascade: ex,
+		Picker: ex, Retries: ex, Cascade: ex, Pace: ex,
 	}
 	if as.AnyModel {
 		ex.request.Models = ro.Models
@@ -191,6 +191,13 @@
 	return ex.ga.Cascade.Next(len(ex.request.Models), place, confidence)
 }
 
+// Usual returns how long the head of a model's answer usually takes.
+func (ex *exchange) Usual(model string) time.Duration {
+	ex.ga.mu.Lock()
+	defer ex.ga.mu.Unlock()
+	return ex.ga.pace.Usual(ex.service + "\x00" + model)
+}
+
 // run carries out the decisions until the request has its answer.
 func (ex *exchange) run(ctx context.Context) {
 	now := time.Now()
--- a/internal/rollout/canary.go
+++ b/internal/rollout/canary.go
@@ -42,10 +42,16 @@
 	// nothing is known, badRate the least that must be caught.
 	normalRate = 0.02
 	badRate    = 0.15
+	// badServers is the part of the servers tried that must have given bad
+	// answers: a bad version is bad everywhere, while a failing server of a good
+	// one is alone or with few (the users' disruptions strike up to a fifth).
+	badServers = 0.3
+	// fewestBad is the least number of such servers, if there are so many.
+	fewestBad = 2
 	// alarmSum is the cumulative log likelihood ratio at which a version counts
-	// as bad; a good one with the normal rate gets there about once in 200 runs
-	// of some hundred requests.
-	alarmSum = 6.5
+	// as bad; a good one that fails as often as the old one, 0.14, gets there in
+	// one of a hundred roll-outs of 60 outcomes (see the tests).
+	alarmSum = 7
 )
 
 // Plan is an order to move a service to a version within a time.
@@ -69,6 +75,8 @@
 	// tried and bad count the new version's outcomes, oldTried and oldBad the
 	// old version's.
 	tried, bad, oldTried, oldBad int
+	// servers holds whether each server of the new version gave a bad answer.
+	servers map[string]bool
 }
 
 // Phase returns the phase in force.
@@ -107,9 +115,9 @@
 	return float64(xxhash.Sum64String(version+"\x00"+session)>>11) / (1 << 53)
 }
 
-// Observe takes the outcome of a request that one of the versions ran. It
-// reports whether the new version now counts as bad.
-func (ca *Canary) Observe(isNew, bad bool) bool {
+// Observe takes the outcome of a request that a server of one of the versions
+// answered. It reports whether the new version now counts as bad.
+func (ca *Canary) Observe(server string, isNew, bad bool) bool {
 	if !isNew {
 		ca.oldTried++
 		if bad {
@@ -118,6 +126,10 @@
 		return false
 	}
 	ca.tried++
+	if ca.servers == nil {
+		ca.servers = map[string]bool{}
+	}
+	ca.servers[server] = ca.servers[server] || bad
 	count := 0.0
 	if bad {
 		ca.bad++
@@ -130,7 +142,19 @@
 }
 
 // Bad reports whether the new version counts as bad.
-func (ca *Canary) Bad() bool { return ca.sum >= alarmSum }
+func (ca *Canary) Bad() bool { return ca.sum >= alarmSum && ca.widespread() }
+
+// widespread reports whether bad answers came from enough of the servers.
+func (ca *Canary) widespread() bool {
+	bad := 0
+	for _, was := range ca.servers {
+		if was {
+			bad++
+		}
+	}
+	seen := len(ca.servers)
+	return bad >= min(fewestBad, seen) && float64(bad) >= badServers*float64(seen)
+}
 
 // Counts returns the new version's outcomes.
 func (ca *Canary) Counts() (tried, bad int) { return ca.tried, ca.bad }
