--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -14,7 +14,7 @@
 const (
 	// watchWait is how long one watch waits for a change. Each answer confirms
 	// the configuration, so it is well below the bound on its age.
-	watchWait = time.Second
+	watchWait = 1500 * time.Millisecond
 	// gather is how long changes that follow one another are waited for, so that
 	// they cost one call: far below the bound on applying a configuration.
 	gather = 100 * time.Millisecond
