--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -166,7 +166,7 @@
 	re.runs++
 	re.doubt = true
 	if !re.Idempotent {
-		return re.refuse(result.LinkLost, 0, now)
+		return re.refuse(result.LinkLost, 0)
 	}
 	return re.again(result.LinkLost, 0, now)
 }
@@ -190,10 +190,15 @@
 
 // Broken says that the stream being delivered broke off.
 func (re *Request) Broken(now time.Time) Step {
-	if !re.Resumable || !re.mayRun(now) {
+	if !re.Resumable || !re.mayRun(now) || !re.maySend() {
 		return Step{do: Abort, code: result.AnswerBroken}
 	}
 	server, ok := re.Picker.Pick(re.model(), re.tried, now)
+	if !ok && len(re.tried) > 1 {
+		// In a small pool one that failed before is better than none; the one
+		// that broke just now is not.
+		server, ok = re.Picker.Pick(re.model(), re.tried[len(re.tried)-1:], now)
+	}
 	if !ok || !re.Retries.Take(now) {
 		return Step{do: Abort, code: result.AnswerBroken}
 	}
@@ -236,8 +241,8 @@
 	switch {
 	case re.delivered:
 		return re.Broken(now)
-	case re.sends >= re.MaxRuns+spareSends, !re.mayRun(now), !re.Retries.Take(now):
-		return re.refuse(co, after, now)
+	case !re.maySend(), !re.mayRun(now), !re.Retries.Take(now):
+		return re.refuse(co, after)
 	}
 	return re.send(co, after, now)
 }
@@ -247,6 +252,10 @@
 	return re.runs < re.MaxRuns && re.Deadline.Sub(now) > minLeft
 }
 
+// maySend reports whether one more attempt may be sent, also if servers refuse
+// all of them.
+func (re *Request) maySend() bool { return re.sends < re.MaxRuns+spareSends }
+
 func (re *Request) model() string {
 	if len(re.Models) == 0 {
 		return ""
@@ -258,11 +267,11 @@
 // is final.
 func (re *Request) send(co result.Code, after time.Duration, now time.Time) Step {
 	if re.Deadline.Sub(now) <= minLeft {
-		return re.refuse(result.DeadlinePassed, 0, now)
+		return re.refuse(result.DeadlinePassed, 0)
 	}
 	server, ok := re.Picker.Pick(re.model(), re.tried, now)
 	if !ok {
-		return re.refuse(co, after, now)
+		return re.refuse(co, after)
 	}
 	return re.attempt(server, now)
 }
@@ -297,7 +306,7 @@
 
 // refuse ends the request. After an attempt that may have run, no code says
 // that the request did not.
-func (re *Request) refuse(co result.Code, after time.Duration, now time.Time) Step {
+func (re *Request) refuse(co result.Code, after time.Duration) Step {
 	if re.doubt || re.runs > 0 {
 		co = result.LinkLost
 	}
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -125,7 +125,7 @@
 			return nil
 		}
 		if err != nil {
-			return err //nolint:wrapcheck // its kind decides what follows
+			return err
 		}
 		watch.Reset(stall)
 		if ex.has(ev) {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// watchWait is how long one watch waits for a change. Each answer confirms
-	// the configuration, so it is well below the bound on its age.
-	watchWait = 1500 * time.Millisecond
+	// watchMost is how long one watch waits for a change at the most: each answer
+	// confirms the configuration, and each call is priced.
+	watchMost = 1500 * time.Millisecond
 	// gather is how long changes that follow one another are waited for, so that
 	// they cost one call: far below the bound on applying a configuration.
 	gather = 100 * time.Millisecond
@@ -42,7 +42,7 @@
 func (ga *Gateway) watch(ctx context.Context, revision uint64) {
 	for ctx.Err() == nil {
 		sent := time.Now()
-		st, err := ga.Source.Watch(ctx, revision, watchWait)
+		st, err := ga.Source.Watch(ctx, revision, ga.watchWait())
 		if errors.Is(err, ErrHistoryGone) {
 			ga.Log.Warn().Int("event", int(event.HistoryGone)).Uint64("revision", revision).Msg(event.Name(event.HistoryGone))
 			return
@@ -59,6 +59,17 @@
 	}
 }
 
+// watchWait returns how long a watch waits, so that keys can be accepted all the
+// while.
+func (ga *Gateway) watchWait() time.Duration {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if ga.Bounds.Revoke == 0 {
+		return watchMost
+	}
+	return min(watchMost, ga.Bounds.oldest()/2)
+}
+
 // lost notes a failed call and waits for a while.
 func (ga *Gateway) lost(ctx context.Context, why error) {
 	if ctx.Err() != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,10 +26,11 @@
 	// ownSlack is the retries that one gateway allows itself besides; the
 	// platform's slack is for all together, and how many there are is not known.
 	ownSlack = 2
-	// staleMargin is what is taken off the bound on the configuration's age: a
-	// watch may hear nothing for a second although changes are made, and a
-	// clock may run a little slow.
+	// staleMargin is what is taken off the bound on the configuration's age, but
+	// not more than staleShare of it: a watch may hear nothing for a second
+	// although changes are made, and a clock may run a little slow.
 	staleMargin = 1300 * time.Millisecond
+	staleShare  = 3
 	// denyAge is the age of the configuration up to which "no such route" and
 	// "no such key" are said; with an older one they might be there by now.
 	denyAge = 2500 * time.Millisecond
@@ -120,7 +121,7 @@
 func (ga *Gateway) fresh(now time.Time) bool {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	return ga.Bounds.Revoke == 0 || now.Sub(ga.confirmed) < ga.Bounds.Revoke-staleMargin
+	return ga.Bounds.Revoke == 0 || now.Sub(ga.confirmed) < ga.Bounds.oldest()
 }
 
 // SetBounds takes changed bounds.
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -202,3 +202,8 @@
 	RetryWindow time.Duration
 	RetrySlack  float64
 }
+
+// oldest returns the age of the configuration up to which keys are accepted.
+func (bo Bounds) oldest() time.Duration {
+	return bo.Revoke - min(staleMargin, bo.Revoke/staleShare)
+}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -59,7 +59,7 @@
 				return Event{}, bufio.ErrTooLong
 			}
 			continue
-		case err == io.EOF && len(ev.raw) > 0: //nolint:errorlint // a Reader returns it as it is
+		case err == io.EOF && len(ev.raw) > 0:
 			return Event{}, io.ErrUnexpectedEOF
 		case err != nil:
 			return Event{}, err //nolint:wrapcheck // the reader's own error is what the caller decides by
