fix: an empty answer to a watch confirms the time at which it was given

An empty answer is given when the wait is over; any other one when it comes, unless the process was stopped meanwhile (its ticks tell). Test: gateway.TestKeysAreAcceptedUpToTheBoundOnTheirAge.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -41,8 +41,8 @@
 
 func (ga *Gateway) watch(ctx context.Context, revision uint64) {
 	for ctx.Err() == nil {
-		sent := time.Now()
-		st, err := ga.Source.Watch(ctx, revision, ga.watchWait())
+		sent, wait := time.Now(), ga.watchWait()
+		st, err := ga.Source.Watch(ctx, revision, wait)
 		if errors.Is(err, ErrHistoryGone) {
 			ga.Log.Warn().Int("event", int(event.HistoryGone)).Uint64("revision", revision).Msg(event.Name(event.HistoryGone))
 			return
@@ -51,7 +51,7 @@
 			ga.lost(ctx, err)
 			continue
 		}
-		ga.apply(st, sent)
+		ga.apply(st, ga.answeredAt(sent, wait, len(st.Changes) == 0, time.Now()))
 		revision = st.Revision
 		if len(st.Changes) > 0 {
 			sleep(ctx, gather)
@@ -97,11 +97,10 @@
 	}
 }
 
-// confirm notes that the state is as it was at the time of the call. The lock
-// is held.
-func (ga *Gateway) confirm(sent time.Time) {
-	if sent.After(ga.confirmed) {
-		ga.confirmed = sent
+// confirm notes that all changes up to a time are known. The lock is held.
+func (ga *Gateway) confirm(at time.Time) {
+	if at.After(ga.confirmed) {
+		ga.confirmed = at
 	}
 	if ga.connected {
 		return
@@ -129,11 +128,27 @@
 		Int("servers", len(list)).Msg(event.Name(event.StateRead))
 }
 
-// apply takes what a watch returned.
-func (ga *Gateway) apply(st State, sent time.Time) {
+// answeredAt returns a time at which the answer to a watch was surely not given
+// yet, as late as can be said: an empty one is given when the wait is over, any
+// other one when it came, unless this process was stopped meanwhile and the
+// answer may have lain there.
+func (ga *Gateway) answeredAt(sent time.Time, wait time.Duration, empty bool, now time.Time) time.Time {
+	if empty && now.Sub(sent) >= wait {
+		return sent.Add(wait)
+	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.confirm(sent)
+	if now.Sub(ga.ticked) > stallGap || ga.stalled.After(sent) {
+		return sent
+	}
+	return now
+}
+
+// apply takes what a watch returned and the time as of which it holds.
+func (ga *Gateway) apply(st State, at time.Time) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.confirm(at)
 	for _, ch := range st.Changes {
 		ga.change(ch)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,9 @@
 const (
 	// tickEvery is how often roll-outs and missing servers are looked at.
 	tickEvery = 100 * time.Millisecond
+	// stallGap is the time between two ticks after which the process is taken to
+	// have been stopped; a busy processor delays a tick by less.
+	stallGap = 4 * tickEvery
 	// ownRatio is the part of the retry ratio that is used, since requests at
 	// the edge of a window are counted by another clock.
 	ownRatio = 0.94
@@ -53,11 +56,15 @@
 	inProgress atomic.Int64
 
 	// mu guards what follows.
-	mu        sync.Mutex
+	mu sync.Mutex
+	// confirmed is the time up to which all changes are known.
 	confirmed time.Time
-	connected bool
-	servers   directory.Directory
-	pool      pool.Pool
+	// ticked is the time of the newest tick, stalled when a tick came so late
+	// that the process must have been stopped before.
+	ticked, stalled time.Time
+	connected       bool
+	servers         directory.Directory
+	pool            pool.Pool
 	// pace knows how long heads take, by service and model.
 	pace pace.Meter
 	// retries holds the window of each service.
@@ -140,12 +147,22 @@
 		case <-ctx.Done():
 			return
 		case now := <-ti.C:
+			ga.noteTick(now)
 			ga.dropMissing(now)
 			ga.advanceRollouts(ctx, now)
 		}
 	}
 }
 
+func (ga *Gateway) noteTick(now time.Time) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if !ga.ticked.IsZero() && now.Sub(ga.ticked) > stallGap {
+		ga.stalled = now
+	}
+	ga.ticked = now
+}
+
 func (ga *Gateway) dropMissing(now time.Time) {
 	ga.mu.Lock()
 	dropped := ga.servers.Tick(now)
