--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -9,10 +9,10 @@
 	// answers between 50 and 58 a third are poor, above 60 hardly any.
 	keepCalm = 60
 	// calmPressure is the pressure up to which the pool counts as having room.
-	calmPressure = 0.3
+	calmPressure = 0.4
 	// fullPressure is the pressure at which only answers with hardly any
 	// confidence are asked for again.
-	fullPressure = 0.9
+	fullPressure = 1.0
 	// keepFull is the confidence from which answers are kept at full pressure.
 	keepFull = 10
 	// nearBand is how far below that confidence the next larger model is most
@@ -27,8 +27,9 @@
 type State struct {
 	// Models is how many models may answer.
 	Models int
-	// Pressure is the time that the head of the largest model's answer usually
-	// takes now, over the time in which answers are to come.
+	// Pressure is the time that the heads of the smallest and the largest model's
+	// answers usually take now, one after the other, over the time in which
+	// answers are to come. Both count: the larger model's are served first.
 	Pressure float64
 	// Priority ranks the request; 0 is the most urgent.
 	Priority int
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -197,7 +197,8 @@
 	models := ex.request.Models
 	st := cascade.State{Models: len(models), Priority: ex.priority()}
 	if soonest := ex.table.Soonest(ex.service); soonest > 0 {
-		st.Pressure = ex.Usual(models[len(models)-1]).Seconds() / soonest.Seconds()
+		heads := ex.Usual(models[0]) + ex.Usual(models[len(models)-1])
+		st.Pressure = heads.Seconds() / soonest.Seconds()
 	}
 	return st
 }
