--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -61,6 +61,7 @@
 	server   string
 	model    string
 	patience time.Time
+	limit    time.Time
 	resume   bool
 	code     result.Code
 	after    time.Duration
@@ -81,6 +82,10 @@
 // Patience returns when an attempt without the head of an answer is given up.
 func (st Step) Patience() time.Time { return st.patience }
 
+// Limit returns when an attempt without the head of an answer is given up even
+// if its server has answered others meanwhile; it is not before Patience.
+func (st Step) Limit() time.Time { return st.limit }
+
 // Resume reports whether the attempt continues a stream.
 func (st Step) Resume() bool { return st.resume }
 
@@ -102,6 +107,9 @@
 	// where that is longer: giving up what is only slow would add to the load
 	// that slows it.
 	patienceTimes = 4
+	// limitTimes is how many times the usual time an attempt is waited for whose
+	// server answers others: by then the server has lost it.
+	limitTimes = 10
 	// minLeft is the least time left in which an attempt is still made.
 	minLeft = 5 * time.Millisecond
 	// serverError is the first status that says that a server failed.
@@ -279,24 +287,31 @@
 func (re *Request) attempt(server string, now time.Time) Step {
 	re.tried = append(re.tried, server)
 	re.sends++
+	patience, limit := re.patience(now)
 	return Step{
 		do: Send, attempt: re.sends, server: server, model: re.model(),
-		patience: re.patience(now), resume: re.delivered,
+		patience: patience, limit: limit, resume: re.delivered,
 	}
 }
 
-// patience returns how long an attempt may give nothing. The last one that is
-// allowed has all the time there is.
-func (re *Request) patience(now time.Time) time.Time {
+// patience returns how long an attempt may give nothing, and how long if its
+// server answers others. The last one that is allowed has all the time there is.
+func (re *Request) patience(now time.Time) (patience, limit time.Time) {
 	if !re.Idempotent || re.runs+1 >= re.MaxRuns {
-		return re.Deadline
+		return re.Deadline, re.Deadline
 	}
+	usual := re.Pace.Usual(re.model())
 	wait := time.Duration(patiencePart * float64(re.Target.Sub(re.Received)))
-	until := now.Add(max(wait, patienceTimes*re.Pace.Usual(re.model())))
-	if until.After(re.Deadline) {
-		return re.Deadline
+	wait = max(wait, patienceTimes*usual)
+	patience = earlier(now.Add(wait), re.Deadline)
+	return patience, earlier(now.Add(max(wait, limitTimes*usual)), re.Deadline)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	return until
+	return b
 }
 
 func (re *Request) deliver() Step {
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -136,8 +136,13 @@
 }
 
 func TestASlowPoolIsNotGivenUpOn(t *testing.T) {
-	re := request(func(re *Request) { re.Pace = pace(500 * time.Millisecond) })
-	require.Equal(t, t0.Add(2*time.Second), re.Begin(t0).Patience())
+	re := request(func(re *Request) { re.Pace = pace(300 * time.Millisecond) })
+	st := re.Begin(t0)
+	require.Equal(t, t0.Add(1200*time.Millisecond), st.Patience())
+	require.Equal(t, t0.Add(3*time.Second), st.Limit(), "where the server answers others")
+	re = request(func(re *Request) { re.Pace = pace(20 * time.Millisecond) })
+	st = re.Begin(t0)
+	require.Equal(t, st.Patience(), st.Limit(), "a quick pool has lost it by then")
 	re = request(func(re *Request) { re.Pace = pace(time.Minute) })
 	require.Equal(t, re.Deadline, re.Begin(t0).Patience())
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,24 +77,20 @@
 	return se
 }
 
-// patienceMore is how many times as long an attempt is waited for whose server
-// has answered others meanwhile: it is slow and not dead, and to ask another one
-// would be the same work again.
-const patienceMore = 3
-
 // impatient gives the attempt up if its server has said nothing since, and
-// waits on for a last time if it has. It runs on a timer of its own.
+// waits on for a last time if it has: such a server is slow and not dead, and to
+// ask another one would be the same work again. It runs on a timer of its own.
 func (se *sent) impatient() {
-	ga := se.ex.ga
+	ga, more := se.ex.ga, se.step.Limit().Sub(se.step.Patience())
 	ga.mu.Lock()
 	alive := ga.pool.Heard(se.server.ID).After(se.began)
 	ga.mu.Unlock()
-	if !alive {
+	if !alive || more <= 0 {
 		se.silent.Store(true)
 		se.cancel()
 		return
 	}
-	time.AfterFunc((patienceMore-1)*se.step.Patience().Sub(se.began), func() {
+	time.AfterFunc(more, func() {
 		if !se.headed.Load() {
 			se.cancel()
 		}
