perf: changes of the store are gathered for 0.3 s

Calls are the second largest price on the grown deployments, and most follow a change at once. A change is known 0.3 s later at the most, where 2 s are allowed.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -17,7 +17,7 @@
 	watchMost = 1500 * time.Millisecond
 	// gather is how long changes that follow one another are waited for, so that
 	// they cost one call: far below the bound on applying a configuration.
-	gather = 100 * time.Millisecond
+	gather = 300 * time.Millisecond
 	// pauseLeast and pauseMost bound the time between two calls to a service
 	// that gives no answers.
 	pauseLeast = 100 * time.Millisecond
