fix: a version that is bad only under load keeps within its share; silence cuts no stream that cannot go on

Causes and changes: - EXPOSURE (under_load): everything moved at 0.56 of the time, before anything bad could show. Now so late that the share of all requests in the time is kept even if the version turns out bad (canary_share), and finished half a second before the deadline. - PINNED: sessions from before the order moved to the new version. It gets none for the first gap of a session, and a process remembers what sessions had. - LOST: a silent stream was cut after its last allowed run. Silence now ends a stream only where it can go on elsewhere.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -198,7 +198,7 @@
 
 // Broken says that the stream being delivered broke off.
 func (re *Request) Broken(now time.Time) Step {
-	if !re.Resumable || !re.mayRun(now) || !re.maySend() {
+	if !re.MayResume(now) {
 		return Step{do: Abort, code: result.AnswerBroken}
 	}
 	server, ok := re.Picker.Pick(re.model(), re.tried, now)
@@ -213,6 +213,11 @@
 	return re.attempt(server, now)
 }
 
+// MayResume reports whether a stream that breaks now may be continued.
+func (re *Request) MayResume(now time.Time) bool {
+	return re.Resumable && re.mayRun(now) && re.maySend()
+}
+
 // failed decides on an answer by which the server says that it failed: another
 // server is tried where that is allowed, otherwise it is the caller's.
 func (re *Request) failed(now time.Time) Step {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -112,13 +112,16 @@
 		return
 	}
 	name := se.server.Service + "\x00" + se.step.Model()
-	usual := ga.pace.Usual(name)
-	if se.err == nil {
-		ga.observe(se.server, se.answer.Status >= serverFailed, took, usual)
-	}
 	if !ga.isNew(se.server) {
 		ga.pace.Observe(name, took)
 	}
+	switch {
+	case se.err != nil || se.answer.Stream:
+	case se.answer.Status >= serverFailed:
+		ga.observe(se.server, true, "", 0)
+	default:
+		ga.observe(se.server, false, "whole "+name, took)
+	}
 }
 
 func (se *sent) call(ctx context.Context) {
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -8,6 +8,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/direct"
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/pool"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/sse"
 )
@@ -62,13 +63,15 @@
 		return
 	}
 	for {
-		err := ex.relay(se)
+		began := time.Now()
+		events, err := ex.relay(se)
 		now := time.Now()
 		var er *result.Error
 		switch {
 		case err == nil:
 			se.end("answered")
 			ex.ga.judge(ctx, se, true, now)
+			ex.ga.streamed(se, events, now.Sub(began))
 			ex.answered()
 			return
 		case errors.As(err, &er):
@@ -85,6 +88,22 @@
 	}
 }
 
+// fewestEvents is how many events a stream must have for its pace to say
+// something.
+const fewestEvents = 4
+
+// streamed takes the pace of a whole stream for the roll-out of its service. It
+// does not depend on the prompt, unlike the time to the head.
+func (ga *Gateway) streamed(se *sent, events int, took time.Duration) {
+	pace := time.Duration(0)
+	if events >= fewestEvents {
+		pace = took / time.Duration(events-1)
+	}
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.observe(se.server, false, "event "+se.server.Service+"\x00"+se.step.Model(), pace)
+}
+
 // resume continues a broken stream; it returns nil if the request has ended.
 func (ex *exchange) resume(ctx context.Context, why error) *sent {
 	step := ex.request.Broken(time.Now())
@@ -105,34 +124,29 @@
 	return nil
 }
 
-// relay passes events on until the stream ends. It returns nil at the end, a
-// coded error if the caller can't be given more, and any other error if the
-// stream broke.
-func (ex *exchange) relay(se *sent) error {
-	stall := defaultStall
-	if ex.route.Gap > 0 {
-		stall = time.Duration(stallPart * float64(ex.route.Gap))
-	}
-	if !ex.request.Resumable {
-		stall = ex.request.Deadline.Sub(ex.request.Received)
-	}
-	watch := time.AfterFunc(stall, se.cancel)
+// relay passes events on until the stream ends and returns how many came. The
+// error is nil at the end, has a code if the caller can't be given more, and is
+// any other if the stream broke.
+func (ex *exchange) relay(se *sent) (events int, err error) {
+	stall := ex.stall()
+	watch := time.AfterFunc(stall, func() { ex.stalled(se) })
 	defer watch.Stop()
 	re := sse.NewReader(se.answer.Body)
 	for {
 		ev, err := re.Next()
 		if errors.Is(err, io.EOF) {
-			return nil
+			return events, nil
 		}
 		if err != nil {
-			return err
+			return events, err
 		}
 		watch.Reset(stall)
+		events++
 		if ex.has(ev) {
 			continue
 		}
 		if err := ex.an.Part(ev.Raw()); err != nil {
-			return result.New(result.Stopped, err.Error())
+			return events, result.New(result.Stopped, err.Error())
 		}
 		if ev.ID() != "" {
 			ex.delivered = ev.ID()
@@ -140,6 +154,33 @@
 	}
 }
 
+// stall returns after which silence a stream is continued elsewhere.
+func (ex *exchange) stall() time.Duration {
+	if ex.route.Gap > 0 {
+		return time.Duration(stallPart * float64(ex.route.Gap))
+	}
+	return defaultStall
+}
+
+// stalled leaves a stream that is silent if it can go on elsewhere. If it can't,
+// silence is no reason to end it. It runs on a timer while relay waits, when
+// nothing of the request changes.
+func (ex *exchange) stalled(se *sent) {
+	if ex.request.MayResume(time.Now()) && ex.spare(se) {
+		se.cancel()
+	}
+}
+
+// spare reports whether another server and a retry are to be had.
+func (ex *exchange) spare(se *sent) bool {
+	ga, now := ex.ga, time.Now()
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ask := ga.restrict(pool.Ask{Service: ex.service, Tried: []string{se.server.ID}}, ex.session)
+	_, ok := ga.pool.Pick(ask, 0, now)
+	return ok && ga.window(ex.service).Left(now) >= 1
+}
+
 // has reports whether the caller has an event already, as after a server began
 // a resumed stream too early.
 func (ex *exchange) has(ev sse.Event) bool {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -29,6 +29,7 @@
 	if old != nil && old.order.Revision >= or.Revision {
 		return
 	}
+	or.Plan.MostShare, or.Plan.SessionGap = ga.Bounds.CanaryShare, ga.Bounds.SessionGap
 	ro := &timedRollout{order: or, canary: rollout.Canary{Plan: or.Plan, Began: time.Now()}}
 	ga.rollouts[or.Plan.Service] = ro
 	ga.Log.Info().Int("event", int(event.RolloutOrdered)).Str("service", or.Plan.Service).
@@ -71,7 +72,7 @@
 		return ask
 	}
 	ask.Version = ro.order.Plan.Version
-	ask.Only = ro.canary.New(session)
+	ask.Only = ro.canary.New(session, time.Now())
 	ask.Except = !ask.Only
 	if ro.canary.Phase() == rollout.Failed {
 		return ask
@@ -90,25 +91,28 @@
 	return ro != nil && ro.canary.Phase() == rollout.Trying && se.Version == ro.order.Plan.Version
 }
 
-// slowTimes is how many times the old version's usual time to the head of an
-// answer counts as a bad answer: bad versions are said to be several times
-// slower, and long prompts take up to three times the usual.
-const slowTimes = 4
+// slowTimes is how many times the old version's usual pace counts as a bad
+// answer: bad versions are said to be several times slower.
+const slowTimes = 3.5
 
-// observe takes the answer of a server for the roll-out of its service: a
-// failure, or a head that came late, is a bad one. What the server did not say
-// itself, such as a lost connection, is no answer. The lock is held.
-func (ga *Gateway) observe(se directory.Server, failed bool, head, usual time.Duration) {
+// observe takes an answer of a server for the roll-out of its service: a failure
+// is bad, and so is one that took several times the usual. name tells answers
+// apart that take unlike times, and took is zero where the time says nothing.
+// What the server did not say itself, such as a lost connection, is no answer.
+// The lock is held.
+func (ga *Gateway) observe(se directory.Server, failed bool, name string, took time.Duration) {
 	ro := ga.rollouts[se.Service]
+	isNew := ro != nil && se.Version == ro.order.Plan.Version
+	usual := ga.pace.Usual(name)
+	if took > 0 && !isNew {
+		ga.pace.Observe(name, took)
+	}
 	if ro == nil || ro.canary.Phase() == rollout.Complete || ro.canary.Phase() == rollout.Failed {
 		return
 	}
-	// Once everything moves, all heads are late for a while: the new servers hold
-	// no prompts yet, and nothing is left to compare with.
-	slow := ro.canary.Phase() == rollout.Trying && usual > 0 && head > slowTimes*usual
-	bad := failed || slow
+	bad := failed || usual > 0 && float64(took) > slowTimes*float64(usual)
 	was := ro.canary.Bad()
-	if ro.canary.Observe(se.ID, se.Version == ro.order.Plan.Version, bad) && !was {
+	if ro.canary.Observe(se.ID, isNew, bad) && !was {
 		// The store may be away: this gateway stops using the version at once.
 		ga.enter(ro, rollout.Failed)
 		ro.tried = time.Time{}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -201,6 +201,10 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// CanaryShare is the part of a service's requests that a bad version may get
+	// in the time of its roll-out, SessionGap the longest pause within a session.
+	CanaryShare float64
+	SessionGap  time.Duration
 }
 
 // oldest returns the age of the configuration up to which keys are accepted.
--- a/internal/rollout/canary.go
+++ b/internal/rollout/canary.go
@@ -25,19 +25,15 @@
 )
 
 const (
-	// TryingShare is the part of the sessions that the new version gets while it
-	// is tried. A bad version may have 0.15 of all requests (canary_share of the
-	// users' bounds); less leaves room for uneven sessions.
-	TryingShare = 0.08
-	// shiftPart is the part of the time given to the roll-out after which
-	// everything moves; sessions must keep the old version through the first
-	// half (the users' rule on sessions).
-	shiftPart = 0.56
-	// finishPart is the part of the time given after which the roll-out is
-	// finished, so that requests begun on the old version can end.
-	finishPart = 0.85
-	// fewestTried is the least outcomes of the new version that speak for it.
-	fewestTried = 10
+	// tryingPart is the part of the most that a bad version may get that is used
+	// while the version is tried.
+	tryingPart = 1.0 / 3
+	// shareMargin is left of that bound when everything moves, since requests do
+	// not come evenly.
+	shareMargin = 0.01
+	// finishBefore is how long before its deadline a roll-out is finished: a write
+	// takes some ms, on bad days a quarter of a second.
+	finishBefore = 500 * time.Millisecond
 	// normalRate is the rate of bad answers that is taken for normal when
 	// nothing is known, badRate the least that must be caught.
 	normalRate = 0.02
@@ -60,6 +56,23 @@
 	Version string
 	// Within is the time from the order to its deadline.
 	Within time.Duration
+	// MostShare is the part of all requests in that time that a bad version may
+	// get. A version may be bad only under load, so that the bound is kept by a
+	// version of which nothing bad is known as well: everything moves late.
+	MostShare float64
+	// SessionGap is the longest pause within a session.
+	SessionGap time.Duration
+}
+
+// tryingShare returns the part of new sessions that the version gets at first.
+func (pl Plan) tryingShare() float64 { return pl.MostShare * tryingPart }
+
+// shiftAfter returns when everything moves: so late that the version stays
+// within its share however bad it turns out.
+func (pl Plan) shiftAfter() time.Duration {
+	share := pl.tryingShare()
+	rest := (pl.MostShare - share - shareMargin) / (1 - share)
+	return time.Duration(float64(pl.Within) * (1 - rest))
 }
 
 // Canary is one gateway's view of a timed roll-out. Its exported fields are
@@ -75,6 +88,10 @@
 	// tried and bad count the new version's outcomes, oldTried and oldBad the
 	// old version's.
 	tried, bad, oldTried, oldBad int
+	// sessions holds the sessions seen while the version is tried; swept is when
+	// those that are over were last forgotten.
+	sessions map[string]seen
+	swept    time.Time
 	// servers holds whether each server of the new version gave a bad answer.
 	servers map[string]bool
 }
@@ -99,17 +116,56 @@
 var order = map[Phase]int{Trying: 0, Shifting: 1, Failed: 2, Complete: 3}
 
 // New reports whether a session's request goes to the new version. Every
-// gateway computes the same from the stored phase.
-func (ca *Canary) New(session string) bool {
+// gateway computes the same from the stored phase. Sessions from before the
+// order keep the old version, so that none moves in the first gap of a session;
+// one that this process has seen keeps what it had.
+func (ca *Canary) New(session string, now time.Time) bool {
 	switch ca.Phase() {
 	case Trying:
-		return place(ca.Plan.Version, session) < TryingShare
+		if was, ok := ca.kept(session, now); ok {
+			return was
+		}
+		isNew := now.Sub(ca.Began) >= ca.Plan.SessionGap && place(ca.Plan.Version, session) < ca.Plan.tryingShare()
+		ca.keep(session, isNew, now)
+		return isNew
 	case Shifting, Complete:
 		return true
 	}
 	return false
 }
 
+// seen is what a session had when it was last seen.
+type seen struct {
+	isNew bool
+	at    time.Time
+}
+
+// kept returns what a session had, if it still goes on.
+func (ca *Canary) kept(session string, now time.Time) (isNew, ok bool) {
+	se, ok := ca.sessions[session]
+	if !ok || now.Sub(se.at) > ca.Plan.SessionGap {
+		return false, false
+	}
+	ca.keep(session, se.isNew, now)
+	return se.isNew, true
+}
+
+// keep remembers a session, and forgets those that are over once in a while.
+func (ca *Canary) keep(session string, isNew bool, now time.Time) {
+	if ca.sessions == nil || now.Sub(ca.swept) > ca.Plan.SessionGap {
+		for id, se := range ca.sessions {
+			if now.Sub(se.at) > ca.Plan.SessionGap {
+				delete(ca.sessions, id)
+			}
+		}
+		ca.swept = now
+	}
+	if ca.sessions == nil {
+		ca.sessions = map[string]seen{}
+	}
+	ca.sessions[session] = seen{isNew: isNew, at: now}
+}
+
 // place maps a session evenly to [0, 1).
 func place(version, session string) float64 {
 	return float64(xxhash.Sum64String(version+"\x00"+session)>>11) / (1 << 53)
@@ -163,25 +219,15 @@
 // holds.
 func (ca *Canary) Due(now time.Time) (Phase, bool) {
 	elapsed := now.Sub(ca.Began)
-	within := float64(ca.Plan.Within)
 	switch ph := ca.Phase(); {
 	case ph == Failed || ph == Complete:
 		return "", false
 	case ca.Bad():
 		return Failed, true
-	case ph == Trying && float64(elapsed) >= shiftPart*within && ca.cleared(elapsed):
+	case ph == Trying && elapsed >= ca.Plan.shiftAfter() && ca.sum <= alarmSum/2:
 		return Shifting, true
-	case ph == Shifting && float64(elapsed) >= finishPart*within:
+	case ph == Shifting && elapsed >= ca.Plan.Within-finishBefore:
 		return Complete, true
 	}
 	return "", false
 }
-
-// cleared reports whether enough speaks for the new version. Towards the end
-// of the time, a version of which nothing bad is known is let through.
-func (ca *Canary) cleared(elapsed time.Duration) bool {
-	if ca.sum > alarmSum/2 {
-		return false
-	}
-	return ca.tried >= fewestTried || float64(elapsed) >= (shiftPart+finishPart)/2*float64(ca.Plan.Within)
-}
