--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -101,7 +101,7 @@
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.observe(se.server, false, "event "+se.server.Service+"\x00"+se.step.Model(), pace)
+	ga.observe(se.server, se.ex.route.Name, false, "event "+se.server.Service+"\x00"+se.step.Model(), pace)
 }
 
 // resume continues a broken stream; it returns nil if the request has ended.
@@ -176,7 +176,7 @@
 	ga, now := ex.ga, time.Now()
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ask := ga.restrict(pool.Ask{Service: ex.service, Tried: []string{se.server.ID}}, ex.session)
+	ask := ga.restrict(pool.Ask{Service: ex.service, Tried: []string{se.server.ID}}, ex)
 	_, ok := ga.pool.Pick(ask, 0, now)
 	return ok && ga.window(ex.service).Left(now) >= 1
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -171,6 +171,8 @@
 		ga.ordered(*ch.Order)
 	case ch.Phase != nil:
 		ga.stored(*ch.Phase)
+	case ch.Tally != nil:
+		ga.tallied(*ch.Tally)
 	case ch.Unreadable != nil:
 		ga.Log.Error().Int("event", int(event.ConfigRefused)).Err(ch.Unreadable).Msg(event.Name(event.ConfigRefused))
 	}
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -47,6 +47,8 @@
 
 func (*script) Store(context.Context, Order, StoredPhase) (bool, error) { return true, nil }
 
+func (*script) Tell(context.Context, Tally) error { return nil }
+
 // Keys are accepted all the time while the service answers, and for as long as
 // the bound allows after it was cut off, but never longer.
 func TestKeysAreAcceptedUpToTheBoundOnTheirAge(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,8 +41,9 @@
 
 // Gateway serves callers. Its exported fields are set before Run and Serve.
 type Gateway struct {
-	Log        zerolog.Logger
-	DataCentre string
+	Log zerolog.Logger
+	// Box is the name of the own box, DataCentre that of its data centre.
+	Box, DataCentre string
 	// Bounds may be changed later by SetBounds.
 	Bounds  Bounds
 	Source  Source
@@ -67,6 +68,8 @@
 	pool            pool.Pool
 	// pace knows how long heads take, by service and model.
 	pace pace.Meter
+	// best knows how long answers take at their best, by service and model.
+	best pace.Floor
 	// retries holds the window of each service.
 	retries map[string]*budget.Window
 	// rollouts holds the newest roll-out of each service.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/cascade"
@@ -50,7 +51,11 @@
 	// holder is the team that holds the caller's key, nil on a public route.
 	holder  *routing.Team
 	service string
+	// session groups requests; single is set for one that belongs to none, which
+	// draw then places in a roll-out.
 	session string
+	single  bool
+	draw    float64
 	body    []byte
 	request direct.Request
 	// attempts holds what was sent, by number.
@@ -107,14 +112,13 @@
 // prepare fills the request from the route.
 func (ex *exchange) prepare() {
 	as, ro := ex.as, ex.route
-	ex.service = ro.Pick(float64(random()>>11) / (1 << 53))
+	ex.service = ro.Pick(rand.Float64())
+	ex.draw = rand.Float64()
 	ex.session = as.Session
 	if ex.session == "" && len(as.Prompt) > 0 {
 		ex.session = as.Prompt[len(as.Prompt)-1].ID
 	}
-	if ex.session == "" {
-		ex.session = as.ID
-	}
+	ex.single = ex.session == ""
 	limit := ro.Timeout
 	if limit == 0 {
 		limit = defaultPatience
@@ -138,7 +142,7 @@
 	ga := ex.ga
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ask := ga.restrict(pool.Ask{Service: ex.service, Tried: tried}, ex.session)
+	ask := ga.restrict(pool.Ask{Service: ex.service, Tried: tried}, ex)
 	if id, tokens := ex.as.shared(); id != "" {
 		ask.Affinity = id + "\x00" + model
 		ask.Held = float64(tokens) * ex.factor(model)
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -153,6 +153,8 @@
 	Order *Order
 	// Phase is how far gateways are with a roll-out.
 	Phase *StoredPhase
+	// Tally is what a gateway tells of a new version.
+	Tally *Tally
 	// Unreadable says what could not be decoded.
 	Unreadable error
 }
@@ -174,6 +176,16 @@
 	Revision uint64
 }
 
+// Tally is what one gateway tells the others of the version being rolled out.
+type Tally struct {
+	Service string
+	// Order is the revision of the order that it belongs to.
+	Order uint64
+	// Box is the gateway's.
+	Box      string
+	Outcomes rollout.Outcomes
+}
+
 // ErrHistoryGone means that a watch cannot go on from its revision.
 var ErrHistoryGone = eris.New("the history of the key-value service does not reach back")
 
@@ -187,6 +199,8 @@
 	// Store keeps a phase if the stored one still has the revision that it
 	// names. It reports whether it does.
 	Store(ctx context.Context, or Order, ph StoredPhase) (bool, error)
+	// Tell keeps a tally in place of the box's last one.
+	Tell(ctx context.Context, ta Tally) error
 }
 
 // Bounds are the platform's figures that the gateway holds to.
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -24,5 +24,38 @@
 	me.usual[name] = old + time.Duration(smoothing*float64(took-old))
 }
 
+const (
+	// floorPart is the part of the times that are below the floor.
+	floorPart = 0.05
+	// floorStep is how fast the floor follows, as a part of itself.
+	floorStep = 0.2
+)
+
+// Floor follows the time that only the quickest answers stay below, by name: how
+// long an answer takes when nothing is in its way. The zero value knows none. It
+// is not safe for concurrent use.
+type Floor struct{ floor map[string]float64 }
+
+// Observe notes a time.
+func (fl *Floor) Observe(name string, took time.Duration) {
+	if fl.floor == nil {
+		fl.floor = map[string]float64{}
+	}
+	at, ok := fl.floor[name]
+	switch {
+	case !ok:
+		at = float64(took)
+	case float64(took) < at:
+		at *= 1 - floorStep*(1-floorPart)
+		at = max(at, float64(took))
+	default:
+		at *= 1 + floorStep*floorPart
+	}
+	fl.floor[name] = at
+}
+
+// Floor returns the time, zero if none is known.
+func (fl *Floor) Floor(name string) time.Duration { return time.Duration(fl.floor[name]) }
+
 // Usual returns the usual time, zero if none is known.
 func (me *Meter) Usual(name string) time.Duration { return me.usual[name] }
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -1,6 +1,8 @@
 package pace
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -18,3 +20,14 @@
 	require.InDelta(t, 2, me.Usual("m").Seconds(), 0.01)
 	require.Zero(t, me.Usual("other"))
 }
+
+func TestTheFloorIsNearTheQuickestAnswers(t *testing.T) {
+	ra := rand.New(rand.NewPCG(1, 2))
+	var fl Floor
+	require.Zero(t, fl.Floor("m"))
+	for range 500 {
+		took := 10 * math.Exp(1.2*math.Abs(ra.NormFloat64()))
+		fl.Observe("m", time.Duration(took*float64(time.Millisecond)))
+	}
+	require.InDelta(t, 11, fl.Floor("m").Seconds()*1000, 3)
+}
--- a/internal/rollout/canary.go
+++ b/internal/rollout/canary.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,8 +28,11 @@
 
 const (
 	// tryingPart is the part of the most that a bad version may get that is used
-	// while the version is tried.
+	// for sessions while the version is tried; singlePart that for requests that
+	// belong to no session, which may go either way at any time. More would leave
+	// no time between the shift and the deadline.
 	tryingPart = 1.0 / 3
+	singlePart = 0.6
 	// shareMargin is left of that bound when everything moves, since requests do
 	// not come evenly.
 	shareMargin = 0.01
@@ -38,10 +43,17 @@
 	// nothing is known, badRate the least that must be caught.
 	normalRate = 0.02
 	badRate    = 0.15
+	// normalSlow and badSlow are the rates of slow answers of a good version and
+	// of one that must be caught.
+	normalSlow = 0.05
+	badSlow    = 0.25
 	// badServers is the part of the servers tried that must have given bad
 	// answers: a bad version is bad everywhere, while a failing server of a good
 	// one is alone or with few (the users' disruptions strike up to a fifth).
 	badServers = 0.3
+	// suspectRate is the part of a server's answers from which bad ones count
+	// against it.
+	suspectRate = 0.2
 	// fewestBad is the least number of such servers, if there are so many.
 	fewestBad = 2
 	// alarmSum is the cumulative log likelihood ratio at which a version counts
@@ -64,13 +76,15 @@
 	SessionGap time.Duration
 }
 
-// tryingShare returns the part of new sessions that the version gets at first.
+// tryingShare returns the part of new sessions that the version gets at first,
+// singleShare that of requests that belong to no session.
 func (pl Plan) tryingShare() float64 { return pl.MostShare * tryingPart }
+func (pl Plan) singleShare() float64 { return pl.MostShare * singlePart }
 
 // shiftAfter returns when everything moves: so late that the version stays
 // within its share however bad it turns out.
 func (pl Plan) shiftAfter() time.Duration {
-	share := pl.tryingShare()
+	share := pl.singleShare()
 	rest := (pl.MostShare - share - shareMargin) / (1 - share)
 	return time.Duration(float64(pl.Within) * (1 - rest))
 }
@@ -83,17 +97,23 @@
 	Began time.Time
 
 	phase Phase
-	// sum is the cumulative test of bad answers; it is never below zero.
-	sum float64
-	// tried and bad count the new version's outcomes, oldTried and oldBad the
-	// old version's.
-	tried, bad, oldTried, oldBad int
+	// routes holds the tests of failures, one for each route, since a version may
+	// be bad on one only.
+	routes map[string]*failures
+	// slow is the cumulative test of slow answers; it is never below zero.
+	slow float64
+	// tried and bad count the new version's outcomes here.
+	tried, bad int
+	// own counts them by route.
+	own Outcomes
+	// peers holds what other gateways have told of theirs.
+	peers map[string]Outcomes
 	// sessions holds the sessions seen while the version is tried; swept is when
 	// those that are over were last forgotten.
 	sessions map[string]seen
 	swept    time.Time
-	// servers holds whether each server of the new version gave a bad answer.
-	servers map[string]bool
+	// servers counts the outcomes of each server of the new version.
+	servers map[string]serverOutcomes
 }
 
 // Phase returns the phase in force.
@@ -134,6 +154,15 @@
 	return false
 }
 
+// NewSingle reports whether a request that belongs to no session goes to the new
+// version. draw is uniform over [0, 1).
+func (ca *Canary) NewSingle(draw float64) bool {
+	if ca.Phase() == Trying {
+		return draw < ca.Plan.singleShare()
+	}
+	return ca.Phase() != Failed
+}
+
 // seen is what a session had when it was last seen.
 type seen struct {
 	isNew bool
@@ -171,40 +200,151 @@
 	return float64(xxhash.Sum64String(version+"\x00"+session)>>11) / (1 << 53)
 }
 
+// failures is the test of one route's failures.
+type failures struct {
+	// sum is the cumulative test; it is never below zero.
+	sum float64
+	// oldTried and oldBad count the old version's outcomes.
+	oldTried, oldBad int
+}
+
+// add takes outcomes of the new version.
+func (fa *failures) add(tried, bad int) {
+	normal := min(0.5, smooth(float64(fa.oldBad), float64(fa.oldTried), normalRate))
+	fa.sum = sum(fa.sum, float64(bad), float64(tried), normal, min(0.9, max(badRate, worse*normal)))
+}
+
+// Outcomes is what one gateway tells the others of the new version.
+type Outcomes struct {
+	// Tried and Bad count by route.
+	Tried map[string]int `json:"tried"`
+	Bad   map[string]int `json:"bad"`
+	// Servers are those that gave bad answers.
+	Servers []string `json:"servers"`
+}
+
 // Observe takes the outcome of a request that a server of one of the versions
 // answered. It reports whether the new version now counts as bad.
-func (ca *Canary) Observe(server string, isNew, bad bool) bool {
+func (ca *Canary) Observe(server, route string, isNew, bad bool) bool {
+	fa := ca.route(route)
 	if !isNew {
-		ca.oldTried++
+		fa.oldTried++
 		if bad {
-			ca.oldBad++
+			fa.oldBad++
 		}
 		return false
 	}
 	ca.tried++
-	if ca.servers == nil {
-		ca.servers = map[string]bool{}
-	}
-	ca.servers[server] = ca.servers[server] || bad
-	count := 0.0
+	count := 0
 	if bad {
 		ca.bad++
 		count = 1
 	}
-	normal := max(normalRate, smooth(float64(ca.oldBad), float64(ca.oldTried), normalRate))
-	normal = min(normal, 0.5)
-	ca.sum = sum(ca.sum, count, 1, normal, min(0.9, max(badRate, worse*normal)))
+	ca.mark(server, bad)
+	fa.add(1, count)
+	if ca.own.Tried == nil {
+		ca.own.Tried, ca.own.Bad = map[string]int{}, map[string]int{}
+	}
+	ca.own.Tried[route]++
+	ca.own.Bad[route] += count
+	return ca.Bad()
+}
+
+// ObservePace takes whether an answer of the new version was several times slower
+// than the old one is at its best. It says something only while the version is
+// tried, when its servers have next to nothing to do.
+func (ca *Canary) ObservePace(server string, slow bool) bool {
+	if ca.Phase() != Trying {
+		return false
+	}
+	count := 0.0
+	if slow {
+		count = 1
+	}
+	ca.mark(server, slow)
+	ca.slow = sum(ca.slow, count, 1, normalSlow, badSlow)
+	return ca.Bad()
+}
+
+// Own returns what this gateway has to tell the others.
+func (ca *Canary) Own() Outcomes {
+	out := Outcomes{Tried: maps.Clone(ca.own.Tried), Bad: maps.Clone(ca.own.Bad)}
+	for server, so := range ca.servers {
+		if so.suspect() {
+			out.Servers = append(out.Servers, server)
+		}
+	}
+	slices.Sort(out.Servers)
+	return out
+}
+
+// Merge takes what another gateway tells. It reports whether the new version now
+// counts as bad.
+func (ca *Canary) Merge(peer string, out Outcomes) bool {
+	old := ca.peers[peer]
+	for route, tried := range out.Tried {
+		more, bad := tried-old.Tried[route], out.Bad[route]-old.Bad[route]
+		if more > 0 && bad >= 0 && bad <= more {
+			ca.route(route).add(more, bad)
+		}
+	}
+	for _, server := range out.Servers {
+		ca.mark(server, true)
+	}
+	if ca.peers == nil {
+		ca.peers = map[string]Outcomes{}
+	}
+	ca.peers[peer] = out
 	return ca.Bad()
 }
 
+func (ca *Canary) route(name string) *failures {
+	if ca.routes == nil {
+		ca.routes = map[string]*failures{}
+	}
+	if ca.routes[name] == nil {
+		ca.routes[name] = &failures{}
+	}
+	return ca.routes[name]
+}
+
+// serverOutcomes counts what one server of the new version answered.
+type serverOutcomes struct{ tried, bad int }
+
+// suspect reports whether the server's bad answers are more than chance ones.
+func (so serverOutcomes) suspect() bool {
+	return so.bad > 0 && float64(so.bad) >= suspectRate*float64(so.tried)
+}
+
+func (ca *Canary) mark(server string, bad bool) {
+	if ca.servers == nil {
+		ca.servers = map[string]serverOutcomes{}
+	}
+	so := ca.servers[server]
+	so.tried++
+	if bad {
+		so.bad++
+	}
+	ca.servers[server] = so
+}
+
 // Bad reports whether the new version counts as bad.
-func (ca *Canary) Bad() bool { return ca.sum >= alarmSum && ca.widespread() }
+func (ca *Canary) Bad() bool { return ca.worst() >= alarmSum && ca.widespread() }
+
+// worst returns the highest of the cumulative tests.
+func (ca *Canary) worst() float64 {
+	worst := ca.slow
+	for _, fa := range ca.routes {
+		worst = max(worst, fa.sum)
+	}
+	return worst
+}
 
 // widespread reports whether bad answers came from enough of the servers.
 func (ca *Canary) widespread() bool {
 	bad := 0
-	for _, was := range ca.servers {
-		if was {
+	for _, so := range ca.servers {
+		if so.suspect() {
 			bad++
 		}
 	}
@@ -224,7 +364,7 @@
 		return "", false
 	case ca.Bad():
 		return Failed, true
-	case ph == Trying && elapsed >= ca.Plan.shiftAfter() && ca.sum <= alarmSum/2:
+	case ph == Trying && elapsed >= ca.Plan.shiftAfter() && ca.worst() <= alarmSum/2:
 		return Shifting, true
 	case ph == Shifting && elapsed >= ca.Plan.Within-finishBefore:
 		return Complete, true
