fix: a slow version is found by the pace of its events against the old one's best

Measured on Quito (slow, x 8): events of the slow version come 70 to 95 ms apart, the old one's 17 ms at the best and 47 ms at the median under load, so that the median hides it; a good new version has next to nothing to do while it is tried. Slow is three times the old one's fifth percentile; tallies carry it to the other gateways.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -118,9 +118,9 @@
 	switch {
 	case se.err != nil || se.answer.Stream:
 	case se.answer.Status >= serverFailed:
-		ga.observe(se.server, se.ex.route.Name, true, "", 0)
+		ga.observe(se.server, se.ex.route.Name, true, "", 0, 0)
 	default:
-		ga.observe(se.server, se.ex.route.Name, false, "whole "+name+se.ex.route.Name, took)
+		ga.observe(se.server, se.ex.route.Name, false, "whole "+name+se.ex.route.Name, took, slowWhole)
 	}
 }
 
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -90,7 +90,7 @@
 
 // fewestEvents is how many events a stream must have for its pace to say
 // something.
-const fewestEvents = 4
+const fewestEvents = 3
 
 // streamed takes the pace of a whole stream for the roll-out of its service. It
 // does not depend on the prompt, unlike the time to the head.
@@ -101,7 +101,7 @@
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.observe(se.server, se.ex.route.Name, false, "event "+se.server.Service+"\x00"+se.step.Model(), pace)
+	ga.observe(se.server, se.ex.route.Name, false, "event "+se.server.Service+"\x00"+se.step.Model(), pace, slowEvents)
 }
 
 // resume continues a broken stream; it returns nil if the request has ended.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -98,17 +98,23 @@
 	return ro != nil && ro.canary.Phase() == rollout.Trying && se.Version == ro.order.Plan.Version
 }
 
-// slowTimes is how many times the old version's time at its best counts as slow:
-// bad versions are said to be about eight times slower, and times differ among
-// good answers by up to four.
-const slowTimes = 5
+// slowEvents and slowWhole are how many times the old version's time at its best
+// counts as slow, between two events of a stream and for a whole answer. Measured
+// on the users' sites: a slow version's events come 4 to 5.5 times later than the
+// old one's quickest, those of a good one with nothing else to do up to 1.4 times;
+// whole answers of a plain service differ by up to 4 times among themselves.
+const (
+	slowEvents = 3
+	slowWhole  = 5
+)
 
 // observe takes an answer of a server for the roll-out of its service: a failure,
 // or a time that is several times the old version's best. name tells answers
-// apart that take unlike times, and took is zero where the time says nothing.
+// apart that take unlike times, times is what counts as slow, and took is zero
+// where the time says nothing.
 // What the server did not say itself, such as a lost connection, is no answer.
 // The lock is held.
-func (ga *Gateway) observe(se directory.Server, route string, failed bool, name string, took time.Duration) {
+func (ga *Gateway) observe(se directory.Server, route string, failed bool, name string, took time.Duration, times float64) {
 	ro := ga.rollouts[se.Service]
 	isNew := ro != nil && se.Version == ro.order.Plan.Version
 	if took > 0 && !isNew {
@@ -119,7 +125,7 @@
 	}
 	bad := ro.canary.Observe(se.ID, route, isNew, failed)
 	if best := ga.best.Floor(name); isNew && took > 0 && best > 0 {
-		bad = ro.canary.ObservePace(se.ID, took > slowTimes*best) || bad
+		bad = ro.canary.ObservePace(se.ID, float64(took) > times*float64(best)) || bad
 	}
 	ga.condemn(ro, bad)
 }
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -34,7 +34,7 @@
 	ga, ro := rolling(t)
 	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Trying, Revision: 9})
 	for i := range 20 {
-		ga.observe(directory.Server{ID: fmt.Sprint(i), Service: "s", Version: "v2"}, "r", true, "", 0)
+		ga.observe(directory.Server{ID: fmt.Sprint(i), Service: "s", Version: "v2"}, "r", true, "", 0, 0)
 	}
 	require.Equal(t, rollout.Failed, ro.canary.Phase())
 	ph, due := ga.dueFor(ro, time.Now())
@@ -47,7 +47,7 @@
 func TestAVerdictAfterTheEndIsNotStored(t *testing.T) {
 	ga, ro := rolling(t)
 	for i := range 20 {
-		ga.observe(directory.Server{ID: fmt.Sprint(i), Service: "s", Version: "v2"}, "r", true, "", 0)
+		ga.observe(directory.Server{ID: fmt.Sprint(i), Service: "s", Version: "v2"}, "r", true, "", 0, 0)
 	}
 	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Complete, Revision: 12})
 	require.Equal(t, rollout.Complete, ro.canary.Phase())
@@ -67,10 +67,10 @@
 func TestASlowVersionIsBad(t *testing.T) {
 	ga, ro := rolling(t)
 	for i := range 40 {
-		ga.observe(directory.Server{ID: fmt.Sprint("o", i%9), Service: "s", Version: "v1"}, "r", false, "pace", time.Second)
+		ga.observe(directory.Server{ID: fmt.Sprint("o", i%9), Service: "s", Version: "v1"}, "r", false, "pace", time.Second, slowEvents)
 	}
 	for i := range 20 {
-		ga.observe(directory.Server{ID: fmt.Sprint("n", i%9), Service: "s", Version: "v2"}, "r", false, "pace", 8*time.Second)
+		ga.observe(directory.Server{ID: fmt.Sprint("n", i%9), Service: "s", Version: "v2"}, "r", false, "pace", 8*time.Second, slowEvents)
 	}
 	require.Equal(t, rollout.Failed, ro.canary.Phase())
 }
@@ -81,7 +81,7 @@
 	ga, ro := rolling(t)
 	ga.best.Observe("pace", time.Second)
 	for i := range 100 {
-		ga.observe(directory.Server{ID: fmt.Sprint("n", i%9), Service: "s", Version: "v2"}, "r", false, "pace", 0)
+		ga.observe(directory.Server{ID: fmt.Sprint("n", i%9), Service: "s", Version: "v2"}, "r", false, "pace", 0, slowEvents)
 	}
 	require.Equal(t, rollout.Trying, ro.canary.Phase())
 }
--- a/internal/rollout/canary.go
+++ b/internal/rollout/canary.go
@@ -46,7 +46,7 @@
 	// normalSlow and badSlow are the rates of slow answers of a good version and
 	// of one that must be caught.
 	normalSlow = 0.05
-	badSlow    = 0.25
+	badSlow    = 0.4
 	// badServers is the part of the servers tried that must have given bad
 	// answers: a bad version is bad everywhere, while a failing server of a good
 	// one is alone or with few (the users' disruptions strike up to a fifth).
@@ -219,7 +219,10 @@
 	// Tried and Bad count by route.
 	Tried map[string]int `json:"tried"`
 	Bad   map[string]int `json:"bad"`
-	// Servers are those that gave bad answers.
+	// Paced counts the answers whose pace says something, Slow the slow ones.
+	Paced int `json:"paced"`
+	Slow  int `json:"slow"`
+	// Servers are those that gave bad or slow answers.
 	Servers []string `json:"servers"`
 }
 
@@ -257,18 +260,26 @@
 	if ca.Phase() != Trying {
 		return false
 	}
-	count := 0.0
+	count := 0
 	if slow {
 		count = 1
 	}
 	ca.mark(server, slow)
-	ca.slow = sum(ca.slow, count, 1, normalSlow, badSlow)
+	ca.own.Paced++
+	ca.own.Slow += count
+	ca.addPace(1, count)
 	return ca.Bad()
 }
 
+func (ca *Canary) addPace(paced, slow int) {
+	ca.slow = sum(ca.slow, float64(slow), float64(paced), normalSlow, badSlow)
+}
+
 // Own returns what this gateway has to tell the others.
 func (ca *Canary) Own() Outcomes {
-	out := Outcomes{Tried: maps.Clone(ca.own.Tried), Bad: maps.Clone(ca.own.Bad)}
+	out := Outcomes{
+		Tried: maps.Clone(ca.own.Tried), Bad: maps.Clone(ca.own.Bad), Paced: ca.own.Paced, Slow: ca.own.Slow,
+	}
 	for server, so := range ca.servers {
 		if so.suspect() {
 			out.Servers = append(out.Servers, server)
@@ -288,6 +299,9 @@
 			ca.route(route).add(more, bad)
 		}
 	}
+	if paced, slow := out.Paced-old.Paced, out.Slow-old.Slow; ca.Phase() == Trying && paced > 0 && slow >= 0 && slow <= paced {
+		ca.addPace(paced, slow)
+	}
 	for _, server := range out.Servers {
 		ca.mark(server, true)
 	}
@@ -352,8 +366,8 @@
 	return bad >= min(fewestBad, seen) && float64(bad) >= badServers*float64(seen)
 }
 
-// Counts returns the new version's outcomes.
-func (ca *Canary) Counts() (tried, bad int) { return ca.tried, ca.bad }
+// Counts returns the new version's outcomes here; a slow one counts as bad.
+func (ca *Canary) Counts() (tried, bad int) { return ca.tried, ca.bad + ca.own.Slow }
 
 // Due returns the phase that should be stored now, or false if the present one
 // holds.
