--- /dev/null
+++ b/internal/gateway/main_test.go
@@ -0,0 +1,9 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/linnetrudder/linnetrudder/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
--- /dev/null
+++ b/internal/gateway/schedule_test.go
@@ -0,0 +1,189 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/rollout"
+)
+
+// sharedStore keeps one phase by compare-and-swap, and its history.
+type sharedStore struct {
+	kept    StoredPhase
+	changes []Change
+	history []rollout.Phase
+}
+
+func (ss *sharedStore) store(ph StoredPhase) bool {
+	if ph.Revision != ss.kept.Revision {
+		return false
+	}
+	ph.Revision = uint64(len(ss.changes) + 1)
+	ss.kept = ph
+	ss.changes = append(ss.changes, Change{Phase: &ph})
+	ss.history = append(ss.history, ph.Phase)
+	return true
+}
+
+// fleet is several gateways with what each has seen of the store.
+type fleet struct {
+	store    sharedStore
+	gateways []*Gateway
+	seen     []int
+	order    Order
+}
+
+func newFleet(n int) *fleet {
+	fl := &fleet{order: Order{Revision: 7, Plan: rollout.Plan{Service: "s", Version: "v2", Within: 20 * time.Second}}}
+	fl.gateways, fl.seen = make([]*Gateway, n), make([]int, n)
+	for i := range n {
+		fl.start(i)
+	}
+	return fl
+}
+
+// start begins a gateway's life anew: it reads what is kept.
+func (fl *fleet) start(i int) {
+	ga := &Gateway{Log: zerolog.Nop(), Box: fmt.Sprint(i), Bounds: Bounds{CanaryShare: 0.15, SessionGap: 5 * time.Second}}
+	ga.prepare()
+	fl.gateways[i], fl.seen[i] = ga, len(fl.store.changes)
+	if fl.store.kept.Revision > 0 {
+		ga.stored(fl.store.kept)
+	}
+	ga.ordered(fl.order)
+}
+
+func (fl *fleet) rollout(i int) *timedRollout { return fl.gateways[i].rollouts["s"] }
+
+func (fl *fleet) deliver(i, most int) {
+	for ; most > 0 && fl.seen[i] < len(fl.store.changes); most-- {
+		fl.gateways[i].change(fl.store.changes[fl.seen[i]])
+		fl.seen[i]++
+	}
+}
+
+// decide lets a gateway store what it thinks is due. The answer may be lost, and
+// the gateway may die between the decision and the write.
+func (fl *fleet) decide(rt *rapid.T, i int, now time.Time) {
+	ph, due := fl.gateways[i].dueFor(fl.rollout(i), now)
+	if !due {
+		return
+	}
+	switch rapid.SampledFrom([]string{"kept", "kept", "lost", "died"}).Draw(rt, "write") {
+	case "died":
+		fl.start(i)
+	default:
+		fl.store.store(ph)
+	}
+}
+
+// Whatever the order of deaths, lost answers, late news and verdicts: what is
+// stored only goes forward, ends once, and all gateways come to it.
+func TestARolloutEndsOnceUnderAnySchedule(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		fl := newFleet(rapid.IntRange(1, 4).Draw(rt, "gateways"))
+		now := time.Now()
+		for range rapid.IntRange(1, 120).Draw(rt, "steps") {
+			i := rapid.IntRange(0, len(fl.gateways)-1).Draw(rt, "gateway")
+			switch rapid.IntRange(0, 5).Draw(rt, "what") {
+			case 0, 1:
+				fl.decide(rt, i, now)
+			case 2:
+				fl.deliver(i, rapid.IntRange(1, 3).Draw(rt, "news"))
+			case 3:
+				now = now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(rt, "ms")) * time.Millisecond)
+			case 4:
+				for n := range 8 {
+					se := directory.Server{ID: fmt.Sprint(n % 3), Service: "s", Version: "v2"}
+					fl.gateways[i].observe(se, "r", true, "", 0, 0)
+				}
+			case 5:
+				fl.start(i)
+			}
+		}
+		checkHistory(rt, fl.store.history)
+		for i := range fl.gateways {
+			fl.deliver(i, len(fl.store.changes))
+		}
+		if kept := fl.store.kept.Phase; kept == rollout.Complete || kept == rollout.Failed {
+			for i := range fl.gateways {
+				if fl.rollout(i).canary.Phase() != kept {
+					rt.Fatalf("gateway %d is in %s, %s is kept", i, fl.rollout(i).canary.Phase(), kept)
+				}
+			}
+		}
+	})
+}
+
+var rank = map[rollout.Phase]int{rollout.Trying: 0, rollout.Shifting: 1, rollout.Failed: 2, rollout.Complete: 2}
+
+func checkHistory(rt *rapid.T, history []rollout.Phase) {
+	for i := 1; i < len(history); i++ {
+		if rank[history[i]] < rank[history[i-1]] || rank[history[i-1]] == 2 {
+			rt.Fatalf("stored %v", history)
+		}
+	}
+}
+
+// phaseOperation is one compare-and-swap as a gateway saw it.
+type phaseOperation struct {
+	compared uint64
+	phase    rollout.Phase
+}
+
+// phaseModel is the register that the gateways share: a write holds if it
+// compares with the newest revision.
+var phaseModel = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		revision, op, kept := state.(uint64), input.(phaseOperation), output.(bool)
+		if op.compared != revision {
+			return !kept, revision
+		}
+		return kept, revision + 1
+	},
+}
+
+// Concurrent writers see a linearizable register, so that no two of them both
+// believe that they ended a roll-out.
+func TestPhaseWritesAreLinearizable(t *testing.T) {
+	fl := newFleet(4)
+	now := time.Now()
+	var history []porcupine.Operation
+	for step := range int64(60) {
+		i := int(step) % len(fl.gateways)
+		now = now.Add(400 * time.Millisecond)
+		ph, due := fl.gateways[i].dueFor(fl.rollout(i), now)
+		if due {
+			kept := fl.store.store(ph)
+			history = append(history, porcupine.Operation{
+				ClientId: i, Input: phaseOperation{ph.Revision, ph.Phase}, Call: step, Output: kept, Return: step + 2,
+			})
+		}
+		if step%3 == 0 {
+			fl.deliver(i, 1)
+		}
+	}
+	require.NotEmpty(t, history)
+	require.True(t, porcupine.CheckOperations(phaseModel, history))
+	require.Equal(t, rollout.Complete, fl.store.kept.Phase)
+}
+
+// The naive writer stores its view whatever is kept.
+func TestANaiveWriterUndoesAFinishedRollout(t *testing.T) {
+	fl := newFleet(2)
+	fl.store.store(StoredPhase{Service: "s", Order: 7, Phase: rollout.Complete})
+	for n := range 20 {
+		fl.gateways[1].observe(directory.Server{ID: fmt.Sprint(n), Service: "s", Version: "v2"}, "r", true, "", 0, 0)
+	}
+	naive := StoredPhase{Service: "s", Order: 7, Phase: fl.rollout(1).canary.Phase(), Revision: fl.store.kept.Revision}
+	require.True(t, fl.store.store(naive))
+	require.Equal(t, rollout.Failed, fl.store.kept.Phase, "the old servers are stopped, and everything goes back to them")
+}
