--- a/internal/rollout/canary.go
+++ b/internal/rollout/canary.go
@@ -36,9 +36,13 @@
 	// shareMargin is left of that bound when everything moves, since requests do
 	// not come evenly.
 	shareMargin = 0.01
-	// finishBefore is how long before its deadline a roll-out is finished: a write
-	// takes some ms, on bad days a quarter of a second.
-	finishBefore = 500 * time.Millisecond
+	// finishBefore is how long before its deadline a roll-out is finished. A process
+	// may learn of an order 0.4 s late, a write may take a quarter of a second, and
+	// operators look at the status now and then: 0.16 s before was too late.
+	finishBefore = 1200 * time.Millisecond
+	// settle is the least time between the shift and the end, in which every
+	// process learns of the shift and short requests come to their end.
+	settle = 500 * time.Millisecond
 	// normalRate is the rate of bad answers that is taken for normal when
 	// nothing is known, badRate the least that must be caught.
 	normalRate = 0.02
@@ -81,10 +85,9 @@
 func (pl Plan) tryingShare() float64 { return pl.MostShare * tryingPart }
 func (pl Plan) singleShare() float64 { return pl.MostShare * singlePart }
 
-// shiftAfter returns when everything moves: so late that the version stays
-// within its share however bad it turns out.
-func (pl Plan) shiftAfter() time.Duration {
-	share := pl.singleShare()
+// shiftAfter returns when everything moves, if the version got a share until
+// then: so late that it stays within its bound however bad it turns out.
+func (pl Plan) shiftAfter(share float64) time.Duration {
 	rest := (pl.MostShare - share - shareMargin) / (1 - share)
 	return time.Duration(float64(pl.Within) * (1 - rest))
 }
@@ -108,6 +111,10 @@
 	own Outcomes
 	// peers holds what other gateways have told of theirs.
 	peers map[string]Outcomes
+	// shifted is when this process first looked after the shift.
+	shifted time.Time
+	// singles is set once a request of no session came.
+	singles bool
 	// sessions holds the sessions seen while the version is tried; swept is when
 	// those that are over were last forgotten.
 	sessions map[string]seen
@@ -157,6 +164,7 @@
 // NewSingle reports whether a request that belongs to no session goes to the new
 // version. draw is uniform over [0, 1).
 func (ca *Canary) NewSingle(draw float64) bool {
+	ca.singles = true
 	if ca.Phase() == Trying {
 		return draw < ca.Plan.singleShare()
 	}
@@ -369,6 +377,17 @@
 // Counts returns the new version's outcomes here; a slow one counts as bad.
 func (ca *Canary) Counts() (tried, bad int) { return ca.tried, ca.bad + ca.own.Slow }
 
+// settled reports whether the shift has been in force for a while.
+func (ca *Canary) settled(now time.Time) bool { return now.Sub(ca.shifted) >= settle }
+
+// share returns the part of the requests that the version gets while it is tried.
+func (ca *Canary) share() float64 {
+	if ca.singles {
+		return ca.Plan.singleShare()
+	}
+	return ca.Plan.tryingShare()
+}
+
 // Due returns the phase that should be stored now, or false if the present one
 // holds.
 func (ca *Canary) Due(now time.Time) (Phase, bool) {
@@ -376,11 +395,14 @@
 	switch ph := ca.Phase(); {
 	case ph == Failed || ph == Complete:
 		return "", false
+	case ph == Shifting && ca.shifted.IsZero():
+		ca.shifted = now
+		return "", false
 	case ca.Bad():
 		return Failed, true
-	case ph == Trying && elapsed >= ca.Plan.shiftAfter() && ca.worst() <= alarmSum/2:
+	case ph == Trying && elapsed >= ca.Plan.shiftAfter(ca.share()) && ca.worst() <= alarmSum/2:
 		return Shifting, true
-	case ph == Shifting && elapsed >= ca.Plan.Within-finishBefore:
+	case ph == Shifting && elapsed >= ca.Plan.Within-finishBefore && ca.settled(now):
 		return Complete, true
 	}
 	return "", false
--- a/internal/rollout/canary_test.go
+++ b/internal/rollout/canary_test.go
@@ -55,22 +55,28 @@
 // than its share by the deadline.
 func TestTheShareHoldsForAVersionOfWhichNothingBadIsKnown(t *testing.T) {
 	for _, within := range []time.Duration{12 * time.Second, 14 * time.Second, 24 * time.Second, time.Minute} {
-		ca := canary()
-		ca.Plan.Within = within
-		all, toNew := 0, 0
-		for at := time.Duration(0); at < within; at += 10 * time.Millisecond {
-			now := began.Add(at)
-			if ph, due := ca.Due(now); due {
-				ca.Enter(ph)
-			}
-			all++
-			if ca.NewSingle(float64(all%100) / 100) {
-				toNew++
-			}
+		checkShare(t, within, func(ca *Canary, n int, _ time.Time) bool { return ca.NewSingle(float64(n%100) / 100) })
+		checkShare(t, within, func(ca *Canary, n int, now time.Time) bool { return ca.New(fmt.Sprint(n), now) })
+	}
+}
+
+func checkShare(t *testing.T, within time.Duration, isNew func(ca *Canary, n int, now time.Time) bool) {
+	t.Helper()
+	ca := canary()
+	ca.Plan.Within = within
+	all, toNew := 0, 0
+	for at := time.Duration(0); at < within; at += 10 * time.Millisecond {
+		now := began.Add(at)
+		if ph, due := ca.Due(now); due {
+			ca.Enter(ph)
+		}
+		all++
+		if isNew(ca, all, now) {
+			toNew++
 		}
-		require.Equal(t, Complete, ca.Phase(), within)
-		require.LessOrEqual(t, float64(toNew), 0.15*float64(all), within)
 	}
+	require.Equal(t, Complete, ca.Phase(), within)
+	require.LessOrEqual(t, float64(toNew), 0.15*float64(all), within)
 }
 
 func TestAGoodVersionFinishesInTime(t *testing.T) {
@@ -78,12 +84,15 @@
 	for range 100 {
 		ca.Observe("a", "r", true, false)
 	}
-	_, due := ca.Due(began.Add(17 * time.Second))
+	ca.NewSingle(0.5)
+	_, due := ca.Due(began.Add(18500 * time.Millisecond))
 	require.False(t, due)
 	ph, due := ca.Due(began.Add(19 * time.Second))
 	require.True(t, due)
 	require.Equal(t, Shifting, ph)
 	ca.Enter(ph)
+	_, due = ca.Due(began.Add(19010 * time.Millisecond))
+	require.False(t, due, "the other processes must learn of the shift")
 	_, due = ca.Due(began.Add(19300 * time.Millisecond))
 	require.False(t, due)
 	ph, _ = ca.Due(began.Add(19600 * time.Millisecond))
