--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -191,6 +190,3 @@
 	}
 	return wi
 }
-
-// random returns a number for a choice.
-func random() uint64 { return rand.Uint64() }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -147,7 +147,7 @@
 		ask.Affinity = id + "\x00" + model
 		ask.Held = float64(tokens) * ex.factor(model)
 	}
-	se, ok := ga.pool.Pick(ask, random(), now)
+	se, ok := ga.pool.Pick(ask, rand.Uint64(), now)
 	if !ok {
 		return "", false
 	}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -133,13 +133,13 @@
 	resp, err := cl.HTTP.Do(req)
 	if err != nil {
 		metrics.StoreCalls.Add("failed", 1)
-		return nil, 0, unanswered(method, err.Error())
+		return nil, 0, Unanswered(method == http.MethodPut, err.Error())
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
 		metrics.StoreCalls.Add("failed", 1)
-		return nil, 0, unanswered(method, err.Error())
+		return nil, 0, Unanswered(method == http.MethodPut, err.Error())
 	}
 	index, _ := strconv.ParseUint(resp.Header.Get("X-Consul-Index"), 10, 64)
 	switch {
@@ -149,7 +149,7 @@
 		return nil, 0, result.New(result.StoreDown, "rate limited")
 	case resp.StatusCode != http.StatusOK:
 		metrics.StoreCalls.Add("failed", 1)
-		return nil, 0, unanswered(method, resp.Status)
+		return nil, 0, Unanswered(method == http.MethodPut, resp.Status)
 	}
 	return body, index, nil
 }
@@ -166,10 +166,10 @@
 	return req, nil
 }
 
-// unanswered tells a read that gave nothing from a write that may have been
+// Unanswered tells a read that gave nothing from a write that may have been
 // made.
-func unanswered(method, detail string) error {
-	if method == http.MethodPut {
+func Unanswered(write bool, detail string) error {
+	if write {
 		return result.New(result.StoreUnknown, detail)
 	}
 	return result.New(result.StoreDown, detail)
