--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -26,9 +26,10 @@
 
 const (
 	// floorPart is the part of the times that are below the floor.
-	floorPart = 0.05
-	// floorStep is how fast the floor follows, as a part of itself.
-	floorStep = 0.2
+	floorPart = 0.01
+	// floorStep is how fast the floor follows, as a part of itself: it rises by a
+	// thousandth with each slower answer, so that some seconds of load don't move it.
+	floorStep = 0.1
 )
 
 // Floor follows the time that only the quickest answers stay below, by name: how
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -31,3 +31,15 @@
 	}
 	require.InDelta(t, 11, fl.Floor("m").Seconds()*1000, 3)
 }
+
+func TestABurstDoesNotMoveTheFloor(t *testing.T) {
+	var fl Floor
+	for range 200 {
+		fl.Observe("m", 20*time.Millisecond)
+	}
+	before := fl.Floor("m")
+	for range 120 {
+		fl.Observe("m", 100*time.Millisecond)
+	}
+	require.Less(t, fl.Floor("m"), before*5/4)
+}
