--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/linnetrudder/linnetrudder/internal/direct"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/event"
@@ -35,9 +37,10 @@
 	rest io.Reader
 	err  error
 	over bool
-	// headed is set once the head came or was given up, silent if it was given
-	// up because the server said nothing to anybody.
-	headed, silent atomic.Bool
+	// settled is set once by whichever is first: the head of the answer, or the
+	// timer that gives the attempt up. silent is set if the latter was because the
+	// server said nothing to anybody.
+	settled, silent atomic.Bool
 }
 
 // status returns the status of the answer, zero if there is none.
@@ -73,10 +76,17 @@
 	patience := time.AfterFunc(step.Patience().Sub(now), se.impatient)
 	se.call(ctx)
 	patience.Stop()
+	if !se.settled.CompareAndSwap(false, true) && se.err == nil {
+		// Given up just as the head came: the call was cancelled already.
+		se.err = errGivenUp
+	}
 	se.headCame(time.Now())
 	return se
 }
 
+// errGivenUp means that an answer came just after its attempt was given up.
+var errGivenUp = eris.New("attempt was given up")
+
 // impatient gives the attempt up if its server has said nothing since, and
 // waits on for a last time if it has: such a server is slow and not dead, and to
 // ask another one would be the same work again. It runs on a timer of its own.
@@ -86,15 +96,18 @@
 	alive := ga.pool.Heard(se.server.ID).After(se.began)
 	ga.mu.Unlock()
 	if !alive || more <= 0 {
-		se.silent.Store(true)
-		se.cancel()
+		se.giveUp(true)
 		return
 	}
-	time.AfterFunc(more, func() {
-		if !se.headed.Load() {
-			se.cancel()
-		}
-	})
+	time.AfterFunc(more, func() { se.giveUp(false) })
+}
+
+// giveUp cancels the call if no head has come.
+func (se *sent) giveUp(silent bool) {
+	if se.settled.CompareAndSwap(false, true) {
+		se.silent.Store(silent)
+		se.cancel()
+	}
 }
 
 // headCame notes how long the head of an answer took, or that it was not waited
@@ -103,7 +116,6 @@
 	ga, took := se.ex.ga, now.Sub(se.began)
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	se.headed.Store(true)
 	ga.pool.Read(se.server.ID, se.work)
 	if se.err == nil {
 		ga.pool.Hear(se.server.ID, now)
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -35,8 +35,8 @@
 	}
 	se.end("answered")
 	if err != nil {
-		ex.an.Abort()
 		ex.note(event.RequestFailed, codeOf(err), err.Error())
+		ex.an.Abort()
 		return
 	}
 	ex.answered()
@@ -76,8 +76,8 @@
 			return
 		case errors.As(err, &er):
 			se.drop()
-			ex.an.Abort()
 			ex.note(event.RequestFailed, er.Code(), er.Detail())
+			ex.an.Abort()
 			return
 		}
 		se.end("broken")
@@ -115,12 +115,12 @@
 		}
 		se.drop()
 	}
-	ex.an.Abort()
 	co := result.AnswerBroken
 	if ctx.Err() != nil {
 		co = result.Stopped
 	}
 	ex.note(event.RequestFailed, co, why.Error())
+	ex.an.Abort()
 	return nil
 }
 
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -131,7 +131,8 @@
 	Part(part []byte) error
 	// Refuse gives a final code and when to come back, zero for not at all.
 	Refuse(co result.Code, detail string, after time.Duration)
-	// Abort breaks the connection, so that a part is not taken for the whole.
+	// Abort breaks the connection, so that a part is not taken for the whole. It
+	// may not return.
 	Abort()
 }
 
