--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -20,6 +20,13 @@
 	return ga, ga.rollouts["s"]
 }
 
+// settle lets the time pass after which a version that counts as bad is left.
+func settle(ga *Gateway, ro *timedRollout) {
+	now := time.Now()
+	ga.settle(ro, now)
+	ga.settle(ro, now.Add(5*time.Second))
+}
+
 func TestANewOrderIsStoredAsTrying(t *testing.T) {
 	ga, ro := rolling(t)
 	ph, due := ga.dueFor(ro, time.Now())
@@ -36,6 +43,7 @@
 	for i := range 20 {
 		ga.observe(directory.Server{ID: fmt.Sprint(i), Service: "s", Version: "v2"}, "r", true, "", 0, 0)
 	}
+	settle(ga, ro)
 	require.Equal(t, rollout.Failed, ro.canary.Phase())
 	ph, due := ga.dueFor(ro, time.Now())
 	require.True(t, due)
@@ -72,6 +80,7 @@
 	for i := range 20 {
 		ga.observe(directory.Server{ID: fmt.Sprint("n", i%9), Service: "s", Version: "v2"}, "r", false, "pace", 8*time.Second, slowEvents)
 	}
+	settle(ga, ro)
 	require.Equal(t, rollout.Failed, ro.canary.Phase())
 }
 
@@ -95,11 +104,14 @@
 	own := bad
 	own.Box = "own"
 	ga.tallied(own)
+	settle(ga, ro)
 	require.Equal(t, rollout.Trying, ro.canary.Phase(), "what it told itself is not counted twice")
 	older := bad
 	older.Order = 3
 	ga.tallied(older)
+	settle(ga, ro)
 	require.Equal(t, rollout.Trying, ro.canary.Phase())
 	ga.tallied(bad)
+	settle(ga, ro)
 	require.Equal(t, rollout.Failed, ro.canary.Phase())
 }
--- a/internal/gateway/schedule_test.go
+++ b/internal/gateway/schedule_test.go
@@ -72,6 +72,7 @@
 // decide lets a gateway store what it thinks is due. The answer may be lost, and
 // the gateway may die between the decision and the write.
 func (fl *fleet) decide(rt *rapid.T, i int, now time.Time) {
+	fl.gateways[i].settle(fl.rollout(i), now)
 	ph, due := fl.gateways[i].dueFor(fl.rollout(i), now)
 	if !due {
 		return
@@ -183,6 +184,7 @@
 	for n := range 20 {
 		fl.gateways[1].observe(directory.Server{ID: fmt.Sprint(n), Service: "s", Version: "v2"}, "r", true, "", 0, 0)
 	}
+	settle(fl.gateways[1], fl.rollout(1))
 	naive := StoredPhase{Service: "s", Order: 7, Phase: fl.rollout(1).canary.Phase(), Revision: fl.store.kept.Revision}
 	require.True(t, fl.store.store(naive))
 	require.Equal(t, rollout.Failed, fl.store.kept.Phase, "the old servers are stopped, and everything goes back to them")
--- a/internal/rollout/canary.go
+++ b/internal/rollout/canary.go
@@ -34,6 +34,9 @@
 	// may learn of an order 0.4 s late, a write may take a quarter of a second, and
 	// operators look at the status now and then: 0.16 s before was too late.
 	finishBefore = 1200 * time.Millisecond
+	// hearing is how long a version must count as bad before it is left: the other
+	// gateways are told of bad answers first, and tell theirs in return.
+	hearing = 800 * time.Millisecond
 	// settle is the least time between the shift and the end, in which every
 	// process learns of the shift and short requests come to their end.
 	settle = 500 * time.Millisecond
@@ -84,6 +87,8 @@
 	own Outcomes
 	// peers holds what other gateways have told of theirs.
 	peers map[string]Outcomes
+	// suspect is since when the version counts as bad, zero if it does not.
+	suspect time.Time
 	// shifted is when this process first looked after the shift.
 	shifted time.Time
 	// singles is set once a request of no session came.
@@ -118,6 +123,26 @@
 // Counts returns the new version's outcomes here; a slow one counts as bad.
 func (ca *Canary) Counts() (tried, bad int) { return ca.tried, ca.bad + ca.own.Slow }
 
+// Settle enters Failed once the version has counted as bad for a while, in which
+// the other gateways tell what speaks for it. It reports whether it did.
+func (ca *Canary) Settle(now time.Time) bool {
+	if ph := ca.Phase(); ph == Complete || ph == Failed {
+		return false
+	}
+	if !ca.Bad() {
+		ca.suspect = time.Time{}
+		return false
+	}
+	if ca.suspect.IsZero() {
+		ca.suspect = now
+	}
+	if now.Sub(ca.suspect) < hearing {
+		return false
+	}
+	ca.Enter(Failed)
+	return true
+}
+
 // settled reports whether the shift has been in force for a while.
 func (ca *Canary) settled(now time.Time) bool { return now.Sub(ca.shifted) >= settle }
 
@@ -130,7 +155,7 @@
 }
 
 // Due returns the phase that should be stored now, or false if the present one
-// holds.
+// holds. Failed is entered by Settle.
 func (ca *Canary) Due(now time.Time) (Phase, bool) {
 	elapsed := now.Sub(ca.Began)
 	switch ph := ca.Phase(); {
@@ -139,8 +164,6 @@
 	case ph == Shifting && ca.shifted.IsZero():
 		ca.shifted = now
 		return "", false
-	case ca.Bad():
-		return Failed, true
 	case ph == Trying && elapsed >= ca.Plan.shiftAfter(ca.share()) && ca.worst() <= alarmSum/2:
 		return Shifting, true
 	case ph == Shifting && elapsed >= ca.Plan.Within-finishBefore && ca.settled(now):
--- a/internal/rollout/canary_test.go
+++ b/internal/rollout/canary_test.go
@@ -247,3 +247,23 @@
 		require.False(t, ca.Bad())
 	}
 }
+
+func TestAVersionIsLeftAfterAHearing(t *testing.T) {
+	ca := canary()
+	for i := range 10 {
+		ca.Observe(fmt.Sprint(i), "r", true, true)
+	}
+	require.True(t, ca.Bad())
+	require.False(t, ca.Settle(began))
+	require.False(t, ca.Settle(began.Add(hearing/2)))
+	for range 200 {
+		ca.Merge("peer", Outcomes{Tried: map[string]int{"r": 300}, Bad: map[string]int{"r": 0}})
+	}
+	require.False(t, ca.Settle(began.Add(hearing)), "the others have seen nothing bad")
+	for i := range 30 {
+		ca.Observe(fmt.Sprint(i), "r", true, true)
+	}
+	require.False(t, ca.Settle(began.Add(2*hearing)))
+	require.True(t, ca.Settle(began.Add(3*hearing)))
+	require.Equal(t, Failed, ca.Phase())
+}
--- a/internal/rollout/verdict.go
+++ b/internal/rollout/verdict.go
@@ -118,6 +118,21 @@
 	return out
 }
 
+// BadKnown returns the bad and slow answers that are known of all gateways.
+func (ca *Canary) BadKnown() int {
+	_, bad := ca.Counts()
+	for _, out := range ca.peers {
+		bad += out.Slow
+		for _, n := range out.Bad {
+			bad += n
+		}
+	}
+	return bad
+}
+
+// OwnTried returns how many outcomes this gateway has to tell.
+func (ca *Canary) OwnTried() int { return ca.tried + ca.own.Paced }
+
 // Merge takes what another gateway tells. It reports whether the new version now
 // counts as bad.
 func (ca *Canary) Merge(peer string, out Outcomes) bool {
