--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -165,7 +165,7 @@
 	// answerEvery is the least time between two tallies without: from the third
 	// bad answer known, all gateways tell what they have, so that the good answers
 	// count as well.
-	answerEvery   = 2 * time.Second
+	answerEvery   = 5 * time.Second
 	answerFromBad = 3
 )
 
