--- a/cmd/linnetrudder/root_test.go
+++ b/cmd/linnetrudder/root_test.go
@@ -55,3 +55,20 @@
 	require.Equal(t, command.Failed, execute([]string{"entry", "--settings", "/nonexistent"}, &out, &errOut))
 	require.Contains(t, errOut.String(), "read settings")
 }
+
+func TestCheckOfAGatewaysSettings(t *testing.T) {
+	good := `node_name = "f"
+zone = "z"
+[listen]
+frontend = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+[platform]
+address = "127.0.0.1:3"
+`
+	var out, errOut bytes.Buffer
+	require.Equal(t, command.OK, execute([]string{"check", "--role", "gateway", "--settings", write(t, good)}, &out, &errOut), errOut.String())
+	require.Contains(t, out.String(), `"data_centre": "z"`)
+	bad := good[:len(good)-20]
+	require.Equal(t, command.Failed, execute([]string{"check", "--role", "gateway", "--settings", write(t, bad)}, &out, &errOut))
+	require.Contains(t, errOut.String(), "60")
+}
