--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -7,7 +7,7 @@
 	// keepCalm is the confidence, from 0 to 100, from which a smaller model's
 	// answer is kept while the pool has room. Measured (docs/experiments): of the
 	// answers between 50 and 58 a third are poor, above 60 hardly any.
-	keepCalm = 60
+	keepCalm = 55
 	// calmPressure is the pressure up to which the pool counts as having room.
 	calmPressure = 0.4
 	// fullPressure is the pressure at which only answers with hardly any
@@ -17,7 +17,7 @@
 	keepFull = 10
 	// nearBand is how far below that confidence the next larger model is most
 	// likely good enough, at half the cost of the largest.
-	nearBand = 18
+	nearBand = 16
 	// priorityPressure is how much more the pressure counts for each rank of a
 	// less urgent request, so that the most urgent keep the largest model longest.
 	priorityPressure = 0.25
