--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -15,6 +15,7 @@
 	ServiceRestarted ID = 103
 	SettingsReloaded ID = 104
 	SettingsRefused  ID = 105
+	MetricsUnserved  ID = 106
 	RequestReceived  ID = 200
 	RequestRouted    ID = 201
 	RequestRetried   ID = 202
@@ -82,6 +83,7 @@
 	{ServiceRestarted, "service_restarted", "the supervisor restarted a part of the process"},
 	{SettingsReloaded, "settings_reloaded", "a changed settings file was read and is in force"},
 	{SettingsRefused, "settings_refused", "a changed settings file is not valid; what was in force stays"},
+	{MetricsUnserved, "metrics_unserved", "the metrics address could not be listened on; callers are served all the same"},
 	{RequestReceived, "request_received", "a caller's request was read and its team known"},
 	{RequestRouted, "request_routed", "an attempt was sent to a backend server"},
 	{RequestRetried, "request_retried", "a refused or failed attempt is followed by another"},
