--- a/internal/rollout/verdict.go
+++ b/internal/rollout/verdict.go
@@ -56,15 +56,15 @@
 }
 
 // Observe takes the outcome of a request that a server of one of the versions
-// answered. It reports whether the new version now counts as bad.
-func (ca *Canary) Observe(server, route string, isNew, bad bool) bool {
+// answered.
+func (ca *Canary) Observe(server, route string, isNew, bad bool) {
 	fa := ca.route(route)
 	if !isNew {
 		fa.oldTried++
 		if bad {
 			fa.oldBad++
 		}
-		return false
+		return
 	}
 	ca.tried++
 	count := 0
@@ -79,15 +79,14 @@
 	}
 	ca.own.Tried[route]++
 	ca.own.Bad[route] += count
-	return ca.Bad()
 }
 
 // ObservePace takes whether an answer of the new version was several times slower
 // than the old one is at its best. It says something only while the version is
 // tried, when its servers have next to nothing to do.
-func (ca *Canary) ObservePace(server string, slow bool) bool {
+func (ca *Canary) ObservePace(server string, slow bool) {
 	if ca.Phase() != Trying {
-		return false
+		return
 	}
 	count := 0
 	if slow {
@@ -97,7 +96,6 @@
 	ca.own.Paced++
 	ca.own.Slow += count
 	ca.addPace(1, count)
-	return ca.Bad()
 }
 
 func (ca *Canary) addPace(paced, slow int) {
@@ -133,9 +131,8 @@
 // OwnTried returns how many outcomes this gateway has to tell.
 func (ca *Canary) OwnTried() int { return ca.tried + ca.own.Paced }
 
-// Merge takes what another gateway tells. It reports whether the new version now
-// counts as bad.
-func (ca *Canary) Merge(peer string, out Outcomes) bool {
+// Merge takes what another gateway tells.
+func (ca *Canary) Merge(peer string, out Outcomes) {
 	old := ca.peers[peer]
 	for route, tried := range out.Tried {
 		more, bad := tried-old.Tried[route], out.Bad[route]-old.Bad[route]
@@ -153,7 +150,6 @@
 		ca.peers = map[string]Outcomes{}
 	}
 	ca.peers[peer] = out
-	return ca.Bad()
 }
 
 func (ca *Canary) route(name string) *failures {
