refactor: no setting or field that nothing reads

Read of the whole change: the bound on applying a configuration, the slack of retries, and the servers' slots and connections were decoded and used by nothing.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,8 +16,6 @@
 	DataCentre string
 	// Version is the version of the software or weights that it runs.
 	Version string
-	// Slots is how many requests it works on at once.
-	Slots int
 	// Draining servers take nothing new.
 	Draining bool
 }
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -209,13 +209,10 @@
 	// Revoke is how old the configuration may be at which a key is accepted;
 	// zero for no bound.
 	Revoke time.Duration
-	// Apply is how soon a change of the configuration must be in force.
-	Apply time.Duration
-	// RetryRatio, RetryWindow and RetrySlack bound attempts beyond the first
-	// over all gateways.
+	// RetryRatio and RetryWindow bound attempts beyond the first over all
+	// gateways.
 	RetryRatio  float64
 	RetryWindow time.Duration
-	RetrySlack  float64
 	// CanaryShare is the part of a service's requests that a bad version may get
 	// in the time of its roll-out, SessionGap the longest pause within a session.
 	CanaryShare float64
--- a/internal/routing/document.go
+++ b/internal/routing/document.go
@@ -70,12 +70,6 @@
 // Service is a set of interchangeable backend servers.
 type Service struct {
 	Name string
-	// Connections is the most connections that one backend server accepts from
-	// all callers together; zero if it is not known.
-	Connections int
-	// Slots is the most requests a model server works on at once; zero for a
-	// plain service.
-	Slots int
 	// Costs holds the cost of 1,000 generated tokens by model.
 	Costs map[string]float64
 }
