refactor: one constant for a server's failure, and no doubt beside the count of runs

The status from which a server has failed stood in direct and in gateway; doubt was true only after Lost, which counts a run, so that the runs alone say it.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -112,8 +112,8 @@
 	limitTimes = 10
 	// minLeft is the least time left in which an attempt is still made.
 	minLeft = 5 * time.Millisecond
-	// serverError is the first status that says that a server failed.
-	serverError = 500
+	// ServerFailed is the first status that says that a server failed.
+	ServerFailed = 500
 )
 
 // Request is one request in progress. Its exported fields are set before
@@ -140,17 +140,12 @@
 	tried []string
 	// sends counts attempts, runs those that ran or may have.
 	sends, runs int
-	// doubt is true once an attempt may have run without an answer.
-	doubt     bool
-	delivered bool
+	delivered   bool
 }
 
 // Runs returns how many attempts ran or may have run.
 func (re *Request) Runs() int { return re.runs }
 
-// Doubt reports whether an attempt may have run without an answer.
-func (re *Request) Doubt() bool { return re.doubt }
-
 // Begin makes the first attempt.
 func (re *Request) Begin(now time.Time) Step {
 	if len(re.Models) > 0 {
@@ -172,7 +167,6 @@
 // Lost says that the attempt was sent and gave no answer: it may have run.
 func (re *Request) Lost(now time.Time) Step {
 	re.runs++
-	re.doubt = true
 	if !re.Idempotent {
 		return re.refuse(result.LinkLost, 0)
 	}
@@ -184,7 +178,7 @@
 func (re *Request) Answered(status, confidence int, now time.Time) Step {
 	re.runs++
 	switch {
-	case status >= serverError:
+	case status >= ServerFailed:
 		return re.failed(now)
 	case len(re.Models) > 0 && re.Idempotent:
 		if next, ok := re.Cascade.Next(re.place, confidence, now); ok {
@@ -327,7 +321,7 @@
 // refuse ends the request. After an attempt that may have run, no code says
 // that the request did not.
 func (re *Request) refuse(co result.Code, after time.Duration) Step {
-	if re.doubt || re.runs > 0 {
+	if re.runs > 0 {
 		co = result.LinkLost
 	}
 	if after == 0 {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -129,7 +129,7 @@
 	}
 	switch {
 	case se.err != nil || se.answer.Stream:
-	case se.answer.Status >= serverFailed:
+	case se.answer.Status >= direct.ServerFailed:
 		ga.observe(se.server, se.ex.route.Name, true, "", 0, 0)
 	default:
 		ga.observe(se.server, se.ex.route.Name, false, "whole "+name+se.ex.route.Name, took, slowWhole)
@@ -208,16 +208,13 @@
 		}
 		return ex.request.Lost(now)
 	}
-	good := se.answer.Status < serverFailed
+	good := se.answer.Status < direct.ServerFailed
 	if !good || !se.answer.Stream {
 		ex.ga.judge(ctx, se, good, now)
 	}
 	return ex.request.Answered(se.answer.Status, se.answer.Confidence, now)
 }
 
-// serverFailed is the first status that says that a server failed.
-const serverFailed = 500
-
 // judge notes what an attempt says of its server. What ended because the
 // caller left, or its time, says nothing.
 func (ga *Gateway) judge(ctx context.Context, se *sent, good bool, now time.Time) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -255,7 +255,7 @@
 		ex.note(event.RequestFailed, result.Stopped, "the caller went away")
 		return
 	}
-	if ex.request.Runs() > 0 || ex.request.Doubt() {
+	if ex.request.Runs() > 0 {
 		ex.refuse(result.LinkLost, "the time was over", 0)
 		return
 	}
