--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -6,12 +6,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -92,9 +94,32 @@
 	return net.IPv4(127, byte(first+id>>16), byte(id>>8), byte(id))
 }
 
-// FreeAddress returns a loopback address that is free now and that no outgoing
-// connection takes.
+// given holds the addresses that were handed out: a port that is free again
+// because its process has not bound it yet, or is being restarted, is not handed
+// out a second time.
+var given = struct {
+	sync.Mutex
+	addresses map[string]bool
+}{addresses: map[string]bool{}}
+
+// FreeAddress returns a loopback address that is free now, that no outgoing
+// connection takes and that was not returned before.
 func FreeAddress() (string, error) {
+	given.Lock()
+	defer given.Unlock()
+	for {
+		address, err := freeNow()
+		if err != nil {
+			return "", err
+		}
+		if !given.addresses[address] {
+			given.addresses[address] = true
+			return address, nil
+		}
+	}
+}
+
+func freeNow() (string, error) {
 	li, err := net.Listen("tcp", net.JoinHostPort(ownIP().String(), "0"))
 	if err != nil {
 		return "", eris.Wrap(err, "free port")
@@ -135,7 +160,7 @@
 	if err != nil {
 		return "", nil, err
 	}
-	return address, pr, waitPort(address)
+	return address, pr, pr.waitPort(address)
 }
 
 // Platform starts the stand-ins of the platform.
@@ -182,7 +207,7 @@
 	if err != nil {
 		return err
 	}
-	return waitPort(me.Admin)
+	return me.Process.waitPort(me.Admin)
 }
 
 func (fl *Fleet) writeSettings(me *Member) (string, error) {
@@ -289,16 +314,29 @@
 	return failed
 }
 
-func waitPort(address string) error {
-	return Until(startTimeout, "port "+address, func() bool {
+// waitPort waits until the program listens. A program that does not is shown with
+// the end of its log, since the log goes with the test's folder.
+func (pr *Process) waitPort(address string) error {
+	err := Until(startTimeout, "port "+address, func() bool {
 		co, err := net.Dial("tcp", address)
 		if err == nil {
 			_ = co.Close()
 		}
 		return err == nil
 	})
+	if err == nil {
+		return nil
+	}
+	body, readErr := os.ReadFile(pr.log.Name())
+	if readErr != nil {
+		return errors.Join(err, readErr)
+	}
+	return fmt.Errorf("%s, ended %t: %w: %s", pr.Name, pr.Wait(0), err, body[max(0, len(body)-logTail):])
 }
 
+// logTail is how many bytes of a log are shown.
+const logTail = 2000
+
 // Until waits for a condition; it fails after a bound that only a broken
 // system reaches.
 func Until(most time.Duration, what string, holds func() bool) error {
--- /dev/null
+++ b/standin/fleet/fleet_test.go
@@ -0,0 +1,33 @@
+package fleet
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Seen as a process that never listened: its two addresses were one.
+func TestNoAddressIsGivenTwice(t *testing.T) {
+	given := map[string]bool{}
+	for range 2000 {
+		address, err := FreeAddress()
+		require.NoError(t, err)
+		require.False(t, given[address], address)
+		given[address] = true
+	}
+}
+
+func TestAProgramThatDoesNotListenIsShownWithItsLog(t *testing.T) {
+	folder := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "failing"), []byte("#!/bin/sh\necho no address\nexit 1\n"), 0o700))
+	fl := &Fleet{Bin: folder, Dir: folder}
+	pr, err := fl.Start("p", "failing")
+	require.NoError(t, err)
+	address, err := FreeAddress()
+	require.NoError(t, err)
+	err = pr.waitPort(address)
+	require.ErrorContains(t, err, "p, ended true")
+	require.ErrorContains(t, err, "no address")
+}
