fix: a program that has ended is never taken for running

Cause: Process.Wait chose between "ended" and a timer of zero by select, which picks at random among channels that are ready. A program that had ended was reported as running about half of the time. Ruled out: the program itself, its log was complete.

--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -42,10 +42,21 @@
 // Wait waits until the program has ended, at most for a time. It reports
 // whether it has.
 func (pr *Process) Wait(most time.Duration) bool {
+	ti := time.NewTimer(most)
+	defer ti.Stop()
+	select {
+	case <-pr.ended:
+	case <-ti.C:
+	}
+	return pr.hasEnded()
+}
+
+// hasEnded reports whether the program has ended by now.
+func (pr *Process) hasEnded() bool {
 	select {
 	case <-pr.ended:
 		return true
-	case <-time.After(most):
+	default:
 		return false
 	}
 }
@@ -294,7 +305,7 @@
 	var failed error
 	for i := len(fl.members) - 1; i >= 0; i-- {
 		pr := fl.members[i].Process
-		if pr == nil || pr.Wait(0) {
+		if pr == nil || pr.hasEnded() {
 			continue
 		}
 		_ = pr.Signal(syscall.SIGCONT)
@@ -306,7 +317,7 @@
 		}
 	}
 	for _, pr := range fl.processes {
-		if !pr.Wait(0) {
+		if !pr.hasEnded() {
 			_ = pr.Signal(syscall.SIGKILL)
 			pr.Wait(stopTimeout)
 		}
@@ -317,21 +328,26 @@
 // waitPort waits until the program listens. A program that does not is shown with
 // the end of its log, since the log goes with the test's folder.
 func (pr *Process) waitPort(address string) error {
+	listens := false
 	err := Until(startTimeout, "port "+address, func() bool {
 		co, err := net.Dial("tcp", address)
 		if err == nil {
 			_ = co.Close()
+			listens = true
 		}
-		return err == nil
+		return listens || pr.hasEnded()
 	})
-	if err == nil {
+	if listens {
 		return nil
 	}
+	if err == nil {
+		err = eris.Errorf("port %s: the program has ended", address)
+	}
 	body, readErr := os.ReadFile(pr.log.Name())
 	if readErr != nil {
 		return errors.Join(err, readErr)
 	}
-	return fmt.Errorf("%s, ended %t: %w: %s", pr.Name, pr.Wait(0), err, body[max(0, len(body)-logTail):])
+	return fmt.Errorf("%s, ended %t: %w: %s", pr.Name, pr.hasEnded(), err, body[max(0, len(body)-logTail):])
 }
 
 // logTail is how many bytes of a log are shown.
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -31,3 +31,14 @@
 	require.ErrorContains(t, err, "p, ended true")
 	require.ErrorContains(t, err, "no address")
 }
+
+// Seen as a program that had ended and was reported as running: two channels that
+// are both ready are chosen between at random.
+func TestAProgramThatHasEndedIsNeverTakenForRunning(t *testing.T) {
+	pr := &Process{ended: make(chan struct{})}
+	require.False(t, pr.Wait(0))
+	close(pr.ended)
+	for range 10_000 {
+		require.True(t, pr.Wait(0))
+	}
+}
