feat: gateways count each other by a membership under a lease

Cause: with 30 gateways each knows a thirtieth of a server's load, and the load of the others was taken to be the own one, as fits four. Change: each gateway writes its key under a lease and renews it every 10 s; the load that others have in progress is half the members times the own. The age of the configuration stands in a package of its own (freshness), unchanged. Failed try, taken back: to let renewals of the lease (a tenth of a call's price) confirm the configuration while one watch waits 15 s. Only an answered watch says anything.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -45,6 +45,8 @@
 	ServerGone       ID = 512
 	ServerEjected    ID = 513
 	ServerReturned   ID = 514
+	MemberJoined     ID = 515
+	MemberLeft       ID = 516
 	BillWritten      ID = 600
 	BillHeld         ID = 601
 	ClaimWon         ID = 602
@@ -113,6 +115,8 @@
 	{ServerGone, "server_gone", "a backend server is no longer on the list"},
 	{ServerEjected, "server_ejected", "a backend server's answers failed and it is not used for a while"},
 	{ServerReturned, "server_returned", "an ejected backend server answered and is used again"},
+	{MemberJoined, "member_joined", "a gateway has joined those that share the backend servers"},
+	{MemberLeft, "member_left", "a gateway no longer renews its membership"},
 	{BillWritten, "bill_written", "bill records are durable"},
 	{BillHeld, "bill_held", "bill records wait for the key-value service"},
 	{ClaimWon, "claim_won", "a claim is durable"},
--- /dev/null
+++ b/internal/freshness/freshness.go
@@ -0,0 +1,84 @@
+// Package freshness knows up to which moment a process has heard of every change
+// in the key-value service, so that it can tell how old its configuration may be
+// at the most. Only the steady clock counts. It does no I/O and reads no clock.
+//
+// A whole read confirms a moment, and the answer to a watch. A watch that still
+// waits confirms nothing, whatever other calls are answered meanwhile: it may have
+// missed changes (docs/design/platform.md).
+package freshness
+
+import "time"
+
+const (
+	// TickEvery is how often Tick is to be called.
+	TickEvery = 100 * time.Millisecond
+	// stallGap is the time between two ticks after which the process is taken to
+	// have been stopped; a busy processor delays a tick by less.
+	stallGap = 4 * TickEvery
+)
+
+// Record is what one process knows. The zero value knows nothing. It is not safe
+// for concurrent use.
+type Record struct {
+	// confirmed is the time up to which all changes are known. It never goes back.
+	confirmed time.Time
+	// ticked is the time of the newest tick, stalled that of the newest one that
+	// came so late that the process must have been stopped before.
+	ticked, stalled time.Time
+	connected       bool
+}
+
+// Age returns how old what is known may be at the most.
+func (re *Record) Age(now time.Time) time.Duration { return now.Sub(re.confirmed) }
+
+// Connected reports whether the service answered last.
+func (re *Record) Connected() bool { return re.connected }
+
+// Tick notes that the process runs.
+func (re *Record) Tick(now time.Time) {
+	if !re.ticked.IsZero() && now.Sub(re.ticked) > stallGap {
+		re.stalled = now
+	}
+	re.ticked = now
+}
+
+// Read takes the answer to a read of everything. It reports whether the service
+// had been lost before.
+func (re *Record) Read(sent time.Time) (regained bool) { return re.confirm(sent) }
+
+// Watched takes the answer to a watch, empty if there was no change within the
+// wait. It reports whether the service had been lost before.
+func (re *Record) Watched(sent time.Time, wait time.Duration, empty bool, now time.Time) (regained bool) {
+	return re.confirm(re.answeredAt(sent, wait, empty, now))
+}
+
+// answeredAt returns a time at which the answer to a watch was surely not given
+// yet, as late as can be said: an empty one is given when the wait is over, any
+// other one when it came, unless this process was stopped meanwhile and the
+// answer may have lain there.
+func (re *Record) answeredAt(sent time.Time, wait time.Duration, empty bool, now time.Time) time.Time {
+	if empty && now.Sub(sent) >= wait {
+		return sent.Add(wait)
+	}
+	if now.Sub(re.ticked) > stallGap || re.stalled.After(sent) {
+		return sent
+	}
+	return now
+}
+
+// Failed notes a call without a good answer. It reports whether the service
+// answered before.
+func (re *Record) Failed() (lost bool) {
+	lost = re.connected
+	re.connected = false
+	return lost
+}
+
+func (re *Record) confirm(at time.Time) (regained bool) {
+	if at.After(re.confirmed) {
+		re.confirmed = at
+	}
+	regained = !re.connected
+	re.connected = true
+	return regained
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -51,7 +51,7 @@
 			ga.lost(ctx, err)
 			continue
 		}
-		ga.apply(st, ga.answeredAt(sent, wait, len(st.Changes) == 0, time.Now()))
+		ga.apply(st, sent, wait, time.Now())
 		revision = st.Revision
 		if len(st.Changes) > 0 {
 			sleep(ctx, gather)
@@ -76,10 +76,9 @@
 		return
 	}
 	ga.mu.Lock()
-	was := ga.connected
-	ga.connected = false
+	was := ga.fresh.Failed()
 	ga.servers.StoreLost()
-	age := time.Since(ga.confirmed)
+	age := ga.fresh.Age(time.Now())
 	ga.mu.Unlock()
 	storeFailures.Inc()
 	if was {
@@ -97,15 +96,8 @@
 	}
 }
 
-// confirm notes that all changes up to a time are known. The lock is held.
-func (ga *Gateway) confirm(at time.Time) {
-	if at.After(ga.confirmed) {
-		ga.confirmed = at
-	}
-	if ga.connected {
-		return
-	}
-	ga.connected = true
+// regained notes that the service answers again. The lock is held.
+func (ga *Gateway) regained() {
 	ga.servers.StoreBack(time.Now())
 	ga.Log.Info().Int("event", int(event.StoreRegained)).Msg(event.Name(event.StoreRegained))
 }
@@ -114,7 +106,9 @@
 func (ga *Gateway) replace(st State, sent time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.confirm(sent)
+	if ga.fresh.Read(sent) {
+		ga.regained()
+	}
 	var list []directory.Server
 	for _, ch := range st.Changes {
 		if ch.Server != nil {
@@ -124,31 +118,18 @@
 		ga.change(ch)
 	}
 	ga.servers.Replace(list, time.Now())
+	ga.replaceMembers(st)
 	ga.Log.Info().Int("event", int(event.StateRead)).Uint64("revision", st.Revision).
 		Int("servers", len(list)).Msg(event.Name(event.StateRead))
 }
 
-// answeredAt returns a time at which the answer to a watch was surely not given
-// yet, as late as can be said: an empty one is given when the wait is over, any
-// other one when it came, unless this process was stopped meanwhile and the
-// answer may have lain there.
-func (ga *Gateway) answeredAt(sent time.Time, wait time.Duration, empty bool, now time.Time) time.Time {
-	if empty && now.Sub(sent) >= wait {
-		return sent.Add(wait)
-	}
+// apply takes what a watch returned that was sent at a time.
+func (ga *Gateway) apply(st State, sent time.Time, wait time.Duration, now time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	if now.Sub(ga.ticked) > stallGap || ga.stalled.After(sent) {
-		return sent
+	if ga.fresh.Watched(sent, wait, len(st.Changes) == 0, now) {
+		ga.regained()
 	}
-	return now
-}
-
-// apply takes what a watch returned and the time as of which it holds.
-func (ga *Gateway) apply(st State, at time.Time) {
-	ga.mu.Lock()
-	defer ga.mu.Unlock()
-	ga.confirm(at)
 	for _, ch := range st.Changes {
 		ga.change(ch)
 	}
@@ -173,6 +154,10 @@
 		ga.stored(*ch.Phase)
 	case ch.Tally != nil:
 		ga.tallied(*ch.Tally)
+	case ch.Member != "":
+		ga.joined(ch.Member)
+	case ch.MemberGone != "":
+		ga.left(ch.MemberGone)
 	case ch.Unreadable != nil:
 		ga.Log.Error().Int("event", int(event.ConfigRefused)).Err(ch.Unreadable).Msg(event.Name(event.ConfigRefused))
 	}
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -18,6 +18,9 @@
 type script struct {
 	mu  sync.Mutex
 	cut bool
+	// joined counts the memberships; over is set when the lease has run out.
+	joined int
+	over   bool
 }
 
 func (sc *script) setCut(cut bool) {
@@ -47,6 +50,29 @@
 
 func (*script) Store(context.Context, Order, StoredPhase) (bool, error) { return true, nil }
 
+func (sc *script) Join(context.Context, string, time.Duration) (Lease, error) {
+	err := sc.failed()
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	if err == nil {
+		sc.joined++
+		sc.over = false
+	}
+	return 1, err
+}
+
+func (sc *script) Renew(context.Context, Lease) error {
+	if err := sc.failed(); err != nil {
+		return err
+	}
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	if sc.over {
+		return ErrLeaseOver
+	}
+	return nil
+}
+
 func (*script) Tell(context.Context, Tally) error { return nil }
 
 // Keys are accepted all the time while the service answers, and for as long as
@@ -60,11 +86,11 @@
 			go func() { _ = ga.Run(ctx) }()
 			for range cutAfter / (50 * time.Millisecond) {
 				time.Sleep(50 * time.Millisecond)
-				require.True(t, ga.fresh(time.Now()))
+				require.True(t, ga.isFresh(time.Now()))
 			}
 			sc.setCut(true)
 			cut := time.Now()
-			for ga.fresh(time.Now()) {
+			for ga.isFresh(time.Now()) {
 				time.Sleep(10 * time.Millisecond)
 			}
 			held := time.Since(cut)
@@ -72,21 +98,37 @@
 			require.Less(t, held, 5*time.Second-time.Second, "a watch may have heard nothing for a second before")
 			sc.setCut(false)
 			time.Sleep(2 * time.Second)
-			require.True(t, ga.fresh(time.Now()))
+			require.True(t, ga.isFresh(time.Now()))
 			cancel()
 			synctest.Wait()
 		})
 	}
 }
 
-func TestAnAnswerThatLayThereIsNotTakenForNew(t *testing.T) {
-	ga := &Gateway{Log: zerolog.Nop()}
-	sent := time.Unix(1000, 0)
-	ga.noteTick(sent.Add(100 * time.Millisecond))
-	wake := sent.Add(4 * time.Second)
-	require.Equal(t, sent, ga.answeredAt(sent, 5*time.Second, false, wake), "before the first tick after the stop")
-	ga.noteTick(wake)
-	require.Equal(t, sent, ga.answeredAt(sent, 5*time.Second, false, wake), "after it")
-	require.Equal(t, sent.Add(time.Second), ga.answeredAt(sent, time.Second, true, wake), "an empty answer was given when the wait was over")
-	require.Equal(t, wake.Add(60*time.Millisecond), ga.answeredAt(wake.Add(50*time.Millisecond), time.Second, false, wake.Add(60*time.Millisecond)))
+// A membership whose lease ran out while the service was away is taken up again.
+func TestAMembershipThatRanOutIsTakenUpAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := &script{cut: true}
+		ga := &Gateway{Log: zerolog.Nop(), Source: sc, Box: "b"}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = ga.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		sc.setCut(false)
+		time.Sleep(2 * time.Second)
+		joined := func() int {
+			sc.mu.Lock()
+			defer sc.mu.Unlock()
+			return sc.joined
+		}
+		require.Equal(t, 1, joined())
+		sc.mu.Lock()
+		sc.over = true
+		sc.mu.Unlock()
+		time.Sleep(renewEvery + time.Second)
+		require.Equal(t, 2, joined())
+		time.Sleep(3 * renewEvery)
+		require.Equal(t, 2, joined(), "renewed since")
+		cancel()
+		synctest.Wait()
+	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,17 +11,13 @@
 	"github.com/linnetrudder/linnetrudder/internal/budget"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/freshness"
 	"github.com/linnetrudder/linnetrudder/internal/pace"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
 )
 
 const (
-	// tickEvery is how often roll-outs and missing servers are looked at.
-	tickEvery = 100 * time.Millisecond
-	// stallGap is the time between two ticks after which the process is taken to
-	// have been stopped; a busy processor delays a tick by less.
-	stallGap = 4 * tickEvery
 	// ownRatio is the part of the retry ratio that is used, since requests at
 	// the edge of a window are counted by another clock.
 	ownRatio = 0.94
@@ -57,14 +53,12 @@
 
 	// mu guards what follows.
 	mu sync.Mutex
-	// confirmed is the time up to which all changes are known.
-	confirmed time.Time
-	// ticked is the time of the newest tick, stalled when a tick came so late
-	// that the process must have been stopped before.
-	ticked, stalled time.Time
-	connected       bool
-	servers         directory.Directory
-	pool            pool.Pool
+	// fresh knows how old the configuration may be.
+	fresh freshness.Record
+	// members holds the boxes whose gateways are members.
+	members map[string]bool
+	servers directory.Directory
+	pool    pool.Pool
 	// pace knows how long heads take, by service and model.
 	pace pace.Meter
 	// best knows how long answers take at their best, by service and model.
@@ -82,6 +76,7 @@
 	ga.prepare()
 	var wg sync.WaitGroup
 	wg.Go(func() { ga.tick(ctx) })
+	wg.Go(func() { ga.keepMembership(ctx) })
 	ga.follow(ctx)
 	wg.Wait()
 	return ctx.Err()
@@ -94,6 +89,7 @@
 	ga.retries = map[string]*budget.Window{}
 	ga.rollouts = map[string]*timedRollout{}
 	ga.phases = map[string]StoredPhase{}
+	ga.members = map[string]bool{}
 }
 
 // Stop begins a planned stop: the gateway says that it is not ready, and goes
@@ -116,21 +112,21 @@
 
 // Ready reports whether new callers may be sent here.
 func (ga *Gateway) Ready(now time.Time) bool {
-	return !ga.stopping.Load() && ga.table.Load() != nil && ga.fresh(now)
+	return !ga.stopping.Load() && ga.table.Load() != nil && ga.isFresh(now)
 }
 
 // age returns how old the configuration may be at the most.
 func (ga *Gateway) age(now time.Time) time.Duration {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	return now.Sub(ga.confirmed)
+	return ga.fresh.Age(now)
 }
 
-// fresh reports whether keys may be accepted.
-func (ga *Gateway) fresh(now time.Time) bool {
+// isFresh reports whether keys may be accepted.
+func (ga *Gateway) isFresh(now time.Time) bool {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	return ga.Bounds.Revoke == 0 || now.Sub(ga.confirmed) < ga.Bounds.oldest()
+	return ga.Bounds.Revoke == 0 || ga.fresh.Age(now) < ga.Bounds.oldest()
 }
 
 // SetBounds takes changed bounds.
@@ -142,7 +138,7 @@
 }
 
 func (ga *Gateway) tick(ctx context.Context) {
-	ti := time.NewTicker(tickEvery)
+	ti := time.NewTicker(freshness.TickEvery)
 	defer ti.Stop()
 	for {
 		select {
@@ -159,10 +155,7 @@
 func (ga *Gateway) noteTick(now time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	if !ga.ticked.IsZero() && now.Sub(ga.ticked) > stallGap {
-		ga.stalled = now
-	}
-	ga.ticked = now
+	ga.fresh.Tick(now)
 }
 
 func (ga *Gateway) dropMissing(now time.Time) {
--- /dev/null
+++ b/internal/gateway/membership.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/event"
+)
+
+const (
+	// renewEvery is the pause between two renewals of the membership, memberTTL how
+	// long a gateway that does not renew is still a member. The members are only
+	// counted, so that a late count does no harm, and each renewal has a price.
+	renewEvery = 10 * time.Second
+	memberTTL  = 25 * time.Second
+	// joinAgain is the pause after a call that failed.
+	joinAgain = time.Second
+)
+
+// keepMembership keeps this gateway among the members.
+func (ga *Gateway) keepMembership(ctx context.Context) {
+	var le Lease
+	for ctx.Err() == nil {
+		pause := renewEvery
+		if err := ga.renew(ctx, &le); err != nil && ctx.Err() == nil {
+			ga.Log.Warn().Int("event", int(event.StoreCallFailed)).Err(err).Msg(event.Name(event.StoreCallFailed))
+			pause = joinAgain
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// renew renews the lease, or joins anew if there is none.
+func (ga *Gateway) renew(ctx context.Context, le *Lease) error {
+	if *le != 0 {
+		err := ga.Source.Renew(ctx, *le)
+		if !errors.Is(err, ErrLeaseOver) {
+			return err
+		}
+		*le = 0
+	}
+	joined, err := ga.Source.Join(ctx, ga.Box, memberTTL)
+	if err == nil {
+		*le = joined
+	}
+	return err
+}
+
+// joined notes a member; the lock is held.
+func (ga *Gateway) joined(box string) {
+	if !ga.members[box] {
+		ga.members[box] = true
+		ga.noteMember(event.MemberJoined, box)
+	}
+}
+
+// replaceMembers drops the members that a whole state does not hold; the lock is
+// held.
+func (ga *Gateway) replaceMembers(st State) {
+	listed := map[string]bool{}
+	for _, ch := range st.Changes {
+		listed[ch.Member] = true
+	}
+	for box := range ga.members {
+		if !listed[box] {
+			ga.left(box)
+		}
+	}
+}
+
+// left notes that a member is gone; the lock is held.
+func (ga *Gateway) left(box string) {
+	if ga.members[box] {
+		delete(ga.members, box)
+		ga.noteMember(event.MemberLeft, box)
+	}
+}
+
+func (ga *Gateway) noteMember(id event.ID, box string) {
+	ga.pool.Members = max(1, len(ga.members))
+	ga.Log.Info().Int("event", int(id)).Str("member", box).Int("members", len(ga.members)).Msg(event.Name(id))
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -79,7 +79,7 @@
 		return ex.denied(result.UnknownPath)
 	}
 	if ex.table.Protected() && !ex.route.Public {
-		if !ga.fresh(now) {
+		if !ga.isFresh(now) {
 			return result.StaleConfiguration
 		}
 		te := ex.table.TeamByKey(ex.as.Key)
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -156,6 +156,9 @@
 	Phase *StoredPhase
 	// Tally is what a gateway tells of a new version.
 	Tally *Tally
+	// Member is the box of a gateway that is a member; MemberGone that of one that
+	// is not any more.
+	Member, MemberGone string
 	// Unreadable says what could not be decoded.
 	Unreadable error
 }
@@ -190,6 +193,12 @@
 // ErrHistoryGone means that a watch cannot go on from its revision.
 var ErrHistoryGone = eris.New("the history of the key-value service does not reach back")
 
+// Lease names a lease of the key-value service.
+type Lease int64
+
+// ErrLeaseOver means that a lease ran out before it was renewed.
+var ErrLeaseOver = eris.New("the lease is over")
+
 // Source is the platform's key-value service.
 type Source interface {
 	// Read reads everything.
@@ -202,6 +211,10 @@
 	Store(ctx context.Context, or Order, ph StoredPhase) (bool, error)
 	// Tell keeps a tally in place of the box's last one.
 	Tell(ctx context.Context, ta Tally) error
+	// Join makes the gateway of a box a member for as long as the lease is renewed.
+	Join(ctx context.Context, box string, ttl time.Duration) (Lease, error)
+	// Renew renews a lease; it returns ErrLeaseOver if there is none any more.
+	Renew(ctx context.Context, le Lease) error
 }
 
 // Bounds are the platform's figures that the gateway holds to.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -18,9 +18,10 @@
 	// attemptWork is what an attempt in progress adds to its server's load
 	// besides its prompt, in tokens: it slows each step of the others a little.
 	attemptWork = 60
-	// crowd is how many times its own load a process takes a server's to be,
-	// since others send to it as well and know as little of this one.
-	crowd = 2.0
+	// crowdPart is the part of the other processes that have as much work in
+	// progress on a server as this one: they send to it as well and know as little of
+	// this one. Measured with 4 processes and with 30 (docs/design/platform.md).
+	crowdPart = 0.5
 	// remoteCost is the load that a server in another data centre must have
 	// less than one in the own to be preferred, in attempts.
 	remoteCost = 2
@@ -49,6 +50,9 @@
 	// DataCentre is the process's own.
 	DataCentre string
 	Directory  *directory.Directory
+	// Members is how many processes share the servers, this one included. It may
+	// change at any time.
+	Members int
 
 	outliers outlier.Detector
 	// running counts the own attempts in progress by server id.
@@ -91,7 +95,7 @@
 // one that ranks first by rendezvous hashing holds its start already, any other
 // must read it too, and each has its load to work off before.
 func (po *Pool) holder(list []*directory.Server, ask Ask) *directory.Server {
-	home := first(list, ask.Affinity)
+	home, crowd := first(list, ask.Affinity), po.crowd()
 	best, least := home, crowd*po.load(home.ID)
 	for _, se := range list {
 		if work := crowd*po.load(se.ID) + ask.Held; se != home && work < least {
@@ -101,6 +105,9 @@
 	return best
 }
 
+// crowd returns how many times its own load the process takes a server's to be.
+func (po *Pool) crowd() float64 { return max(1, crowdPart*float64(po.Members)) }
+
 // first returns the server that ranks first for a key.
 func first(list []*directory.Server, key string) *directory.Server {
 	var best *directory.Server
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -13,7 +13,7 @@
 var now = time.Unix(1000, 0)
 
 func pool(n int) *Pool {
-	po := &Pool{DataCentre: "dc0", Directory: &directory.Directory{}}
+	po := &Pool{Members: 4, DataCentre: "dc0", Directory: &directory.Directory{}}
 	for i := range n {
 		po.Directory.Put(directory.Server{ID: fmt.Sprint("s", i), Service: "svc", DataCentre: fmt.Sprint("dc", i%3), Version: fmt.Sprint("v", 1+i%2)})
 	}
