feat: two gateways of a data centre watch the service, the others ask them

Most are answers to changes: each change costs a call of every gateway. Change: members say where they answer and how large their box's link is. The two with the largest links in a data centre watch; the others ask one of them over a WebSocket with CBOR, each answer with the age of what the watcher knows, so that the bound on the configuration's age holds whatever lies between. A watcher that is silent for 0.9 s, knows nothing newer than 2.2 s or has lost its history is left for 5 s: for the other one, then for the service itself. Nothing is agreed: gateways that know other members choose other watchers, which costs calls only. A watch waits shorter the older the configuration may be: a gateway whose two watchers were cut off was without an accepted key for half a second (gateway.TestAWatcherThatIsCutOffIsLeft failed first). Sites of four gateways in three data centres watch as before.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -35,6 +35,8 @@
 	ConfigConflict   ID = 403
 	WatchStarted     ID = 404
 	WatchStopped     ID = 405
+	WatcherFailed    ID = 406
+	RelayFailed      ID = 407
 	LinkUp           ID = 500
 	LinkDown         ID = 501
 	LinkRefused      ID = 502
@@ -105,6 +107,8 @@
 	{ConfigConflict, "config_conflict", "a change lost against another operator's"},
 	{WatchStarted, "watch_started", "this process watches the key-value service for its data centre"},
 	{WatchStopped, "watch_stopped", "this process no longer watches the key-value service"},
+	{WatcherFailed, "watcher_failed", "the gateway that watches the key-value service for this one did not serve it"},
+	{RelayFailed, "relay_failed", "changes could not be passed on to other gateways"},
 	{LinkUp, "link_up", "a connection between two processes is open"},
 	{LinkDown, "link_down", "a connection between two processes has ended"},
 	{LinkRefused, "link_refused", "a peer did not prove the shared key"},
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -2,7 +2,7 @@
 // in the key-value service, so that it can tell how old its configuration may be
 // at the most. Only the steady clock counts. It does no I/O and reads no clock.
 //
-// A whole read confirms a moment, and the answer to a watch. A watch that still
+// A whole read confirms a moment, the answer to a watch, and another process's word. A watch that still
 // waits confirms nothing, whatever other calls are answered meanwhile: it may have
 // missed changes (docs/design/platform.md).
 package freshness
@@ -66,6 +66,13 @@
 	return now
 }
 
+// Relayed takes the answer to a question that was sent to another process, which
+// said how old what it knows may be. It reports whether the service had been lost
+// before.
+func (re *Record) Relayed(sent time.Time, age time.Duration) (regained bool) {
+	return re.confirm(sent.Add(-max(0, age)))
+}
+
 // Failed notes a call without a good answer. It reports whether the service
 // answered before.
 func (re *Record) Failed() (lost bool) {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
 )
 
@@ -15,6 +16,9 @@
 	// watchMost is how long one watch waits for a change at the most: each answer
 	// confirms the configuration, and each call is priced.
 	watchMost = 1500 * time.Millisecond
+	// watchLeast is how long one waits at the least: as long as a call is put off
+	// after a failure.
+	watchLeast = pauseLeast
 	// gather is how long changes that follow one another are waited for, so that
 	// they cost one call: far below the bound on applying a configuration.
 	gather = 300 * time.Millisecond
@@ -27,6 +31,7 @@
 // follow keeps the state up to date: it reads everything, then watches, and
 // reads again when the history has gone.
 func (ga *Gateway) follow(ctx context.Context) {
+	defer ga.relayed.Close()
 	for ctx.Err() == nil {
 		sent := time.Now()
 		st, err := ga.Source.Read(ctx)
@@ -39,35 +44,55 @@
 	}
 }
 
+// watch takes changes as they come, until the history has gone.
 func (ga *Gateway) watch(ctx context.Context, revision uint64) {
 	for ctx.Err() == nil {
-		sent, wait := time.Now(), ga.watchWait()
-		st, err := ga.Source.Watch(ctx, revision, wait)
-		if errors.Is(err, ErrHistoryGone) {
+		next, err := ga.hear(ctx, revision)
+		switch {
+		case errors.Is(err, ErrHistoryGone):
 			ga.Log.Warn().Int("event", int(event.HistoryGone)).Uint64("revision", revision).Msg(event.Name(event.HistoryGone))
 			return
-		}
-		if err != nil {
+		case err != nil:
 			ga.lost(ctx, err)
-			continue
+		default:
+			revision = next
 		}
-		ga.apply(st, sent, wait, time.Now())
-		revision = st.Revision
-		if len(st.Changes) > 0 {
-			sleep(ctx, gather)
+	}
+}
+
+// hear waits once for changes after a revision, and returns the revision to go on
+// from. A watcher that fails is not asked again for a while.
+func (ga *Gateway) hear(ctx context.Context, revision uint64) (uint64, error) {
+	if wa, ok := ga.watcher(time.Now()); ok {
+		next, err := ga.ask(ctx, wa, revision)
+		if err != nil && ctx.Err() == nil {
+			ga.leaveWatcher(wa, err)
 		}
+		return next, nil
 	}
+	sent := time.Now()
+	wait := ga.watchWait(sent)
+	st, err := ga.Source.Watch(ctx, revision, wait)
+	if err != nil {
+		return revision, err
+	}
+	ga.apply(st, sent, wait, time.Now())
+	if len(st.Changes) > 0 {
+		sleep(ctx, gather)
+	}
+	return st.Revision, nil
 }
 
 // watchWait returns how long a watch waits, so that keys can be accepted all the
-// while.
-func (ga *Gateway) watchWait() time.Duration {
+// while: the older the configuration may be, the sooner it must be confirmed.
+func (ga *Gateway) watchWait(now time.Time) time.Duration {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	if ga.Bounds.Revoke == 0 {
 		return watchMost
 	}
-	return min(watchMost, ga.Bounds.oldest()/2)
+	left := ga.Bounds.oldest() - ga.fresh.Age(now)
+	return min(watchMost, max(watchLeast, left/2))
 }
 
 // lost notes a failed call and waits for a while.
@@ -118,6 +143,7 @@
 		ga.change(ch)
 	}
 	ga.servers.Replace(list, time.Now())
+	ga.history.Reset(st.Revision)
 	ga.replaceMembers(st)
 	ga.Log.Info().Int("event", int(event.StateRead)).Uint64("revision", st.Revision).
 		Int("servers", len(list)).Msg(event.Name(event.StateRead))
@@ -125,14 +151,26 @@
 
 // apply takes what a watch returned that was sent at a time.
 func (ga *Gateway) apply(st State, sent time.Time, wait time.Duration, now time.Time) {
+	ba := ga.encode(st)
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	if ga.fresh.Watched(sent, wait, len(st.Changes) == 0, now) {
 		ga.regained()
 	}
-	for _, ch := range st.Changes {
+	ga.takeBatch(st.Changes, ba)
+}
+
+// takeBatch takes changes and keeps them, as they are passed on, for the gateways
+// that ask this one. The lock is held.
+func (ga *Gateway) takeBatch(changes []Change, ba relay.Batch) {
+	for _, ch := range changes {
 		ga.change(ch)
 	}
+	ga.history.Add(ba)
+	if len(ba.Data) > 0 {
+		close(ga.changed)
+		ga.changed = make(chan struct{})
+	}
 }
 
 // change takes one change; the lock is held.
@@ -154,8 +192,8 @@
 		ga.stored(*ch.Phase)
 	case ch.Tally != nil:
 		ga.tallied(*ch.Tally)
-	case ch.Member != "":
-		ga.joined(ch.Member)
+	case ch.Member != nil:
+		ga.joined(*ch.Member)
 	case ch.MemberGone != "":
 		ga.left(ch.MemberGone)
 	case ch.Unreadable != nil:
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
 )
@@ -50,7 +51,7 @@
 
 func (*script) Store(context.Context, Order, StoredPhase) (bool, error) { return true, nil }
 
-func (sc *script) Join(context.Context, string, time.Duration) (Lease, error) {
+func (sc *script) Join(context.Context, relay.Member, time.Duration) (Lease, error) {
 	err := sc.failed()
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/freshness"
 	"github.com/linnetrudder/linnetrudder/internal/pace"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
+	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
 )
 
@@ -43,7 +45,15 @@
 	Bounds  Bounds
 	Source  Source
 	Backend Backend
-
+	// RelayAddress is where other gateways ask this one for changes; empty if it
+	// answers none. LinkMbps is the capacity of the box's link in Mbit/s.
+	RelayAddress string
+	LinkMbps     int
+	// RelayHTTP opens connections to other gateways.
+	RelayHTTP *http.Client
+
+	// relayed asks the watcher; only the goroutine that follows uses it.
+	relayed relay.Client
 	// table is the configuration in force, nil before the first.
 	table atomic.Pointer[routing.Table]
 	// stopping is set once a planned stop has begun.
@@ -55,8 +65,14 @@
 	mu sync.Mutex
 	// fresh knows how old the configuration may be.
 	fresh freshness.Record
-	// members holds the boxes whose gateways are members.
-	members map[string]bool
+	// members holds the gateways that are members, by box.
+	members map[string]relay.Member
+	// plan says which of them to ask for changes.
+	plan relay.Plan
+	// history holds the newest changes for others; changed is closed when there are
+	// more.
+	history relay.History
+	changed chan struct{}
 	servers directory.Directory
 	pool    pool.Pool
 	// pace knows how long heads take, by service and model.
@@ -89,7 +105,9 @@
 	ga.retries = map[string]*budget.Window{}
 	ga.rollouts = map[string]*timedRollout{}
 	ga.phases = map[string]StoredPhase{}
-	ga.members = map[string]bool{}
+	ga.members = map[string]relay.Member{}
+	ga.plan = relay.Plan{Box: ga.Box, DataCentre: ga.DataCentre}
+	ga.changed = make(chan struct{})
 }
 
 // Stop begins a planned stop: the gateway says that it is not ready, and goes
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -6,12 +6,14 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/relay"
 )
 
 const (
 	// renewEvery is the pause between two renewals of the membership, memberTTL how
-	// long a gateway that does not renew is still a member. The members are only
-	// counted, so that a late count does no harm, and each renewal has a price.
+	// long a gateway that does not renew is still a member. Members are counted, and a
+	// watcher that fails is noticed by those that ask it, so that late news of one does
+	// no harm; each renewal has a price.
 	renewEvery = 10 * time.Second
 	memberTTL  = 25 * time.Second
 	// joinAgain is the pause after a call that failed.
@@ -40,18 +42,24 @@
 		}
 		*le = 0
 	}
-	joined, err := ga.Source.Join(ctx, ga.Box, memberTTL)
+	joined, err := ga.Source.Join(ctx, ga.self(), memberTTL)
 	if err == nil {
 		*le = joined
 	}
 	return err
 }
 
+// self returns this gateway as a member.
+func (ga *Gateway) self() relay.Member {
+	return relay.Member{Box: ga.Box, DataCentre: ga.DataCentre, Address: ga.RelayAddress, LinkMbps: ga.LinkMbps}
+}
+
 // joined notes a member; the lock is held.
-func (ga *Gateway) joined(box string) {
-	if !ga.members[box] {
-		ga.members[box] = true
-		ga.noteMember(event.MemberJoined, box)
+func (ga *Gateway) joined(me relay.Member) {
+	_, known := ga.members[me.Box]
+	ga.members[me.Box] = me
+	if !known {
+		ga.noteMember(event.MemberJoined, me.Box)
 	}
 }
 
@@ -60,7 +68,9 @@
 func (ga *Gateway) replaceMembers(st State) {
 	listed := map[string]bool{}
 	for _, ch := range st.Changes {
-		listed[ch.Member] = true
+		if ch.Member != nil {
+			listed[ch.Member.Box] = true
+		}
 	}
 	for box := range ga.members {
 		if !listed[box] {
@@ -71,7 +81,7 @@
 
 // left notes that a member is gone; the lock is held.
 func (ga *Gateway) left(box string) {
-	if ga.members[box] {
+	if _, known := ga.members[box]; known {
 		delete(ga.members, box)
 		ga.noteMember(event.MemberLeft, box)
 	}
--- /dev/null
+++ b/internal/gateway/relayed.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/relay"
+)
+
+const (
+	// relayWait is how long a watcher may hold an answer, relaySlack how much later
+	// it may come: a watcher that is gone without a word is noticed after both, well
+	// within the bound on applying a configuration (2 s on the users' sites).
+	relayWait  = 500 * time.Millisecond
+	relaySlack = 400 * time.Millisecond
+	// relayAge is the age of what a watcher knows from which it serves no longer:
+	// more than a whole wait for changes, a pause to gather them and two slow calls.
+	relayAge = 2200 * time.Millisecond
+)
+
+var (
+	errOld     = eris.New("what the watcher knows is too old")
+	errUnknown = eris.New("the watcher's history does not reach back")
+)
+
+// watcher returns the gateway to ask for changes, or false if this one watches the
+// key-value service itself.
+func (ga *Gateway) watcher(now time.Time) (relay.Member, bool) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	wa, ok := ga.plan.Watcher(slices.Collect(maps.Values(ga.members)), now)
+	if wa.Address != ga.relayed.Address {
+		ga.relayed.Close()
+		ga.relayed = relay.Client{Address: wa.Address, Slack: relaySlack, HTTP: ga.RelayHTTP}
+		ga.noteWatcher(wa, ok)
+	}
+	return wa, ok
+}
+
+// noteWatcher logs where changes come from now on.
+func (ga *Gateway) noteWatcher(wa relay.Member, ok bool) {
+	id := event.WatchStarted
+	if ok {
+		id = event.WatchStopped
+	}
+	ga.Log.Info().Int("event", int(id)).Str("watcher", wa.Box).Int("members", len(ga.members)).Msg(event.Name(id))
+}
+
+// ask asks a watcher once for changes after a revision, and returns the revision
+// to go on from.
+func (ga *Gateway) ask(ctx context.Context, wa relay.Member, revision uint64) (uint64, error) {
+	sent := time.Now()
+	up, err := ga.relayed.Ask(ctx, relay.Request{After: revision, Wait: relayWait})
+	switch {
+	case err != nil:
+		return revision, err
+	case up.Unknown:
+		return revision, errUnknown
+	case up.Age > relayAge:
+		return revision, errOld
+	}
+	batches, err := decodeBatches(up.Batches)
+	if err != nil {
+		return revision, err
+	}
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	for i, changes := range batches {
+		ga.takeBatch(changes, up.Batches[i])
+	}
+	if ga.fresh.Relayed(sent, up.Age) {
+		ga.regained()
+	}
+	return up.Revision, nil
+}
+
+// leaveWatcher notes that a watcher did not serve.
+func (ga *Gateway) leaveWatcher(wa relay.Member, why error) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.plan.Failed(wa.Box, time.Now())
+	ga.Log.Warn().Int("event", int(event.WatcherFailed)).Str("watcher", wa.Box).Dur("age_ms", ga.fresh.Age(time.Now())).
+		Err(why).Msg(event.Name(event.WatcherFailed))
+}
+
+// Updates answers another gateway that asks for changes.
+func (ga *Gateway) Updates(ctx context.Context, rq relay.Request) relay.Update {
+	over := time.NewTimer(rq.Wait)
+	defer over.Stop()
+	for waiting := true; ; {
+		ga.mu.Lock()
+		batches, to, ok := ga.history.Since(rq.After)
+		age, changed := ga.fresh.Age(time.Now()), ga.changed
+		ga.mu.Unlock()
+		if !ok || len(batches) > 0 || age > relayAge || !waiting {
+			return relay.Update{Revision: to, Age: age, Batches: batches, Unknown: !ok}
+		}
+		select {
+		case <-changed:
+		case <-over.C:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		}
+	}
+}
+
+// encode returns changes as they are passed on. Those that can't be encoded are
+// not, and neither is what came before: who asks for it is told to read it all.
+func (ga *Gateway) encode(st State) relay.Batch {
+	ba := relay.Batch{To: st.Revision}
+	if len(st.Changes) == 0 {
+		return ba
+	}
+	data, err := cbor.Marshal(st.Changes)
+	if err != nil {
+		ga.Log.Error().Int("event", int(event.RelayFailed)).Err(err).Msg(event.Name(event.RelayFailed))
+		ga.mu.Lock()
+		ga.history.Reset(st.Revision)
+		ga.mu.Unlock()
+	}
+	ba.Data = data
+	return ba
+}
+
+func decodeBatches(batches []relay.Batch) ([][]Change, error) {
+	decoded := make([][]Change, len(batches))
+	for i, ba := range batches {
+		if err := cbor.Unmarshal(ba.Data, &decoded[i]); err != nil {
+			return nil, eris.Wrap(err, "decode changes")
+		}
+	}
+	return decoded, nil
+}
--- /dev/null
+++ b/internal/gateway/relayed_test.go
@@ -0,0 +1,203 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/linnetrudder/linnetrudder/internal/relay"
+	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/routing"
+)
+
+// keptState is a source of a few lines that several gateways share.
+type keptState struct {
+	mu      sync.Mutex
+	changes []Change
+	news    chan struct{}
+	// watches counts the watches of each box, cut names those that get no answers.
+	watches map[string]int
+	cut     map[string]bool
+}
+
+// view is the source as one box sees it.
+type view struct {
+	kept *keptState
+	box  string
+}
+
+func (ke *keptState) add(ch Change) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	ke.changes = append(ke.changes, ch)
+	close(ke.news)
+	ke.news = make(chan struct{})
+}
+
+func (ke *keptState) setCut(box string, cut bool) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	ke.cut[box] = cut
+}
+
+func (ke *keptState) watchesOf(box string) int {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	return ke.watches[box]
+}
+
+func (vi view) since(after uint64) (State, chan struct{}, error) {
+	ke := vi.kept
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	if ke.cut[vi.box] {
+		return State{}, nil, result.New(result.StoreDown, "cut")
+	}
+	return State{Revision: uint64(len(ke.changes)), Changes: ke.changes[after:]}, ke.news, nil
+}
+
+func (vi view) Read(context.Context) (State, error) {
+	st, _, err := vi.since(0)
+	return st, err
+}
+
+func (vi view) Watch(ctx context.Context, after uint64, wait time.Duration) (State, error) {
+	vi.kept.mu.Lock()
+	vi.kept.watches[vi.box]++
+	vi.kept.mu.Unlock()
+	st, news, err := vi.since(after)
+	if err == nil && len(st.Changes) == 0 {
+		select {
+		case <-news:
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+		st, _, err = vi.since(after)
+	}
+	return st, err
+}
+
+func (vi view) Join(_ context.Context, me relay.Member, _ time.Duration) (Lease, error) {
+	vi.kept.add(Change{Member: &me})
+	return 1, nil
+}
+
+func (view) Renew(context.Context, Lease) error { return nil }
+
+func (view) Store(context.Context, Order, StoredPhase) (bool, error) { return true, nil }
+
+func (view) Tell(context.Context, Tally) error { return nil }
+
+// relaying is three gateways of one data centre, of which a and b watch for c.
+type relaying struct {
+	kept     *keptState
+	gateways map[string]*Gateway
+	servers  map[string]*httptest.Server
+}
+
+func newRelaying(t *testing.T) *relaying {
+	t.Helper()
+	re := &relaying{
+		kept:     &keptState{news: make(chan struct{}), watches: map[string]int{}, cut: map[string]bool{}},
+		gateways: map[string]*Gateway{}, servers: map[string]*httptest.Server{},
+	}
+	re.configure(1)
+	for _, box := range []string{"a", "b", "c"} {
+		ga := &Gateway{
+			Log: zerolog.Nop(), Box: box, DataCentre: "dc", Source: view{re.kept, box},
+			Bounds: Bounds{Revoke: 5 * time.Second}, RelayHTTP: http.DefaultClient,
+		}
+		hs := httptest.NewServer(&relay.Server{Feed: ga})
+		t.Cleanup(hs.Close)
+		ga.RelayAddress = strings.TrimPrefix(hs.URL, "http://")
+		re.gateways[box], re.servers[box] = ga, hs
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = ga.Run(ctx)
+		}()
+		t.Cleanup(func() {
+			cancel()
+			<-done
+		})
+		re.eventually(t, box+" joins", func() bool { return re.hasMember("a", box) })
+	}
+	re.eventually(t, "c asks a watcher", func() bool {
+		before := re.kept.watchesOf("c")
+		time.Sleep(2 * watchMost)
+		return re.kept.watchesOf("c") == before
+	})
+	return re
+}
+
+func (re *relaying) eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	require.Eventually(t, holds, 20*time.Second, 5*time.Millisecond, what)
+}
+
+func (re *relaying) hasMember(at, box string) bool {
+	ga := re.gateways[at]
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	_, ok := ga.members[box]
+	return ok
+}
+
+func (re *relaying) configure(version uint64) {
+	re.kept.add(Change{Document: &routing.Document{Version: version, Teams: []routing.Team{{Name: "t", Keys: []string{"k"}}}}})
+}
+
+func (re *relaying) inForce(t *testing.T, box string, version uint64) {
+	t.Helper()
+	re.eventually(t, box, func() bool { return re.gateways[box].Table().Version() == version })
+}
+
+func TestChangesComeThroughAWatcher(t *testing.T) {
+	re := newRelaying(t)
+	before := re.kept.watchesOf("c")
+	for version := uint64(2); version < 5; version++ {
+		re.configure(version)
+		re.inForce(t, "c", version)
+	}
+	require.True(t, re.gateways["c"].isFresh(time.Now()))
+	require.Equal(t, before, re.kept.watchesOf("c"), "the service is not asked")
+	require.Equal(t, "t", re.gateways["c"].Table().TeamByKey("k").Name, "all of the configuration came")
+}
+
+// A watcher that is gone, and one that is cut off from the service: who asked it
+// hears of the next change all the same, and stays fresh.
+func TestAGatewayGoesOnWithoutItsWatchers(t *testing.T) {
+	re := newRelaying(t)
+	for _, box := range []string{"a", "b"} {
+		re.servers[box].CloseClientConnections()
+		re.servers[box].Config.Handler = http.NotFoundHandler()
+	}
+	re.configure(2)
+	began := time.Now()
+	re.inForce(t, "c", 2)
+	require.Less(t, time.Since(began), 2*time.Second)
+	require.True(t, re.gateways["c"].isFresh(time.Now()))
+}
+
+func TestAWatcherThatIsCutOffIsLeft(t *testing.T) {
+	re := newRelaying(t)
+	re.kept.setCut("a", true)
+	re.kept.setCut("b", true)
+	for range 60 {
+		time.Sleep(100 * time.Millisecond)
+		require.True(t, re.gateways["c"].isFresh(time.Now()))
+	}
+	require.False(t, re.gateways["a"].isFresh(time.Now()))
+	re.configure(2)
+	re.inForce(t, "c", 2)
+	re.kept.setCut("a", false)
+	re.inForce(t, "a", 2)
+}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/rollout"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
@@ -156,11 +157,12 @@
 	Phase *StoredPhase
 	// Tally is what a gateway tells of a new version.
 	Tally *Tally
-	// Member is the box of a gateway that is a member; MemberGone that of one that
-	// is not any more.
-	Member, MemberGone string
-	// Unreadable says what could not be decoded.
-	Unreadable error
+	// Member is a gateway that is a member; MemberGone the box of one that is not any
+	// more.
+	Member     *relay.Member
+	MemberGone string
+	// Unreadable says what could not be decoded; it is not passed on.
+	Unreadable error `cbor:"-"`
 }
 
 // Order is an operator's order to roll out a version.
@@ -211,8 +213,8 @@
 	Store(ctx context.Context, or Order, ph StoredPhase) (bool, error)
 	// Tell keeps a tally in place of the box's last one.
 	Tell(ctx context.Context, ta Tally) error
-	// Join makes the gateway of a box a member for as long as the lease is renewed.
-	Join(ctx context.Context, box string, ttl time.Duration) (Lease, error)
+	// Join makes a gateway a member for as long as the lease is renewed.
+	Join(ctx context.Context, me relay.Member, ttl time.Duration) (Lease, error)
 	// Renew renews a lease; it returns ErrLeaseOver if there is none any more.
 	Renew(ctx context.Context, le Lease) error
 }
--- /dev/null
+++ b/internal/relay/plan.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// watchers is how many gateways of a data centre watch the key-value service:
+	// one may fail without the others having to.
+	watchers = 2
+	// avoidFor is how long a watcher that failed is not asked again.
+	avoidFor = 5 * time.Second
+)
+
+// Member is a gateway that may watch for others.
+type Member struct {
+	Box, DataCentre string
+	// Address is where it answers requests; empty if it does not.
+	Address string
+	// LinkMbps is the capacity of its box's link in Mbit/s.
+	LinkMbps int
+}
+
+// Plan decides where a gateway hears of changes. Its exported fields are set
+// before use; it is not safe for concurrent use.
+type Plan struct {
+	// Box and DataCentre are the gateway's own.
+	Box, DataCentre string
+
+	// failed holds when each watcher failed last, by box.
+	failed map[string]time.Time
+}
+
+// Watcher returns the member to ask, or false if the gateway is to watch the
+// key-value service itself: since it is one of the watchers, or since none of
+// them serves it. All gateways that know the same members choose the same
+// watchers, those with the largest links.
+func (pl *Plan) Watcher(members []Member, now time.Time) (Member, bool) {
+	var own []Member
+	for _, me := range members {
+		if me.DataCentre == pl.DataCentre && me.Address != "" {
+			own = append(own, me)
+		}
+	}
+	slices.SortFunc(own, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), strings.Compare(a.Box, b.Box))
+	})
+	own = own[:min(watchers, len(own))]
+	if slices.ContainsFunc(own, func(me Member) bool { return me.Box == pl.Box }) {
+		return Member{}, false
+	}
+	own = slices.DeleteFunc(own, func(me Member) bool { return pl.avoided(me.Box, now) })
+	if len(own) == 0 {
+		return Member{}, false
+	}
+	return own[xxhash.Sum64String(pl.Box)%uint64(len(own))], true
+}
+
+// Failed notes that a watcher did not serve this gateway.
+func (pl *Plan) Failed(box string, now time.Time) {
+	if pl.failed == nil {
+		pl.failed = map[string]time.Time{}
+	}
+	pl.failed[box] = now
+}
+
+func (pl *Plan) avoided(box string, now time.Time) bool {
+	at, ok := pl.failed[box]
+	return ok && now.Sub(at) < avoidFor
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,93 @@
+// Package relay spreads what the key-value service says among gateways, so that
+// only some of them call the service. A few in each data centre, the watchers,
+// watch the service; the others ask a watcher for changes, over a WebSocket with
+// messages in CBOR, and go to the service themselves as soon as it fails them.
+package relay
+
+import (
+	"context"
+	"time"
+)
+
+// Request asks for the changes after a revision of the key-value service. The
+// fields are exported because the codec needs them.
+type Request struct {
+	After uint64 `cbor:"1,keyasint"`
+	// Wait is how long the answer may be held until there is a change.
+	Wait time.Duration `cbor:"2,keyasint"`
+}
+
+// Update answers a Request. The fields are exported because the codec needs them.
+type Update struct {
+	// Revision is the one to go on from.
+	Revision uint64 `cbor:"1,keyasint"`
+	// Age is how long ago the watcher was last sure to know all changes, at the
+	// most.
+	Age time.Duration `cbor:"2,keyasint"`
+	// Batches holds the changes in order.
+	Batches []Batch `cbor:"3,keyasint,omitempty"`
+	// Unknown is set if the watcher's history does not reach back to the revision.
+	Unknown bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Batch is changes that came together. The fields are exported because the codec
+// needs them.
+type Batch struct {
+	// To is the revision that the changes lead to.
+	To uint64 `cbor:"1,keyasint"`
+	// Data holds them as the watcher encoded them.
+	Data []byte `cbor:"2,keyasint"`
+}
+
+// Feed answers requests.
+type Feed interface {
+	// Updates returns the changes after a revision, or nothing when the wait is over.
+	Updates(ctx context.Context, rq Request) Update
+}
+
+// historyBatches bounds the batches that a watcher keeps. Watchers gather changes
+// for 0.3 s, so that these are 20 s at the least; who is further behind reads
+// everything from the service.
+const historyBatches = 64
+
+// History keeps the newest changes. The zero value knows of no revision. It is
+// not safe for concurrent use.
+type History struct {
+	batches []Batch
+	// from is the revision before the oldest batch, to that after the newest.
+	from, to uint64
+}
+
+// Reset forgets all changes and begins at a revision.
+func (hi *History) Reset(revision uint64) { hi.batches, hi.from, hi.to = nil, revision, revision }
+
+// Add takes changes; a batch without data means that nothing of interest changed.
+func (hi *History) Add(ba Batch) {
+	if ba.To <= hi.to {
+		return
+	}
+	hi.to = ba.To
+	if len(ba.Data) == 0 {
+		return
+	}
+	hi.batches = append(hi.batches, ba)
+	if len(hi.batches) > historyBatches {
+		hi.from = hi.batches[0].To
+		hi.batches = hi.batches[1:]
+	}
+}
+
+// Since returns the changes after a revision and the revision to go on from, or
+// false if they are not all known. A batch that the revision lies within is
+// returned whole: changes may be applied again in their order.
+func (hi *History) Since(after uint64) (batches []Batch, to uint64, ok bool) {
+	if hi.to == 0 || after < hi.from {
+		return nil, after, false
+	}
+	for _, ba := range hi.batches {
+		if ba.To > after {
+			batches = append(batches, ba)
+		}
+	}
+	return batches, max(after, hi.to), true
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,167 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var now = time.Unix(1000, 0)
+
+func members(n int) []Member {
+	list := make([]Member, 0, n)
+	for i := range n {
+		list = append(list, Member{Box: fmt.Sprintf("b%02d", i), DataCentre: fmt.Sprint("dc", i%3), Address: "a"})
+	}
+	return list
+}
+
+func TestTwoOfADataCentreWatchAndTheOthersAskThem(t *testing.T) {
+	all := members(30)
+	watching, asked := map[string]int{}, map[string]int{}
+	for _, me := range all {
+		pl := Plan{Box: me.Box, DataCentre: me.DataCentre}
+		wa, ok := pl.Watcher(all, now)
+		if !ok {
+			watching[me.DataCentre]++
+			continue
+		}
+		require.Equal(t, me.DataCentre, wa.DataCentre)
+		asked[wa.Box]++
+	}
+	require.Equal(t, map[string]int{"dc0": 2, "dc1": 2, "dc2": 2}, watching)
+	require.Len(t, asked, 6, "each watcher serves some")
+}
+
+func TestTheLargestLinksWatch(t *testing.T) {
+	all := members(12)
+	all[9].LinkMbps, all[6].LinkMbps = 200, 200
+	for _, me := range all {
+		pl := Plan{Box: me.Box, DataCentre: me.DataCentre}
+		if wa, ok := pl.Watcher(all, now); ok && me.DataCentre == "dc0" {
+			require.Contains(t, []string{"b06", "b09"}, wa.Box)
+		}
+	}
+}
+
+func TestAGatewayWhoseWatchersFailWatchesItself(t *testing.T) {
+	all := members(12)
+	pl := Plan{Box: "b09", DataCentre: "dc0"}
+	first, ok := pl.Watcher(all, now)
+	require.True(t, ok)
+	pl.Failed(first.Box, now)
+	second, ok := pl.Watcher(all, now)
+	require.True(t, ok)
+	require.NotEqual(t, first.Box, second.Box)
+	pl.Failed(second.Box, now)
+	_, ok = pl.Watcher(all, now)
+	require.False(t, ok)
+	again, ok := pl.Watcher(all, now.Add(avoidFor))
+	require.True(t, ok)
+	require.Equal(t, first.Box, again.Box)
+}
+
+func TestAGatewayThatKnowsNoMemberWatchesItself(t *testing.T) {
+	pl := Plan{Box: "b00", DataCentre: "dc0"}
+	_, ok := pl.Watcher(nil, now)
+	require.False(t, ok)
+	_, ok = pl.Watcher([]Member{{Box: "b01", DataCentre: "dc0"}}, now)
+	require.False(t, ok, "one that answers no requests")
+}
+
+// Whatever revisions the batches lead to, and wherever a gateway stands: it gets
+// every change above its revision, or is told that it can't.
+func TestNoChangeIsLeftOut(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var hi History
+		begin := uint64(rapid.IntRange(1, 50).Draw(rt, "begin"))
+		hi.Reset(begin)
+		at, all := begin, map[uint64]bool{}
+		for range rapid.IntRange(0, 2*historyBatches).Draw(rt, "batches") {
+			at += uint64(rapid.IntRange(1, 5).Draw(rt, "step"))
+			if rapid.Bool().Draw(rt, "empty") {
+				hi.Add(Batch{To: at})
+				continue
+			}
+			hi.Add(Batch{To: at, Data: []byte{1}})
+			all[at] = true
+		}
+		after := uint64(rapid.IntRange(0, int(at)+3).Draw(rt, "after"))
+		batches, to, ok := hi.Since(after)
+		if !ok {
+			if after >= begin && len(hi.batches) < historyBatches {
+				rt.Fatalf("revision %d is not known, history from %d", after, begin)
+			}
+			return
+		}
+		if to < after || to < at {
+			rt.Fatalf("goes on from %d after %d of %d", to, after, at)
+		}
+		got := map[uint64]bool{}
+		for _, ba := range batches {
+			got[ba.To] = true
+		}
+		for revision := range all {
+			if revision > after && !got[revision] {
+				rt.Fatalf("change %d after %d is left out", revision, after)
+			}
+		}
+	})
+}
+
+// feed answers with what it is told, after a pause.
+type feed struct {
+	update Update
+	pause  time.Duration
+}
+
+func (fe *feed) Updates(ctx context.Context, rq Request) Update {
+	select {
+	case <-ctx.Done():
+	case <-time.After(fe.pause):
+	}
+	up := fe.update
+	up.Revision += rq.After
+	return up
+}
+
+func dial(t *testing.T, fe Feed) *Client {
+	t.Helper()
+	hs := httptest.NewServer(&Server{Feed: fe})
+	t.Cleanup(hs.Close)
+	cl := &Client{Address: strings.TrimPrefix(hs.URL, "http://"), Slack: 300 * time.Millisecond, HTTP: http.DefaultClient}
+	t.Cleanup(cl.Close)
+	return cl
+}
+
+func TestUpdatesComeOverOneConnection(t *testing.T) {
+	cl := dial(t, &feed{update: Update{Revision: 1, Age: time.Second, Batches: []Batch{{To: 2, Data: []byte{1}}}}})
+	for after := range uint64(3) {
+		up, err := cl.Ask(t.Context(), Request{After: after, Wait: time.Second})
+		require.NoError(t, err)
+		require.Equal(t, Update{Revision: after + 1, Age: time.Second, Batches: []Batch{{To: 2, Data: []byte{1}}}}, up)
+	}
+}
+
+func TestASilentWatcherIsGivenUp(t *testing.T) {
+	cl := dial(t, &feed{pause: time.Minute})
+	began := time.Now()
+	_, err := cl.Ask(t.Context(), Request{Wait: 100 * time.Millisecond})
+	require.Error(t, err)
+	require.Less(t, time.Since(began), 5*time.Second)
+}
+
+func TestWhatIsNoRequestEndsTheConnection(t *testing.T) {
+	cl := dial(t, &feed{})
+	_, err := cl.Ask(t.Context(), Request{})
+	require.NoError(t, err)
+	require.NoError(t, write(t.Context(), cl.conn, "no request"))
+	require.Error(t, read(t.Context(), cl.conn, &Update{}))
+}
