perf: servers that take longer than others get less

Cause: a third of the users' servers are slower by 1.3, servers may turn slow by 5, and with 30 gateways each knows a thirtieth of what others send. The choice of a server took all for equal.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -127,6 +127,9 @@
 	if !ga.isNew(se.server) {
 		ga.pace.Observe(name, took)
 	}
+	if se.step.Model() != "" {
+		ga.pool.Took(se.server.ID, name, se.work/se.ex.factor(se.step.Model()), took)
+	}
 	switch {
 	case se.err != nil || se.answer.Stream:
 	case se.answer.Status >= direct.ServerFailed:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -146,6 +146,7 @@
 	if id, tokens := ex.as.shared(); id != "" {
 		ask.Affinity = id + "\x00" + model
 		ask.Held = float64(tokens) * ex.factor(model)
+		ask.Work = ex.work(model)
 	}
 	se, ok := ga.pool.Pick(ask, rand.Uint64(), now)
 	if !ok {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -12,6 +12,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/outlier"
+	"github.com/linnetrudder/linnetrudder/internal/pace"
 )
 
 const (
@@ -40,6 +41,8 @@
 	// Held is the work of reading that start, in tokens of the smallest model; a
 	// server that holds it is spared it.
 	Held float64
+	// Work is that of reading the rest of the prompt.
+	Work float64
 	// Tried holds the ids of servers that are not to be chosen again.
 	Tried []string
 }
@@ -55,6 +58,8 @@
 	Members int
 
 	outliers outlier.Detector
+	// relative knows which servers are slower than others.
+	relative pace.Relative
 	// running counts the own attempts in progress by server id.
 	running map[string]int
 	// reading is the work of the own prompts that servers have not read yet, by
@@ -96,9 +101,10 @@
 // must read it too, and each has its load to work off before.
 func (po *Pool) holder(list []*directory.Server, ask Ask) *directory.Server {
 	home, crowd := first(list, ask.Affinity), po.crowd()
-	best, least := home, crowd*po.load(home.ID)
+	best, least := home, po.relative.Factor(home.ID)*(crowd*po.load(home.ID)+ask.Work)
 	for _, se := range list {
-		if work := crowd*po.load(se.ID) + ask.Held; se != home && work < least {
+		work := po.relative.Factor(se.ID) * (crowd*po.load(se.ID) + ask.Work + ask.Held)
+		if se != home && work < least {
 			best, least = se, work
 		}
 	}
@@ -161,6 +167,12 @@
 	po.reading[id] = max(0, po.reading[id]-work)
 }
 
+// Took notes how long the head of an answer of a kind took whose prompt was so much
+// work in tokens.
+func (po *Pool) Took(id, kind string, work float64, took time.Duration) {
+	po.relative.Observe(id, kind, work, took)
+}
+
 // Hear notes that a server answered.
 func (po *Pool) Hear(id string, now time.Time) {
 	if po.heard == nil {
@@ -194,5 +206,6 @@
 // Forget drops a server that is gone.
 func (po *Pool) Forget(id string) {
 	po.outliers.Forget(id)
+	po.relative.Forget(id)
 	delete(po.heard, id)
 }
