--- /dev/null
+++ b/standin/cmd/days/days_test.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const report = `day  worth
+worth 0.654 = whole day 0.888 (weight 0.6), worst windows 0.733 (weight 0.25), worst class 0.797 (weight 0.15) less prices
+rules broken: CONFIG 3
+`
+
+func TestAReportIsRead(t *testing.T) {
+	var pl played
+	require.NoError(t, parseWorth(report, &pl))
+	require.Equal(t, played{Worth: 0.654, WholeDay: 0.888, Windows: 0.733, WorstClass: 0.797}, pl)
+	require.Equal(t, "CONFIG 3", brokenLine.FindStringSubmatch(report)[1])
+	require.Error(t, parseWorth("the day was given up", &pl))
+}
+
+func TestOnlyTheSameSeedsArePaired(t *testing.T) {
+	day := func(seed int, worth float64) played { return played{Site: "s", Day: "d", Seed: seed, Worth: worth} }
+	rows := pair([]played{day(1, 0.5), day(2, 0.7), day(3, 0.1)}, []played{day(1, 0.6), day(2, 0.6), day(4, 0.9)})
+	require.Len(t, rows, 1)
+	require.InDelta(t, 0.6, rows[0].before, 1e-9)
+	mean, spread := meanAndSpread(rows[0].differences)
+	require.InDelta(t, 0, mean, 1e-9)
+	require.InDelta(t, 0.141, spread, 1e-3)
+	require.NoError(t, draw(rows, filepath.Join(t.TempDir(), "p.svg")))
+}
+
+func TestSecondsOfADayAreRead(t *testing.T) {
+	report := `from second          asked  in aim   late refused failed not owed  worth   p50 ms   p99 ms
+0                      197     193      1       0      2        1  0.979     98.8   1937.9
+2                      211     208      1       0      2        0  0.960    100.8   1413.7
+
+how tries ended: 200: 4450
+4                      9     9      1
+`
+	require.Equal(t, []span{{0, 197, 193}, {2, 211, 208}}, parseSpans(report))
+}
--- /dev/null
+++ b/standin/cmd/days/main.go
@@ -0,0 +1,23 @@
+// Command days plays days of the users' bench over several seeds, keeps what they
+// were worth, and compares two such sets day by day and seed by seed, so that no
+// change below the noise is taken for a gain.
+//
+//	days play --bench PROGRAM --out before.json SITE.toml:quiet-1 SITE.toml:scale-1
+//	days compare before.json after.json --plot paired.svg
+package main
+
+import (
+	"github.com/alecthomas/kong"
+)
+
+var arguments struct {
+	Play    playCmd    `cmd:"" help:"Play days over several seeds and keep the results."`
+	Compare compareCmd `cmd:"" help:"Show the paired differences of two sets of results."`
+
+	Timeline timelineCmd `cmd:"" help:"Draw what was served in time over the seconds of days."`
+}
+
+func main() {
+	ctx := kong.Parse(&arguments, kong.Description("Plays days and compares their worth."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
