--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -6,14 +6,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"time"
 
@@ -22,48 +18,6 @@
 	"github.com/linnetrudder/linnetrudder/internal/boxes"
 )
 
-// Process is one started program.
-type Process struct {
-	Name string
-	cmd  *exec.Cmd
-	log  *os.File
-	// ended is closed when the program has ended.
-	ended chan struct{}
-}
-
-// Signal sends a signal to the program.
-func (pr *Process) Signal(si os.Signal) error {
-	return eris.Wrap(pr.cmd.Process.Signal(si), "signal "+pr.Name)
-}
-
-// ID returns the program's process id.
-func (pr *Process) ID() int { return pr.cmd.Process.Pid }
-
-// Wait waits until the program has ended, at most for a time. It reports
-// whether it has.
-func (pr *Process) Wait(most time.Duration) bool {
-	ti := time.NewTimer(most)
-	defer ti.Stop()
-	select {
-	case <-pr.ended:
-	case <-ti.C:
-	}
-	return pr.hasEnded()
-}
-
-// hasEnded reports whether the program has ended by now.
-func (pr *Process) hasEnded() bool {
-	select {
-	case <-pr.ended:
-		return true
-	default:
-		return false
-	}
-}
-
-// Code returns the exit code of an ended program.
-func (pr *Process) Code() int { return pr.cmd.ProcessState.ExitCode() }
-
 // Member is a process of the system.
 type Member struct {
 	Box, Role, DataCentre, Server string
@@ -95,50 +49,6 @@
 	pollEvery    = 20 * time.Millisecond
 )
 
-// ownIP is a loopback address that only this process hands out, made from its
-// process id. Outgoing connections leave from 127.0.0.1, so that none of them
-// can take a port here between the moment it is found free and the moment a
-// started process listens on it, or while that process is restarted.
-func ownIP() net.IP {
-	id := os.Getpid()
-	const first = 16 // 127.0.0.0/12 is left to everything else
-	return net.IPv4(127, byte(first+id>>16), byte(id>>8), byte(id))
-}
-
-// given holds the addresses that were handed out: a port that is free again
-// because its process has not bound it yet, or is being restarted, is not handed
-// out a second time.
-var given = struct {
-	sync.Mutex
-	addresses map[string]bool
-}{addresses: map[string]bool{}}
-
-// FreeAddress returns a loopback address that is free now, that no outgoing
-// connection takes and that was not returned before.
-func FreeAddress() (string, error) {
-	given.Lock()
-	defer given.Unlock()
-	for {
-		address, err := freeNow()
-		if err != nil {
-			return "", err
-		}
-		if !given.addresses[address] {
-			given.addresses[address] = true
-			return address, nil
-		}
-	}
-}
-
-func freeNow() (string, error) {
-	li, err := net.Listen("tcp", net.JoinHostPort(ownIP().String(), "0"))
-	if err != nil {
-		return "", eris.Wrap(err, "free port")
-	}
-	defer li.Close()
-	return li.Addr().String(), nil
-}
-
 // Start starts a program of the folder.
 func (fl *Fleet) Start(name, program string, args ...string) (*Process, error) {
 	lo, err := os.OpenFile(filepath.Join(fl.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -324,42 +234,3 @@
 	}
 	return failed
 }
-
-// WaitPort waits until the program listens. A program that does not is shown with
-// the end of its log, since the log goes with the test's folder.
-func (pr *Process) WaitPort(address string) error {
-	listens := false
-	err := Until(startTimeout, "port "+address, func() bool {
-		co, err := net.Dial("tcp", address)
-		if err == nil {
-			_ = co.Close()
-			listens = true
-		}
-		return listens || pr.hasEnded()
-	})
-	if listens {
-		return nil
-	}
-	if err == nil {
-		err = eris.Errorf("port %s: the program has ended", address)
-	}
-	body, readErr := os.ReadFile(pr.log.Name())
-	if readErr != nil {
-		return errors.Join(err, readErr)
-	}
-	return fmt.Errorf("%s, ended %t: %w: %s", pr.Name, pr.hasEnded(), err, body[max(0, len(body)-logTail):])
-}
-
-// logTail is how many bytes of a log are shown.
-const logTail = 2000
-
-// Until waits for a condition; it fails after a bound that only a broken
-// system reaches.
-func Until(most time.Duration, what string, holds func() bool) error {
-	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(pollEvery) {
-		if holds() {
-			return nil
-		}
-	}
-	return fmt.Errorf("%s: not within %s", what, most)
-}
