--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -76,7 +76,7 @@
 	plan     Plan
 	began    time.Time
 	outcomes []outcome
-	ledge    *ledger
+	ran      *ledger
 	// revoked and drained hold when keys were taken away and servers began to leave.
 	revoked, drained map[string]time.Time
 }
@@ -88,7 +88,7 @@
 		list = append(list, Violation{pr, ou.id, fmt.Sprintf(detail, args...)})
 	}
 	for _, ou := range re.outcomes {
-		runs := re.ledge.of(ou.id)
+		runs := re.ran.of(ou.id)
 		if strings.HasPrefix(ou.path, "/unsafe/") && len(runs) > 1 {
 			add(AtMostOnce, ou, "ran %d times", len(runs))
 		}
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -1,7 +1,7 @@
 // Package soak runs real gateways as separate processes between stand-in callers,
 // backend servers and a key-value service, injects faults from outside, and checks
-// what callers and servers see against what is promised. Everything that is drawn
-// comes from a seed; what the processes make of it does not repeat exactly.
+// what callers and servers see against what is promised. The faults and their times
+// come from a seed; which requests they hit does not repeat exactly.
 package soak
 
 import (
--- a/standin/soak/server.go
+++ b/standin/soak/server.go
@@ -57,11 +57,11 @@
 
 // server is one life of a stand-in backend server.
 type server struct {
-	id    string
-	ledge *ledger
-	cable *fleet.Cable
-	http  *http.Server
-	sab   Sabotage
+	id       string
+	ran      *ledger
+	cable    *fleet.Cable
+	http     *http.Server
+	sabotage Sabotage
 
 	mu      sync.Mutex
 	faults  map[Kind]int
@@ -69,7 +69,7 @@
 	drained bool
 }
 
-func startServer(id string, le *ledger, sab Sabotage) (*server, error) {
+func startServer(id string, le *ledger, sabotage Sabotage) (*server, error) {
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("server: %w", err)
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	se := &server{id: id, ledge: le, cable: ca, sab: sab, faults: map[Kind]int{}}
+	se := &server{id: id, ran: le, cable: ca, sabotage: sabotage, faults: map[Kind]int{}}
 	se.http = &http.Server{Handler: se, ReadHeaderTimeout: time.Minute}
 	go func() { _ = se.http.Serve(li) }()
 	return se, nil
@@ -147,9 +147,9 @@
 	}
 	defer se.leave()
 	ru := run{server: se.id, team: r.Header.Get("X-Tenant"), at: time.Now()}
-	se.ledge.add(id, ru)
-	if se.sab == RunsTwice {
-		se.ledge.add(id, ru)
+	se.ran.add(id, ru)
+	if se.sabotage == RunsTwice {
+		se.ran.add(id, ru)
 	}
 	se.work(w, r, id)
 }
@@ -161,7 +161,7 @@
 	}
 	time.Sleep(pause)
 	switch {
-	case se.sab == LiesNotRun && rand.Float64() < oddPart:
+	case se.sabotage == LiesNotRun && rand.Float64() < oddPart:
 		w.Header().Set("X-Not-Executed", "full")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -177,7 +177,7 @@
 		_, _ = io.WriteString(w, plainBody(id))
 	case strings.HasPrefix(r.URL.Path, "/stream/"):
 		se.stream(w, r, id)
-	case se.sab == MixesAnswers:
+	case se.sabotage == MixesAnswers:
 		_, _ = io.WriteString(w, plainBody("another"))
 	default:
 		_, _ = io.WriteString(w, plainBody(id))
@@ -192,7 +192,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := last + 1; n <= streamEvents; n++ {
-		if se.sab == SkipsEvents && n == streamEvents/2 {
+		if se.sabotage == SkipsEvents && n == streamEvents/2 {
 			continue
 		}
 		if n > streamEvents/2 && se.odd(ServerLoses, oddPart) {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -70,7 +70,9 @@
 	plan  Plan
 	fleet *fleet.Fleet
 	store *keyvalue.Store
-	rec   *record
+	// serving answers the calls to the store.
+	serving *httptest.Server
+	rec     *record
 
 	members []*member
 	// mu guards what follows.
@@ -89,10 +91,11 @@
 	py := &play{
 		so: so, plan: pl, store: keyvalue.New(), fleet: &fleet.Fleet{Bin: so.Bin, Dir: so.Dir},
 		keys: []string{"key-1", "key-2"}, outages: map[Kind]int{},
-		rec: &record{plan: pl, ledge: &ledger{runs: map[string][]run{}}, revoked: map[string]time.Time{}, drained: map[string]time.Time{}},
+		rec: &record{plan: pl, ran: &ledger{runs: map[string][]run{}}, revoked: map[string]time.Time{}, drained: map[string]time.Time{}},
 	}
+	err := py.start()
 	defer py.close()
-	if err := py.start(); err != nil {
+	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -114,8 +117,8 @@
 }
 
 func (py *play) start() error {
-	hs := httptest.NewServer(py.store)
-	address := strings.TrimPrefix(hs.URL, "http://")
+	py.serving = httptest.NewServer(py.store)
+	address := strings.TrimPrefix(py.serving.URL, "http://")
 	py.configure()
 	for range py.plan.Servers {
 		if err := py.addServer(); err != nil {
@@ -196,12 +199,18 @@
 // close ends everything that the run has started.
 func (py *play) close() {
 	for _, me := range py.members {
+		if me.process == nil {
+			continue // it did not start
+		}
 		_ = me.process.Signal(syscall.SIGCONT)
 		_ = me.process.Signal(syscall.SIGKILL)
 		me.process.Wait(restartTime)
 		me.callers.Close()
 		me.toStore.Close()
 	}
+	py.store.SetFaults(keyvalue.Faults{})
+	py.serving.CloseClientConnections()
+	py.serving.Close()
 	py.mu.Lock()
 	defer py.mu.Unlock()
 	for _, se := range py.servers {
@@ -214,7 +223,7 @@
 	py.mu.Lock()
 	defer py.mu.Unlock()
 	py.started++
-	se, err := startServer(fmt.Sprintf("s-%d", py.started), py.rec.ledge, py.so.Sabotage)
+	se, err := startServer(fmt.Sprintf("s-%d", py.started), py.rec.ran, py.so.Sabotage)
 	if err != nil {
 		return err
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -44,10 +44,10 @@
 	}
 }
 
-// play plays a plan; the log of a broken one is shown.
-func playPlan(t *testing.T, pl Plan, sab Sabotage) []Violation {
+// playPlan plays a plan and returns the promises that were broken.
+func playPlan(t *testing.T, pl Plan, sabotage Sabotage) []Violation {
 	t.Helper()
-	so := &Soak{Bin: bin, Dir: t.TempDir(), Callers: 8, Sabotage: sab}
+	so := &Soak{Bin: bin, Dir: t.TempDir(), Callers: 8, Sabotage: sabotage}
 	violations, err := so.Run(t.Context(), pl)
 	require.NoError(t, err)
 	return violations
@@ -77,10 +77,10 @@
 func TestEachPromiseIsSeenToBreak(t *testing.T) {
 	second := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 	for _, ca := range []struct {
-		sab     Sabotage
-		promise Promise
-		faults  []Fault
-		calm    time.Duration
+		sabotage Sabotage
+		promise  Promise
+		faults   []Fault
+		calm     time.Duration
 	}{
 		{RunsTwice, AtMostOnce, nil, second(1)},
 		{LiesNotRun, TrueRefusal, nil, second(1)},
@@ -91,11 +91,11 @@
 		{KillsForStop, PlannedStop, []Fault{{Stop, 0, second(1), second(1)}, {Stop, 1, second(2), second(2)}}, second(3)},
 		{StaysDown, Recovery, []Fault{{StoreDown, 0, second(0.5), second(1)}}, second(1)},
 	} {
-		t.Run(string(ca.sab)+" "+string(ca.promise), func(t *testing.T) {
+		t.Run(string(ca.sabotage)+" "+string(ca.promise), func(t *testing.T) {
 			t.Parallel()
 			pl := Plan{Gateways: 2, Servers: 3, Faults: ca.faults, Calm: ca.calm, End: ca.calm + calmFor}
 			seen := map[Promise]bool{}
-			for _, vi := range playPlan(t, pl, ca.sab) {
+			for _, vi := range playPlan(t, pl, ca.sabotage) {
 				seen[vi.Promise] = true
 			}
 			require.True(t, seen[ca.promise], "%v", seen)
@@ -107,7 +107,7 @@
 func TestALateAnswerIsSeen(t *testing.T) {
 	began := time.Unix(1000, 0)
 	ou := outcome{id: "r", path: "/safe/x", sent: began.Add(5 * time.Second), done: began.Add(5*time.Second + deadline + slack + 1), status: 504}
-	re := &record{plan: Plan{Calm: time.Second}, began: began, ledge: &ledger{runs: map[string][]run{}}, outcomes: []outcome{ou}}
+	re := &record{plan: Plan{Calm: time.Second}, began: began, ran: &ledger{runs: map[string][]run{}}, outcomes: []outcome{ou}}
 	require.Equal(t, InTime, re.check()[0].Promise)
 	re.plan.Faults = []Fault{{StoreHang, 0, 4 * time.Second, 5 * time.Second}}
 	require.NotEqual(t, InTime, re.check()[0].Promise, "not beside an outage")
