fix: a failed version gets nothing under the next order

The servers of v2 were listed for some seconds more, and everything but the newest order's version was taken for the old one, so that requests of any session went to v2 again. Ruled out: the sessions' share (none was old enough to move), late news (all four gateways had left v2 0.4 s before). Change: rollout.Withdraw says which versions get nothing once a newer order comes: the version of the order before, or those it had moved everything from, and those of earlier orders. The list is kept with the phase, so that a process that starts goes by it.

perf: the index of servers is built when it is asked for

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -35,7 +35,8 @@
 	away bool
 	// settled is when entries that are gone mean gone again.
 	settled time.Time
-	// byService is rebuilt on every change.
+	// byService holds those that may take new work; nil after a change, until it is
+	// asked for: thousands of entries come together at a start.
 	byService map[string][]*Server
 }
 
@@ -47,7 +48,7 @@
 	}
 	delete(di.missing, se.ID)
 	di.servers[se.ID] = &se
-	di.rebuild()
+	di.byService = nil
 }
 
 // Remove takes the end of a server's entry.
@@ -63,7 +64,7 @@
 		return
 	}
 	delete(di.servers, id)
-	di.rebuild()
+	di.byService = nil
 }
 
 // Replace takes a whole list, read after events were missed.
@@ -105,14 +106,19 @@
 		dropped = append(dropped, id)
 	}
 	if dropped != nil {
-		di.rebuild()
+		di.byService = nil
 	}
 	return dropped
 }
 
 // Servers returns the servers of a service that may take new work. The list
 // must not be changed.
-func (di *Directory) Servers(service string) []*Server { return di.byService[service] }
+func (di *Directory) Servers(service string) []*Server {
+	if di.byService == nil {
+		di.rebuild()
+	}
+	return di.byService[service]
+}
 
 // Get returns a server by id, or nil.
 func (di *Directory) Get(id string) *Server { return di.servers[id] }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -59,3 +60,17 @@
 	require.Empty(t, di.Tick(at(60)))
 	require.Len(t, ids(&di), 1)
 }
+
+// A start at a thousand gateways: the entries of ten thousand servers come one by one.
+func BenchmarkPutAll(b *testing.B) {
+	const servers = 10_000
+	for b.Loop() {
+		var di Directory
+		for i := range servers {
+			di.Put(Server{ID: strconv.Itoa(i), Service: "s"})
+		}
+		if len(di.Servers("s")) != servers {
+			b.Fatal("not all are there")
+		}
+	}
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -17,6 +17,8 @@
 type timedRollout struct {
 	order  Order
 	canary rollout.Canary
+	// withdrawn holds the versions of earlier orders that get nothing.
+	withdrawn []string
 	// tried is when the phase was last tried to be stored.
 	tried time.Time
 	// toldBad and toldTried are the bad answers and outcomes that the other
@@ -35,6 +37,7 @@
 	}
 	or.Plan.MostShare, or.Plan.SessionGap = ga.Bounds.CanaryShare, ga.Bounds.SessionGap
 	ro := &timedRollout{order: or, canary: rollout.Canary{Plan: or.Plan, Began: time.Now()}}
+	ro.withdrawn = ga.withdrawnFor(old, or)
 	ga.rollouts[or.Plan.Service] = ro
 	ga.Log.Info().Int("event", int(event.RolloutOrdered)).Str("service", or.Plan.Service).
 		Str("version", or.Plan.Version).Dur("within_ms", or.Plan.Within).Msg(event.Name(event.RolloutOrdered))
@@ -43,6 +46,25 @@
 	}
 }
 
+// withdrawnFor returns the versions that get nothing while an order is carried out
+// that follows another one. A process that was not there before goes by what is kept.
+// The lock is held.
+func (ga *Gateway) withdrawnFor(old *timedRollout, or Order) []string {
+	kept := ga.phases[or.Plan.Service]
+	if kept.Order == or.Revision {
+		return kept.Withdrawn
+	}
+	version, ph, before := kept.Version, kept.Phase, kept.Withdrawn
+	if old != nil {
+		version, ph, before = old.order.Plan.Version, old.canary.Phase(), old.withdrawn
+	}
+	var listed []string
+	for _, se := range ga.servers.Servers(or.Plan.Service) {
+		listed = append(listed, se.Version)
+	}
+	return rollout.Withdraw(before, version, ph, listed, or.Plan.Version)
+}
+
 // stored takes a phase that was kept by any gateway; the lock is held.
 func (ga *Gateway) stored(ph StoredPhase) {
 	if ga.phases[ph.Service].Revision >= ph.Revision {
@@ -50,6 +72,7 @@
 	}
 	ga.phases[ph.Service] = ph
 	if ro := ga.rollouts[ph.Service]; ro != nil && ro.order.Revision == ph.Order {
+		ro.withdrawn = ph.Withdrawn
 		ga.enter(ro, ph.Phase)
 	}
 }
@@ -80,7 +103,7 @@
 	if ro == nil {
 		return ask
 	}
-	ask.Version = ro.order.Plan.Version
+	ask.Version, ask.Without = ro.order.Plan.Version, ro.withdrawn
 	if ex.single {
 		ask.Only = ro.canary.NewSingle(ex.draw)
 	} else {
@@ -210,7 +233,10 @@
 	if kept.Order == ro.order.Revision && (kept.Phase == rollout.Complete || kept.Phase == rollout.Failed) {
 		return StoredPhase{}, false
 	}
-	next := StoredPhase{Service: ro.order.Plan.Service, Order: ro.order.Revision, Phase: ro.canary.Phase(), Revision: kept.Revision}
+	next := StoredPhase{
+		Service: ro.order.Plan.Service, Order: ro.order.Revision, Phase: ro.canary.Phase(), Revision: kept.Revision,
+		Version: ro.order.Plan.Version, Withdrawn: ro.withdrawn,
+	}
 	if ph, due := ro.canary.Due(now); due {
 		next.Phase = ph
 		return next, true
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/pool"
 	"github.com/linnetrudder/linnetrudder/internal/rollout"
 )
 
@@ -31,7 +32,7 @@
 	ga, ro := rolling(t)
 	ph, due := ga.dueFor(ro, time.Now())
 	require.True(t, due)
-	require.Equal(t, StoredPhase{Service: "s", Order: 7, Phase: rollout.Trying}, ph)
+	require.Equal(t, StoredPhase{Service: "s", Order: 7, Phase: rollout.Trying, Version: "v2"}, ph)
 	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Trying, Revision: 9})
 	_, due = ga.dueFor(ro, time.Now())
 	require.False(t, due)
@@ -47,7 +48,7 @@
 	require.Equal(t, rollout.Failed, ro.canary.Phase())
 	ph, due := ga.dueFor(ro, time.Now())
 	require.True(t, due)
-	require.Equal(t, StoredPhase{Service: "s", Order: 7, Phase: rollout.Failed, Revision: 9}, ph)
+	require.Equal(t, StoredPhase{Service: "s", Order: 7, Phase: rollout.Failed, Revision: 9, Version: "v2"}, ph)
 }
 
 // Once a roll-out is finished its old servers are stopped: a verdict of one
@@ -115,3 +116,54 @@
 	settle(ga, ro)
 	require.Equal(t, rollout.Failed, ro.canary.Phase())
 }
+
+// versionsPicked returns the versions that requests of many sessions go to.
+func versionsPicked(ga *Gateway) map[string]bool {
+	picked := map[string]bool{}
+	for i := range 400 {
+		ex := &exchange{ga: ga, service: "s", session: fmt.Sprint("session-", i)}
+		if se, ok := ga.pool.Pick(ga.restrict(pool.Ask{Service: "s"}, ex), uint64(i), time.Now()); ok {
+			picked[se.Version] = true
+		}
+	}
+	return picked
+}
+
+func list(ga *Gateway, versions ...string) {
+	for _, ve := range versions {
+		for i := range 3 {
+			ga.servers.Put(directory.Server{ID: fmt.Sprint(ve, "-", i), Service: "s", Version: ve})
+		}
+	}
+}
+
+// Seen as PINNED, eight times, in a hunted day of Quito: a version was ordered two
+// thirds of a second after another one had failed, whose servers were still listed
+// and were taken for the old version's.
+func TestAFailedVersionGetsNothingUnderTheNextOrder(t *testing.T) {
+	ga, ro := rolling(t)
+	list(ga, "v1", "v2", "v3")
+	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Failed, Revision: 9, Version: "v2"})
+	require.Equal(t, rollout.Failed, ro.canary.Phase())
+	ga.ordered(Order{Revision: 10, Plan: rollout.Plan{Service: "s", Version: "v3", Within: 20 * time.Second}})
+	require.Equal(t, map[string]bool{"v1": true}, versionsPicked(ga), "none of them is old enough to move")
+	ph, due := ga.dueFor(ga.rollouts["s"], time.Now())
+	require.True(t, due)
+	require.Equal(t, []string{"v2"}, ph.Withdrawn)
+
+	// A process that starts now goes by what is kept, before and after the new phase.
+	for _, kept := range []StoredPhase{
+		{Service: "s", Order: 7, Phase: rollout.Failed, Revision: 9, Version: "v2"},
+		{Service: "s", Order: 10, Phase: rollout.Trying, Revision: 11, Version: "v3", Withdrawn: []string{"v2"}},
+	} {
+		fresh := &Gateway{Log: zerolog.Nop(), Bounds: ga.Bounds}
+		fresh.prepare()
+		list(fresh, "v1", "v2", "v3")
+		fresh.stored(kept)
+		fresh.ordered(Order{Revision: 10, Plan: rollout.Plan{Service: "s", Version: "v3", Within: 20 * time.Second}})
+		require.Equal(t, map[string]bool{"v1": true}, versionsPicked(fresh))
+	}
+
+	ga.ordered(Order{Revision: 12, Plan: rollout.Plan{Service: "s", Version: "v2", Within: 20 * time.Second}})
+	require.NotContains(t, ga.rollouts["s"].withdrawn, "v2", "it was ordered again")
+}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -178,6 +178,9 @@
 	// Order is the revision of the order that the phase belongs to.
 	Order uint64
 	Phase rollout.Phase
+	// Version is the order's, Withdrawn holds those that get nothing.
+	Version   string
+	Withdrawn []string
 	// Revision is what the next change is compared with.
 	Revision uint64
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -35,6 +35,8 @@
 	// and to servers of any other version if Except is set.
 	Version      string
 	Only, Except bool
+	// Without holds versions that get nothing.
+	Without []string
 	// Affinity names the start of the prompt that a server may hold; empty for
 	// requests without one.
 	Affinity string
@@ -76,6 +78,7 @@
 	for _, se := range po.Directory.Servers(ask.Service) {
 		switch {
 		case slices.Contains(ask.Tried, se.ID):
+		case slices.Contains(ask.Without, se.Version):
 		case ask.Only && se.Version != ask.Version:
 		case ask.Except && se.Version == ask.Version:
 		case po.outliers.Usable(se.ID, now):
--- a/internal/rollout/canary.go
+++ b/internal/rollout/canary.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Phase is where a timed roll-out of a gateway stands. It is kept in the
 // key-value service, so that all gateways compute the same share.
@@ -68,6 +71,27 @@
 	return time.Duration(float64(pl.Within) * (1 - rest))
 }
 
+// Withdraw returns the versions of a service that get nothing any more once a newer
+// order for a target comes: those that got nothing before, the version of the order
+// before unless everything had moved to it, and otherwise those it had moved from,
+// which are among the listed ones. Their servers may be listed for some seconds more.
+func Withdraw(before []string, version string, ph Phase, listed []string, target string) []string {
+	gone := slices.Clone(before)
+	switch {
+	case version == "":
+	case ph == Shifting || ph == Complete:
+		for _, ve := range listed {
+			if ve != version {
+				gone = append(gone, ve)
+			}
+		}
+	default:
+		gone = append(gone, version)
+	}
+	slices.Sort(gone)
+	return slices.DeleteFunc(slices.Compact(gone), func(ve string) bool { return ve == target })
+}
+
 // Canary is one gateway's view of a timed roll-out. Its exported fields are
 // set before use; it is not safe for concurrent use.
 type Canary struct {
--- a/internal/rollout/canary_test.go
+++ b/internal/rollout/canary_test.go
@@ -284,3 +284,26 @@
 	_, due = ca.Due(began.Add(ca.Plan.Within))
 	require.True(t, due)
 }
+
+func TestWhatIsWithdrawnByANewerOrder(t *testing.T) {
+	listed := []string{"v1", "v2", "v3"}
+	for _, ca := range []struct {
+		before  []string
+		version string
+		phase   Phase
+		target  string
+		want    []string
+	}{
+		{nil, "", "", "v2", nil},
+		{nil, "v2", Failed, "v3", []string{"v2"}},
+		{nil, "v2", Trying, "v3", []string{"v2"}},
+		{nil, "v2", Failed, "v2", nil},
+		{nil, "v2", Shifting, "v3", []string{"v1"}},
+		{nil, "v2", Complete, "v3", []string{"v1"}},
+		{nil, "v2", Complete, "v1", []string{"v3"}},
+		{[]string{"v2"}, "v3", Failed, "v4", []string{"v2", "v3"}},
+		{[]string{"v2"}, "v3", Failed, "v2", []string{"v3"}},
+	} {
+		require.ElementsMatch(t, ca.want, Withdraw(ca.before, ca.version, ca.phase, listed, ca.target), "%+v", ca)
+	}
+}
