fix: a call that the stand-in store holds ends with the fault

Cause: a soak hung in closing its store: a call with a body was held after its client had gone, since a server notices that only once the body is read. Change: held calls end with the fault, broken off (keyvalue.TestACallThatIsHeldEndsWithTheFault).

--- a/standin/cmd/days/timeline.go
+++ b/standin/cmd/days/timeline.go
@@ -35,6 +35,7 @@
 	pt.Title.Text = "answers in time a second (lines), requests a second (dashed)"
 	pt.X.Label.Text = "second of the day"
 	pt.Legend.Top = true
+	pt.Y.Min = 0
 	for i, path := range cm.Reports {
 		body, err := os.ReadFile(path)
 		if err != nil {
--- a/standin/keyvalue/keyvalue.go
+++ b/standin/keyvalue/keyvalue.go
@@ -166,7 +166,7 @@
 	fa := st.faults
 	st.mu.Unlock()
 	time.Sleep(fa.Delay)
-	if fa.fail(w, r) {
+	if st.fail(fa, w, r) {
 		return
 	}
 	if id, ok := strings.CutPrefix(r.URL.Path, "/api/kv-keep/"); ok {
@@ -187,17 +187,36 @@
 	}
 }
 
-// fail answers a call while the service fails. It reports whether it does.
-func (fa Faults) fail(w http.ResponseWriter, r *http.Request) bool {
+// fail answers a call while the service fails, or not at all. It reports whether the
+// service does.
+func (st *Store) fail(fa Faults, w http.ResponseWriter, r *http.Request) bool {
 	switch {
 	case fa.Silent:
-		<-r.Context().Done()
+		st.hang(r)
 	case fa.Refuse != 0:
 		w.WriteHeader(fa.Refuse)
 	}
 	return fa.Silent || fa.Refuse != 0
 }
 
+// hang holds a call until its client has gone or the service answers others again,
+// and breaks it off then.
+func (st *Store) hang(r *http.Request) {
+	for {
+		st.mu.Lock()
+		silent, changed := st.faults.Silent, st.changed
+		st.mu.Unlock()
+		if !silent {
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
 func (st *Store) lease(w http.ResponseWriter, r *http.Request) {
 	var term struct {
 		TTLMS int64 `json:"ttl_ms"`
@@ -271,7 +290,7 @@
 	for waiting := true; ; {
 		li, fa, gone, changed := st.since(after)
 		switch {
-		case fa.fail(w, r):
+		case st.fail(fa, w, r):
 			return
 		case gone:
 			w.WriteHeader(http.StatusGone)
--- /dev/null
+++ b/standin/keyvalue/keyvalue_test.go
@@ -0,0 +1,54 @@
+package keyvalue
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Seen as a soak that never ended: a call with a body was held after its client had
+// gone, since a server notices that only once the body is read.
+func TestACallThatIsHeldEndsWithTheFault(t *testing.T) {
+	st := New()
+	st.SetFaults(Faults{Silent: true})
+	hs := httptest.NewServer(st)
+	client := &http.Client{Timeout: 100 * time.Millisecond}
+	_, err := client.Post(hs.URL+"/api/kv-txn", "application/json", strings.NewReader("{}"))
+	require.Error(t, err)
+	st.SetFaults(Faults{})
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		hs.Close()
+	}()
+	select {
+	case <-closed:
+	case <-time.After(4 * time.Second):
+		t.Fatal("the call is still held")
+	}
+}
+
+func TestALeaseThatEndsTakesItsKeysWithIt(t *testing.T) {
+	st := New()
+	hs := httptest.NewServer(st)
+	defer hs.Close()
+	post := func(path, body string) int {
+		resp, err := http.Post(hs.URL+path, "application/json", strings.NewReader(body))
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		return resp.StatusCode
+	}
+	require.Equal(t, http.StatusOK, post("/api/kv-lease", `{"ttl_ms":60000}`))
+	write := `{"set_keys":[{"key_file":"k","value":"dg==","lease":1}]}`
+	require.Equal(t, http.StatusOK, post("/api/kv-txn", write))
+	require.Equal(t, "v", st.Value("k"))
+	require.Equal(t, http.StatusOK, post("/api/kv-keep/1", ""))
+	st.EndLeases()
+	require.Empty(t, st.Value("k"))
+	require.Equal(t, http.StatusNotFound, post("/api/kv-keep/1", ""))
+	require.Equal(t, http.StatusNotFound, post("/api/kv-txn", write))
+}
