--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -2,9 +2,9 @@
 // in the key-value service, so that it can tell how old its configuration may be
 // at the most. Only the steady clock counts. It does no I/O and reads no clock.
 //
-// A whole read confirms a moment, the answer to a watch, and another process's word. A watch that still
-// waits confirms nothing, whatever other calls are answered meanwhile: it may have
-// missed changes (docs/design/platform.md).
+// A whole read confirms a moment, the answer to a watch, and another process's word.
+// A watch that still waits confirms nothing, whatever other calls are answered
+// meanwhile: it may have missed changes (docs/design/platform.md).
 package freshness
 
 import "time"
@@ -25,15 +25,13 @@
 	// ticked is the time of the newest tick, stalled that of the newest one that
 	// came so late that the process must have been stopped before.
 	ticked, stalled time.Time
-	connected       bool
+	// connected is set while the service answers.
+	connected bool
 }
 
 // Age returns how old what is known may be at the most.
 func (re *Record) Age(now time.Time) time.Duration { return now.Sub(re.confirmed) }
 
-// Connected reports whether the service answered last.
-func (re *Record) Connected() bool { return re.connected }
-
 // Tick notes that the process runs.
 func (re *Record) Tick(now time.Time) {
 	if !re.ticked.IsZero() && now.Sub(re.ticked) > stallGap {
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -119,7 +119,8 @@
 }
 
 // encode returns changes as they are passed on. Those that can't be encoded are
-// not, and neither is what came before: who asks for it is told to read it all.
+// not, and neither is what came before: who asks for it is told that it is unknown,
+// and watches the service itself.
 func (ga *Gateway) encode(st State) relay.Batch {
 	ba := relay.Batch{To: st.Revision}
 	if len(st.Changes) == 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,8 +46,8 @@
 }
 
 // historyBatches bounds the batches that a watcher keeps. Watchers gather changes
-// for 0.3 s, so that these are 20 s at the least; who is further behind reads
-// everything from the service.
+// for 0.3 s, so that these are 19 s at the least; who is further behind goes to
+// the service itself.
 const historyBatches = 64
 
 // History keeps the newest changes. The zero value knows of no revision. It is
