feat: gateways report the load of servers to each other

Head times with the work that all gateways had in progress on a server showed why: a prompt met 28,213 tokens of others' work on its server, a server drawn by lot had 29,465, the least loaded one 0. A gateway's own load, times half the members, says nothing of a server that it uses twice a second.

Ruled out: the size of the prompts (largest ones took 0.81 s on an idle server, 0.88 s in the median); the age of the estimate.

Change: package load adds up reports; each gateway reports to its watcher every 0.1 s and gets the sum of all others', watchers exchange the sums of their groups, over WebSocket with CBOR. Reports are used for half a second, then the estimate is used again. For a prompt four servers are weighed, so that not everybody picks the same idle one. With more than 134 servers the pause grows.

The test that a gateway goes on without its watchers closed no WebSocket (the test server forgets hijacked connections); it does now, and passes.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -49,6 +49,8 @@
 	ServerReturned   ID = 514
 	MemberJoined     ID = 515
 	MemberLeft       ID = 516
+	LoadPeerLost     ID = 517
+	LoadPeerRegained ID = 518
 	BillWritten      ID = 600
 	BillHeld         ID = 601
 	ClaimWon         ID = 602
@@ -121,6 +123,8 @@
 	{ServerReturned, "server_returned", "an ejected backend server answered and is used again"},
 	{MemberJoined, "member_joined", "a gateway has joined those that share the backend servers"},
 	{MemberLeft, "member_left", "a gateway no longer renews its membership"},
+	{LoadPeerLost, "load_peer_lost", "a gateway takes no reports of load; others' work is estimated meanwhile"},
+	{LoadPeerRegained, "load_peer_regained", "the gateway takes reports of load again"},
 	{BillWritten, "bill_written", "bill records are durable"},
 	{BillHeld, "bill_held", "bill records wait for the key-value service"},
 	{ClaimWon, "claim_won", "a claim is durable"},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/freshness"
+	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/pace"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
@@ -49,7 +50,7 @@
 	// answers none. LinkMbps is the capacity of the box's link in Mbit/s.
 	RelayAddress string
 	LinkMbps     int
-	// RelayHTTP opens connections to other gateways.
+	// RelayHTTP opens connections to other gateways, for changes and for reports of load.
 	RelayHTTP *http.Client
 
 	// relayed asks the watcher; only the goroutine that follows uses it.
@@ -75,6 +76,10 @@
 	changed chan struct{}
 	servers directory.Directory
 	pool    pool.Pool
+	// loads holds what other gateways report of servers' work, loadPlan says to which
+	// of them this one reports.
+	loads    load.Table
+	loadPlan relay.Plan
 	// pace knows how long heads take, by service and model.
 	pace pace.Meter
 	// best knows how long answers take at their best, by service and model.
@@ -93,6 +98,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { ga.tick(ctx) })
 	wg.Go(func() { ga.keepMembership(ctx) })
+	wg.Go(func() { ga.shareLoad(ctx) })
 	ga.follow(ctx)
 	wg.Wait()
 	return ctx.Err()
@@ -101,12 +107,13 @@
 func (ga *Gateway) prepare() {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.pool = pool.Pool{DataCentre: ga.DataCentre, Directory: &ga.servers}
+	ga.pool = pool.Pool{DataCentre: ga.DataCentre, Directory: &ga.servers, Loads: &ga.loads}
 	ga.retries = map[string]*budget.Window{}
 	ga.rollouts = map[string]*timedRollout{}
 	ga.phases = map[string]StoredPhase{}
 	ga.members = map[string]relay.Member{}
 	ga.plan = relay.Plan{Box: ga.Box, DataCentre: ga.DataCentre}
+	ga.loadPlan = ga.plan
 	ga.changed = make(chan struct{})
 }
 
@@ -165,6 +172,7 @@
 		case now := <-ti.C:
 			ga.noteTick(now)
 			ga.dropMissing(now)
+			ga.expireLoads(now)
 			ga.advanceRollouts(ctx, now)
 		}
 	}
--- /dev/null
+++ b/internal/gateway/loads.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/relay"
+)
+
+const (
+	// loadEvery is the least pause between two reports of load: a prompt takes some
+	// tenths of a second to read, and what was reported long before that is no help.
+	loadEvery = 100 * time.Millisecond
+	// loadBytes is what the reports of one connection may take, in bytes a second, and
+	// entryBytes what one server takes in a report at the most: with more than some
+	// hundred servers the pause grows (docs/CAPACITY.md).
+	loadBytes  = 12_000
+	entryBytes = 9
+	// loadTimeout bounds one exchange, loadAgain is the pause after one that failed.
+	loadTimeout = 300 * time.Millisecond
+	loadAgain   = time.Second
+	// loadPauses is how many pauses a report is used for: some may be late.
+	loadPauses = 5
+	// peersEvery is how often the choice of whom to report to is made anew.
+	peersEvery = 500 * time.Millisecond
+)
+
+// shareLoad exchanges loads with the gateways that the plan names.
+func (ga *Gateway) shareLoad(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	stops := map[relay.Member]context.CancelFunc{}
+	for ctx.Err() == nil {
+		peers, collector := ga.loadPeers(time.Now())
+		for me, stop := range stops {
+			if !slices.Contains(peers, me) {
+				stop()
+				delete(stops, me)
+			}
+		}
+		for _, me := range peers {
+			if stops[me] == nil {
+				var pctx context.Context
+				pctx, stops[me] = context.WithCancel(ctx)
+				wg.Go(func() { ga.exchangeLoads(pctx, me, collector) })
+			}
+		}
+		sleep(ctx, peersEvery)
+	}
+}
+
+// loadPeers returns the gateways to report to, and whether as a collector.
+func (ga *Gateway) loadPeers(now time.Time) ([]relay.Member, bool) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.loadPlan.Peers(slices.Collect(maps.Values(ga.members)), now)
+}
+
+// exchangeLoads reports to one gateway again and again until the context ends.
+func (ga *Gateway) exchangeLoads(ctx context.Context, to relay.Member, collector bool) {
+	cl := relay.Client{Address: to.Address, Slack: loadTimeout, HTTP: ga.RelayHTTP}
+	defer cl.Close()
+	failed := false
+	for ctx.Err() == nil {
+		answer, err := cl.Exchange(ctx, ga.report(collector))
+		if ctx.Err() != nil {
+			return
+		}
+		if failed != (err != nil) {
+			failed = err != nil
+			ga.notePeer(to, err)
+		}
+		if err != nil {
+			ga.leavePeer(to)
+			sleep(ctx, loadAgain)
+			continue
+		}
+		sleep(ctx, ga.takeRest(answer, time.Now()))
+	}
+}
+
+// notePeer logs that a gateway does not take reports, or does again.
+func (ga *Gateway) notePeer(to relay.Member, why error) {
+	if why != nil {
+		ga.Log.Warn().Int("event", int(event.LoadPeerLost)).Str("peer", to.Box).Err(why).Msg(event.Name(event.LoadPeerLost))
+		return
+	}
+	ga.Log.Info().Int("event", int(event.LoadPeerRegained)).Str("peer", to.Box).Msg(event.Name(event.LoadPeerRegained))
+}
+
+// leavePeer notes that a gateway did not take a report.
+func (ga *Gateway) leavePeer(to relay.Member) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.loadPlan.Failed(to.Box, time.Now())
+}
+
+// report returns this gateway's report.
+func (ga *Gateway) report(collector bool) relay.Report {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	re := relay.Report{Box: ga.Box, Collector: collector, Work: ga.pool.Work()}
+	if collector {
+		re.Work = ga.loads.Group(re.Work)
+	}
+	return re
+}
+
+// takeRest takes the answer to a report and returns the pause before the next.
+func (ga *Gateway) takeRest(answer relay.Report, now time.Time) time.Duration {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.loads.TakeGroup(answer.Box, answer.Work, now)
+	return ga.loadPause()
+}
+
+// Reported takes another gateway's report.
+func (ga *Gateway) Reported(re relay.Report) relay.Report {
+	now := time.Now()
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	answer := relay.Report{Box: ga.Box, Collector: true}
+	if re.Collector {
+		ga.loads.TakeGroup(re.Box, re.Work, now)
+		answer.Work = ga.loads.Group(ga.pool.Work())
+		return answer
+	}
+	ga.loads.TakeMember(re.Box, re.Work, now)
+	answer.Work = ga.loads.Rest(re.Box, ga.pool.Work())
+	return answer
+}
+
+// loadPause returns the pause between two reports; the lock is held.
+func (ga *Gateway) loadPause() time.Duration {
+	return max(loadEvery, time.Duration(ga.servers.Len()*entryBytes)*time.Second/loadBytes)
+}
+
+// expireLoads drops reports that are too old to help.
+func (ga *Gateway) expireLoads(now time.Time) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.loads.Expire(now.Add(-loadPauses * ga.loadPause()))
+}
--- /dev/null
+++ b/internal/gateway/loads_test.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/linnetrudder/linnetrudder/internal/directory"
+)
+
+// othersWork returns what a gateway knows of the others' attempts at the server s, or
+// false if it gets no reports.
+func (re *relaying) othersWork(box string) (uint32, bool) {
+	ga := re.gateways[box]
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.loads.On("s"), ga.loads.Known()
+}
+
+// start notes attempts of a gateway at the server s.
+func (re *relaying) start(box string, attempts int) {
+	ga := re.gateways[box]
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	for range attempts {
+		ga.pool.Started("s", 0, time.Now())
+	}
+}
+
+func TestEachGatewayHearsOfTheOthersWork(t *testing.T) {
+	re := newRelaying(t)
+	re.start("a", 1)
+	re.start("b", 2)
+	re.start("c", 4)
+	for box, others := range map[string]uint32{"a": 6, "b": 5, "c": 3} {
+		re.eventually(t, box, func() bool {
+			known, _ := re.othersWork(box)
+			return known == others
+		})
+	}
+}
+
+// A gateway that nobody reports to estimates the others' work again instead of
+// believing what it heard last.
+func TestOldReportsAreNotBelieved(t *testing.T) {
+	re := newRelaying(t)
+	re.start("a", 1)
+	re.eventually(t, "c hears of it", func() bool {
+		known, _ := re.othersWork("c")
+		return known == 1
+	})
+	for _, box := range []string{"a", "b"} {
+		re.deafen(box)
+	}
+	began := time.Now()
+	re.eventually(t, "c forgets it", func() bool {
+		_, ok := re.othersWork("c")
+		return !ok
+	})
+	require.Less(t, time.Since(began), 3*time.Second)
+}
+
+func TestThePauseBetweenReportsGrowsWithTheServers(t *testing.T) {
+	for servers, pause := range map[int]time.Duration{20: loadEvery, 54: loadEvery, 1500: 1125 * time.Millisecond} {
+		ga := &Gateway{}
+		ga.prepare()
+		for i := range servers {
+			ga.servers.Put(directory.Server{ID: string(rune('a' + i)), Service: "svc"})
+		}
+		require.Equal(t, pause, ga.loadPause())
+	}
+}
--- a/internal/gateway/relayed_test.go
+++ b/internal/gateway/relayed_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,16 +100,52 @@
 
 // relaying is three gateways of one data centre, of which a and b watch for c.
 type relaying struct {
-	kept     *keptState
-	gateways map[string]*Gateway
-	servers  map[string]*httptest.Server
+	kept      *keptState
+	gateways  map[string]*Gateway
+	listeners map[string]*recordingListener
+}
+
+// recordingListener remembers its connections: the server forgets those that are
+// WebSockets.
+type recordingListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+	// deaf is set when the server is to refuse everything.
+	deaf atomic.Bool
+}
+
+func (rl *recordingListener) Accept() (net.Conn, error) {
+	conn, err := rl.Listener.Accept()
+	if err == nil {
+		rl.mu.Lock()
+		defer rl.mu.Unlock()
+		rl.conns = append(rl.conns, conn)
+	}
+	return conn, err
+}
+
+func (rl *recordingListener) closeAll() {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	for _, conn := range rl.conns {
+		_ = conn.Close()
+	}
+	rl.conns = nil
+}
+
+// deafen makes a gateway refuse the others' requests and ends their connections.
+func (re *relaying) deafen(box string) {
+	re.listeners[box].deaf.Store(true)
+	re.listeners[box].closeAll()
 }
 
 func newRelaying(t *testing.T) *relaying {
 	t.Helper()
 	re := &relaying{
-		kept:     &keptState{news: make(chan struct{}), watches: map[string]int{}, cut: map[string]bool{}},
-		gateways: map[string]*Gateway{}, servers: map[string]*httptest.Server{},
+		kept:      &keptState{news: make(chan struct{}), watches: map[string]int{}, cut: map[string]bool{}},
+		gateways:  map[string]*Gateway{},
+		listeners: map[string]*recordingListener{},
 	}
 	re.configure(1)
 	for _, box := range []string{"a", "b", "c"} {
@@ -115,10 +153,23 @@
 			Log: zerolog.Nop(), Box: box, DataCentre: "dc", Source: view{re.kept, box},
 			Bounds: Bounds{Revoke: 5 * time.Second}, RelayHTTP: http.DefaultClient,
 		}
-		hs := httptest.NewServer(&relay.Server{Feed: ga})
+		router := http.NewServeMux()
+		router.Handle(relay.Path, &relay.Server{Feed: ga})
+		router.Handle(relay.LoadPath, &relay.LoadServer{Loads: ga})
+		li := &recordingListener{}
+		hs := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if li.deaf.Load() {
+				http.NotFound(w, r)
+				return
+			}
+			router.ServeHTTP(w, r)
+		}))
+		li.Listener, hs.Listener = hs.Listener, li
+		hs.Start()
 		t.Cleanup(hs.Close)
+		re.listeners[box] = li
 		ga.RelayAddress = strings.TrimPrefix(hs.URL, "http://")
-		re.gateways[box], re.servers[box] = ga, hs
+		re.gateways[box] = ga
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -178,8 +229,7 @@
 func TestAGatewayGoesOnWithoutItsWatchers(t *testing.T) {
 	re := newRelaying(t)
 	for _, box := range []string{"a", "b"} {
-		re.servers[box].CloseClientConnections()
-		re.servers[box].Config.Handler = http.NotFoundHandler()
+		re.deafen(box)
 	}
 	re.configure(2)
 	began := time.Now()
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,132 @@
+// Package load adds up how much work is in progress on each backend server over
+// all gateways, from what they report to each other. It does no I/O and reads no
+// clock.
+//
+// In each data centre one or two gateways, the collectors, take the reports of the
+// others. A collector tells another one the sum of its group (its own work and that
+// of the gateways that report to it), and each gateway of its group the sum of
+// everything else.
+package load
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key names a backend server in a few bytes. Two servers with the same key look
+// as busy as both together, which does no harm; among 1,500 servers that is one
+// chance in 4,000.
+type Key uint32
+
+// KeyOf returns the key of a server's id.
+func KeyOf(id string) Key { return Key(xxhash.Sum64String(id)) }
+
+// Work is the work in progress by server, in attempts. Servers without any are
+// left out.
+type Work map[Key]uint32
+
+func (wo Work) add(other Work) {
+	for key, n := range other {
+		wo[key] += n
+	}
+}
+
+func (wo Work) subtract(other Work) {
+	for key, n := range other {
+		if wo[key] -= n; wo[key] == 0 {
+			delete(wo, key)
+		}
+	}
+}
+
+// plus returns the sum of both.
+func (wo Work) plus(other Work) Work {
+	sum := make(Work, len(wo)+len(other))
+	sum.add(wo)
+	sum.add(other)
+	return sum
+}
+
+type report struct {
+	work Work
+	at   time.Time
+}
+
+// Table holds the newest report of each other gateway. The zero value holds none.
+// It is not safe for concurrent use.
+type Table struct {
+	// members holds the reports of single gateways, groups those of collectors, by
+	// box; no gateway's work is in two of them, but for a moment after it has changed
+	// its collector.
+	members, groups map[string]report
+	// ofMembers is the sum of members, ofAll that of both.
+	ofMembers, ofAll Work
+}
+
+// TakeMember takes the report of a single gateway.
+func (ta *Table) TakeMember(box string, wo Work, now time.Time) {
+	ta.prepare()
+	ta.dropMember(box)
+	ta.members[box] = report{wo, now}
+	ta.ofMembers.add(wo)
+	ta.ofAll.add(wo)
+}
+
+// TakeGroup takes the sum that a collector reports.
+func (ta *Table) TakeGroup(box string, wo Work, now time.Time) {
+	ta.prepare()
+	ta.dropGroup(box)
+	ta.groups[box] = report{wo, now}
+	ta.ofAll.add(wo)
+}
+
+func (ta *Table) prepare() {
+	if ta.members == nil {
+		ta.members, ta.groups = map[string]report{}, map[string]report{}
+		ta.ofMembers, ta.ofAll = Work{}, Work{}
+	}
+}
+
+func (ta *Table) dropMember(box string) {
+	ta.ofMembers.subtract(ta.members[box].work)
+	ta.ofAll.subtract(ta.members[box].work)
+	delete(ta.members, box)
+}
+
+func (ta *Table) dropGroup(box string) {
+	ta.ofAll.subtract(ta.groups[box].work)
+	delete(ta.groups, box)
+}
+
+// Expire drops the reports that came before a time: their gateways are gone, or
+// report to another collector.
+func (ta *Table) Expire(before time.Time) {
+	for box, re := range ta.members {
+		if re.at.Before(before) {
+			ta.dropMember(box)
+		}
+	}
+	for box, re := range ta.groups {
+		if re.at.Before(before) {
+			ta.dropGroup(box)
+		}
+	}
+}
+
+// Known reports whether there is any report.
+func (ta *Table) Known() bool { return len(ta.members)+len(ta.groups) > 0 }
+
+// On returns the work of all other gateways in progress on a server, in attempts.
+func (ta *Table) On(id string) uint32 { return ta.ofAll[KeyOf(id)] }
+
+// Group returns what a collector reports to another one.
+func (ta *Table) Group(own Work) Work { return own.plus(ta.ofMembers) }
+
+// Rest returns what a collector tells a gateway of its group: everything but that
+// gateway's own work.
+func (ta *Table) Rest(box string, own Work) Work {
+	rest := own.plus(ta.ofAll)
+	rest.subtract(ta.members[box].work)
+	return rest
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,103 @@
+package load
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var now = time.Unix(1000, 0)
+
+func TestWorkOfOthersIsAddedUp(t *testing.T) {
+	var ta Table
+	require.False(t, ta.Known())
+	require.Zero(t, ta.On("s"))
+	ta.TakeMember("a", Work{KeyOf("s"): 3}, now)
+	ta.TakeGroup("b", Work{KeyOf("s"): 4, KeyOf("t"): 1}, now)
+	require.True(t, ta.Known())
+	require.EqualValues(t, 7, ta.On("s"))
+	own := Work{KeyOf("s"): 10}
+	require.Equal(t, Work{KeyOf("s"): 13}, ta.Group(own), "what other groups do is theirs to report")
+	require.Equal(t, Work{KeyOf("s"): 14, KeyOf("t"): 1}, ta.Rest("a", own))
+	require.Equal(t, Work{KeyOf("s"): 10}, own, "an argument is left as it is")
+}
+
+func TestANewReportReplacesTheOldOne(t *testing.T) {
+	var ta Table
+	ta.TakeMember("a", Work{KeyOf("s"): 3}, now)
+	ta.TakeMember("a", Work{KeyOf("t"): 1}, now)
+	require.Zero(t, ta.On("s"))
+	require.EqualValues(t, 1, ta.On("t"))
+}
+
+func TestOldReportsAreDropped(t *testing.T) {
+	var ta Table
+	ta.TakeMember("a", Work{KeyOf("s"): 3}, now)
+	ta.TakeGroup("b", Work{KeyOf("s"): 4}, now.Add(time.Second))
+	ta.Expire(now.Add(time.Second))
+	require.EqualValues(t, 4, ta.On("s"))
+	ta.Expire(now.Add(2 * time.Second))
+	require.False(t, ta.Known())
+	require.Zero(t, ta.On("s"))
+}
+
+// naive adds all reports up each time.
+type naive struct{ members, groups map[string]report }
+
+func (na naive) sum(lists ...map[string]report) Work {
+	sum := Work{}
+	for _, list := range lists {
+		for _, re := range list {
+			for key, n := range re.work {
+				sum[key] += n
+			}
+		}
+	}
+	return sum
+}
+
+func TestTheSumsAreThoseOfTheNaiveVersion(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var ta Table
+		na := naive{map[string]report{}, map[string]report{}}
+		at := now
+		for range rapid.IntRange(1, 40).Draw(rt, "reports") {
+			at = at.Add(time.Duration(rapid.IntRange(0, 300).Draw(rt, "pause")) * time.Millisecond)
+			box := fmt.Sprint(rapid.IntRange(0, 5).Draw(rt, "box"))
+			wo := Work{}
+			for range rapid.IntRange(0, 3).Draw(rt, "servers") {
+				wo[Key(rapid.IntRange(0, 4).Draw(rt, "key"))] = uint32(rapid.IntRange(1, 100).Draw(rt, "work"))
+			}
+			switch rapid.IntRange(0, 2).Draw(rt, "what") {
+			case 0:
+				ta.TakeMember(box, wo, at)
+				na.members[box] = report{wo, at}
+			case 1:
+				ta.TakeGroup(box, wo, at)
+				na.groups[box] = report{wo, at}
+			default:
+				before := at.Add(-500 * time.Millisecond)
+				ta.Expire(before)
+				expire(na.members, before)
+				expire(na.groups, before)
+			}
+		}
+		if got, want := ta.Group(nil), na.sum(na.members); fmt.Sprint(got) != fmt.Sprint(want) {
+			rt.Fatalf("group %v, naive %v", got, want)
+		}
+		if got, want := ta.Rest("none", nil), na.sum(na.members, na.groups); fmt.Sprint(got) != fmt.Sprint(want) {
+			rt.Fatalf("rest %v, naive %v", got, want)
+		}
+	})
+}
+
+func expire(list map[string]report, before time.Time) {
+	for box, re := range list {
+		if re.at.Before(before) {
+			delete(list, box)
+		}
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -5,12 +5,15 @@
 package pool
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/outlier"
 	"github.com/linnetrudder/linnetrudder/internal/pace"
 )
@@ -19,10 +22,14 @@
 	// attemptWork is what an attempt in progress adds to its server's load
 	// besides its prompt, in tokens: it slows each step of the others a little.
 	attemptWork = 60
-	// crowdPart is the part of the other processes that have as much work in
-	// progress on a server as this one: they send to it as well and know as little of
-	// this one. Measured with 4 processes and with 30 (docs/design/platform.md).
+	// crowdPart is the part of the other processes that are taken to have as much work
+	// in progress on a server as this one, as long as they do not report it. Measured
+	// with 4 processes and with 30 (docs/design/platform.md).
 	crowdPart = 0.5
+	// candidates is how many servers are weighed for a prompt. Reports are some tenths
+	// of a second old: if all processes weighed all servers, they would all send to the
+	// same idle one at once.
+	candidates = 4
 	// remoteCost is the load that a server in another data centre must have
 	// less than one in the own to be preferred, in attempts.
 	remoteCost = 2
@@ -58,6 +65,8 @@
 	// Members is how many processes share the servers, this one included. It may
 	// change at any time.
 	Members int
+	// Loads holds the work of the other processes.
+	Loads *load.Table
 
 	outliers outlier.Detector
 	// relative knows which servers are slower than others.
@@ -103,10 +112,14 @@
 // one that ranks first by rendezvous hashing holds its start already, any other
 // must read it too, and each has its load to work off before.
 func (po *Pool) holder(list []*directory.Server, ask Ask) *directory.Server {
-	home, crowd := first(list, ask.Affinity), po.crowd()
-	best, least := home, po.relative.Factor(home.ID)*(crowd*po.load(home.ID)+ask.Work)
-	for _, se := range list {
-		work := po.relative.Factor(se.ID) * (crowd*po.load(se.ID) + ask.Work + ask.Held)
+	ranked := list
+	if po.Loads.Known() {
+		ranked = leading(list, ask.Affinity, candidates)
+	}
+	home := leading(list, ask.Affinity, 1)[0]
+	best, least := home, po.relative.Factor(home.ID)*(po.load(home.ID)+ask.Work)
+	for _, se := range ranked {
+		work := po.relative.Factor(se.ID) * (po.load(se.ID) + ask.Work + ask.Held)
 		if se != home && work < least {
 			best, least = se, work
 		}
@@ -114,41 +127,64 @@
 	return best
 }
 
-// crowd returns how many times its own load the process takes a server's to be.
-func (po *Pool) crowd() float64 { return max(1, crowdPart*float64(po.Members)) }
-
-// first returns the server that ranks first for a key.
-func first(list []*directory.Server, key string) *directory.Server {
-	var best *directory.Server
-	most := uint64(0)
+// leading returns the servers that rank first for a key, the first one in front.
+func leading(list []*directory.Server, key string, most int) []*directory.Server {
+	type ranked struct {
+		server *directory.Server
+		rank   uint64
+	}
+	first := make([]ranked, 0, most+1)
 	for _, se := range list {
-		if we := xxhash.Sum64String(key + "\x00" + se.ID); best == nil || we > most {
-			best, most = se, we
+		ra := ranked{se, xxhash.Sum64String(key + "\x00" + se.ID)}
+		at, _ := slices.BinarySearchFunc(first, ra, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+		if at < most {
+			first = slices.Insert(first, at, ra)
+			first = first[:min(most, len(first))]
 		}
 	}
-	return best
+	servers := make([]*directory.Server, len(first))
+	for i, ra := range first {
+		servers[i] = ra.server
+	}
+	return servers
 }
 
-// load returns the own work that a server has still to do, in tokens of the
-// smallest model.
+// load returns the work that a server has still to do for all processes, in tokens
+// of the smallest model.
 func (po *Pool) load(id string) float64 {
-	return po.reading[id] + attemptWork*float64(po.running[id])
+	own := po.reading[id] + attemptWork*float64(po.running[id])
+	if po.Loads.Known() {
+		return own + attemptWork*float64(po.Loads.On(id))
+	}
+	return own * max(1, crowdPart*float64(po.Members))
+}
+
+// attempts returns the attempts in progress at a server, as far as they are known.
+func (po *Pool) attempts(id string) int { return po.running[id] + int(po.Loads.On(id)) }
+
+// Work returns the own work that servers have still to do, for a report.
+func (po *Pool) Work() load.Work {
+	wo := make(load.Work, len(po.running))
+	for id, running := range po.running {
+		wo[load.KeyOf(id)] = uint32(running) + uint32(math.Round(po.reading[id]/attemptWork))
+	}
+	return wo
 }
 
-// leastLoaded returns the server with the fewest own attempts, those in
-// another data centre charged for the way; equals are chosen at random.
+// leastLoaded returns the server with the fewest attempts, those in another data
+// centre charged for the way; equals are chosen at random.
 func (po *Pool) leastLoaded(list []*directory.Server, random uint64) *directory.Server {
 	start := int(random % uint64(len(list)))
 	var best *directory.Server
 	least := 0
 	for i := range list {
 		se := list[(start+i)%len(list)]
-		load := po.running[se.ID]
+		attempts := po.attempts(se.ID)
 		if se.DataCentre != po.DataCentre {
-			load += remoteCost
+			attempts += remoteCost
 		}
-		if best == nil || load < least {
-			best, least = se, load
+		if best == nil || attempts < least {
+			best, least = se, attempts
 		}
 	}
 	return best
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -8,12 +8,13 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/load"
 )
 
 var now = time.Unix(1000, 0)
 
 func pool(n int) *Pool {
-	po := &Pool{Members: 4, DataCentre: "dc0", Directory: &directory.Directory{}}
+	po := &Pool{Members: 4, DataCentre: "dc0", Directory: &directory.Directory{}, Loads: &load.Table{}}
 	for i := range n {
 		po.Directory.Put(directory.Server{ID: fmt.Sprint("s", i), Service: "svc", DataCentre: fmt.Sprint("dc", i%3), Version: fmt.Sprint("v", 1+i%2)})
 	}
@@ -76,3 +77,51 @@
 	_, ok = po.Pick(Ask{Service: "svc", Tried: []string{"s0", "s1"}}, 0, now)
 	require.False(t, ok)
 }
+
+func TestTheWorkOfOthersCounts(t *testing.T) {
+	po := pool(6)
+	ask := Ask{Service: "svc", Affinity: "p", Held: 5000}
+	home, _ := po.Pick(ask, 1, now)
+	busy := load.Work{load.KeyOf(home.ID): 5000/attemptWork + 1}
+	po.Loads.TakeGroup("b", busy, now)
+	other, _ := po.Pick(ask, 1, now)
+	require.NotEqual(t, home.ID, other.ID)
+	po.Loads.TakeGroup("b", load.Work{load.KeyOf(home.ID): 5000/attemptWork - 1}, now)
+	again, _ := po.Pick(ask, 1, now)
+	require.Equal(t, home.ID, again.ID)
+	po.Loads.TakeGroup("b", load.Work{load.KeyOf("s0"): 3, load.KeyOf("s3"): 2 + remoteCost}, now)
+	se, _ := po.Pick(Ask{Service: "svc"}, 0, now)
+	require.NotEqual(t, "dc0", se.DataCentre, "a plain service's attempts count as well")
+}
+
+func TestOwnWorkIsReportedInAttempts(t *testing.T) {
+	po := pool(2)
+	require.Empty(t, po.Work())
+	po.Started("s0", 10*attemptWork, now)
+	po.Started("s0", 0, now)
+	require.Equal(t, load.Work{load.KeyOf("s0"): 12}, po.Work())
+	po.Read("s0", 10*attemptWork)
+	po.Ended("s0")
+	require.Equal(t, load.Work{load.KeyOf("s0"): 1}, po.Work())
+	po.Ended("s0")
+	require.Empty(t, po.Work())
+}
+
+// A report is old when it comes. If every process sent to the server that it takes
+// for the least busy of all, they would all send to the same one.
+func TestNotAllPromptsGoToTheIdleServer(t *testing.T) {
+	po := pool(60)
+	wo := load.Work{}
+	for i := 1; i < 60; i++ {
+		wo[load.KeyOf(fmt.Sprint("s", i))] = 1000
+	}
+	po.Loads.TakeGroup("b", wo, now)
+	idle := 0
+	for i := range 300 {
+		if se, _ := po.Pick(Ask{Service: "svc", Affinity: fmt.Sprint(i), Held: 100}, 0, now); se.ID == "s0" {
+			idle++
+		}
+	}
+	require.Greater(t, idle, 0)
+	require.Less(t, idle, 300*2*candidates/60)
+}
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -41,24 +41,61 @@
 // them serves it. All gateways that know the same members choose the same
 // watchers, those with the largest links.
 func (pl *Plan) Watcher(members []Member, now time.Time) (Member, bool) {
+	own := watchersOf(members, pl.DataCentre)
+	if pl.among(own) {
+		return Member{}, false
+	}
+	own = slices.DeleteFunc(own, func(me Member) bool { return pl.avoided(me.Box, now) })
+	if len(own) == 0 {
+		return Member{}, false
+	}
+	return own[xxhash.Sum64String(pl.Box)%uint64(len(own))], true
+}
+
+// Peers returns the members to which this gateway reports its load, and whether it
+// does so as a collector. A gateway reports to its watcher; the watchers are the
+// collectors, and of two of them the one whose box's name comes first reports to the
+// other, which answers with its own. A gateway whose watchers all failed reports to
+// nobody.
+func (pl *Plan) Peers(members []Member, now time.Time) (peers []Member, collector bool) {
+	if !pl.among(watchersOf(members, pl.DataCentre)) {
+		if wa, ok := pl.Watcher(members, now); ok {
+			peers = append(peers, wa)
+		}
+		return peers, false
+	}
+	centres := map[string]bool{}
+	for _, me := range members {
+		if centres[me.DataCentre] {
+			continue
+		}
+		centres[me.DataCentre] = true
+		for _, wa := range watchersOf(members, me.DataCentre) {
+			if wa.Box > pl.Box && !pl.avoided(wa.Box, now) {
+				peers = append(peers, wa)
+			}
+		}
+	}
+	return peers, true
+}
+
+// among reports whether this gateway is one of the watchers.
+func (pl *Plan) among(list []Member) bool {
+	return slices.ContainsFunc(list, func(me Member) bool { return me.Box == pl.Box })
+}
+
+// watchersOf returns the watchers of a data centre.
+func watchersOf(members []Member, dataCentre string) []Member {
 	var own []Member
 	for _, me := range members {
-		if me.DataCentre == pl.DataCentre && me.Address != "" {
+		if me.DataCentre == dataCentre && me.Address != "" {
 			own = append(own, me)
 		}
 	}
 	slices.SortFunc(own, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), strings.Compare(a.Box, b.Box))
 	})
-	own = own[:min(watchers, len(own))]
-	if slices.ContainsFunc(own, func(me Member) bool { return me.Box == pl.Box }) {
-		return Member{}, false
-	}
-	own = slices.DeleteFunc(own, func(me Member) bool { return pl.avoided(me.Box, now) })
-	if len(own) == 0 {
-		return Member{}, false
-	}
-	return own[xxhash.Sum64String(pl.Box)%uint64(len(own))], true
+	return own[:min(watchers, len(own))]
 }
 
 // Failed notes that a watcher did not serve this gateway.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,12 +1,15 @@
 // Package relay spreads what the key-value service says among gateways, so that
 // only some of them call the service. A few in each data centre, the watchers,
 // watch the service; the others ask a watcher for changes, over a WebSocket with
-// messages in CBOR, and go to the service themselves as soon as it fails them.
+// messages in CBOR, and go to the service themselves as soon as it fails them. Over
+// the same kind of connection gateways tell each other the load of backend servers.
 package relay
 
 import (
 	"context"
 	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/load"
 )
 
 // Request asks for the changes after a revision of the key-value service. The
@@ -45,6 +48,23 @@
 	Updates(ctx context.Context, rq Request) Update
 }
 
+// Report tells another gateway of the work in progress on backend servers; the
+// answer to it is one as well. The fields are exported because the codec needs them.
+type Report struct {
+	// Box is the sender's.
+	Box string `cbor:"1,keyasint"`
+	// Collector is set if Work is that of all gateways that report to the sender, not
+	// only the sender's own.
+	Collector bool      `cbor:"2,keyasint,omitempty"`
+	Work      load.Work `cbor:"3,keyasint,omitempty"`
+}
+
+// Loads takes reports.
+type Loads interface {
+	// Reported takes a report and returns the answer to it.
+	Reported(re Report) Report
+}
+
 // historyBatches bounds the batches that a watcher keeps. Watchers gather changes
 // for 0.3 s, so that these are 19 s at the least; who is further behind goes to
 // the service itself.
