fix: an attempt that reached no server takes nothing from the retry budget

Each such connection took a retry, and a gateway with 35 requests in ten seconds, half of which go on to a larger model, had none left.

Ruled out: servers left out by the outlier detector (others were to be had).

Change: an attempt that never reached a server leaves its retry to the next one. What reached no server is not counted by the platform either.

Conclusion: kept for the callers' sake; a refusal while servers are free is no answer.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -140,6 +140,9 @@
 	tried []string
 	// sends counts attempts, runs those that ran or may have.
 	sends, runs int
+	// unused counts the attempts that never reached a server: each leaves what it was
+	// allowed to the next one.
+	unused int
 	delivered   bool
 }
 
@@ -161,6 +164,7 @@
 
 // Unsent says that the attempt never reached the server.
 func (re *Request) Unsent(now time.Time) Step {
+	re.unused++
 	return re.again(result.NotDispatched, 0, now)
 }
 
@@ -201,7 +205,7 @@
 		// that broke just now is not.
 		server, ok = re.Picker.Pick(re.model(), re.tried[len(re.tried)-1:], now)
 	}
-	if !ok || !re.Retries.Take(now) {
+	if !ok || !re.take(now) {
 		return Step{do: Abort, code: result.AnswerBroken}
 	}
 	return re.attempt(server, now)
@@ -222,7 +226,7 @@
 		return re.deliver()
 	}
 	server, ok := re.Picker.Pick(re.model(), re.tried, now)
-	if !ok || !re.Retries.Take(now) {
+	if !ok || !re.take(now) {
 		return re.deliver()
 	}
 	return re.attempt(server, now)
@@ -235,7 +239,7 @@
 		return Step{}, false
 	}
 	server, ok := re.Picker.Pick(re.Models[place], nil, now)
-	if !ok || !re.Retries.Take(now) {
+	if !ok || !re.take(now) {
 		return Step{}, false
 	}
 	re.place = place
@@ -248,12 +252,21 @@
 	switch {
 	case re.delivered:
 		return re.Broken(now)
-	case !re.maySend(), !re.mayRun(now), !re.Retries.Take(now):
+	case !re.maySend(), !re.mayRun(now), !re.take(now):
 		return re.refuse(co, after)
 	}
 	return re.send(co, after, now)
 }
 
+// take reports whether one more attempt is allowed.
+func (re *Request) take(now time.Time) bool {
+	if re.unused > 0 {
+		re.unused--
+		return true
+	}
+	return re.Retries.Take(now)
+}
+
 // mayRun reports whether one more run is allowed and has time.
 func (re *Request) mayRun(now time.Time) bool {
 	return re.runs < re.MaxRuns && re.Deadline.Sub(now) > minLeft
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -99,6 +99,23 @@
 	require.Equal(t, result.MayHave, result.Of(st.Code()).Run())
 }
 
+// Seen on a grown site: while two fifths of the servers were gone, connections that
+// no server took used the budget up, and requests failed after one attempt.
+func TestAnAttemptThatReachedNoServerLeavesItsRetryToTheNext(t *testing.T) {
+	re := request(func(re *Request) { pu := purse(0); re.Retries = &pu })
+	re.Begin(t0)
+	require.Equal(t, "b", re.Unsent(t0).Server(), "the first was never sent: this is no retry")
+	require.Equal(t, "c", re.Unsent(t0).Server())
+	require.Equal(t, Refuse, re.Lost(t0).Do(), "this one would be")
+
+	re = request(func(re *Request) { pu := purse(1); re.Retries, re.Resumable = &pu, true })
+	re.Begin(t0)
+	require.Equal(t, Deliver, re.Answered(200, 90, t0).Do())
+	require.Equal(t, "b", re.Broken(t0).Server())
+	require.Equal(t, "c", re.Unsent(t0).Server(), "the retry taken for b")
+	require.Equal(t, Abort, re.Broken(t0).Do())
+}
+
 func TestADoubtfulAnswerEscalatesOnce(t *testing.T) {
 	re := request(func(re *Request) { re.Models = []string{"small", "large"} })
 	require.Equal(t, "small", re.Begin(t0).Model())
