feat: the smallest model has servers of its own, as far as they suffice

Long prompts of the largest model were read between their tokens, on every server. Streams that last longer are more often lost when a gateway is.

Ruled out: load (a prompt of the smallest model mostly goes to an idle server), the models' own pace.

Change: a service's servers are listed in an order by the hash of their ids, the same in every gateway; the smallest model uses the first 0.3 of it, the larger ones the rest, and each goes to the other's where that is sooner by 0.35 s. A heartbeat of a server no longer rebuilds the lists.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -142,8 +142,8 @@
 	sends, runs int
 	// unused counts the attempts that never reached a server: each leaves what it was
 	// allowed to the next one.
-	unused int
-	delivered   bool
+	unused    int
+	delivered bool
 }
 
 // Runs returns how many attempts ran or may have run.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -3,7 +3,14 @@
 // key-value service was away. It does no I/O and reads no clock.
 package directory
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Server is one life of a backend server as it is listed. Its fields are
 // exported because it is data without behaviour.
@@ -47,6 +54,10 @@
 		di.missing = map[string]time.Time{}
 	}
 	delete(di.missing, se.ID)
+	if old := di.servers[se.ID]; old != nil && old.Service == se.Service && old.Draining == se.Draining {
+		*old = se // a heartbeat: the lists stay as they are
+		return
+	}
 	di.servers[se.ID] = &se
 	di.byService = nil
 }
@@ -111,8 +122,9 @@
 	return dropped
 }
 
-// Servers returns the servers of a service that may take new work. The list
-// must not be changed.
+// Servers returns the servers of a service that may take new work, in an order by
+// the hash of their ids: the same in every process, and else without meaning. The
+// list must not be changed.
 func (di *Directory) Servers(service string) []*Server {
 	if di.byService == nil {
 		di.rebuild()
@@ -143,4 +155,9 @@
 			di.byService[se.Service] = append(di.byService[se.Service], se)
 		}
 	}
+	for _, list := range di.byService {
+		slices.SortFunc(list, func(a, b *Server) int {
+			return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), strings.Compare(a.ID, b.ID))
+		})
+	}
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"fmt"
 	"strconv"
 	"testing"
 	"time"
@@ -74,3 +75,27 @@
 		}
 	}
 }
+
+// Processes that list the same servers must part them alike, in whatever order they
+// heard of them.
+func TestTheOrderIsThatOfTheIDs(t *testing.T) {
+	var forth, back Directory
+	for i := range 20 {
+		forth.Put(Server{ID: fmt.Sprint(i), Service: "svc"})
+		back.Put(Server{ID: fmt.Sprint(19 - i), Service: "svc"})
+	}
+	require.Equal(t, forth.Servers("svc"), back.Servers("svc"))
+}
+
+func TestAHeartbeatLeavesTheListsAsTheyAre(t *testing.T) {
+	var di Directory
+	di.Put(Server{ID: "a", Service: "svc", Address: "1"})
+	list := di.Servers("svc")
+	di.Put(Server{ID: "a", Service: "svc", Address: "2"})
+	require.Equal(t, "2", list[0].Address)
+	require.Equal(t, list, di.Servers("svc"))
+	di.Put(Server{ID: "a", Service: "svc", Draining: true})
+	require.Empty(t, di.Servers("svc"))
+	di.Put(Server{ID: "a", Service: "other"})
+	require.Len(t, di.Servers("other"), 1)
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -147,6 +147,7 @@
 		ask.Affinity = id + "\x00" + model
 		ask.Held = float64(tokens) * ex.factor(model)
 		ask.Work = ex.work(model)
+		ask.Tier = ex.tier(model)
 	}
 	se, ok := ga.pool.Pick(ask, rand.Uint64(), now)
 	if !ok {
@@ -155,6 +156,18 @@
 	return se.ID, true
 }
 
+// tier returns the tier of a model that the system chose.
+func (ex *exchange) tier(model string) pool.Tier {
+	switch models := ex.request.Models; {
+	case len(models) < 2:
+		return pool.AnyTier
+	case model == models[0]:
+		return pool.Small
+	default:
+		return pool.Large
+	}
+}
+
 // factor returns how much more work a token of a model is than one of the
 // smallest, by what the models cost.
 func (ex *exchange) factor(model string) float64 {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -125,3 +125,40 @@
 	require.Greater(t, idle, 0)
 	require.Less(t, idle, 300*2*candidates/60)
 }
+
+// prompts picks servers for prompts of a tier, each with its work in progress.
+func prompts(po *Pool, tier Tier, n int, work float64) map[string]bool {
+	used := map[string]bool{}
+	for i := range n {
+		se, _ := po.Pick(Ask{Service: "svc", Affinity: fmt.Sprint(tier, i), Held: 100, Tier: tier}, 0, now)
+		po.Started(se.ID, work, now)
+		used[se.ID] = true
+	}
+	return used
+}
+
+func TestTheSmallestModelHasServersOfItsOwn(t *testing.T) {
+	po := pool(20)
+	po.Loads.TakeGroup("b", nil, now)
+	small, large := prompts(po, Small, 60, 10), prompts(po, Large, 60, 10)
+	require.Len(t, small, 6)
+	require.Len(t, large, 14)
+	for id := range small {
+		require.NotContains(t, large, id)
+	}
+	require.Len(t, prompts(po, AnyTier, 200, 0), 20, "where there is nothing to choose, all are used")
+}
+
+func TestATierUsesTheOthersServersRatherThanWait(t *testing.T) {
+	for _, tier := range []Tier{Small, Large} {
+		po := pool(20)
+		po.Loads.TakeGroup("b", nil, now)
+		own := prompts(po, tier, 60, 3*mixWork)
+		require.Greater(t, len(own), 14, tier)
+	}
+	for n := 1; n < 4; n++ {
+		for _, tier := range []Tier{Small, Large, AnyTier} {
+			require.NotEmpty(t, prompts(pool(n), tier, 1, 0), "%d servers", n)
+		}
+	}
+}
