perf: gateways store the phases of a roll-out in turn

Ruled out: one writer by lease (it may die at any moment, and finding that out takes the time that the end of a roll-out does not have).

Change: rollout.Turn gives each gateway a place in line by a hash of its box, the order and the phase: the first one stores at once, the second 0.3 s later, everybody else 0.6 s later, unless the phase is stored by then. A failure is still stored at once by whoever finds it. A gateway that is no member yet stores last.

--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/directory"
@@ -19,6 +21,9 @@
 	canary rollout.Canary
 	// withdrawn holds the versions of earlier orders that get nothing.
 	withdrawn []string
+	// due is the phase that is to be stored, dueSince when it became so.
+	due      rollout.Phase
+	dueSince time.Time
 	// tried is when the phase was last tried to be stored.
 	tried time.Time
 	// toldBad and toldTried are the bad answers and outcomes that the other
@@ -218,7 +223,7 @@
 		ga.tell(ctx, ro, now)
 		ga.settle(ro, now)
 		ph, due := ga.dueFor(ro, now)
-		if !due || ro.storing || now.Sub(ro.tried) < writeEvery {
+		if !due || ro.storing || now.Sub(ro.tried) < writeEvery || !ga.inTurn(ro, ph.Phase, now) {
 			continue
 		}
 		ro.tried, ro.storing = now, true
@@ -226,6 +231,16 @@
 	}
 }
 
+// inTurn reports whether it is this gateway's turn to store a phase that is due; the
+// lock is held.
+func (ga *Gateway) inTurn(ro *timedRollout, ph rollout.Phase, now time.Time) bool {
+	if ro.due != ph {
+		ro.due, ro.dueSince = ph, now
+	}
+	boxes := slices.Collect(maps.Keys(ga.members))
+	return now.Sub(ro.dueSince) >= rollout.Turn(ga.Box, boxes, ro.order.Revision, ph)
+}
+
 // dueFor returns the phase to store: the next one, or one that this gateway is
 // in and that is not kept yet.
 func (ga *Gateway) dueFor(ro *timedRollout, now time.Time) (StoredPhase, bool) {
--- /dev/null
+++ b/internal/rollout/turn.go
@@ -0,0 +1,41 @@
+package rollout
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// turnPause is how long each of the first gateways in line waits for the one
+	// before it: a stored phase mostly reaches them within that (a watch gathers
+	// changes for 0.3 s at the most).
+	turnPause = 300 * time.Millisecond
+	// turns is how many waits there are. Whoever stands further back waits as long as
+	// the third: the ends of roll-outs leave no more time for writers that are gone.
+	turns = 3
+)
+
+// Turn returns how long after a phase is due a gateway stores it, if it was not
+// stored meanwhile. All gateways could store it, and the store lets one of them win;
+// they take turns so that not all of them call. Which one comes first differs by
+// order and phase. A failure is stored by whoever finds it, at once.
+func Turn(box string, boxes []string, order uint64, ph Phase) time.Duration {
+	if ph == Failed {
+		return 0
+	}
+	key := "\x00" + strconv.FormatUint(order, 10) + "\x00" + string(ph)
+	own := xxhash.Sum64String(box + key)
+	before := 0
+	for _, other := range boxes {
+		if other != box && xxhash.Sum64String(other+key) < own {
+			before++
+		}
+	}
+	if !slices.Contains(boxes, box) {
+		before = turns
+	}
+	return turnPause * time.Duration(min(before, turns-1))
+}
--- /dev/null
+++ b/internal/rollout/turn_test.go
@@ -0,0 +1,46 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func boxes(n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprint("box", i)
+	}
+	return list
+}
+
+func TestGatewaysStoreAPhaseInTurn(t *testing.T) {
+	all, firsts := boxes(30), map[string]bool{}
+	for order := range uint64(50) {
+		for _, ph := range []Phase{Trying, Shifting, Complete} {
+			turns := map[time.Duration]int{}
+			for _, box := range all {
+				wait := Turn(box, all, order, ph)
+				turns[wait]++
+				if wait == 0 {
+					firsts[box] = true
+				}
+			}
+			require.Equal(t, map[time.Duration]int{0: 1, turnPause: 1, 2 * turnPause: 28}, turns)
+		}
+	}
+	require.Greater(t, len(firsts), 20, "the first one is not always the same")
+}
+
+func TestAFailureIsStoredAtOnce(t *testing.T) {
+	for _, box := range boxes(5) {
+		require.Zero(t, Turn(box, boxes(5), 7, Failed))
+	}
+}
+
+func TestAGatewayThatIsNoMemberStoresLast(t *testing.T) {
+	require.Equal(t, 2*turnPause, Turn("new", boxes(5), 7, Shifting))
+	require.Equal(t, 2*turnPause, Turn("new", nil, 7, Shifting), "nor does it know that there is no other")
+}
