perf: a service that is down is mostly called by the watchers

Cause: while the key-value service is down, each gateway called it three times a second: a gateway that asks a watcher leaves it when it says that what it knows is old, then the other one, then goes to the service itself. At 30 gateways that is 100 calls a second, which are priced.

Ruled out: longer pauses for everybody (the watchers' pauses decide how soon keys are accepted again).

Change: a gateway that does not watch calls a service that did not answer it once a second, and asks its watchers meanwhile, which call it as often as before and tell it within 0.1 s when it is back.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -26,6 +26,9 @@
 	// that gives no answers.
 	pauseLeast = 100 * time.Millisecond
 	pauseMost  = 400 * time.Millisecond
+	// watcherPause is the pause after a watcher did not serve: while the service gives
+	// no answers, watchers say at once that what they know is old.
+	watcherPause = pauseLeast
 )
 
 // follow keeps the state up to date: it reads everything, then watches, and
@@ -67,6 +70,7 @@
 		next, err := ga.ask(ctx, revision)
 		if err != nil && ctx.Err() == nil {
 			ga.leaveWatcher(wa, err)
+			sleep(ctx, watcherPause)
 		}
 		return next, nil
 	}
@@ -102,6 +106,7 @@
 	}
 	ga.mu.Lock()
 	was := ga.fresh.Failed()
+	ga.plan.ServiceFailed(time.Now())
 	ga.servers.StoreLost()
 	age := ga.fresh.Age(time.Now())
 	ga.mu.Unlock()
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -15,6 +15,10 @@
 	watchers = 2
 	// avoidFor is how long a watcher that failed is not asked again.
 	avoidFor = 5 * time.Second
+	// serviceEvery is the least time between two calls of a gateway that does not
+	// watch to a service that does not answer: its watchers call several times a
+	// second and tell it as soon as the service is back.
+	serviceEvery = time.Second
 )
 
 // Member is a gateway that may watch for others.
@@ -34,18 +38,24 @@
 
 	// failed holds when each watcher failed last, by box.
 	failed map[string]time.Time
+	// serviceFailed is when the key-value service failed to answer this gateway last.
+	serviceFailed time.Time
 }
 
 // Watcher returns the member to ask, or false if the gateway is to watch the
 // key-value service itself: since it is one of the watchers, or since none of
-// them serves it. All gateways that know the same members choose the same
+// them serves it and the service has not just failed either. All gateways that know the same members choose the same
 // watchers, those with the largest links.
 func (pl *Plan) Watcher(members []Member, now time.Time) (Member, bool) {
 	own := watchersOf(members, pl.DataCentre)
 	if pl.among(own) {
 		return Member{}, false
 	}
-	own = slices.DeleteFunc(own, func(me Member) bool { return pl.avoided(me.Box, now) })
+	all := own
+	own = slices.DeleteFunc(slices.Clone(own), func(me Member) bool { return pl.avoided(me.Box, now) })
+	if len(own) == 0 && now.Sub(pl.serviceFailed) < serviceEvery {
+		own = all
+	}
 	if len(own) == 0 {
 		return Member{}, false
 	}
@@ -106,6 +116,9 @@
 	pl.failed[box] = now
 }
 
+// ServiceFailed notes that the key-value service did not answer this gateway.
+func (pl *Plan) ServiceFailed(now time.Time) { pl.serviceFailed = now }
+
 func (pl *Plan) avoided(box string, now time.Time) bool {
 	at, ok := pl.failed[box]
 	return ok && now.Sub(at) < avoidFor
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -68,6 +68,31 @@
 	require.Equal(t, first.Box, again.Box)
 }
 
+// While the service is down for all, the gateways that do not watch leave most calls
+// to those that do, and still try themselves now and then.
+func TestAServiceThatIsDownIsCalledByItsWatchers(t *testing.T) {
+	all := members(12)
+	pl := Plan{Box: "b09", DataCentre: "dc0"}
+	calls, at := 0, now
+	for ; at.Before(now.Add(10 * time.Second)); at = at.Add(200 * time.Millisecond) {
+		wa, ok := pl.Watcher(all, at)
+		if ok {
+			pl.Failed(wa.Box, at)
+			continue
+		}
+		calls++
+		pl.ServiceFailed(at)
+	}
+	require.LessOrEqual(t, calls, 10)
+	require.GreaterOrEqual(t, calls, 5)
+	for _, box := range []string{"b00", "b03"} {
+		pl := Plan{Box: box, DataCentre: "dc0"}
+		pl.ServiceFailed(now)
+		_, ok := pl.Watcher(all, now)
+		require.False(t, ok, "a watcher goes on")
+	}
+}
+
 func TestAGatewayThatKnowsNoMemberWatchesItself(t *testing.T) {
 	pl := Plan{Box: "b00", DataCentre: "dc0"}
 	_, ok := pl.Watcher(nil, now)
