perf: changes are kept only where others ask for them

Cause: every gateway encoded each batch of changes and kept the newest 64 for others, also where nobody asks: all four gateways of a first site, 24 of 30 of a grown one.

Ruled out: a smaller heap (half a megabyte of ten).

Change: Plan.Serves says whether others may ask a gateway; only then batches are encoded and kept.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -39,62 +39,6 @@
 	Usual(model string) time.Duration
 }
 
-// Do is what the shell must do next.
-type Do string
-
-// The things to do.
-const (
-	// Send makes an attempt; one that is still open is dropped first.
-	Send Do = "send"
-	// Deliver gives the caller the answer at hand.
-	Deliver Do = "deliver"
-	// Refuse ends the request with a code; nothing was delivered.
-	Refuse Do = "refuse"
-	// Abort breaks the caller's answer off; a part of it was delivered.
-	Abort Do = "abort"
-)
-
-// Step is one thing to do.
-type Step struct {
-	do       Do
-	attempt  int
-	server   string
-	model    string
-	patience time.Time
-	limit    time.Time
-	resume   bool
-	code     result.Code
-	after    time.Duration
-}
-
-// Do returns what to do.
-func (st Step) Do() Do { return st.do }
-
-// Attempt returns the attempt's number, from 1.
-func (st Step) Attempt() int { return st.attempt }
-
-// Server returns the id of the server to send to.
-func (st Step) Server() string { return st.server }
-
-// Model returns the model to ask, "" for a plain service.
-func (st Step) Model() string { return st.model }
-
-// Patience returns when an attempt without the head of an answer is given up.
-func (st Step) Patience() time.Time { return st.patience }
-
-// Limit returns when an attempt without the head of an answer is given up even
-// if its server has answered others meanwhile; it is not before Patience.
-func (st Step) Limit() time.Time { return st.limit }
-
-// Resume reports whether the attempt continues a stream.
-func (st Step) Resume() bool { return st.resume }
-
-// Code returns the final code of a refusal.
-func (st Step) Code() result.Code { return st.code }
-
-// RetryAfter returns when a refused caller may come back.
-func (st Step) RetryAfter() time.Duration { return st.after }
-
 const (
 	// spareSends is how many attempts beyond the allowed runs may be refused by
 	// servers before the request is.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/directory"
@@ -156,7 +158,10 @@
 
 // apply takes what a watch returned that was sent at a time.
 func (ga *Gateway) apply(st State, sent time.Time, wait time.Duration, now time.Time) {
-	ba := ga.encode(st)
+	ba := relay.Batch{To: st.Revision}
+	if ga.serves() {
+		ba = ga.encode(st)
+	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	if ga.fresh.Watched(sent, wait, len(st.Changes) == 0, now) {
@@ -165,13 +170,19 @@
 	ga.takeBatch(st.Changes, ba)
 }
 
-// takeBatch takes changes and keeps them, as they are passed on, for the gateways
-// that ask this one. The lock is held.
+// takeBatch takes changes and keeps them, as they are passed on, if other gateways
+// may ask this one. A batch that was not encoded, since nobody could ask until it
+// came, is not kept, nor is what was before it. The lock is held.
 func (ga *Gateway) takeBatch(changes []Change, ba relay.Batch) {
 	for _, ch := range changes {
 		ga.change(ch)
 	}
-	ga.history.Add(ba)
+	encoded := len(changes) == 0 || len(ba.Data) > 0
+	if encoded && ga.plan.Serves(slices.Collect(maps.Values(ga.members))) {
+		ga.history.Add(ba)
+	} else {
+		ga.history.Reset(ba.To)
+	}
 	if len(ba.Data) > 0 {
 		close(ga.changed)
 		ga.changed = make(chan struct{})
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -96,6 +96,13 @@
 		Err(why).Msg(event.Name(event.WatcherFailed))
 }
 
+// serves reports whether other gateways may ask this one for changes.
+func (ga *Gateway) serves() bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.plan.Serves(slices.Collect(maps.Values(ga.members)))
+}
+
 // Updates answers another gateway that asks for changes.
 func (ga *Gateway) Updates(ctx context.Context, rq relay.Request) relay.Update {
 	over := time.NewTimer(rq.Wait)
--- a/internal/gateway/relayed_test.go
+++ b/internal/gateway/relayed_test.go
@@ -222,6 +222,8 @@
 	require.True(t, re.gateways["c"].isFresh(time.Now()))
 	require.Equal(t, before, re.kept.watchesOfC(), "the service is not asked")
 	require.Equal(t, "t", re.gateways["c"].Table().TeamByKey("k").Name, "all of the configuration came")
+	kept := re.gateways["c"].Updates(t.Context(), relay.Request{After: 1})
+	require.True(t, kept.Unknown, "a gateway that nobody asks keeps no changes")
 }
 
 // A watcher that is gone, and one that is cut off from the service: who asked it
@@ -266,3 +268,22 @@
 		require.Equal(t, relayed, ok, revoke)
 	}
 }
+
+// A gateway that begins to serve others with a batch has not kept that batch: who
+// asks for it must be told so.
+func TestNoChangeIsLeftOutWhereAGatewayBeginsToServe(t *testing.T) {
+	ga := &Gateway{Log: zerolog.Nop(), Box: "a", DataCentre: "dc"}
+	ga.prepare()
+	member := func(box string) Change {
+		return Change{Member: &relay.Member{Box: box, DataCentre: "dc", Address: "127.0.0.1:1"}}
+	}
+	now := time.Now()
+	ga.replace(State{Revision: 5, Changes: []Change{member("a"), member("b")}}, now)
+	ga.apply(State{Revision: 7, Changes: []Change{member("c")}}, now, time.Second, now)
+	up := ga.Updates(t.Context(), relay.Request{After: 5})
+	require.True(t, up.Unknown || len(up.Batches) > 0, "revision 7 brought a member")
+	ga.apply(State{Revision: 8, Changes: []Change{member("d")}}, now, time.Second, now)
+	up = ga.Updates(t.Context(), relay.Request{After: 7})
+	require.False(t, up.Unknown)
+	require.Len(t, up.Batches, 1)
+}
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -62,6 +62,18 @@
 	return own[xxhash.Sum64String(pl.Box)%uint64(len(own))], true
 }
 
+// Serves reports whether other members may ask this gateway for changes: it is one of
+// the watchers, and not everybody in its data centre is.
+func (pl *Plan) Serves(members []Member) bool {
+	own := 0
+	for _, me := range members {
+		if me.DataCentre == pl.DataCentre {
+			own++
+		}
+	}
+	return own > watchers && pl.among(watchersOf(members, pl.DataCentre))
+}
+
 // Peers returns the members to which this gateway reports its load, and whether it
 // does so as a collector. A gateway reports to its watcher; the watchers are the
 // collectors, and of two of them the one whose box's name comes first reports to the
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -40,6 +40,18 @@
 	require.Len(t, asked, 6, "each watcher serves some")
 }
 
+func TestOnlyWatchersThatOthersAskKeepChanges(t *testing.T) {
+	for n, want := range map[int]int{1: 0, 6: 0, 7: 2, 9: 6, 30: 6} {
+		all, serving := members(n), 0
+		for _, me := range all {
+			if (&Plan{Box: me.Box, DataCentre: me.DataCentre}).Serves(all) {
+				serving++
+			}
+		}
+		require.Equal(t, want, serving, "%d members in three data centres", n)
+	}
+}
+
 func TestTheLargestLinksWatch(t *testing.T) {
 	all := members(12)
 	all[9].LinkMbps, all[6].LinkMbps = 200, 200
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -28,67 +28,6 @@
 	Good(what string, status int, body []byte, us *wire.Usage) bool
 }
 
-// Do is what the shell must do.
-type Do string
-
-// The things to do.
-const (
-	// Dispatch sends an attempt to a server.
-	Dispatch Do = "dispatch"
-	// Cancel stops an attempt.
-	Cancel Do = "cancel"
-	// DeliverHead sends the caller the status and type of the answer.
-	DeliverHead Do = "deliver head"
-	// Deliver sends the caller a part of the answer.
-	Deliver Do = "deliver"
-	// Close ends the request with a code; it is the last action.
-	Close Do = "close"
-)
-
-// Action is one thing to do.
-type Action struct {
-	do         Do
-	attempt    int
-	step       int
-	what       string
-	kept       bool
-	server     string
-	head       *wire.AnswerHead
-	body       []byte
-	code       result.Code
-	retryAfter time.Duration
-}
-
-// Do returns what to do.
-func (ac Action) Do() Do { return ac.do }
-
-// Attempt returns the attempt's number, from 1.
-func (ac Action) Attempt() int { return ac.attempt }
-
-// Step returns the place in the cascade, from 0.
-func (ac Action) Step() int { return ac.step }
-
-// What returns the version or plain service to run, or that the answer is of.
-func (ac Action) What() string { return ac.what }
-
-// Kept reports whether the answer is a first try that was kept.
-func (ac Action) Kept() bool { return ac.kept }
-
-// Server returns the server to send to.
-func (ac Action) Server() string { return ac.server }
-
-// Head returns the status and type to deliver.
-func (ac Action) Head() *wire.AnswerHead { return ac.head }
-
-// Body returns the part to deliver.
-func (ac Action) Body() []byte { return ac.body }
-
-// Code returns the final code.
-func (ac Action) Code() result.Code { return ac.code }
-
-// RetryAfter returns when the caller may come back.
-func (ac Action) RetryAfter() time.Duration { return ac.retryAfter }
-
 const (
 	// maxAttempts bounds the attempts of one step.
 	maxAttempts = 4
