fix: a gateway that becomes a collector reports as one

Cause: found in reading: the exchange of loads with a gateway went on as it began, so that a gateway which became a collector went on to report its own work only to a gateway that it had reported to before.

Change: an exchange belongs to a gateway and a role; with another role it begins anew. TestAGatewayThatBecomesACollectorReportsAsOne shows the plan that the exchanges follow.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,7 +55,7 @@
 
 	// relayed asks the watcher; only the goroutine that follows uses it.
 	relayed relay.Client
-	// caughtUp is when the service was last called since the watcher did not know the
+	// caughtUp is when the service was last called because the watcher did not know the
 	// revision; only the goroutine that follows uses it.
 	caughtUp time.Time
 	// table is the configuration in force, nil before the first.
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -22,60 +22,73 @@
 	loadServers = 100
 	// loadKept is how long a report is used: some may be late.
 	loadKept = 5 * loadEvery
-	// loadTimeout bounds one exchange, loadAgain is the pause after one that failed.
+	// loadTimeout bounds one exchange, which takes some milliseconds and on a busy box
+	// some tens; loadAgain is the pause after one that failed.
 	loadTimeout = 300 * time.Millisecond
 	loadAgain   = time.Second
 	// peersEvery is how often the choice of whom to report to is made anew.
 	peersEvery = 500 * time.Millisecond
 )
 
+// loadPeer is a gateway to report to.
+type loadPeer struct {
+	member relay.Member
+	// asCollector is set if the report is on all gateways that report to this one.
+	asCollector bool
+}
+
 // shareLoad exchanges loads with the gateways that the plan names.
 func (ga *Gateway) shareLoad(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	stops := map[relay.Member]context.CancelFunc{}
+	stops := map[loadPeer]context.CancelFunc{}
 	for ctx.Err() == nil {
-		peers, collector := ga.loadPeers(time.Now())
-		for me, stop := range stops {
-			if !slices.Contains(peers, me) {
+		peers := ga.loadPeers(time.Now())
+		for pe, stop := range stops {
+			if !slices.Contains(peers, pe) {
 				stop()
-				delete(stops, me)
+				delete(stops, pe)
 			}
 		}
-		for _, me := range peers {
-			if stops[me] == nil {
+		for _, pe := range peers {
+			if stops[pe] == nil {
 				var pctx context.Context
-				pctx, stops[me] = context.WithCancel(ctx)
-				wg.Go(func() { ga.exchangeLoads(pctx, me, collector) })
+				pctx, stops[pe] = context.WithCancel(ctx)
+				wg.Go(func() { ga.exchangeLoads(pctx, pe) })
 			}
 		}
 		sleep(ctx, peersEvery)
 	}
 }
 
-// loadPeers returns the gateways to report to, and whether as a collector.
-func (ga *Gateway) loadPeers(now time.Time) ([]relay.Member, bool) {
+// loadPeers returns the gateways to report to.
+func (ga *Gateway) loadPeers(now time.Time) []loadPeer {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	return ga.loadPlan.Peers(slices.Collect(maps.Values(ga.members)), now)
+	members, collector := ga.loadPlan.Peers(slices.Collect(maps.Values(ga.members)), now)
+	peers := make([]loadPeer, len(members))
+	for i, me := range members {
+		peers[i] = loadPeer{me, collector}
+	}
+	return peers
 }
 
 // exchangeLoads reports to one gateway again and again until the context ends.
-func (ga *Gateway) exchangeLoads(ctx context.Context, to relay.Member, collector bool) {
-	cl := relay.Client{Address: to.Address, Slack: loadTimeout, HTTP: ga.RelayHTTP}
+func (ga *Gateway) exchangeLoads(ctx context.Context, to loadPeer) {
+	cl := relay.Client{Address: to.member.Address, Slack: loadTimeout, HTTP: ga.RelayHTTP}
 	defer cl.Close()
 	failed := false
 	for ctx.Err() == nil {
-		answer, err := cl.Exchange(ctx, ga.report(collector))
+		answer, err := cl.Exchange(ctx, ga.report(to.asCollector))
 		if ctx.Err() != nil {
 			return
 		}
 		if failed != (err != nil) {
 			failed = err != nil
-			ga.notePeer(to, err)
+			ga.notePeer(to.member, err)
 		}
 		if err != nil {
-			ga.leavePeer(to)
+			ga.leavePeer(to.member)
 			sleep(ctx, loadAgain)
 			continue
 		}
--- a/internal/gateway/loads_test.go
+++ b/internal/gateway/loads_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/linnetrudder/linnetrudder/internal/relay"
@@ -82,3 +83,21 @@
 		}
 	}
 }
+
+// A gateway that becomes a collector reports as one from then on, also to the gateway
+// that it reported to before.
+func TestAGatewayThatBecomesACollectorReportsAsOne(t *testing.T) {
+	ga := &Gateway{Log: zerolog.Nop(), Box: "a", DataCentre: "dc"}
+	ga.prepare()
+	member := func(box string, link int) relay.Member {
+		return relay.Member{Box: box, DataCentre: "dc", Address: "127.0.0.1:1", LinkMbps: link}
+	}
+	for box, link := range map[string]int{"a": 1, "b": 2, "c": 2} {
+		ga.joined(member(box, link))
+	}
+	before := ga.loadPeers(time.Now())
+	require.Len(t, before, 1)
+	require.False(t, before[0].asCollector)
+	ga.left("b")
+	require.Equal(t, []loadPeer{{member("c", 2), true}}, ga.loadPeers(time.Now()))
+}
