fix: later phases of a roll-out are stored at once again

Gateways took turns at every phase.

Ruled out: the reports of load (no part in roll-outs); the store, which took the call in 10 ms.

Change: only the beginning is stored in turn. Shifts and ends are stored by whoever is due first, as before. TestLaterPhasesAreStoredAtOnce, failing before. Plan.Watcher reads simpler, with the same outcome.

Conclusion: taking turns at the end was wrong: the time that the first in line may be late by is not bounded by the pause.

--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -44,22 +44,21 @@
 
 // Watcher returns the member to ask, or false if the gateway is to watch the
 // key-value service itself: since it is one of the watchers, or since none of
-// them serves it and the service has not just failed either. All gateways that know the same members choose the same
-// watchers, those with the largest links.
+// them serves it and the service has not just failed either. All gateways that know
+// the same members choose the same watchers, those with the largest links.
 func (pl *Plan) Watcher(members []Member, now time.Time) (Member, bool) {
 	own := watchersOf(members, pl.DataCentre)
 	if pl.among(own) {
 		return Member{}, false
 	}
-	all := own
-	own = slices.DeleteFunc(slices.Clone(own), func(me Member) bool { return pl.avoided(me.Box, now) })
-	if len(own) == 0 && now.Sub(pl.serviceFailed) < serviceEvery {
-		own = all
+	left := slices.DeleteFunc(slices.Clone(own), func(me Member) bool { return pl.avoided(me.Box, now) })
+	if len(left) == 0 && now.Sub(pl.serviceFailed) < serviceEvery {
+		left = own
 	}
-	if len(own) == 0 {
+	if len(left) == 0 {
 		return Member{}, false
 	}
-	return own[xxhash.Sum64String(pl.Box)%uint64(len(own))], true
+	return left[xxhash.Sum64String(pl.Box)%uint64(len(left))], true
 }
 
 // Serves reports whether other members may ask this gateway for changes: it is one of
--- a/internal/rollout/turn.go
+++ b/internal/rollout/turn.go
@@ -14,19 +14,21 @@
 	// changes for 0.3 s at the most).
 	turnPause = 300 * time.Millisecond
 	// turns is how many waits there are. Whoever stands further back waits as long as
-	// the third: the ends of roll-outs leave no more time for writers that are gone.
+	// the third, so that a phase is stored soon also if the first ones are gone.
 	turns = 3
 )
 
 // Turn returns how long after a phase is due a gateway stores it, if it was not
 // stored meanwhile. All gateways could store it, and the store lets one of them win;
-// they take turns so that not all of them call. Which one comes first differs by
-// order and phase. A failure is stored by whoever finds it, at once.
+// at the beginning they take turns so that not all of them call, in a line that
+// differs by order. Later phases are stored by whoever is due first, at once: some
+// hear of an order a second later than others, and to wait for one of those would miss
+// the deadline.
 func Turn(box string, boxes []string, order uint64, ph Phase) time.Duration {
-	if ph == Failed {
+	if ph != Trying {
 		return 0
 	}
-	key := "\x00" + strconv.FormatUint(order, 10) + "\x00" + string(ph)
+	key := "\x00" + strconv.FormatUint(order, 10)
 	own := xxhash.Sum64String(box + key)
 	before := 0
 	for _, other := range boxes {
