refactor: one list of members, servers ranked once, catching up in the plan

Found in reading the whole change again; behaviour is the same.

- The members were listed by the same expression in four places: memberList.
- A prompt's servers were ranked twice, once for the first and once for the leading ones; the two loops over them differed by a constant.
- A batch that could not be encoded was forgotten in two places: takeBatch does it for every batch that has no encoding.
- noteMember, which logs, also set the number of members in the pool; joined and left do that now.
The least of one that it kept is the pool's own.
- When to catch up with a watcher was decided in the shell: Plan.CatchUp, beside the other calls that the plan holds back, with a test.
- pool.Running had no caller.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/directory"
@@ -31,9 +29,6 @@
 	// watcherPause is the pause after a watcher did not serve: while the service gives
 	// no answers, watchers say at once that what they know is old.
 	watcherPause = pauseLeast
-	// catchUpEvery is the least time between two calls to the service by a gateway whose
-	// watcher does not know its revision: one is enough, unless the watcher fails.
-	catchUpEvery = time.Second
 )
 
 // follow keeps the state up to date: it reads everything, then watches, and
@@ -80,8 +75,7 @@
 	if err == nil || ctx.Err() != nil {
 		return next, nil
 	}
-	if now := time.Now(); errors.Is(err, errUnknown) && now.Sub(ga.caughtUp) >= catchUpEvery {
-		ga.caughtUp = now
+	if errors.Is(err, errUnknown) && ga.mayCatchUp(time.Now()) {
 		return ga.watchService(ctx, revision, watchLeast)
 	}
 	ga.leaveWatcher(wa, err)
@@ -186,13 +180,14 @@
 
 // takeBatch takes changes and keeps them, as they are passed on, if other gateways
 // may ask this one. A batch that was not encoded, since nobody could ask until it
-// came, is not kept, nor is what was before it. The lock is held.
+// came or since that failed, is not kept, nor is what was before it: who asks is told
+// that it is unknown. The lock is held.
 func (ga *Gateway) takeBatch(changes []Change, ba relay.Batch) {
 	for _, ch := range changes {
 		ga.change(ch)
 	}
 	encoded := len(changes) == 0 || len(ba.Data) > 0
-	if encoded && ga.plan.Serves(slices.Collect(maps.Values(ga.members))) {
+	if encoded && ga.plan.Serves(ga.memberList()) {
 		ga.history.Add(ba)
 	} else {
 		ga.history.Reset(ba.To)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,9 +55,6 @@
 
 	// relayed asks the watcher; only the goroutine that follows uses it.
 	relayed relay.Client
-	// caughtUp is when the service was last called because the watcher did not know the
-	// revision; only the goroutine that follows uses it.
-	caughtUp time.Time
 	// table is the configuration in force, nil before the first.
 	table atomic.Pointer[routing.Table]
 	// stopping is set once a planned stop has begun.
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -65,7 +64,7 @@
 func (ga *Gateway) loadPeers(now time.Time) []loadPeer {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	members, collector := ga.loadPlan.Peers(slices.Collect(maps.Values(ga.members)), now)
+	members, collector := ga.loadPlan.Peers(ga.memberList(), now)
 	peers := make([]loadPeer, len(members))
 	for i, me := range members {
 		peers[i] = loadPeer{me, collector}
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/event"
@@ -59,10 +61,14 @@
 	_, known := ga.members[me.Box]
 	ga.members[me.Box] = me
 	if !known {
+		ga.pool.Members = len(ga.members)
 		ga.noteMember(event.MemberJoined, me.Box)
 	}
 }
 
+// memberList returns the members in no order; the lock is held.
+func (ga *Gateway) memberList() []relay.Member { return slices.Collect(maps.Values(ga.members)) }
+
 // replaceMembers drops the members that a whole state does not hold; the lock is
 // held.
 func (ga *Gateway) replaceMembers(st State) {
@@ -83,11 +89,11 @@
 func (ga *Gateway) left(box string) {
 	if _, known := ga.members[box]; known {
 		delete(ga.members, box)
+		ga.pool.Members = len(ga.members)
 		ga.noteMember(event.MemberLeft, box)
 	}
 }
 
 func (ga *Gateway) noteMember(id event.ID, box string) {
-	ga.pool.Members = max(1, len(ga.members))
 	ga.Log.Info().Int("event", int(id)).Str("member", box).Int("members", len(ga.members)).Msg(event.Name(id))
 }
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -40,7 +38,7 @@
 	var wa relay.Member
 	ok := false
 	if ga.Bounds.Revoke == 0 || ga.Bounds.oldest() >= relayLeast {
-		wa, ok = ga.plan.Watcher(slices.Collect(maps.Values(ga.members)), now)
+		wa, ok = ga.plan.Watcher(ga.memberList(), now)
 	}
 	if wa.Address != ga.relayed.Address {
 		ga.relayed.Close()
@@ -87,6 +85,14 @@
 	return up.Revision, nil
 }
 
+// mayCatchUp reports whether the service is to be called once since the watcher does
+// not know the revision.
+func (ga *Gateway) mayCatchUp(now time.Time) bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.plan.CatchUp(now)
+}
+
 // leaveWatcher notes that a watcher did not serve.
 func (ga *Gateway) leaveWatcher(wa relay.Member, why error) {
 	ga.mu.Lock()
@@ -100,7 +106,7 @@
 func (ga *Gateway) serves() bool {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	return ga.plan.Serves(slices.Collect(maps.Values(ga.members)))
+	return ga.plan.Serves(ga.memberList())
 }
 
 // Updates answers another gateway that asks for changes.
@@ -125,9 +131,7 @@
 	}
 }
 
-// encode returns changes as they are passed on. Those that can't be encoded are
-// not, and neither is what came before: who asks for it is told that it is unknown,
-// and watches the service itself.
+// encode returns changes as they are passed on; those that can't be encoded are not.
 func (ga *Gateway) encode(st State) relay.Batch {
 	ba := relay.Batch{To: st.Revision}
 	if len(st.Changes) == 0 {
@@ -136,9 +140,6 @@
 	data, err := cbor.Marshal(st.Changes)
 	if err != nil {
 		ga.Log.Error().Int("event", int(event.RelayFailed)).Err(err).Msg(event.Name(event.RelayFailed))
-		ga.mu.Lock()
-		ga.history.Reset(st.Revision)
-		ga.mu.Unlock()
 	}
 	ba.Data = data
 	return ba
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -186,9 +186,6 @@
 	}
 }
 
-// Running returns the own attempts in progress on a server.
-func (po *Pool) Running(id string) int { return po.running[id] }
-
 // Succeeded notes an answer that came as it should. It reports whether an
 // ejected server is in use again.
 func (po *Pool) Succeeded(id string) bool { return po.outliers.Succeeded(id) }
--- a/internal/pool/prompt.go
+++ b/internal/pool/prompt.go
@@ -48,24 +48,23 @@
 // of fewer models holds more of each.
 func (po *Pool) holder(list []*directory.Server, ask Ask) *directory.Server {
 	own, others := parted(list, ask.Tier)
-	home := leading(own, ask.Affinity, 1)[0]
+	ranked := leading(own, ask.Affinity, candidates)
+	home := ranked[0]
 	if po.Loads.Known() {
-		own = leading(own, ask.Affinity, candidates)
+		own = ranked
 		others = leading(others, ask.Affinity, otherCandidates)
 	}
 	best, least := home, po.ahead(home)+po.relative.Factor(home.ID)*ask.Work
-	for _, se := range own {
-		work := po.ahead(se) + po.relative.Factor(se.ID)*(ask.Work+ask.Held)
-		if se != home && work < least {
-			best, least = se, work
-		}
-	}
-	for _, se := range others {
-		work := po.ahead(se) + po.relative.Factor(se.ID)*(ask.Work+ask.Held) + mixWork
-		if work < least {
-			best, least = se, work
+	weigh := func(list []*directory.Server, extra float64) {
+		for _, se := range list {
+			work := po.ahead(se) + po.relative.Factor(se.ID)*(ask.Work+ask.Held) + extra
+			if se != home && work < least {
+				best, least = se, work
+			}
 		}
 	}
+	weigh(own, 0)
+	weigh(others, mixWork)
 	return best
 }
 
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -19,6 +19,9 @@
 	// watch to a service that does not answer: its watchers call several times a
 	// second and tell it as soon as the service is back.
 	serviceEvery = time.Second
+	// catchUpEvery is the least time between two calls to the service by a gateway whose
+	// watcher does not know its revision: one is enough, unless the watcher fails.
+	catchUpEvery = time.Second
 )
 
 // Member is a gateway that may watch for others.
@@ -40,6 +43,8 @@
 	failed map[string]time.Time
 	// serviceFailed is when the key-value service failed to answer this gateway last.
 	serviceFailed time.Time
+	// caughtUp is when CatchUp last allowed a call.
+	caughtUp time.Time
 }
 
 // Watcher returns the member to ask, or false if the gateway is to watch the
@@ -130,6 +135,16 @@
 // ServiceFailed notes that the key-value service did not answer this gateway.
 func (pl *Plan) ServiceFailed(now time.Time) { pl.serviceFailed = now }
 
+// CatchUp reports whether a gateway whose watcher does not know its revision calls the
+// service once, and takes it that it does.
+func (pl *Plan) CatchUp(now time.Time) bool {
+	if now.Sub(pl.caughtUp) < catchUpEvery {
+		return false
+	}
+	pl.caughtUp = now
+	return true
+}
+
 func (pl *Plan) avoided(box string, now time.Time) bool {
 	at, ok := pl.failed[box]
 	return ok && now.Sub(at) < avoidFor
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -105,6 +105,13 @@
 	}
 }
 
+func TestCatchingUpTakesOneCall(t *testing.T) {
+	var pl Plan
+	require.True(t, pl.CatchUp(now))
+	require.False(t, pl.CatchUp(now.Add(catchUpEvery-1)), "the watcher has failed")
+	require.True(t, pl.CatchUp(now.Add(catchUpEvery)))
+}
+
 func TestAGatewayThatKnowsNoMemberWatchesItself(t *testing.T) {
 	pl := Plan{Box: "b00", DataCentre: "dc0"}
 	_, ok := pl.Watcher(nil, now)
