--- a/standin/cmd/days/compare.go
+++ b/standin/cmd/days/compare.go
@@ -15,7 +15,7 @@
 	"gonum.org/v1/plot/vg"
 )
 
-// noise is the difference below which the bench's users see no change.
+// noise is the difference in worth below which the users see no change.
 const noise = 0.03
 
 // compareCmd compares two sets of results.
--- a/standin/cmd/days/days_test.go
+++ b/standin/cmd/days/days_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"math/rand/v2"
 	"path/filepath"
 	"testing"
 
+	"github.com/BurntSushi/toml"
 	"github.com/stretchr/testify/require"
 )
 
@@ -41,3 +43,58 @@
 `
 	require.Equal(t, []span{{0, 197, 193}, {2, 211, 208}}, parseSpans(report))
 }
+
+// drawDay returns a day drawn by a seed from all kinds.
+func drawDay(seed uint64, variant string, kinds []trouble) string {
+	names := func(name string) []named { return []named{{Name: name}} }
+	de := deployment{Length: 34, Services: names("llm"), Classes: names("chat"), Zones: names("a")}
+	dr := drawer{random: rand.New(rand.NewPCG(seed, 0)), deployment: de, kinds: kinds}
+	return dr.day("drawn", seed, variant)
+}
+
+func TestADrawnDayFollowsFromItsSeed(t *testing.T) {
+	require.Equal(t, drawDay(7, "", troubles()), drawDay(7, "", troubles()))
+	require.NotEqual(t, drawDay(7, "", troubles()), drawDay(8, "", troubles()))
+}
+
+func TestEveryKindIsDrawnAndCanBeRead(t *testing.T) {
+	seen := map[string]bool{}
+	for seed := range uint64(200) {
+		var day struct {
+			Seed   uint64
+			Plan   []struct{ Kind string }
+			Faults []struct {
+				Kind string
+				At   float64
+			}
+		}
+		text := drawDay(seed, "", troubles())
+		_, err := toml.Decode(text, &day)
+		require.NoError(t, err, text)
+		require.Equal(t, seed, day.Seed)
+		for _, en := range day.Plan {
+			seen[en.Kind] = true
+		}
+		for _, en := range day.Faults {
+			seen[en.Kind] = true
+			require.Less(t, en.At, 34.0)
+		}
+	}
+	for _, tr := range troubles() {
+		require.True(t, seen[tr.kind], tr.kind)
+	}
+}
+
+func TestADayBeginsWithTheRolloutThatIsAskedFor(t *testing.T) {
+	for seed := range uint64(20) {
+		require.Contains(t, drawDay(seed, "one_class", troubles()), `kind = "rollout_bad", how = "one_class"`)
+	}
+}
+
+func TestOnlyKindsInForceAreDrawn(t *testing.T) {
+	kinds := inForce("head\nrollout_good: a version\nrollout_bad: one\nhup: share\n", troubles())
+	require.Len(t, kinds, 3)
+	for seed := range uint64(20) {
+		require.NotContains(t, drawDay(seed, "", kinds), "burst")
+	}
+}
--- a/standin/cmd/days/play.go
+++ b/standin/cmd/days/play.go
@@ -36,7 +36,7 @@
 type playCmd struct {
 	Bench string   `help:"The users' bench." required:"" type:"existingfile"`
 	Out   string   `help:"File for the results." required:""`
-	Seeds []int    `help:"Seeds of each day." default:"1,2,3"`
+	Seeds []int    `help:"Seeds of each day; 0 is the day's own." default:"1,2,3"`
 	Jobs  int      `help:"Days played at a time." default:"4"`
 	Why   string   `help:"What is tried, for the bench's own records." default:"comparison of days"`
 	Days  []string `arg:"" help:"Days, as SITE.toml:DAY."`
@@ -84,23 +84,27 @@
 	return eris.Wrap(os.WriteFile(cm.Out, body, 0o600), "write")
 }
 
-// worthLine is the bench's line on what a day was worth and its parts.
+// worthLine is the player's line on what a day was worth and its parts.
 var worthLine = regexp.MustCompile(`(?m)^worth ([0-9.]+) = whole day ([0-9.]+).*worst windows ([0-9.]+).*worst class ([0-9.]+)`)
 
 // brokenLine is its line on promises that were broken.
 var brokenLine = regexp.MustCompile(`(?m)^rules broken: (.*)$`)
 
 func (cm *playCmd) play(site, day string, seed int) (played, error) {
-	out, err := exec.Command(cm.Bench, "run", site, day, "--seed", strconv.Itoa(seed), "--why", cm.Why).CombinedOutput()
-	pl := played{Site: strings.TrimSuffix(filepath.Base(site), ".toml"), Day: day, Seed: seed}
+	args := []string{"run", site, day, "--why", cm.Why}
+	if seed != 0 {
+		args = append(args, "--seed", strconv.Itoa(seed))
+	}
+	out, err := exec.Command(cm.Bench, args...).CombinedOutput()
+	pl := played{Site: strings.TrimSuffix(filepath.Base(site), ".toml"), Day: strings.TrimSuffix(filepath.Base(day), ".toml"), Seed: seed}
 	if broken := brokenLine.FindSubmatch(out); broken != nil {
 		pl.Broken = string(broken[1])
 	}
 	return pl, errorsOf(parseWorth(string(out), &pl), err, out)
 }
 
-// errorsOf returns why a day gave no result. The bench also ends with an error when a
-// promise was broken, which is a result.
+// errorsOf returns why a day gave no result. The player also ends with an error when
+// a promise was broken, which is a result.
 func errorsOf(parse, run error, out []byte) error {
 	if parse == nil {
 		return nil
--- a/standin/cmd/days/timeline.go
+++ b/standin/cmd/days/timeline.go
@@ -15,7 +15,7 @@
 )
 
 // timelineCmd draws what was served in time over the seconds of days, from the
-// bench's reports of single days.
+// the player's reports of single days.
 type timelineCmd struct {
 	Out     string   `help:"File for the plot (svg or png)." required:""`
 	Reports []string `arg:"" help:"Files with what the bench printed of a day." type:"existingfile"`
