--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -99,11 +99,11 @@
 	if confidence < 0 {
 		return place, false
 	}
-	best, most := place, st.timely(0)*usefulness(poor(float64(confidence)))
+	best, most := place, st.timely(0)*usefulness(Poor(float64(confidence)))
 	for i := place + 1; i < len(options); i++ {
 		risk := 0.0
 		if i < len(options)-1 {
-			risk = poor(float64(confidence) + options[i].Gain - options[place].Gain)
+			risk = Poor(float64(confidence) + options[i].Gain - options[place].Gain)
 		}
 		if value := st.value(options[i], risk); value > most {
 			best, most = i, value
@@ -139,7 +139,7 @@
 // usefulness returns what an answer is worth that is poor by a chance.
 func usefulness(risk float64) float64 { return 1 - risk*(1-poorWorth) }
 
-// poor returns the chance that an answer of a confidence is poor.
-func poor(confidence float64) float64 {
+// Poor returns the chance that an answer of a confidence is poor.
+func Poor(confidence float64) float64 {
 	return 1 / (1 + math.Exp((confidence-evenConfidence)/confidenceWidth))
 }
--- a/standin/cmd/days/days_test.go
+++ b/standin/cmd/days/days_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"os"
 	"path/filepath"
 	"testing"
 
@@ -98,3 +99,29 @@
 		require.NotContains(t, drawDay(seed, "", kinds), "burst")
 	}
 }
+
+const logged = `   3.2000 front-a-1 {"event":204,"route":"r","data_centre":"a","code":100,"place":0,"confidence":49,"head_ms":50,"target_ms":1000,"prompt":100,"status":200}
+   4.1000 front-a-1 {"event":204,"route":"r","data_centre":"a","code":100,"place":2,"confidence":100,"head_ms":1500,"target_ms":1000,"prompt":100,"status":200}
+   4.2000 front-b-1 {"event":205,"route":"plain","data_centre":"b","code":402,"sends":0}
+   4.3000 front-b-1 {"event":206,"route":"plain","data_centre":"b","code":101,"detail":"the caller went away"}
+   4.4000 front-b-1 {"event":203,"route":"r"}
+day                  own/srv  score  worth
+`
+
+func TestLossesAreToldApart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "day.txt")
+	require.NoError(t, os.WriteFile(path, []byte(logged), 0o600))
+	ends, err := readEndings(path)
+	require.NoError(t, err)
+	require.Len(t, ends, 3, "who left is not owed")
+	byRoute := tallyLosses(ends, "route")
+	require.Len(t, byRoute, 3)
+	require.Equal(t, losses{requests: 1, owed: 1, refused: 1}, *byRoute["plain"])
+	ro := byRoute["r"]
+	require.Equal(t, []int{2, 1, 0, 1}, []int{ro.requests, ro.smallest, ro.middle, ro.largest})
+	require.InDelta(t, 0.95/2, ro.poor, 1e-9, "as likely good as poor")
+	require.InDelta(t, 0.7, ro.late, 1e-9)
+	require.InDelta(t, 3, byRoute["all"].owed, 1e-9)
+	require.Len(t, tallyLosses(ends, "second"), 3)
+	require.Len(t, tallyLosses(ends, "data_centre"), 3)
+}
--- a/standin/cmd/days/main.go
+++ b/standin/cmd/days/main.go
@@ -4,6 +4,7 @@
 //
 //	days play --bench PROGRAM --out before.json SITE.toml:quiet-1 SITE.toml:scale-1
 //	days compare before.json after.json --plot paired.svg
+//	days losses --by second day.txt
 //	days draw --bench PROGRAM --out FOLDER --first 1 --days 40 SITE.toml
 package main
 
@@ -15,6 +16,7 @@
 	Play     playCmd     `cmd:"" help:"Play days over several seeds and keep the results."`
 	Compare  compareCmd  `cmd:"" help:"Show the paired differences of two sets of results."`
 	Draw     drawCmd     `cmd:"" help:"Draw days of trouble at random."`
+	Losses   lossesCmd   `cmd:"" help:"Say where credit was lost, from the gateways' logs."`
 	Timeline timelineCmd `cmd:"" help:"Draw what was served in time over the seconds of days."`
 }
 
