fix: a good version is not taken for slow, and finished in time

Prompts that are read beside them slow answers of either version, but the new one's counted against a fixed rate of 5 in 100; outcomes of streams were known at their ends only, so that routes were clear late; and the time that had passed was written just before the shift, which lost the race.

Change: slow answers count against the old version's rate (up to a quarter); a stream's outcome counts by its head; nothing is written near a decision but it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -152,12 +152,13 @@
 	default:
 		ga.pool.Slower(se.offer, se.prompt, took)
 	}
-	switch {
-	case se.err != nil || se.answer.Stream:
-	case se.answer.Status >= direct.ServerFailed:
-		ga.observe(se.server, se.ex.route.Name, true, "", 0, 0)
-	default:
-		ga.observe(se.server, se.ex.route.Name, false, "whole "+name+se.ex.route.Name, took, slowWhole)
+	if se.err != nil {
+		return
+	}
+	failed := se.answer.Status >= direct.ServerFailed
+	ga.observe(se.server, se.ex.route.Name, failed)
+	if !failed && !se.answer.Stream {
+		ga.observePace(se.server, "whole "+name+se.ex.route.Name, took, slowWhole)
 	}
 }
 
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -96,13 +96,12 @@
 // streamed takes the pace of a whole stream for the roll-out of its service. It
 // does not depend on the prompt, unlike the time to the head.
 func (ga *Gateway) streamed(se *sent, events int, took time.Duration) {
-	pace := time.Duration(0)
-	if events >= fewestEvents {
-		pace = took / time.Duration(events-1)
+	if events < fewestEvents {
+		return
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.observe(se.server, se.ex.route.Name, false, "event "+se.server.Service+"\x00"+se.step.Model(), pace, slowEvents)
+	ga.observePace(se.server, "event "+se.ex.modelKey(se.step.Model()), took/time.Duration(events-1), slowEvents)
 }
 
 // resume continues a broken stream; it returns nil if the request has ended.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -180,24 +180,27 @@
 	slowWhole  = 5
 )
 
-// observe takes an answer of a server for the roll-out of its service: a failure,
-// or a time that is several times the old version's best. name tells answers
-// apart that take unlike times, times is what counts as slow, and took is zero
-// where the time says nothing.
-// What the server did not say itself, such as a lost connection, is no answer.
-// The lock is held.
-func (ga *Gateway) observe(se directory.Server, route string, failed bool, name string, took time.Duration, times float64) {
+// observe takes the outcome of an answer of a server for the roll-out of its service.
+// What the server did not say itself, such as a lost connection, is none. A stream counts
+// by its head: what is known of a version must not wait for the ends of streams. The lock
+// is held.
+func (ga *Gateway) observe(se directory.Server, route string, failed bool) {
+	if ro := ga.rollouts[se.Service]; ro != nil && !ro.over() {
+		ro.canary.Observe(se.ID, route, se.Version == ro.order.Plan.Version, failed)
+	}
+}
+
+// observePace takes the time that an answer took, for the roll-out of its server's
+// service: whether it is several times the old version's best. name tells answers apart
+// that take unlike times, times is what counts as slow. The lock is held.
+func (ga *Gateway) observePace(se directory.Server, name string, took time.Duration, times float64) {
 	ro := ga.rollouts[se.Service]
 	isNew := ro != nil && se.Version == ro.order.Plan.Version
-	if took > 0 && !isNew {
+	if !isNew {
 		ga.best.Observe(name, took)
 	}
-	if ro == nil || ro.over() {
-		return
-	}
-	ro.canary.Observe(se.ID, route, isNew, failed)
-	if best := ga.best.Floor(name); isNew && took > 0 && best > 0 {
-		ro.canary.ObservePace(se.ID, float64(took) > times*float64(best))
+	if best := ga.best.Floor(name); ro != nil && !ro.over() && best > 0 {
+		ro.canary.ObservePace(se.ID, isNew, float64(took) > times*float64(best))
 	}
 }
 
@@ -321,8 +324,14 @@
 	if next.Phase == rollout.Trying && next.Shares == nil {
 		next.Shares = ro.order.Plan.Shares(ga.demand(ro.order.Plan.Service).All(now))
 	}
-	old := next.Elapsed-kept.Elapsed >= elapsedEvery && (next.Phase == rollout.Waiting || next.Phase == rollout.Trying)
-	return next, due || !known || kept.Phase != next.Phase || old
+	return next, due || !known || kept.Phase != next.Phase || ga.isOld(ro, kept, next, now)
+}
+
+// isOld reports whether what is kept of the time that has passed is to be renewed. Near
+// a decision it is not: two writes at once, and the decision would have to wait.
+func (ga *Gateway) isOld(ro *timedRollout, kept, next StoredPhase, now time.Time) bool {
+	tried := next.Phase == rollout.Waiting || next.Phase == rollout.Trying
+	return tried && !ro.canary.Deciding(now) && next.Elapsed-kept.Elapsed >= elapsedEvery
 }
 
 func (ga *Gateway) store(ctx context.Context, ro *timedRollout, ph StoredPhase) {
--- a/internal/rollout/verdict.go
+++ b/internal/rollout/verdict.go
@@ -7,10 +7,12 @@
 	badRate    = 0.15
 	// oftenRate is the rate of a version that fails half of the time.
 	oftenRate = 0.5
-	// normalSlow and badSlow are the rates of slow answers of a good version and
-	// of one that must be caught.
-	normalSlow = 0.05
-	badSlow    = 0.4
+	// normalSlow and mostNormalSlow bound the rate of slow answers of a good version,
+	// which is taken to be the old one's: prompts that are read beside them slow answers
+	// of either. badSlow is the least rate that must be caught.
+	normalSlow     = 0.05
+	mostNormalSlow = 0.25
+	badSlow        = 0.45
 	// clearRate is the rate of bad answers that is to be ruled out before everything is
 	// finished, clearSum the log likelihood ratio that does: seven good answers.
 	clearRate = 0.3
@@ -67,12 +69,15 @@
 // slowness is the test of slow answers.
 type slowness struct {
 	// sum is the cumulative test; it is never below zero.
-	sum     float64
-	servers spread
+	sum float64
+	// oldPaced and oldSlow count the old version's answers.
+	oldPaced, oldSlow int
+	servers           spread
 }
 
 func (sl *slowness) add(paced, slow int) {
-	sl.sum = sum(sl.sum, float64(slow), float64(paced), normalSlow, badSlow)
+	normal := min(mostNormalSlow, smooth(float64(sl.oldSlow), float64(sl.oldPaced), normalSlow))
+	sl.sum = sum(sl.sum, float64(slow), float64(paced), normal, badSlow)
 }
 
 // RouteOutcomes is what one gateway tells the others of the new version on one route.
@@ -128,17 +133,22 @@
 	ca.own.Routes[route] = own
 }
 
-// ObservePace takes whether an answer of the new version was several times slower
-// than the old one is at its best. It says something only while the version is
-// tried, when its servers have next to nothing to do.
-func (ca *Canary) ObservePace(server string, slow bool) {
-	if ca.Phase() != Trying {
+// ObservePace takes whether an answer of one of the versions was several times slower
+// than the old one is at its best. It says something only until the shift, when the new
+// version's servers have less to do than the old one's.
+func (ca *Canary) ObservePace(server string, isNew, slow bool) {
+	if ph := ca.Phase(); ph != Trying && ph != Waiting {
 		return
 	}
 	count := 0
 	if slow {
 		count = 1
 	}
+	if !isNew {
+		ca.slow.oldPaced++
+		ca.slow.oldSlow += count
+		return
+	}
 	ca.slow.servers.mark(server, slow)
 	ca.slow.add(1, count)
 	ca.own.Paced++
