--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -9,7 +9,6 @@
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
-	"github.com/linnetrudder/linnetrudder/internal/rate"
 	"github.com/linnetrudder/linnetrudder/internal/rollout"
 )
 
@@ -146,64 +145,6 @@
 	return ro != nil && ro.canary.Phase() == rollout.Trying && se.Version == ro.order.Plan.Version
 }
 
-// sentTo counts an attempt for the roll-out of its server's service. The lock is held.
-func (ga *Gateway) sentTo(se directory.Server, route string, now time.Time) {
-	ga.demand(se.Service).Count(route, now)
-	if ro := ga.rollouts[se.Service]; ro != nil && !ro.over() {
-		ro.canary.Sent(route, se.Version == ro.order.Plan.Version, now)
-	}
-}
-
-// demandMemory is how far back the demand of a service looks: long enough for some tens
-// of requests of the rarest kind of a small service (7 a second on the users' sites),
-// short enough to follow a burst.
-const demandMemory = 4 * time.Second
-
-// demand returns the rates at which attempts are sent to a service, by route. The lock
-// is held.
-func (ga *Gateway) demand(service string) *rate.Meter {
-	me := ga.demands[service]
-	if me == nil {
-		me = &rate.Meter{Memory: demandMemory}
-		ga.demands[service] = me
-	}
-	return me
-}
-
-// slowEvents and slowWhole are how many times the old version's time at its best
-// counts as slow, between two events of a stream and for a whole answer. Measured
-// on the users' sites: a slow version's events come 4 to 5.5 times later than the
-// old one's quickest, those of a good one with nothing else to do up to 1.4 times;
-// whole answers of a plain service differ by up to 4 times among themselves.
-const (
-	slowEvents = 3
-	slowWhole  = 5
-)
-
-// observe takes the outcome of an answer of a server for the roll-out of its service.
-// What the server did not say itself, such as a lost connection, is none. A stream counts
-// by its head: what is known of a version must not wait for the ends of streams. The lock
-// is held.
-func (ga *Gateway) observe(se directory.Server, route string, failed bool) {
-	if ro := ga.rollouts[se.Service]; ro != nil && !ro.over() {
-		ro.canary.Observe(se.ID, route, se.Version == ro.order.Plan.Version, failed)
-	}
-}
-
-// observePace takes the time that an answer took, for the roll-out of its server's
-// service: whether it is several times the old version's best. name tells answers apart
-// that take unlike times, times is what counts as slow. The lock is held.
-func (ga *Gateway) observePace(se directory.Server, name string, took time.Duration, times float64) {
-	ro := ga.rollouts[se.Service]
-	isNew := ro != nil && se.Version == ro.order.Plan.Version
-	if !isNew {
-		ga.best.Observe(name, took)
-	}
-	if best := ga.best.Floor(name); ro != nil && !ro.over() && best > 0 {
-		ro.canary.ObservePace(se.ID, isNew, float64(took) > times*float64(best))
-	}
-}
-
 // settle leaves a version that counts as bad, whether the store can be reached or
 // not. The lock is held.
 func (ga *Gateway) settle(ro *timedRollout, now time.Time) {
@@ -218,57 +159,6 @@
 	return ro.canary.Phase() == rollout.Complete || ro.canary.Phase() == rollout.Failed
 }
 
-// tallied takes what another gateway tells of a new version; the lock is held.
-func (ga *Gateway) tallied(ta Tally) {
-	ro := ga.rollouts[ta.Service]
-	if ro == nil || ro.order.Revision != ta.Order || ta.Box == ga.Box || ro.over() {
-		return
-	}
-	ro.canary.Merge(ta.Box, ta.Outcomes)
-}
-
-const (
-	// tellEvery is the least time between two tallies with bad answers, or while the next
-	// decision is near: each costs a write, and a bad version may be used for seconds
-	// after its 50th bad answer.
-	tellEvery = 500 * time.Millisecond
-	// answerEvery is the least time between two tallies without: from the third
-	// bad answer known, all gateways tell what they have, so that the good answers
-	// count as well.
-	answerEvery   = 5 * time.Second
-	answerFromBad = 3
-)
-
-// mayTell reports whether the other gateways should hear of outcomes now. The lock is
-// held.
-func (ga *Gateway) mayTell(ro *timedRollout, now time.Time) bool {
-	_, bad := ro.canary.Counts()
-	since := now.Sub(ro.toldAt)
-	switch {
-	case ro.over() || ro.canary.OwnTried() == ro.toldTried:
-		return false
-	case bad > ro.toldBad, ro.canary.Deciding(now):
-		return since >= tellEvery
-	default:
-		return ro.canary.BadKnown() >= answerFromBad && (ro.toldTried == 0 || since >= answerEvery)
-	}
-}
-
-// tell lets the other gateways know of outcomes; the lock is held.
-func (ga *Gateway) tell(ctx context.Context, ro *timedRollout, now time.Time) {
-	if !ga.mayTell(ro, now) {
-		return
-	}
-	_, bad := ro.canary.Counts()
-	ro.toldBad, ro.toldTried, ro.toldAt = bad, ro.canary.OwnTried(), now
-	ta := Tally{Service: ro.order.Plan.Service, Order: ro.order.Revision, Box: ga.Box, Outcomes: ro.canary.Own()}
-	go func() {
-		if err := ga.Source.Tell(ctx, ta); err != nil {
-			ga.Log.Warn().Int("event", int(event.StoreCallFailed)).Str("service", ta.Service).Err(err).Msg(event.Name(event.StoreCallFailed))
-		}
-	}()
-}
-
 // advanceRollouts stores the phases that are due.
 func (ga *Gateway) advanceRollouts(ctx context.Context, now time.Time) {
 	ga.mu.Lock()
