test: the reading time of an idle server is the quickest tenth of the times

It expected the least time of a token, 50 us; the estimate is the quickest tenth, which is 55 us for the times that the test draws, and it scatters.

Change: the expectation is that quantile, the bound as before.

--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -58,7 +58,8 @@
 		re.Observe("m", tokens, time.Duration(waits*float64(tokens)*float64(50*time.Microsecond)))
 	}
 	per, _ := re.PerToken("m")
-	require.InDelta(t, 50_000, per, 10_000)
+	quickestTenth := 50_000 * (1 - math.Log(1-idlePart))
+	require.InDelta(t, quickestTenth, per, 10_000)
 }
 
 func TestATrendFollowsTheClock(t *testing.T) {
