fix: a request that began on the old version is no subject for a trial

Ruled out: keeping all retries off the version on trial; a good version's sessions would change their version when one of their requests fails.

Change: attempts after the first stay with the first one's version while a version is tried; the last run of an answer that was delivered in part goes to the old version.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -93,6 +93,10 @@
 // Runs returns how many attempts ran or may have run.
 func (re *Request) Runs() int { return re.runs }
 
+// LastChance reports whether the caller has a part of the answer and one run is left to
+// give it the rest.
+func (re *Request) LastChance() bool { return re.delivered && re.runs+1 >= re.MaxRuns }
+
 // Begin makes the first attempt.
 func (re *Request) Begin(now time.Time) Step {
 	if len(re.Models) > 0 {
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -146,6 +146,14 @@
 	require.Equal(t, Abort, request(nil).Broken(t0).Do(), "one that may not be resumed is broken off")
 }
 
+func TestTheLastChanceIsKnown(t *testing.T) {
+	re := request(func(re *Request) { re.Models, re.Resumable, re.MaxRuns = []string{"small"}, true, 2 })
+	re.Begin(t0)
+	require.False(t, re.LastChance(), "nothing was delivered")
+	require.Equal(t, Deliver, re.Answered(200, 90, t0).Do())
+	require.True(t, re.LastChance(), "one run is left for the rest")
+}
+
 func TestPatienceLeavesTimeForASecondTry(t *testing.T) {
 	re := request(func(re *Request) { re.MaxRuns = 2 })
 	require.Equal(t, t0.Add(600*time.Millisecond), re.Begin(t0).Patience())
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -68,6 +68,9 @@
 		return se
 	}
 	se.server = *listed
+	if ex.begun == "" {
+		ex.begun = listed.Version
+	}
 	se.offer, se.prompt = ex.offer, ex.prompt(step.Model())
 	ga.pool.Started(se.server.ID, se.offer.Read(), now)
 	ga.sentTo(se.server, ex.route.Name, now)
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -122,11 +122,7 @@
 		return ask
 	}
 	ask.Version, ask.Without = ro.order.Plan.Version, ro.withdrawn
-	if ex.single {
-		ask.Only = ro.canary.NewSingle(ex.route.Name, ex.draw)
-	} else {
-		ask.Only = ro.canary.New(ex.session, ex.route.Name)
-	}
+	ask.Only = ro.goesToNew(ex)
 	ask.Except = !ask.Only
 	if ro.canary.Phase() == rollout.Failed {
 		return ask
@@ -138,6 +134,18 @@
 	return ask
 }
 
+// goesToNew reports whether a request's next attempt goes to the new version.
+func (ro *timedRollout) goesToNew(ex *exchange) bool {
+	switch {
+	case ex.begun != "":
+		return ro.canary.Continues(ex.begun == ro.order.Plan.Version, ex.request.LastChance())
+	case ex.single:
+		return ro.canary.NewSingle(ex.route.Name, ex.draw)
+	default:
+		return ro.canary.New(ex.session, ex.route.Name)
+	}
+}
+
 // isNew reports whether a server runs a version that is being tried. The lock is
 // held.
 func (ga *Gateway) isNew(se directory.Server) bool {
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -183,6 +183,36 @@
 	require.NotContains(t, ga.rollouts["s"].withdrawn, "v2", "it was ordered again")
 }
 
+// Seen as LOST on a day with a hundred gateways: streams that had begun on the old version
+// were continued on one on trial, which failed until no run was left.
+func TestWhatBeganOnTheOldVersionIsNoSubjectForATrial(t *testing.T) {
+	ga, ro := rolling(t)
+	ro.canary.Try(rollout.Shares{rollout.AnyRoute: 1})
+	list(ga, "v1", "v2")
+	now := time.Now()
+	version := func(ex *exchange) string {
+		of, ok := ga.pool.Pick(ga.restrict(pool.Ask{Service: "s"}, ex, now), 1, now)
+		require.True(t, ok)
+		return of.Server().Version
+	}
+	ex := &exchange{ga: ga, route: &routing.Route{Name: "r"}, service: "s", session: "a"}
+	require.Equal(t, "v2", version(ex), "all sessions are tried")
+	ex.begun = "v1"
+	require.Equal(t, "v1", version(ex), "a retry stays where the request began")
+	ex.begun = "v2"
+	require.Equal(t, "v2", version(ex), "also on the version on trial, so that its session stays")
+
+	for _, id := range []string{"v1-0", "v1-1", "v1-2"} {
+		ga.servers.Remove(id, now)
+	}
+	ex.begun = "v1"
+	require.Equal(t, "v2", version(ex), "nothing else is there")
+
+	ro.canary.Enter(rollout.Shifting)
+	list(ga, "v1")
+	require.Equal(t, "v2", version(ex), "everything moves")
+}
+
 // A process that starts in the middle of a roll-out goes on from what is kept: it
 // finishes in time, and sessions that had moved stay where they are.
 func TestARolloutGoesOnAfterARestart(t *testing.T) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -85,6 +85,9 @@
 	request direct.Request
 	// attempts holds what was sent, by number.
 	attempts map[int]*sent
+	// begun is the version of the server that the first attempt was sent to, known once
+	// there was one.
+	begun string
 	// offer is the server chosen last.
 	offer pool.Offer
 	// choice is what a model was last chosen by, smallest the confidence of the smallest
--- a/internal/rollout/canary_test.go
+++ b/internal/rollout/canary_test.go
@@ -374,3 +374,14 @@
 		require.Equal(t, !tc.found, bad < 6, "%v: %d", tc.slow, bad)
 	}
 }
+
+func TestTheLastRunOfADeliveredAnswerEndsOnWhatIsProved(t *testing.T) {
+	ca := canary()
+	require.True(t, ca.Continues(true, false))
+	require.False(t, ca.Continues(true, true))
+	require.False(t, ca.Continues(false, false))
+	ca.Enter(Shifting)
+	require.True(t, ca.Continues(false, true))
+	ca.Enter(Failed)
+	require.False(t, ca.Continues(true, false))
+}
