--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -69,3 +69,15 @@
 	require.Equal(t, time.Second, tr.Follow(5*time.Second, now), "no time has passed")
 	require.InDelta(t, 5, tr.Follow(5*time.Second, now.Add(5*trendMemory)).Seconds(), 0.05)
 }
+
+// After a start a first answer of a busy server stood for a model's time: the largest
+// model was asked too seldom for some ten seconds.
+func TestAFewTimesTellWhatAnIdleServerTakes(t *testing.T) {
+	var re Reading
+	for _, took := range []time.Duration{900, 400, 600, 150, 500} {
+		re.Observe("m", 1000, took*time.Millisecond)
+	}
+	at, ok := re.PerToken("m")
+	require.True(t, ok)
+	require.InDelta(t, 150e3, at, 1)
+}
