fix: a process that has seen nothing of a version does not finish it

Ruled out: evidence of the last seconds only; the test's sums begin anew at zero, so that two bad answers hold the end back at any time.

Change: without any answer nothing is cleared, up to five seconds past the deadline.

In tests: the play of the bound on a version's share observes the answers of what it sends, which it did not before; its checks are as they were.

--- a/internal/rollout/canary_test.go
+++ b/internal/rollout/canary_test.go
@@ -91,6 +91,7 @@
 			all++
 			to := isNew(ca, all)
 			ca.Sent("r", to, now)
+			ca.Observe("server", "r", to, false)
 			if to {
 				toNew++
 			}
@@ -385,3 +386,18 @@
 	ca.Enter(Failed)
 	require.False(t, ca.Continues(true, false))
 }
+
+// Seen on the day late-while-gateways-restart: a process that had just been restarted
+// finished a version that had turned bad while it was away.
+func TestAProcessThatHasSeenNothingFinishesNothing(t *testing.T) {
+	ca := canary()
+	ca.Enter(Shifting)
+	late := began.Add(ca.Plan.Within)
+	for at := late; at.Before(late.Add(longestDoubt)); at = at.Add(100 * time.Millisecond) {
+		_, due := ca.Due(at)
+		require.False(t, due, "nothing is known of the version")
+	}
+	ph, due := ca.Due(late.Add(longestDoubt))
+	require.True(t, due, "too few requests come to know more")
+	require.Equal(t, Complete, ph)
+}
--- a/internal/rollout/verdict.go
+++ b/internal/rollout/verdict.go
@@ -249,12 +249,18 @@
 	return false
 }
 
-// cleared reports whether enough speaks for the version on each route that counts.
+// cleared reports whether enough speaks for the version on each route that counts. A process
+// that has just started and has seen no answer knows nothing: one of three that were
+// restarted in turn finished a bad version 0.7 s after its start, of which another one had
+// seen 18 bad answers of 49.
 func (ca *Canary) cleared() bool {
 	all := 0
 	for _, fa := range ca.routes {
 		all += fa.oldTried + fa.newTried
 	}
+	if all == 0 {
+		return false
+	}
 	for _, fa := range ca.routes {
 		if float64(fa.oldTried+fa.newTried) >= clearedPart*float64(all) && !fa.clear() {
 			return false
