feat: gateways tell each other through their watchers, not through the store

Ruled out: gossip, a tree of more levels (docs/design/channel.md).

Calls during an outage grow to a second apart; the first who hears from the service says so. - only gateways that are needed are members in the store; how many there are comes with the reports of load. A watcher gives the whole state to who is behind. Of more than six watchers three call the service, the others ask them. - a watcher writes the tallies of its gateways.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -139,6 +139,17 @@
 	return di.byService[service]
 }
 
+// Listed returns the servers whose entries are there, in no order.
+func (di *Directory) Listed() []*Server {
+	list := make([]*Server, 0, len(di.servers))
+	for id, se := range di.servers {
+		if _, gone := di.missing[id]; !gone {
+			list = append(list, se)
+		}
+	}
+	return list
+}
+
 // Get returns a server by id, or nil.
 func (di *Directory) Get(id string) *Server { return di.servers[id] }
 
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -27,6 +27,8 @@
 	ticked, stalled time.Time
 	// connected is set while the service answers.
 	connected bool
+	// failing is set while it does not, once a call has failed.
+	failing bool
 }
 
 // Age returns how old what is known may be at the most.
@@ -75,15 +77,21 @@
 // answered before.
 func (re *Record) Failed() (lost bool) {
 	lost = re.connected
-	re.connected = false
+	re.connected, re.failing = false, true
 	return lost
 }
 
+// Known reports whether the state was ever known to hold every change up to some moment.
+func (re *Record) Known() bool { return !re.confirmed.IsZero() }
+
+// Failing reports whether the newest call was not answered.
+func (re *Record) Failing() bool { return re.failing }
+
 func (re *Record) confirm(at time.Time) (regained bool) {
 	if at.After(re.confirmed) {
 		re.confirmed = at
 	}
 	regained = !re.connected
-	re.connected = true
+	re.connected, re.failing = true, false
 	return regained
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -23,9 +23,13 @@
 	// they cost one call: far below the bound on applying a configuration.
 	gather = 300 * time.Millisecond
 	// pauseLeast and pauseMost bound the time between two calls to a service
-	// that gives no answers.
+	// that gives no answers; pauseLong bounds it where it has given none for longer: the
+	// first gateway that hears from it again says so to the others.
 	pauseLeast = 100 * time.Millisecond
 	pauseMost  = 400 * time.Millisecond
+	pauseLong  = time.Second
+	// pausePart is the part of the time without an answer that a pause may last then.
+	pausePart = 0.2
 	// watcherPause is the pause after a watcher did not serve: while the service gives
 	// no answers, watchers say at once that what they know is old.
 	watcherPause = pauseLeast
@@ -42,7 +46,7 @@
 			ga.lost(ctx, err)
 			continue
 		}
-		ga.replace(st, sent)
+		ga.takeRead(st, sent)
 		ga.watch(ctx, st.Revision)
 	}
 }
@@ -118,13 +122,29 @@
 	was := ga.fresh.Failed()
 	ga.plan.ServiceFailed(time.Now())
 	ga.servers.StoreLost()
-	age := ga.fresh.Age(time.Now())
+	age, began := ga.fresh.Age(time.Now()), !ga.fresh.Known()
 	ga.mu.Unlock()
 	storeFailures.Inc()
 	if was {
 		ga.Log.Warn().Int("event", int(event.StoreLost)).Dur("age_ms", age).Err(why).Msg(event.Name(event.StoreLost))
 	}
-	sleep(ctx, pauseLeast+rand.N(pauseMost-pauseLeast))
+	most := min(pauseLong, max(pauseMost, time.Duration(pausePart*float64(age))))
+	if began {
+		most = pauseMost // it can serve nobody, and nobody knows of it to tell it
+	}
+	ga.sleepUntilBack(ctx, pauseLeast+rand.N(most-pauseLeast))
+}
+
+// sleepUntilBack waits until another gateway says that the service answers it again, a
+// pause at the most.
+func (ga *Gateway) sleepUntilBack(ctx context.Context, pause time.Duration) {
+	ti := time.NewTimer(pause)
+	defer ti.Stop()
+	select {
+	case <-ctx.Done():
+	case <-ti.C:
+	case <-ga.back:
+	}
 }
 
 func sleep(ctx context.Context, pause time.Duration) {
@@ -142,13 +162,18 @@
 	ga.Log.Info().Int("event", int(event.StoreRegained)).Msg(event.Name(event.StoreRegained))
 }
 
-// replace takes the whole state.
-func (ga *Gateway) replace(st State, sent time.Time) {
+// takeRead takes what the service told of everything.
+func (ga *Gateway) takeRead(st State, sent time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	if ga.fresh.Read(sent) {
 		ga.regained()
 	}
+	ga.replace(st)
+}
+
+// replace takes the whole state; the lock is held.
+func (ga *Gateway) replace(st State) {
 	var list []directory.Server
 	for _, ch := range st.Changes {
 		if ch.Server != nil {
@@ -160,6 +185,7 @@
 	ga.servers.Replace(list, time.Now())
 	ga.history.Reset(st.Revision)
 	ga.replaceMembers(st)
+	ga.stateRead = true
 	ga.Log.Info().Int("event", int(event.StateRead)).Uint64("revision", st.Revision).
 		Int("servers", len(list)).Msg(event.Name(event.StateRead))
 }
@@ -167,11 +193,11 @@
 // apply takes what a watch returned that was sent at a time.
 func (ga *Gateway) apply(st State, sent time.Time, wait time.Duration, now time.Time) {
 	ba := relay.Batch{To: st.Revision}
-	if ga.serves() {
-		ba = ga.encode(st)
-	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	if ga.serves(now) {
+		ba = ga.encode(st)
+	}
 	if ga.fresh.Watched(sent, wait, len(st.Changes) == 0, now) {
 		ga.regained()
 	}
@@ -187,7 +213,7 @@
 		ga.change(ch)
 	}
 	encoded := len(changes) == 0 || len(ba.Data) > 0
-	if encoded && ga.plan.Serves(ga.memberList()) {
+	if encoded && ga.serves(time.Now()) {
 		ga.history.Add(ba)
 	} else {
 		ga.history.Reset(ba.To)
@@ -215,8 +241,10 @@
 		ga.ordered(*ch.Order)
 	case ch.Phase != nil:
 		ga.stored(*ch.Phase)
-	case ch.Tally != nil:
-		ga.tallied(*ch.Tally)
+	case len(ch.Tallies) > 0:
+		for _, ta := range ch.Tallies {
+			ga.tallied(ta)
+		}
 	case ch.Member != nil:
 		ga.joined(*ch.Member)
 	case ch.MemberGone != "":
@@ -250,6 +278,7 @@
 		return
 	}
 	ga.table.Store(ta)
+	ga.document = doc
 	ga.Log.Info().Int("event", int(event.ConfigInForce)).Uint64("version", doc.Version).Uint64("before", held).
 		Int("routes", len(doc.Routes)).Int("teams", len(doc.Teams)).Msg(event.Name(event.ConfigInForce))
 }
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -49,7 +49,10 @@
 	return State{Revision: after}, sc.failed()
 }
 
-func (*script) Store(context.Context, Order, StoredPhase) (bool, error) { return true, nil }
+func (sc *script) Store(context.Context, Order, StoredPhase) (bool, error) {
+	err := sc.failed()
+	return err == nil, err
+}
 
 func (sc *script) Join(context.Context, relay.Member, time.Duration) (Lease, error) {
 	err := sc.failed()
@@ -74,7 +77,7 @@
 	return nil
 }
 
-func (*script) Tell(context.Context, Tally) error { return nil }
+func (*script) Tell(context.Context, string, []Tally) error { return nil }
 
 // Keys are accepted all the time while the service answers, and for as long as
 // the bound allows after it was cut off, but never longer.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -68,10 +69,18 @@
 	mu sync.Mutex
 	// fresh knows how old the configuration may be.
 	fresh freshness.Record
-	// members holds the gateways that are members, by box.
+	// members holds the gateways that may watch for others, by box; size is how many
+	// gateways there are.
 	members map[string]relay.Member
+	size    int
+	// stateRead is set once the whole state was read.
+	stateRead bool
 	// plan says which of them to ask for changes.
 	plan relay.Plan
+	// document is the configuration in force as it came.
+	document *routing.Document
+	// asked is when another gateway last asked this one for changes.
+	asked time.Time
 	// history holds the newest changes for others; changed is closed when there are
 	// more.
 	history relay.History
@@ -82,8 +91,14 @@
 	// of them this one reports.
 	loads    load.Table
 	loadPlan relay.Plan
+	// reported is when a collector last took this gateway's report, life tells its process
+	// from those before it on its box.
+	reported time.Time
+	life     uint64
 	// otherReady is when another gateway last said that it is ready.
 	otherReady time.Time
+	// back gets a value when the first one says so after none did.
+	back chan struct{}
 	// pace knows how long heads take, by service and model.
 	pace pace.Meter
 	// prompts knows the usual size of prompts by route and by service, gains by how much
@@ -129,6 +144,8 @@
 	ga.plan = relay.Plan{Box: ga.Box, DataCentre: ga.DataCentre}
 	ga.loadPlan = ga.plan
 	ga.changed = make(chan struct{})
+	ga.back = make(chan struct{}, 1)
+	ga.life = rand.Uint64()
 }
 
 // InProgress returns how many requests are being served.
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -78,7 +78,8 @@
 	defer cl.Close()
 	failed := false
 	for ctx.Err() == nil {
-		answer, err := cl.Exchange(ctx, ga.report(to.asCollector))
+		re := ga.report(to.asCollector)
+		answer, err := cl.Exchange(ctx, re)
 		if ctx.Err() != nil {
 			return
 		}
@@ -91,6 +92,7 @@
 			sleep(ctx, loadAgain)
 			continue
 		}
+		ga.tookReport(re, time.Now())
 		ga.takeRest(answer, time.Now())
 		sleep(ctx, loadEvery)
 	}
@@ -116,28 +118,66 @@
 func (ga *Gateway) report(collector bool) relay.Report {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	re := relay.Report{Box: ga.Box, Collector: collector, Work: ga.pool.Work()}
+	re := relay.Report{Box: ga.Box, Collector: collector, Work: ga.pool.Work(), Gateways: 1}
 	if collector {
-		re.Work = ga.loads.Group(re.Work)
+		re.Work, re.Gateways = ga.loads.Group(re.Work), ga.loads.GroupSize()
+	}
+	if !collector {
+		re.Tallies = ga.outgoing()
 	}
 	re.Work = re.Work.Busiest(loadServers)
 	re.Ready = ga.isReady(time.Now())
 	return re
 }
 
+// tookReport notes that a collector has this gateway's report.
+func (ga *Gateway) tookReport(re relay.Report, now time.Time) {
+	if re.Collector {
+		return
+	}
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.reported = now
+	ga.handedOver()
+}
+
 // takeRest takes the answer to a report.
 func (ga *Gateway) takeRest(answer relay.Report, now time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.loads.TakeGroup(answer.Box, answer.Work, now)
+	ga.takeGroup(answer, now)
 	ga.heardOf(answer, now)
 }
 
+// takeGroup takes the report of several gateways; the lock is held.
+func (ga *Gateway) takeGroup(re relay.Report, now time.Time) {
+	ga.loads.TakeGroup(re.Box, re.Work, now)
+	ga.loads.CountGroup(re.Box, re.Gateways)
+	ga.resize()
+}
+
+// resize takes the number of gateways that are known. While a report is missing, as when a
+// collector has gone, the others are taken to be there still. The lock is held.
+func (ga *Gateway) resize() {
+	known := max(len(ga.members), 1+ga.loads.Others())
+	if known >= ga.size || ga.loads.Known() {
+		ga.size = known
+		ga.pool.Members = known
+	}
+}
+
 // heardOf notes whether another gateway is ready; the lock is held.
 func (ga *Gateway) heardOf(re relay.Report, now time.Time) {
-	if re.Ready {
-		ga.otherReady = now
+	if !re.Ready {
+		return
+	}
+	if now.Sub(ga.otherReady) >= loadKept {
+		select {
+		case ga.back <- struct{}{}:
+		default:
+		}
 	}
+	ga.otherReady = now
 }
 
 // elsewhere reports whether another gateway has just said that it is ready.
@@ -154,14 +194,19 @@
 	defer ga.mu.Unlock()
 	ga.heardOf(re, now)
 	var work load.Work
+	var gateways int
 	if re.Collector {
-		ga.loads.TakeGroup(re.Box, re.Work, now)
-		work = ga.loads.Group(ga.pool.Work())
+		ga.takeGroup(re, now)
+		work, gateways = ga.loads.Group(ga.pool.Work()), ga.loads.GroupSize()
 	} else {
 		ga.loads.TakeMember(re.Box, re.Work, now)
-		work = ga.loads.Rest(re.Box, ga.pool.Work())
+		ga.resize()
+		ga.gather(re.Tallies)
+		work, gateways = ga.loads.Rest(re.Box, ga.pool.Work()), ga.loads.Others()
+	}
+	return relay.Report{
+		Box: ga.Box, Collector: true, Work: work.Busiest(loadServers), Ready: ga.isReady(now), Gateways: gateways,
 	}
-	return relay.Report{Box: ga.Box, Collector: true, Work: work.Busiest(loadServers), Ready: ga.isReady(now)}
 }
 
 // expireLoads drops reports that are too old to help.
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -20,11 +21,19 @@
 	memberTTL  = 25 * time.Second
 	// joinAgain is the pause after a call that failed.
 	joinAgain = time.Second
+	// joinEvery is how often a gateway looks whether it is needed among the members, and
+	// joinSpread the most that it waits before it joins: of many that start at once a few
+	// join, and the others hear of them before their time. Boxes with links above
+	// smallLinkMbps wait less, so that watchers mostly stay who they are.
+	joinEvery     = 500 * time.Millisecond
+	joinSpread    = 1500 * time.Millisecond
+	smallLinkMbps = 20
 )
 
-// keepMembership keeps this gateway among the members.
+// keepMembership keeps this gateway among the members once it is needed there.
 func (ga *Gateway) keepMembership(ctx context.Context) {
 	var le Lease
+	ga.awaitNeed(ctx)
 	for ctx.Err() == nil {
 		pause := renewEvery
 		if err := ga.renew(ctx, &le); err != nil && ctx.Err() == nil {
@@ -35,6 +44,26 @@
 	}
 }
 
+// awaitNeed waits until this gateway has to be one of those that may watch.
+func (ga *Gateway) awaitNeed(ctx context.Context) {
+	wait := time.Duration(rand.Float64() * float64(joinSpread) * min(1, smallLinkMbps/float64(max(1, ga.LinkMbps))))
+	for ctx.Err() == nil {
+		sleep(ctx, wait)
+		if ga.needed() {
+			return
+		}
+		wait = joinEvery + rand.N(joinSpread)
+	}
+}
+
+// needed reports whether this gateway has to be one of those that may watch. One that has
+// not read yet who is there can't tell.
+func (ga *Gateway) needed() bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.stateRead && ga.plan.Needed(ga.memberList(), ga.LinkMbps)
+}
+
 // renew renews the lease, or joins anew if there is none.
 func (ga *Gateway) renew(ctx context.Context, le *Lease) error {
 	if *le != 0 {
@@ -61,7 +90,7 @@
 	_, known := ga.members[me.Box]
 	ga.members[me.Box] = me
 	if !known {
-		ga.pool.Members = len(ga.members)
+		ga.resize()
 		ga.noteMember(event.MemberJoined, me.Box)
 	}
 }
@@ -89,7 +118,7 @@
 func (ga *Gateway) left(box string) {
 	if _, known := ga.members[box]; known {
 		delete(ga.members, box)
-		ga.pool.Members = len(ga.members)
+		ga.resize()
 		ga.noteMember(event.MemberLeft, box)
 	}
 }
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -15,6 +16,8 @@
 	// relayWait is how long a watcher may hold an answer, relaySlack how much later
 	// it may come: a watcher that is gone without a word is noticed after both, well
 	// within the bound on applying a configuration (2 s on the users' sites).
+	// Watchers that ask others let them hold half of that: what they know may be as old as
+	// that before they serve it.
 	relayWait  = 500 * time.Millisecond
 	relaySlack = 400 * time.Millisecond
 	// relayAge is the age of what a watcher knows from which it serves no longer:
@@ -61,14 +64,16 @@
 // to go on from.
 func (ga *Gateway) ask(ctx context.Context, revision uint64) (uint64, error) {
 	sent := time.Now()
-	up, err := ga.relayed.Ask(ctx, relay.Request{After: revision, Wait: relayWait})
+	up, err := ga.relayed.Ask(ctx, relay.Request{After: revision, Wait: ga.askWait()})
 	switch {
 	case err != nil:
 		return revision, err
-	case up.Unknown:
-		return revision, errUnknown
 	case up.Age > relayAge:
 		return revision, errOld
+	case up.Whole != nil:
+		return ga.takeWhole(up, sent)
+	case up.Unknown:
+		return revision, errUnknown
 	}
 	batches, err := decodeBatches(up.Batches)
 	if err != nil {
@@ -85,6 +90,69 @@
 	return up.Revision, nil
 }
 
+// takeWhole takes the whole state from a watcher.
+func (ga *Gateway) takeWhole(up relay.Update, sent time.Time) (uint64, error) {
+	st := State{Revision: up.Revision}
+	if err := cbor.Unmarshal(up.Whole, &st.Changes); err != nil {
+		return 0, eris.Wrap(err, "decode state")
+	}
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.replace(st)
+	if ga.fresh.Relayed(sent, up.Age) {
+		ga.regained()
+	}
+	return up.Revision, nil
+}
+
+// wholeState returns everything that a gateway needs to begin from, as changes. Tallies
+// are left out: each gateway tells its own again. The lock is held.
+func (ga *Gateway) wholeState() []Change {
+	var all []Change
+	if ga.document != nil {
+		all = append(all, Change{Document: ga.document})
+	}
+	for _, se := range ga.servers.Listed() {
+		all = append(all, Change{Server: se})
+	}
+	for _, ph := range ga.phases {
+		all = append(all, Change{Phase: &ph})
+	}
+	for _, ro := range ga.rollouts {
+		all = append(all, Change{Order: &ro.order})
+	}
+	for _, me := range ga.members {
+		all = append(all, Change{Member: &me})
+	}
+	return all
+}
+
+// unknown answers a gateway to whose revision the history does not reach back. The lock is
+// held.
+func (ga *Gateway) unknown(age time.Duration) relay.Update {
+	up := relay.Update{Revision: ga.history.Revision(), Age: age, Unknown: true}
+	if !ga.stateRead || !ga.plan.Watches(ga.memberList()) {
+		return up
+	}
+	whole, err := cbor.Marshal(ga.wholeState())
+	if err != nil {
+		ga.Log.Error().Int("event", int(event.RelayFailed)).Err(err).Msg(event.Name(event.RelayFailed))
+		return up
+	}
+	up.Whole = whole
+	return up
+}
+
+// askWait returns how long a watcher may hold its answer.
+func (ga *Gateway) askWait() time.Duration {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if ga.serves(time.Now()) {
+		return relayWait / 2
+	}
+	return relayWait
+}
+
 // mayCatchUp reports whether the service is to be called once since the watcher does
 // not know the revision.
 func (ga *Gateway) mayCatchUp(now time.Time) bool {
@@ -97,16 +165,23 @@
 func (ga *Gateway) leaveWatcher(wa relay.Member, why error) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.plan.Failed(wa.Box, time.Now())
+	if errors.Is(why, errOld) {
+		ga.plan.Old(wa.Box, time.Now())
+	} else {
+		ga.plan.Failed(wa.Box, time.Now())
+	}
 	ga.Log.Warn().Int("event", int(event.WatcherFailed)).Str("watcher", wa.Box).Dur("age_ms", ga.fresh.Age(time.Now())).
 		Err(why).Msg(event.Name(event.WatcherFailed))
 }
 
-// serves reports whether other gateways may ask this one for changes.
-func (ga *Gateway) serves() bool {
-	ga.mu.Lock()
-	defer ga.mu.Unlock()
-	return ga.plan.Serves(ga.memberList())
+// askedFor is how long a gateway keeps changes for others after one has asked it: some
+// times as long as between two questions of one that goes on.
+const askedFor = 10 * relayWait
+
+// serves reports whether other gateways may ask this one for changes, or do. The lock is
+// held.
+func (ga *Gateway) serves(now time.Time) bool {
+	return ga.plan.Serves(ga.memberList()) || now.Sub(ga.asked) < askedFor
 }
 
 // Updates answers another gateway that asks for changes.
@@ -115,11 +190,16 @@
 	defer over.Stop()
 	for waiting := true; ; {
 		ga.mu.Lock()
+		ga.asked = time.Now()
 		batches, to, ok := ga.history.Since(rq.After)
-		age, changed := ga.fresh.Age(time.Now()), ga.changed
+		age, changed := ga.fresh.Age(ga.asked), ga.changed
+		if !ok {
+			defer ga.mu.Unlock()
+			return ga.unknown(age)
+		}
 		ga.mu.Unlock()
-		if !ok || len(batches) > 0 || age > relayAge || !waiting {
-			return relay.Update{Revision: to, Age: age, Batches: batches, Unknown: !ok}
+		if len(batches) > 0 || age > relayAge || !waiting {
+			return relay.Update{Revision: to, Age: age, Batches: batches}
 		}
 		select {
 		case <-changed:
--- a/internal/gateway/relayed_test.go
+++ b/internal/gateway/relayed_test.go
@@ -14,8 +14,10 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/rollout"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
 )
 
@@ -96,7 +98,7 @@
 
 func (view) Store(context.Context, Order, StoredPhase) (bool, error) { return true, nil }
 
-func (view) Tell(context.Context, Tally) error { return nil }
+func (view) Tell(context.Context, string, []Tally) error { return nil }
 
 // relaying is three gateways of one data centre, of which a and b watch for c.
 type relaying struct {
@@ -180,8 +182,14 @@
 			cancel()
 			<-done
 		})
-		re.eventually(t, box+" joins", func() bool { return re.hasMember("a", box) })
+		if box != "c" {
+			re.eventually(t, box+" joins", func() bool { return re.hasMember("a", box) })
+		}
 	}
+	re.eventually(t, "all are counted", func() bool {
+		return re.size("a") == 3 && re.size("b") == 3 && re.size("c") == 3
+	})
+	require.False(t, re.hasMember("a", "c"), "two that watch are enough")
 	re.eventually(t, "c asks a watcher", func() bool {
 		before := re.kept.watchesOfC()
 		time.Sleep(2 * watchMost)
@@ -204,6 +212,14 @@
 	return ok
 }
 
+// size returns how many gateways one of them counts.
+func (re *relaying) size(box string) int {
+	ga := re.gateways[box]
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.size
+}
+
 func (re *relaying) configure(version uint64) {
 	re.kept.add(Change{Document: &routing.Document{Version: version, Teams: []routing.Team{{Name: "t", Keys: []string{"k"}}}}})
 }
@@ -279,7 +295,7 @@
 		return Change{Member: &relay.Member{Box: box, DataCentre: "dc", Address: "127.0.0.1:1"}}
 	}
 	now := time.Now()
-	ga.replace(State{Revision: 5, Changes: []Change{member("a"), member("b")}}, now)
+	ga.takeRead(State{Revision: 5, Changes: []Change{member("a"), member("b")}}, now)
 	ga.apply(State{Revision: 7, Changes: []Change{member("c")}}, now, time.Second, now)
 	up := ga.Updates(t.Context(), relay.Request{After: 5})
 	require.True(t, up.Unknown || len(up.Batches) > 0, "revision 7 brought a member")
@@ -288,3 +304,48 @@
 	require.False(t, up.Unknown)
 	require.Len(t, up.Batches, 1)
 }
+
+// A watcher that is gone for good is replaced by one of those that asked it, once its
+// membership has run out.
+func TestAWatcherThatIsGoneIsReplaced(t *testing.T) {
+	re := newRelaying(t)
+	re.deafen("b")
+	re.kept.add(Change{MemberGone: "b"})
+	re.eventually(t, "c joins", func() bool { return re.hasMember("a", "c") })
+	re.configure(2)
+	re.inForce(t, "c", 2)
+}
+
+// A gateway whose revision a watcher's history does not reach gets the whole state from it
+// and goes on from there, without a call to the service.
+func TestAWatcherBringsUpWhoIsBehind(t *testing.T) {
+	wa := &Gateway{Log: zerolog.Nop(), Box: "a", DataCentre: "dc"}
+	wa.prepare()
+	now := time.Now()
+	phase := StoredPhase{Service: "s", Order: 4, Phase: rollout.Trying, Revision: 5, Version: "v2"}
+	wa.takeRead(State{Revision: 9, Changes: []Change{
+		{Document: &routing.Document{Version: 3, Teams: []routing.Team{{Name: "t", Keys: []string{"k"}}}}},
+		{Server: &directory.Server{ID: "x", Service: "s", Version: "v2"}},
+		{Order: &Order{Revision: 4, Plan: rollout.Plan{Service: "s", Version: "v2", Within: time.Minute}}},
+		{Phase: &phase},
+		{Member: &relay.Member{Box: "a", DataCentre: "dc", Address: "127.0.0.1:1"}},
+	}}, now)
+	up := wa.Updates(t.Context(), relay.Request{After: 2})
+	require.NotEmpty(t, up.Whole)
+
+	ga := &Gateway{Log: zerolog.Nop(), Box: "b", DataCentre: "dc"}
+	ga.prepare()
+	ga.takeRead(State{Revision: 2, Changes: []Change{{Server: &directory.Server{ID: "gone", Service: "s"}}}}, now)
+	at, err := ga.takeWhole(up, now)
+	require.NoError(t, err)
+	require.Equal(t, uint64(9), at)
+	require.Equal(t, uint64(3), ga.Table().Version())
+	require.NotNil(t, ga.servers.Get("x"))
+	require.Nil(t, ga.servers.Get("gone"))
+	require.Equal(t, rollout.Trying, ga.rollouts["s"].canary.Phase())
+	require.Contains(t, ga.members, "a")
+
+	_, err = ga.takeWhole(relay.Update{Whole: []byte{1, 2}}, now)
+	require.Error(t, err)
+	require.Equal(t, uint64(3), ga.Table().Version(), "what can't be read changes nothing")
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -12,8 +12,14 @@
 	"github.com/linnetrudder/linnetrudder/internal/rollout"
 )
 
-// writeEvery is the least time between two tries to store a phase.
-const writeEvery = 300 * time.Millisecond
+const (
+	// writeEvery is the least time between two tries to store a phase.
+	writeEvery = 300 * time.Millisecond
+	// mostWriteEvery is that time after some tries that kept nothing: a gateway that is cut
+	// off hears of no phase, and has old revisions to compare with. 36 of them made 600
+	// calls in 12 s.
+	mostWriteEvery = 1200 * time.Millisecond
+)
 
 // timedRollout is the newest roll-out of a service.
 type timedRollout struct {
@@ -24,12 +30,22 @@
 	// due is the phase that is to be stored, dueSince when it became so.
 	due      rollout.Phase
 	dueSince time.Time
-	// tried is when the phase was last tried to be stored.
+	// tried is when the phase was last tried to be stored, pause the least time until the
+	// next try.
 	tried time.Time
+	pause time.Duration
 	// toldBad and toldTried are the bad answers and outcomes that the other
 	// gateways were told of, at toldAt.
 	toldBad, toldTried int
 	toldAt             time.Time
+	// outbox is the own tally that the others are still to hear of, handed the one in the
+	// last report.
+	outbox, handed *Tally
+	// gathered holds the tallies of gateways that report to this one, by process; more is
+	// set if some came since they were written last, at wroteAt.
+	gathered map[string]Tally
+	more     bool
+	wroteAt  time.Time
 	// storing is true while a call is in progress.
 	storing bool
 }
@@ -55,10 +71,10 @@
 // besides its share; none where it does not know how many gateways there are. The lock
 // is held.
 func (ga *Gateway) ownExtra() float64 {
-	if len(ga.members) == 0 {
+	if ga.size == 0 {
 		return 0
 	}
-	return ga.Bounds.CanaryExtra / float64(len(ga.members))
+	return ga.Bounds.CanaryExtra / float64(ga.size)
 }
 
 // withdrawnFor returns the versions that get nothing while an order is carried out
@@ -87,7 +103,7 @@
 	}
 	ga.phases[ph.Service] = ph
 	if ro := ga.rollouts[ph.Service]; ro != nil && ro.order.Revision == ph.Order {
-		ro.withdrawn, ro.due = ph.Withdrawn, ""
+		ro.withdrawn, ro.due, ro.pause = ph.Withdrawn, "", writeEvery
 		ga.take(ro, ph)
 	}
 }
@@ -175,7 +191,7 @@
 		ga.tell(ctx, ro, now)
 		ga.settle(ro, now)
 		ph, due := ga.dueFor(ro, now)
-		if !due || ro.storing || now.Sub(ro.tried) < writeEvery || !ga.inTurn(ro, ph.Phase, now) {
+		if !due || ro.storing || now.Sub(ro.tried) < ro.pause || !ga.inTurn(ro, ph.Phase, now) {
 			continue
 		}
 		ro.tried, ro.storing = now, true
@@ -194,7 +210,7 @@
 		ph = rollout.Waiting
 	}
 	boxes := slices.Collect(maps.Keys(ga.members))
-	return now.Sub(ro.dueSince) >= rollout.Turn(ga.Box, boxes, ro.order.Revision, ph)
+	return now.Sub(ro.dueSince) >= rollout.Turn(ga.Box, boxes, ga.size, ro.order.Revision, ph)
 }
 
 // elapsedEvery is how old what is kept of a trial's age may be. A process that starts in
@@ -225,10 +241,15 @@
 	return next, due || !known || kept.Phase != next.Phase || ga.isOld(ro, kept, next, now)
 }
 
-// isOld reports whether what is kept of the time that has passed is to be renewed. Near
-// a decision it is not: two writes at once, and the decision would have to wait.
+// isOld reports whether what is kept of the time that has passed is to be renewed here. Near
+// a decision it is not: two writes at once, and the decision would have to wait. Of many
+// gateways the watchers renew it, which hear first whether one of them has, and while the
+// service does not answer nobody does.
 func (ga *Gateway) isOld(ro *timedRollout, kept, next StoredPhase, now time.Time) bool {
 	tried := next.Phase == rollout.Waiting || next.Phase == rollout.Trying
+	if ga.fresh.Failing() || !ga.plan.Watches(ga.memberList()) {
+		return false
+	}
 	return tried && !ro.canary.Deciding(now) && next.Elapsed-kept.Elapsed >= elapsedEvery
 }
 
@@ -237,6 +258,9 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ro.storing = false
+	if !kept {
+		ro.pause = min(mostWriteEvery, 2*max(writeEvery, ro.pause))
+	}
 	level := ga.Log.Info()
 	if err != nil {
 		level = ga.Log.Warn().Err(err)
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -118,7 +121,7 @@
 		Routes: map[string]rollout.RouteOutcomes{"r": {Tried: 9, Bad: 8, Servers: []string{"a", "b", "c"}}},
 	}}
 	own := bad
-	own.Box = "own"
+	own.Box, own.Life = "own", ga.life
 	ga.tallied(own)
 	settle(ga, ro)
 	require.Equal(t, rollout.Trying, ro.canary.Phase(), "what it told itself is not counted twice")
@@ -244,13 +247,68 @@
 	require.False(t, due, "no write just before the shift: %v", late)
 }
 
+// What gateways tell of a new version is written by their collector, for all of them.
+func TestACollectorWritesTheTalliesOfItsGateways(t *testing.T) {
+	te := &told{}
+	collector, of := rolling(t)
+	collector.Source, collector.Box = te, "a"
+	leaf, ro := rolling(t)
+	leaf.Source, leaf.Box = te, "b"
+	now := time.Now()
+	leaf.reported = now
+	leaf.observe(directory.Server{ID: "x", Service: "s", Version: "v2"}, "r", true)
+	leaf.tell(t.Context(), ro, now)
+	re := leaf.report(false)
+	require.NotEmpty(t, re.Tallies, "it goes with the report")
+	collector.Reported(re)
+	leaf.tookReport(re, now)
+	require.Empty(t, leaf.report(false).Tallies, "once")
+	require.Equal(t, 1, of.canary.BadKnown(), "the collector knows at once")
+
+	collector.tell(t.Context(), of, now.Add(time.Second))
+	require.Eventually(t, func() bool { return len(te.all()) == 2 }, 5*time.Second, time.Millisecond)
+	third, by := rolling(t)
+	for _, ta := range te.all() {
+		third.tallied(ta)
+	}
+	require.Equal(t, 1, by.canary.BadKnown())
+	third.tallied(Tally{Service: "s", Order: 7, Box: "b", Life: leaf.life})
+	third.tallied(te.all()[0])
+	require.Equal(t, 1, by.canary.BadKnown(), "what is older, or came on another way, is not counted again")
+
+	leaf.reported = now.Add(-time.Minute)
+	leaf.observe(directory.Server{ID: "y", Service: "s", Version: "v2"}, "r", true)
+	leaf.tell(t.Context(), ro, now.Add(time.Minute))
+	require.Eventually(t, func() bool { return len(te.all()) == 3 }, 5*time.Second, time.Millisecond, "without a collector it writes itself")
+}
+
+// told is a source that remembers what it was told.
+type told struct {
+	script
+	mu      sync.Mutex
+	tallies []Tally
+}
+
+func (te *told) Tell(_ context.Context, _ string, tallies []Tally) error {
+	te.mu.Lock()
+	defer te.mu.Unlock()
+	te.tallies = append(te.tallies, tallies...)
+	return nil
+}
+
+func (te *told) all() []Tally {
+	te.mu.Lock()
+	defer te.mu.Unlock()
+	return slices.Clone(te.tallies)
+}
+
 // At 400 gateways that all have something to tell, the store must bear it.
 func TestTalliesOfAllGatewaysStayWithinWhatTheStoreBears(t *testing.T) {
 	for _, n := range []int{3, 30, 400} {
 		ga, ro := rolling(t)
 		for i := range n {
 			box := fmt.Sprint("box", i)
-			ga.members[box] = relay.Member{Box: box}
+			ga.joined(relay.Member{Box: box})
 		}
 		now, told := time.Now(), 0
 		for range 1000 {
@@ -266,3 +324,24 @@
 		require.GreaterOrEqual(t, told, 5)
 	}
 }
+
+// Seen with a hundred gateways of which a third were cut off: each of them tried to renew
+// the time that had passed three times a second.
+func TestWhatCanNotBeStoredIsTriedLessOften(t *testing.T) {
+	ga, ro := rolling(t)
+	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Trying, Revision: 9})
+	old := ro.canary.Began.Add(4 * elapsedEvery)
+	_, due := ga.dueFor(ro, old)
+	require.True(t, due)
+	ga.fresh.Failed()
+	_, due = ga.dueFor(ro, old)
+	require.False(t, due, "the service does not answer")
+
+	ga.Source = &script{cut: true}
+	for want := 2 * writeEvery; want <= 2*mostWriteEvery; want *= 2 {
+		ga.store(t.Context(), ro, StoredPhase{Service: "s"})
+		require.Equal(t, min(want, mostWriteEvery), ro.pause)
+	}
+	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Trying, Revision: 10})
+	require.Equal(t, writeEvery, ro.pause, "news of others")
+}
--- a/internal/gateway/tallies.go
+++ b/internal/gateway/tallies.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/linnetrudder/linnetrudder/internal/event"
 )
 
@@ -32,34 +36,104 @@
 	case ro.over() || ro.canary.OwnTried() == ro.toldTried:
 		return false
 	case bad > ro.toldBad:
-		return since >= max(tellEvery, tellSpacing*time.Duration(len(ga.members)))
+		return since >= max(tellEvery, tellSpacing*time.Duration(ga.size))
 	case ro.canary.Deciding(now):
-		return since >= max(decideEvery, tellSpacing*time.Duration(len(ga.members)))
+		return since >= max(decideEvery, tellSpacing*time.Duration(ga.size))
 	default:
 		return ro.canary.BadKnown() >= answerFromBad && (ro.toldTried == 0 || since >= answerEvery)
 	}
 }
 
-// tell lets the other gateways know of outcomes; the lock is held.
+// tell lets the other gateways know of outcomes. One that reports to a collector leaves it
+// to that, which writes the tallies of all its gateways at once: 103 gateways made 332
+// calls for a roll-out, each for itself. The lock is held.
 func (ga *Gateway) tell(ctx context.Context, ro *timedRollout, now time.Time) {
-	if !ga.mayTell(ro, now) {
+	mayTell := ga.mayTell(ro, now)
+	if mayTell {
+		_, bad := ro.canary.Counts()
+		ro.toldBad, ro.toldTried, ro.toldAt = bad, ro.canary.OwnTried(), now
+		ro.outbox = ga.ownTally(ro)
+	}
+	if now.Sub(ga.reported) < loadKept {
+		return // it goes with the next report
+	}
+	if ro.outbox == nil && (!ro.more || now.Sub(ro.wroteAt) < tellEvery) {
 		return
 	}
-	_, bad := ro.canary.Counts()
-	ro.toldBad, ro.toldTried, ro.toldAt = bad, ro.canary.OwnTried(), now
-	ta := Tally{Service: ro.order.Plan.Service, Order: ro.order.Revision, Box: ga.Box, Outcomes: ro.canary.Own()}
+	tallies := append(slices.Collect(maps.Values(ro.gathered)), *ga.ownTally(ro))
+	ro.outbox, ro.more, ro.wroteAt = nil, false, now
 	go func() {
-		if err := ga.Source.Tell(ctx, ta); err != nil {
-			ga.Log.Warn().Int("event", int(event.StoreCallFailed)).Str("service", ta.Service).Err(err).Msg(event.Name(event.StoreCallFailed))
+		if err := ga.Source.Tell(ctx, ga.Box, tallies); err != nil {
+			ga.Log.Warn().Int("event", int(event.StoreCallFailed)).Str("service", ro.order.Plan.Service).Err(err).Msg(event.Name(event.StoreCallFailed))
 		}
 	}()
 }
 
+// ownTally returns what this gateway tells of a roll-out; the lock is held.
+func (ga *Gateway) ownTally(ro *timedRollout) *Tally {
+	return &Tally{
+		Service: ro.order.Plan.Service, Order: ro.order.Revision, Box: ga.Box, Life: ga.life, Outcomes: ro.canary.Own(),
+	}
+}
+
 // tallied takes what another gateway tells of a new version; the lock is held.
 func (ga *Gateway) tallied(ta Tally) {
 	ro := ga.rollouts[ta.Service]
-	if ro == nil || ro.order.Revision != ta.Order || ta.Box == ga.Box || ro.over() {
+	if ro == nil || ro.order.Revision != ta.Order || ta.Box == ga.Box && ta.Life == ga.life || ro.over() {
+		return
+	}
+	ro.canary.Merge(ta.teller(), ta.Outcomes)
+}
+
+// outgoing returns the tallies that go with a report; the lock is held.
+func (ga *Gateway) outgoing() []byte {
+	var tallies []Tally
+	for _, ro := range ga.rollouts {
+		if ro.outbox != nil {
+			tallies = append(tallies, *ro.outbox)
+		}
+		ro.handed = ro.outbox
+	}
+	if len(tallies) == 0 {
+		return nil
+	}
+	data, err := cbor.Marshal(tallies)
+	if err != nil {
+		ga.Log.Error().Int("event", int(event.RelayFailed)).Err(err).Msg(event.Name(event.RelayFailed))
+	}
+	return data
+}
+
+// handedOver notes that a collector has the tallies of the last report; one that came since
+// is kept. The lock is held.
+func (ga *Gateway) handedOver() {
+	for _, ro := range ga.rollouts {
+		if ro.outbox == ro.handed {
+			ro.outbox = nil
+		}
+	}
+}
+
+// gather takes the tallies of a gateway that reports to this one; the lock is held.
+func (ga *Gateway) gather(data []byte) {
+	if len(data) == 0 {
+		return
+	}
+	var tallies []Tally
+	if err := cbor.Unmarshal(data, &tallies); err != nil {
+		ga.Log.Error().Int("event", int(event.RelayFailed)).Err(err).Msg(event.Name(event.RelayFailed))
 		return
 	}
-	ro.canary.Merge(ta.Box, ta.Outcomes)
+	for _, ta := range tallies {
+		ga.tallied(ta)
+		ro := ga.rollouts[ta.Service]
+		if ro == nil || ro.order.Revision != ta.Order {
+			continue
+		}
+		if ro.gathered == nil {
+			ro.gathered = map[string]Tally{}
+		}
+		ro.gathered[ta.teller()] = ta
+		ro.more = true
+	}
 }
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -155,8 +156,8 @@
 	Order *Order
 	// Phase is how far gateways are with a roll-out.
 	Phase *StoredPhase
-	// Tally is what a gateway tells of a new version.
-	Tally *Tally
+	// Tallies is what gateways tell of a new version.
+	Tallies []Tally
 	// Member is a gateway that is a member; MemberGone the box of one that is not any
 	// more.
 	Member     *relay.Member
@@ -189,16 +190,21 @@
 	Revision uint64
 }
 
-// Tally is what one gateway tells the others of the version being rolled out.
+// Tally is what one gateway tells the others of the version being rolled out, from its
+// start on.
 type Tally struct {
 	Service string
 	// Order is the revision of the order that it belongs to.
 	Order uint64
-	// Box is the gateway's.
+	// Box is the gateway's, Life tells its processes apart that ran one after the other.
 	Box      string
+	Life     uint64
 	Outcomes rollout.Outcomes
 }
 
+// teller names the process that a tally is of.
+func (ta *Tally) teller() string { return ta.Box + "/" + strconv.FormatUint(ta.Life, 36) }
+
 // ErrHistoryGone means that a watch cannot go on from its revision.
 var ErrHistoryGone = eris.New("the history of the key-value service does not reach back")
 
@@ -218,8 +224,9 @@
 	// Store keeps a phase if the stored one still has the revision that it
 	// names. It reports whether it does.
 	Store(ctx context.Context, or Order, ph StoredPhase) (bool, error)
-	// Tell keeps a tally in place of the box's last one.
-	Tell(ctx context.Context, ta Tally) error
+	// Tell keeps tallies of one roll-out, the own one and those of gateways that report to
+	// this one, in place of the box's last ones.
+	Tell(ctx context.Context, box string, tallies []Tally) error
 	// Join makes a gateway a member for as long as the lease is renewed.
 	Join(ctx context.Context, me relay.Member, ttl time.Duration) (Lease, error)
 	// Renew renews a lease; it returns ErrLeaseOver if there is none any more.
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -69,6 +69,8 @@
 type report struct {
 	work Work
 	at   time.Time
+	// gateways is how many gateways the work is of, zero if that was not told.
+	gateways int
 }
 
 // Table holds the newest report of each other gateway. The zero value holds none.
@@ -86,7 +88,7 @@
 func (ta *Table) TakeMember(box string, wo Work, now time.Time) {
 	ta.prepare()
 	ta.dropMember(box)
-	ta.members[box] = report{wo, now}
+	ta.members[box] = report{work: wo, at: now, gateways: 1}
 	ta.ofMembers.add(wo)
 	ta.ofAll.add(wo)
 }
@@ -95,10 +97,30 @@
 func (ta *Table) TakeGroup(box string, wo Work, now time.Time) {
 	ta.prepare()
 	ta.dropGroup(box)
-	ta.groups[box] = report{wo, now}
+	ta.groups[box] = report{work: wo, at: now}
 	ta.ofAll.add(wo)
 }
 
+// CountGroup notes how many gateways the newest report of a collector is of.
+func (ta *Table) CountGroup(box string, gateways int) {
+	if re, ok := ta.groups[box]; ok {
+		re.gateways = gateways
+		ta.groups[box] = re
+	}
+}
+
+// GroupSize returns how many gateways the sum that Group returns is of.
+func (ta *Table) GroupSize() int { return 1 + len(ta.members) }
+
+// Others returns how many other gateways have reported, themselves or through a collector.
+func (ta *Table) Others() int {
+	others := len(ta.members)
+	for _, re := range ta.groups {
+		others += re.gateways
+	}
+	return others
+}
+
 func (ta *Table) prepare() {
 	if ta.members == nil {
 		ta.members, ta.groups = map[string]report{}, map[string]report{}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -82,10 +82,10 @@
 			switch rapid.IntRange(0, 2).Draw(rt, "what") {
 			case 0:
 				ta.TakeMember(box, wo, at)
-				na.members[box] = report{wo, at}
+				na.members[box] = report{work: wo, at: at}
 			case 1:
 				ta.TakeGroup(box, wo, at)
-				na.groups[box] = report{wo, at}
+				na.groups[box] = report{work: wo, at: at}
 			default:
 				before := at.Add(-500 * time.Millisecond)
 				ta.Expire(before)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -31,6 +31,9 @@
 	Batches []Batch `cbor:"3,keyasint,omitempty"`
 	// Unknown is set if the watcher's history does not reach back to the revision.
 	Unknown bool `cbor:"4,keyasint,omitempty"`
+	// Whole holds the whole state as the watcher encoded it, where it keeps one for others
+	// and its history does not reach back.
+	Whole []byte `cbor:"5,keyasint,omitempty"`
 }
 
 // Batch is changes that came together. The fields are exported because the codec
@@ -59,6 +62,11 @@
 	Work      load.Work `cbor:"3,keyasint,omitempty"`
 	// Ready is set if the sender serves new callers.
 	Ready bool `cbor:"4,keyasint,omitempty"`
+	// Gateways is how many gateways Work is of.
+	Gateways int `cbor:"5,keyasint,omitempty"`
+	// Tallies is what the sender tells of versions being rolled out, as it encoded it, for
+	// the collector to pass on.
+	Tallies []byte `cbor:"6,keyasint,omitempty"`
 }
 
 // Loads takes reports.
@@ -83,6 +91,9 @@
 // Reset forgets all changes and begins at a revision.
 func (hi *History) Reset(revision uint64) { hi.batches, hi.from, hi.to = nil, revision, revision }
 
+// Revision returns the newest revision.
+func (hi *History) Revision() uint64 { return hi.to }
+
 // Add takes changes; a batch without data means that nothing of interest changed.
 func (hi *History) Add(ba Batch) {
 	if ba.To <= hi.to {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -105,6 +105,80 @@
 	}
 }
 
+// Where the service turns a part of the gateways away, the watchers of another data centre
+// may have it; where it answers nobody, the gateways that do not watch hardly call it.
+func TestWatchersOfOtherDataCentresAreAskedBeforeTheServiceAgain(t *testing.T) {
+	all := members(12)
+	pl := Plan{Box: "b09", DataCentre: "dc0"}
+	asked, calls := map[string]bool{}, 0
+	for at := now; at.Before(now.Add(11 * time.Second)); at = at.Add(100 * time.Millisecond) {
+		wa, ok := pl.Watcher(all, at)
+		if !ok {
+			calls++
+			pl.ServiceFailed(at)
+			continue
+		}
+		asked[wa.Box] = true
+		pl.Old(wa.Box, at)
+	}
+	require.Len(t, asked, 6, "all watchers")
+	require.LessOrEqual(t, calls, 3)
+	require.GreaterOrEqual(t, calls, 2, "the service may answer only this one")
+}
+
+// Calls to the service grew with the data centres: ten watchers of five made two thirds of
+// all calls of a fleet of 103 gateways in its calm time.
+func TestInManyDataCentresFewWatchersCallTheService(t *testing.T) {
+	for centres := 4; centres <= 9; centres++ {
+		var all []Member
+		for i := range 5 * centres {
+			all = append(all, Member{Box: fmt.Sprintf("b%02d", i), DataCentre: fmt.Sprint("dc", i%centres), Address: "a"})
+		}
+		calling := map[string]bool{}
+		for _, me := range all {
+			pl := Plan{Box: me.Box, DataCentre: me.DataCentre}
+			wa, ok := pl.Watcher(all, now)
+			if !ok {
+				calling[me.DataCentre] = true
+				continue
+			}
+			second := Plan{Box: wa.Box, DataCentre: wa.DataCentre}
+			if root, ok := second.Watcher(all, now); ok {
+				third := Plan{Box: root.Box, DataCentre: root.DataCentre}
+				_, ok = third.Watcher(all, now)
+				require.False(t, ok, "whom watchers ask calls the service")
+			}
+		}
+		require.Len(t, calling, roots, "of unlike data centres")
+	}
+}
+
+func TestAWatcherWhoseRootsFailCallsTheService(t *testing.T) {
+	var all []Member
+	for i := range 20 {
+		all = append(all, Member{Box: fmt.Sprintf("b%02d", i), DataCentre: fmt.Sprint("dc", i%5), Address: "a"})
+	}
+	pl := Plan{Box: "b04", DataCentre: "dc4"}
+	for range roots {
+		wa, ok := pl.Watcher(all, now)
+		require.True(t, ok)
+		pl.Failed(wa.Box, now)
+	}
+	_, ok := pl.Watcher(all, now)
+	require.False(t, ok)
+}
+
+func TestOnlyWhoIsNeededJoins(t *testing.T) {
+	all := members(6) // two in each of three data centres
+	pl := Plan{Box: "b09", DataCentre: "dc0"}
+	require.False(t, pl.Needed(all, 0), "two are there")
+	require.True(t, pl.Needed(all, 1), "a larger link")
+	require.True(t, pl.Needed(all[1:], 0), "one is missing")
+	require.True(t, pl.Needed(nil, 0))
+	again := Plan{Box: "b00", DataCentre: "dc0"}
+	require.True(t, again.Needed(append(all, Member{Box: "b06", DataCentre: "dc0", Address: "a"}), 0), "a watcher that was restarted")
+}
+
 func TestCatchingUpTakesOneCall(t *testing.T) {
 	var pl Plan
 	require.True(t, pl.CatchUp(now))
--- a/internal/rollout/turn_test.go
+++ b/internal/rollout/turn_test.go
@@ -21,7 +21,7 @@
 	for order := range uint64(50) {
 		turns := map[time.Duration]int{}
 		for _, box := range all {
-			wait := Turn(box, all, order, Waiting)
+			wait := Turn(box, all, len(all), order, Waiting)
 			turns[wait]++
 			if wait == 0 {
 				firsts[box] = true
@@ -37,12 +37,30 @@
 func TestLaterPhasesAreStoredAtOnce(t *testing.T) {
 	for _, box := range boxes(5) {
 		for _, ph := range []Phase{Trying, Shifting, Complete, Failed} {
-			require.Zero(t, Turn(box, boxes(5), 7, ph))
+			require.Zero(t, Turn(box, boxes(5), 5, 7, ph))
 		}
 	}
 }
 
 func TestAGatewayThatIsNoMemberStoresLast(t *testing.T) {
-	require.Equal(t, 2*turnPause, Turn("new", boxes(5), 7, Waiting))
-	require.Equal(t, 2*turnPause, Turn("new", nil, 7, Waiting), "nor does it know that there is no other")
+	require.Equal(t, 2*turnPause, Turn("new", boxes(5), 6, 7, Waiting))
+	require.Equal(t, 2*turnPause, Turn("new", nil, 1, 7, Waiting), "nor does it know that there is no other")
+}
+
+// A hundred gateways stored each later phase a hundred times.
+func TestOfManyGatewaysFewStoreALaterPhase(t *testing.T) {
+	all := boxes(103)
+	for order := range uint64(20) {
+		first, early := mostSpread, 0
+		for _, box := range all {
+			wait := Turn(box, all, len(all), order, Complete)
+			require.LessOrEqual(t, wait, mostSpread)
+			first = min(first, wait)
+			if wait < 100*time.Millisecond {
+				early++
+			}
+		}
+		require.Less(t, first, 80*time.Millisecond, "the first one hardly waits")
+		require.Less(t, early, 25, "most have heard of it before their time")
+	}
 }
--- a/internal/rollout/verdict.go
+++ b/internal/rollout/verdict.go
@@ -107,6 +107,12 @@
 	return tried, bad
 }
 
+// known returns how many outcomes there are.
+func (ou Outcomes) known() int {
+	tried, _ := ou.tried()
+	return tried + ou.Paced
+}
+
 // Observe takes the outcome of a request that a server of one of the versions
 // answered.
 func (ca *Canary) Observe(server, route string, isNew, bad bool) {
@@ -185,13 +191,16 @@
 
 // OwnTried returns how many outcomes this gateway has to tell.
 func (ca *Canary) OwnTried() int {
-	tried, _ := ca.own.tried()
-	return tried + ca.own.Paced
+	return ca.own.known()
 }
 
-// Merge takes what another gateway tells.
+// Merge takes what another gateway's process tells. What is older than it has told before
+// says nothing: tallies may come on two ways.
 func (ca *Canary) Merge(peer string, out Outcomes) {
 	old := ca.peers[peer]
+	if out.known() < old.known() {
+		return
+	}
 	for name, ro := range out.Routes {
 		fa := ca.route(name)
 		more, bad := ro.Tried-old.Routes[name].Tried, ro.Bad-old.Routes[name].Bad
