feat: explain tells from gateways' logs what became of a request

Cause: on call, the cause of a failed request had to be put together by hand from three kinds of lines of several boxes.

Unknown ids, torn lines and requests without an end each get a clear answer. An entry's address is asked for by the commands that call one only.

--- a/cmd/linnetrudderctl/client.go
+++ b/cmd/linnetrudderctl/client.go
@@ -35,6 +35,9 @@
 // are tried, so that it is made once.
 func (cl *client) call(method, path string, body []byte, into any) error {
 	operation := uuid.NewString()
+	if len(cl.admins) == 0 {
+		return result.New(result.BadSettings, "--admin: name at least one entry")
+	}
 	var last error
 	for _, admin := range cl.admins {
 		last = cl.callOne(admin, method, path, operation, body, into)
--- a/cmd/linnetrudderctl/root.go
+++ b/cmd/linnetrudderctl/root.go
@@ -11,7 +11,7 @@
 
 // root lists the commands; each has a file of its own.
 type root struct {
-	Admin    []string `help:"Admin addresses of entries, IP number and port; the first that answers serves." env:"LINNETRUDDER_ADMIN" required:""`
+	Admin    []string `help:"Admin addresses of entries, IP number and port; the first that answers serves." env:"LINNETRUDDER_ADMIN"`
 	Key      string   `help:"Operator key." env:"LINNETRUDDER_KEY"`
 	Operator string   `help:"Name that is kept with a change." env:"LINNETRUDDER_OPERATOR" default:"operator"`
 	JSON     bool     `help:"Print JSON."`
@@ -26,7 +26,7 @@
 	Status   statusCmd   `cmd:"" help:"Show which box has which revision in force."`
 	Bill     billCmd     `cmd:"" help:"Sum up the bills by team and version."`
 	Timeline timelineCmd `cmd:"" help:"Merge the time lines of all processes. Example: linnetrudderctl timeline --request ID"`
-	Explain  explainCmd  `cmd:"" help:"Show why a request would go where. Example: linnetrudderctl explain --team kitchen-a --model auto --kind menu"`
+	Explain  explainCmd  `cmd:"" help:"Show why a request would go where, or what became of one. Examples: linnetrudderctl explain --team kitchen-a --model auto --kind menu; linnetrudderctl explain --request ID --logs a.log --logs b.log"`
 }
 
 // printer writes a command's outcome.
--- a/cmd/linnetrudderctl/root_test.go
+++ b/cmd/linnetrudderctl/root_test.go
@@ -143,3 +143,23 @@
 	require.Contains(t, out, "removed models/old")
 	require.Contains(t, out, "added teams/kitchen-a")
 }
+
+func TestExplainTellsFromLogs(t *testing.T) {
+	dir := t.TempDir()
+	log := filepath.Join(dir, "a.log")
+	require.NoError(t, os.WriteFile(log, []byte(`{"box":"a","event":801,"error":"reset","time":"2026-01-01T00:00:01Z"}
+{"box":"a","event":205,"request":"x","code":409,"age_ms":4000,"time":"2026-01-01T00:00:05Z"}
+{"box":"a","event":20`), 0o600))
+	var out, errOut bytes.Buffer
+	require.Equal(t, command.OK, execute([]string{"explain", "--request", "x", "--logs", log}, &out, &errOut), errOut.String())
+	require.Contains(t, out.String(), "Cause: the configuration might be 4.0 s old")
+	require.Contains(t, out.String(), "1 torn lines")
+	require.NotEqual(t, command.OK, execute([]string{"explain", "--request", "y", "--logs", log}, &out, &errOut))
+	require.Contains(t, errOut.String(), "unknown_request")
+	errOut.Reset()
+	require.NotEqual(t, command.OK, execute([]string{"explain", "--logs", log}, &out, &errOut))
+	require.Contains(t, errOut.String(), "--request")
+	errOut.Reset()
+	require.NotEqual(t, command.OK, execute([]string{"status"}, &out, &errOut), "an entry is needed")
+	require.Contains(t, errOut.String(), "--admin")
+}
--- /dev/null
+++ b/internal/story/story_test.go
@@ -0,0 +1,90 @@
+package story
+
+import (
+	"bytes"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/linnetrudder/linnetrudder/internal/result"
+)
+
+// played returns lines of gateways' logs of a day of trouble.
+func played(t *testing.T) []string {
+	t.Helper()
+	data, err := os.ReadFile("testdata/day.log")
+	require.NoError(t, err)
+	return strings.Split(strings.TrimSpace(string(data)), "\n")
+}
+
+func tell(t *testing.T, request string, lines []string) string {
+	t.Helper()
+	st := Story{Request: request}
+	require.NoError(t, st.Read(strings.NewReader(strings.Join(lines, "\n"))))
+	told, err := st.Tell()
+	require.NoError(t, err)
+	return strings.Join(told, "\n")
+}
+
+func TestTheCauseIsToldInWords(t *testing.T) {
+	for _, tc := range []struct{ request, code, cause string }{
+		{"687e5a143067f135", "stale_configuration (409)", "might be 2.5 s old"},
+		{"934b540c1d7ee46b", "link_lost (500)", "the time was over; the last attempt was at i-1cb7e03aec"},
+		{"94b7ae6032c8591a", "ok (100)", "none, it was answered"},
+	} {
+		told := tell(t, tc.request, played(t))
+		require.Contains(t, told, tc.code)
+		require.Contains(t, told, "Cause: ")
+		require.Contains(t, told, tc.cause)
+	}
+	told := tell(t, "94b7ae6032c8591a", played(t))
+	require.Contains(t, told, "with a confidence of 30; the larger model davo51b035 is asked")
+	require.Contains(t, told, `it goes on at i-86a578930e after event "4"`)
+}
+
+func TestAStaleConfigurationIsTracedToTheService(t *testing.T) {
+	lines := []string{
+		`{"box":"a","event":801,"error":"reset by peer","time":"2026-01-01T00:00:01Z"}`,
+		`{"box":"b","event":802,"time":"2026-01-01T00:00:04Z"}`,
+		`{"box":"a","event":205,"request":"x","code":409,"age_ms":4000,"time":"2026-01-01T00:00:05Z"}`,
+	}
+	require.Contains(t, tell(t, "x", lines), "silent at a for 4s: reset by peer")
+}
+
+func TestLinesOfSeveralBoxesMayComeInAnyOrder(t *testing.T) {
+	lines := played(t)
+	want := tell(t, "94b7ae6032c8591a", lines)
+	slices.Reverse(lines)
+	require.Equal(t, want, tell(t, "94b7ae6032c8591a", lines))
+}
+
+func TestWhatTheLogsDoNotKnowIsSaid(t *testing.T) {
+	st := Story{Request: "nobody"}
+	lines := append(played(t), `{"box":"a","event":205,"request":"nob`, "no log at all")
+	require.NoError(t, st.Read(strings.NewReader(strings.Join(lines, "\n"))))
+	require.Equal(t, 1, st.Torn())
+	_, err := st.Tell()
+	var er *result.Error
+	require.ErrorAs(t, err, &er)
+	require.Equal(t, result.UnknownRequest, er.Code())
+	require.Contains(t, er.Detail(), "1 torn")
+}
+
+func TestARequestWithoutItsEndIsSaidToBeCut(t *testing.T) {
+	lines := played(t)
+	require.Contains(t, tell(t, "94b7ae6032c8591a", lines[:len(lines)-1]), "no line on its end")
+}
+
+func FuzzAnyLogIsRead(f *testing.F) {
+	f.Add([]byte(`{"event":205,"request":"x","code":409,"time":"2026-01-01T00:00:05Z"}`))
+	f.Add([]byte("  1.5 box {\"event\":"))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		st := Story{Request: "x"}
+		if st.Read(bytes.NewReader(data)) == nil {
+			_, _ = st.Tell()
+		}
+	})
+}
