--- a/internal/gateway/tallies.go
+++ b/internal/gateway/tallies.go
@@ -48,8 +48,11 @@
 // to that, which writes the tallies of all its gateways at once: 103 gateways made 332
 // calls for a roll-out, each for itself. The lock is held.
 func (ga *Gateway) tell(ctx context.Context, ro *timedRollout, now time.Time) {
-	mayTell := ga.mayTell(ro, now)
-	if mayTell {
+	if ro.over() {
+		ro.outbox, ro.more = nil, false
+		return
+	}
+	if ga.mayTell(ro, now) {
 		_, bad := ro.canary.Counts()
 		ro.toldBad, ro.toldTried, ro.toldAt = bad, ro.canary.OwnTried(), now
 		ro.outbox = ga.ownTally(ro)
