--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -31,7 +31,8 @@
 	pauseLeast = 100 * time.Millisecond
 	pauseMost  = 400 * time.Millisecond
 	pauseLong  = time.Second
-	// pausePart is the part of the time without an answer that a pause may last then.
+	// pausePart is the part of the time without an answer that a pause may last then: an
+	// outage is noticed to be over a tenth later than it lasted, on average.
 	pausePart = 0.2
 	// watcherPause is the pause after a watcher did not serve: while the service gives
 	// no answers, watchers say at once that what they know is old.
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -136,3 +136,25 @@
 		synctest.Wait()
 	})
 }
+
+// Gateways call a silent service less and less often; the first that hears from it says so
+// with its report, and the others call at once.
+func TestWhoHearsFromTheServiceAgainTellsTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga := &Gateway{Log: zerolog.Nop()}
+		ga.prepare()
+		began := time.Now()
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			ga.Reported(relay.Report{Box: "b"})
+			time.Sleep(100 * time.Millisecond)
+			ga.Reported(relay.Report{Box: "b", Ready: true})
+		}()
+		ga.sleepUntilBack(t.Context(), pauseLong)
+		require.Equal(t, 300*time.Millisecond, time.Since(began))
+		ga.Reported(relay.Report{Box: "b", Ready: true})
+		began = time.Now()
+		ga.sleepUntilBack(t.Context(), pauseLong)
+		require.Equal(t, pauseLong, time.Since(began), "once")
+	})
+}
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -23,8 +23,9 @@
 	joinAgain = time.Second
 	// joinEvery is how often a gateway looks whether it is needed among the members, and
 	// joinSpread the most that it waits before it joins: of many that start at once a few
-	// join, and the others hear of them before their time. Boxes with links above
-	// smallLinkMbps wait less, so that watchers mostly stay who they are.
+	// join, and the others hear of them before their time. Boxes with links larger than
+	// smallLinkMbps, what most boxes of a large site have, wait less: they become the
+	// watchers, and those who asked smaller ones would have to change.
 	joinEvery     = 500 * time.Millisecond
 	joinSpread    = 1500 * time.Millisecond
 	smallLinkMbps = 20
--- a/internal/rollout/turn.go
+++ b/internal/rollout/turn.go
@@ -16,8 +16,8 @@
 	// turns is how many waits there are. Whoever stands further back waits as long as
 	// the third, so that a phase is stored soon also if the first ones are gone.
 	turns = 3
-	// fewBoxes is how many gateways store a later phase at once, whatever the others do.
-	fewBoxes = 8
+	// fewGateways is how many gateways store a later phase at once, whatever the others do.
+	fewGateways = 8
 	// spreadEach is the time for each gateway over which the writes of a later phase are
 	// spread where there are more, mostSpread the most of it: the first of many comes after
 	// some hundredths of a second all the same, and the others mostly hear of it before
@@ -55,7 +55,7 @@
 // ownTime returns a gateway's own time within that over which the writes of so many are
 // spread.
 func ownTime(key string, gateways int) time.Duration {
-	if gateways <= fewBoxes {
+	if gateways <= fewGateways {
 		return 0
 	}
 	spread := min(mostSpread, spreadEach*time.Duration(gateways))
