--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,8 +1,10 @@
 // Package relay spreads what the key-value service says among gateways, so that
 // only some of them call the service. A few in each data centre, the watchers,
 // watch the service; the others ask a watcher for changes, over a WebSocket with
-// messages in CBOR, and go to the service themselves as soon as it fails them. Over
-// the same kind of connection gateways tell each other the load of backend servers.
+// messages in CBOR, and go to the service themselves as soon as it fails them. Of many
+// watchers only the roots call the service, and the other watchers ask them. Over
+// the same kind of connection gateways tell each other the load of backend servers,
+// how many they are, and what became of a version on trial.
 package relay
 
 import (
