fix: servers that are gone use no attempt of a request up

Ruled out: taking a connection that is not accepted in time for one that is refused.

Change: attempts that reached no server don't count among those that servers may refuse, 16 in all are the most; a server whose address refuses connections is left at once for a second, for two at the most after that; the last run that is left is made on a new connection.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -43,6 +43,10 @@
 	// spareSends is how many attempts beyond the allowed runs may be refused by
 	// servers before the request is.
 	spareSends = 2
+	// mostSends bounds all attempts, those that reached no server included: where half of
+	// a pool is gone at once, one request in 30 meets five servers in a row that are, each
+	// within a millisecond.
+	mostSends = 16
 	// patiencePart is the part of the target latency after which an attempt
 	// that may be repeated is given up for another: late enough to count as an
 	// offer (a quarter), early enough that the second try can be in time.
@@ -84,8 +88,9 @@
 	tried []string
 	// sends counts attempts, runs those that ran or may have.
 	sends, runs int
-	// unused counts the attempts that never reached a server: each leaves what it was
-	// allowed to the next one.
+	// unsent counts the attempts that never reached a server, unused those of them that
+	// still leave what they were allowed to the next one.
+	unsent    int
 	unused    int
 	delivered bool
 }
@@ -112,6 +117,7 @@
 
 // Unsent says that the attempt never reached the server.
 func (re *Request) Unsent(now time.Time) Step {
+	re.unsent++
 	re.unused++
 	return re.again(result.NotDispatched, 0, now)
 }
@@ -222,7 +228,9 @@
 
 // maySend reports whether one more attempt may be sent, also if servers refuse
 // all of them.
-func (re *Request) maySend() bool { return re.sends < re.MaxRuns+spareSends }
+func (re *Request) maySend() bool {
+	return re.sends-re.unsent < re.MaxRuns+spareSends && re.sends < mostSends
+}
 
 func (re *Request) model() string {
 	if len(re.Models) == 0 {
@@ -250,7 +258,7 @@
 	patience, limit := re.patience(now)
 	return Step{
 		do: Send, attempt: re.sends, server: server, model: re.model(),
-		patience: patience, limit: limit, resume: re.delivered,
+		patience: patience, limit: limit, resume: re.delivered, last: re.runs > 0 && re.runs+1 >= re.MaxRuns,
 	}
 }
 
--- a/internal/direct/step.go
+++ b/internal/direct/step.go
@@ -30,6 +30,7 @@
 	patience time.Time
 	limit    time.Time
 	resume   bool
+	last     bool
 	code     result.Code
 	after    time.Duration
 }
@@ -56,6 +57,9 @@
 // Resume reports whether the attempt continues a stream.
 func (st Step) Resume() bool { return st.resume }
 
+// Last reports whether the attempt is the last that may run, after others that did.
+func (st Step) Last() bool { return st.last }
+
 // Code returns the final code of a refusal.
 func (st Step) Code() result.Code { return st.code }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -148,7 +148,7 @@
 	ex := se.ex
 	se.answer, se.err = ex.ga.Backend.Call(ctx, &Attempt{
 		Ask: ex.as, Body: ex.body, Server: se.server, Team: ex.team(), Model: se.step.Model(),
-		Urgency: ex.urgency(se.step), Left: ex.left(time.Now()), LastEvent: ex.lastEvent(se.step),
+		Urgency: ex.urgency(se.step), Left: ex.left(time.Now()), LastEvent: ex.lastEvent(se.step), Fresh: se.step.Last(),
 	})
 	if se.err != nil || se.answer.Stream {
 		return
@@ -214,6 +214,10 @@
 			ex.forgetServer(se)
 		}
 		return ex.request.Refused(refusal.After, now)
+	case errors.Is(se.err, ErrUnreachable):
+		se.end("unreachable")
+		ex.ga.leaveServer(ctx, se, now)
+		return ex.request.Unsent(now)
 	case errors.Is(se.err, ErrUnsent):
 		se.end("unsent")
 		ex.ga.judge(ctx, se, false, now)
@@ -252,6 +256,18 @@
 	}
 }
 
+// leaveServer takes a server out of use for a while that takes no connection.
+func (ga *Gateway) leaveServer(ctx context.Context, se *sent, now time.Time) {
+	if ctx.Err() != nil {
+		return
+	}
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if ga.pool.Unreachable(se.server.Key(), now) {
+		ga.noteServer(event.ServerEjected, se.server.ID, "it takes no connection")
+	}
+}
+
 // forgetServer takes a server out of use whose address another one has.
 func (ex *exchange) forgetServer(se *sent) {
 	ex.ga.mu.Lock()
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -84,6 +84,9 @@
 	Left time.Duration
 	// LastEvent is the event after which a stream goes on; empty for the start.
 	LastEvent string
+	// Fresh attempts are made on a new connection: one that was kept may lead to a server
+	// that has just gone, and what was sent on it may have run.
+	Fresh bool
 }
 
 // Answer is the head of a backend server's answer and its body.
@@ -100,8 +103,8 @@
 	Confidence int
 }
 
-// Backend calls backend servers. Errors are *Refusal, ErrUnsent or others; after
-// the last kind the attempt may have run.
+// Backend calls backend servers. Errors are *Refusal, ErrUnsent, ErrUnreachable or
+// others; after the last kind the attempt may have run.
 type Backend interface {
 	Call(ctx context.Context, at *Attempt) (*Answer, error)
 }
@@ -119,8 +122,14 @@
 // Error returns the reason.
 func (re *Refusal) Error() string { return "refused: " + re.Reason }
 
-// ErrUnsent means that an attempt never reached its server.
-var ErrUnsent = eris.New("attempt was not sent")
+var (
+	// ErrUnsent means that an attempt never reached its server.
+	ErrUnsent = eris.New("attempt was not sent")
+	// ErrUnreachable means that it did not since nobody listens at its address. A server
+	// that only takes long to accept a connection is no such: after a restart of all
+	// gateways all servers do.
+	ErrUnreachable = eris.New("nobody listens at the server's address")
+)
 
 // Responder answers one caller. Its methods are called in the order of a valid
 // answer.
@@ -196,6 +205,8 @@
 	Withdrawn []string
 	// Shares is what is tried of each route.
 	Shares rollout.Shares
+	// Burst is what is tried besides of each route in the last part of the trial.
+	Burst float64
 	// Elapsed is the time from the order to the write.
 	Elapsed time.Duration
 	// Revision is what the next change is compared with.
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -16,6 +16,9 @@
 	// a success lasts twice as long, up to longestPause.
 	firstPause   = time.Second
 	longestPause = 8 * time.Second
+	// longestGone bounds the pause of a server that takes no connection: to try it costs
+	// nothing, and one that has crashed is often back within seconds.
+	longestGone = 2 * time.Second
 	// probeWait is how long the one request that tries an ejected server may
 	// take before another one tries.
 	probeWait = 2 * time.Second
@@ -69,14 +72,7 @@
 
 // Failed notes a failure of the server. It reports whether that ejects it.
 func (de *Detector) Failed(id string, now time.Time) bool {
-	if de.records == nil {
-		de.records = map[string]*record{}
-	}
-	re := de.records[id]
-	if re == nil {
-		re = &record{}
-		de.records[id] = re
-	}
+	re := de.record(id)
 	re.inARow++
 	re.rate += smoothing * (1 - re.rate)
 	switch {
@@ -91,5 +87,32 @@
 	return true
 }
 
+// Unreachable notes that the server takes no connection, which ejects it at once: nothing
+// runs there, and all that is sent there until then must be sent again. It reports whether
+// it was in use.
+func (de *Detector) Unreachable(id string, now time.Time) bool {
+	re := de.record(id)
+	was := re.until.IsZero()
+	re.pause = min(max(firstPause, 2*re.pause), longestGone)
+	if was {
+		re.pause = firstPause
+	}
+	re.until = now.Add(re.pause)
+	return was
+}
+
+// record returns what is known of a server.
+func (de *Detector) record(id string) *record {
+	if de.records == nil {
+		de.records = map[string]*record{}
+	}
+	re := de.records[id]
+	if re == nil {
+		re = &record{}
+		de.records[id] = re
+	}
+	return re
+}
+
 // Forget drops a server that is gone.
 func (de *Detector) Forget(id string) { delete(de.records, id) }
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -58,3 +58,19 @@
 	require.True(t, de.Succeeded("a"))
 	require.True(t, de.Usable("a", later))
 }
+
+func TestAServerThatTakesNoConnectionIsLeftAtOnce(t *testing.T) {
+	var de Detector
+	require.True(t, de.Unreachable("a", now))
+	require.False(t, de.Usable("a", now.Add(firstPause-1)))
+	require.True(t, de.Usable("a", now.Add(firstPause)))
+	at := now.Add(firstPause)
+	for range 5 {
+		require.False(t, de.Unreachable("a", at), "it was out of use")
+		require.True(t, de.Usable("a", at.Add(longestGone)), "one that has crashed is soon back")
+		at = at.Add(longestGone)
+	}
+	require.True(t, de.Succeeded("a"))
+	require.True(t, de.Unreachable("a", at))
+	require.True(t, de.Usable("a", at.Add(firstPause)), "a pause begins anew")
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -5,6 +5,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -41,6 +42,10 @@
 	Prompt Prompt
 	// Tried holds the ids of servers that are not to be chosen again.
 	Tried []string
+	// Few restricts the choice to so many of the servers that could be chosen, the same in
+	// all processes for the same key; zero for all.
+	Few    int
+	FewKey uint64
 	// Cold bounds what the service's servers get that are cold.
 	Cold warmup.Limit
 }
@@ -128,12 +133,35 @@
 	if len(list) == 0 {
 		return Offer{}, false
 	}
+	if ask.Few > 0 && ask.Few < len(list) {
+		list = few(list, ask.Few, ask.FewKey)
+	}
 	if ask.Prompt.Start != "" {
 		return po.holder(list, ask.Prompt, now), true
 	}
 	return Offer{server: po.leastLoaded(list, random)}, true
 }
 
+// few returns so many of a list of servers, those that rank first for a key.
+func few(list []*directory.Server, n int, key uint64) []*directory.Server {
+	slices.SortFunc(list, func(a, b *directory.Server) int {
+		return cmp.Compare(mix(b.Hash()^key), mix(a.Hash()^key))
+	})
+	return list[:n]
+}
+
+// Count returns how many servers there are for an attempt, those included that may get
+// nothing just now.
+func (po *Pool) Count(ask Ask) int {
+	n := 0
+	for _, se := range po.Directory.Servers(ask.Service) {
+		if ask.fits(se) {
+			n++
+		}
+	}
+	return n
+}
+
 // Any reports whether there is a server for an attempt, also if it may get nothing just now.
 func (po *Pool) Any(ask Ask) bool {
 	return slices.ContainsFunc(po.Directory.Servers(ask.Service), ask.fits)
@@ -281,6 +309,9 @@
 // Failed notes a failure of a server. It reports whether that ejects it.
 func (po *Pool) Failed(id string, now time.Time) bool { return po.outliers.Failed(id, now) }
 
+// Unreachable notes that a server takes no connection. It reports whether that ejects it.
+func (po *Pool) Unreachable(id string, now time.Time) bool { return po.outliers.Unreachable(id, now) }
+
 // Forget drops a server that is gone.
 func (po *Pool) Forget(id string) {
 	po.outliers.Forget(id)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -233,3 +233,34 @@
 		})
 	}
 }
+
+// A version on trial is tried on the same few servers by all processes; one that fails is
+// replaced.
+func TestAFewServersAreTheSameForAll(t *testing.T) {
+	chosen := func(po *Pool, key uint64) map[string]bool {
+		ids := map[string]bool{}
+		for i := range uint64(200) {
+			ask := Ask{Service: "svc", Version: "v2", Only: true, Few: 3, FewKey: key}
+			if i%2 == 0 {
+				ask.Prompt = prompt(fmt.Sprint(i), time.Second)
+			}
+			ids[pick(po, ask, i).ID] = true
+		}
+		return ids
+	}
+	a, b := pool(24), pool(24)
+	b.DataCentre = "dc1"
+	first := chosen(a, 7)
+	require.Len(t, first, 3)
+	require.Equal(t, first, chosen(b, 7))
+	require.NotEqual(t, first, chosen(a, 8), "another order, other servers")
+	for id := range first {
+		for range 3 {
+			a.Failed(id, now)
+		}
+		break
+	}
+	require.Len(t, chosen(a, 7), 3)
+	require.NotEqual(t, first, chosen(a, 7))
+	require.Equal(t, 12, a.Count(Ask{Service: "svc", Version: "v2", Only: true}))
+}
