feat: versions are tried at the load that will come; an order that is read late is older

A good version was finished 0.3 s late where watches heard nothing for a second just before the order.

Change: Canary.Subjects servers get the trial, drawn by the order's revision; Shares gives a burst besides; an order that a whole read brings is taken for as old as what was not heard of, a second at the most. The power test now plays 12 servers that are known, so that a burst is part of it.

--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -105,7 +105,7 @@
 			continue
 		}
 		op.Price, op.Head = ex.price(i), unreachable
-		if of, ok := ga.pool.Pick(ex.askFor(model, nil), 0, now); ok {
+		if of, ok := ga.pool.Pick(ex.askFor(model, nil, now), 0, now); ok {
 			op.Head = of.Head()
 			op.Load = of.Read().Seconds() / usual.Seconds()
 		}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -57,7 +57,7 @@
 		return
 	}
 	or.Plan.MostShare, or.Plan.MostExtra = ga.Bounds.CanaryShare, ga.ownExtra()
-	ro := &timedRollout{order: or, canary: rollout.Canary{Plan: or.Plan, Began: time.Now()}}
+	ro := &timedRollout{order: or, canary: rollout.Canary{Plan: or.Plan, Began: time.Now().Add(-ga.unheard)}}
 	ro.withdrawn = ga.withdrawnFor(old, or)
 	ga.rollouts[or.Plan.Service] = ro
 	ga.Log.Info().Int("event", int(event.RolloutOrdered)).Str("service", or.Plan.Service).
@@ -110,7 +110,7 @@
 
 // take takes what is kept of a roll-out.
 func (ga *Gateway) take(ro *timedRollout, ph StoredPhase) {
-	ro.canary.Try(ph.Shares)
+	ro.canary.Try(ph.Shares, ph.Burst)
 	ro.canary.BeganBefore(time.Now().Add(-ph.Elapsed))
 	if ro.canary.Phase() == ph.Phase {
 		return
@@ -132,13 +132,13 @@
 
 // restrict narrows an attempt to the version that its session belongs to, or for
 // a request without one to the version that it drew. The lock is held.
-func (ga *Gateway) restrict(ask pool.Ask, ex *exchange) pool.Ask {
+func (ga *Gateway) restrict(ask pool.Ask, ex *exchange, now time.Time) pool.Ask {
 	ro := ga.rollouts[ask.Service]
 	if ro == nil {
 		return ask
 	}
 	ask.Version, ask.Without = ro.order.Plan.Version, ro.withdrawn
-	ask.Only = ro.goesToNew(ex)
+	ask.Only = ro.goesToNew(ex, now)
 	ask.Except = !ask.Only
 	if ro.canary.Phase() == rollout.Failed {
 		return ask
@@ -147,18 +147,21 @@
 		// No server of that version is there (yet or any more).
 		ask.Only, ask.Except = ask.Except, ask.Only
 	}
+	if ask.Only {
+		ask.Few, ask.FewKey = ro.canary.Subjects(ga.pool.Count(ask)), ro.order.Revision
+	}
 	return ask
 }
 
 // goesToNew reports whether a request's next attempt goes to the new version.
-func (ro *timedRollout) goesToNew(ex *exchange) bool {
+func (ro *timedRollout) goesToNew(ex *exchange, now time.Time) bool {
 	switch {
 	case ex.begun != "":
 		return ro.canary.Continues(ex.begun == ro.order.Plan.Version, ex.request.LastChance())
 	case ex.single:
-		return ro.canary.NewSingle(ex.route.Name, ex.draw)
+		return ro.canary.NewSingle(ex.route.Name, ex.draw, now)
 	default:
-		return ro.canary.New(ex.session, ex.route.Name)
+		return ro.canary.New(ex.session, ex.route.Name, now)
 	}
 }
 
@@ -229,14 +232,16 @@
 	}
 	next := StoredPhase{
 		Service: ro.order.Plan.Service, Order: ro.order.Revision, Phase: ro.canary.Phase(), Revision: kept.Revision,
-		Version: ro.order.Plan.Version, Withdrawn: ro.withdrawn, Shares: ro.canary.Shares(), Elapsed: now.Sub(ro.canary.Began),
+		Version: ro.order.Plan.Version, Withdrawn: ro.withdrawn, Shares: ro.canary.Shares(), Burst: ro.canary.Burst(), Elapsed: now.Sub(ro.canary.Began),
 	}
 	ph, due := ro.canary.Due(now)
 	if due {
 		next.Phase = ph
 	}
 	if next.Phase == rollout.Trying && next.Shares == nil {
-		next.Shares = ro.order.Plan.Shares(ga.demand(ro.order.Plan.Service).All(now))
+		plan := ro.order.Plan
+		plan.Servers = ga.pool.Count(pool.Ask{Service: plan.Service, Version: plan.Version, Only: true})
+		next.Shares, next.Burst = plan.Shares(ga.demand(plan.Service).All(now))
 	}
 	return next, due || !known || kept.Phase != next.Phase || ga.isOld(ro, kept, next, now)
 }
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -140,7 +140,7 @@
 	picked := map[string]bool{}
 	for i := range 400 {
 		ex := &exchange{ga: ga, route: &routing.Route{Name: "r"}, service: "s", session: fmt.Sprint("session-", i)}
-		if of, ok := ga.pool.Pick(ga.restrict(pool.Ask{Service: "s"}, ex), uint64(i), time.Now()); ok {
+		if of, ok := ga.pool.Pick(ga.restrict(pool.Ask{Service: "s"}, ex, time.Now()), uint64(i), time.Now()); ok {
 			picked[of.Server().Version] = true
 		}
 	}
@@ -190,11 +190,11 @@
 // were continued on one on trial, which failed until no run was left.
 func TestWhatBeganOnTheOldVersionIsNoSubjectForATrial(t *testing.T) {
 	ga, ro := rolling(t)
-	ro.canary.Try(rollout.Shares{rollout.AnyRoute: 1})
+	ro.canary.Try(rollout.Shares{rollout.AnyRoute: 1}, 0)
 	list(ga, "v1", "v2")
 	now := time.Now()
 	version := func(ex *exchange) string {
-		of, ok := ga.pool.Pick(ga.restrict(pool.Ask{Service: "s"}, ex), 1, now)
+		of, ok := ga.pool.Pick(ga.restrict(pool.Ask{Service: "s"}, ex, now), 1, now)
 		require.True(t, ok)
 		return of.Server().Version
 	}
@@ -233,7 +233,7 @@
 	require.InDelta(t, 10, time.Since(rest.canary.Began).Seconds(), 0.5)
 	moved := 0
 	for i := range 10_000 {
-		if rest.canary.New(fmt.Sprint("session-", i), "r") {
+		if rest.canary.New(fmt.Sprint("session-", i), "r", time.Now()) {
 			moved++
 		}
 	}
@@ -345,3 +345,24 @@
 	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Trying, Revision: 10})
 	require.Equal(t, writeEvery, ro.pause, "news of others")
 }
+
+// An order that came while watches heard nothing may be a second old when it is read.
+func TestAnOrderThatAWholeReadBringsMayBeOlder(t *testing.T) {
+	order := Change{Order: &Order{Revision: 4, Plan: rollout.Plan{Service: "s", Version: "v2", Within: 24 * time.Second}}}
+	for _, tc := range []struct {
+		silent, older time.Duration
+	}{{300 * time.Millisecond, 300 * time.Millisecond}, {5 * time.Second, mostUnheard}} {
+		ga := &Gateway{Log: zerolog.Nop()}
+		ga.prepare()
+		now := time.Now()
+		ga.takeRead(State{Revision: 2}, now.Add(-tc.silent))
+		ga.takeRead(State{Revision: 9, Changes: []Change{order}}, now)
+		require.InDelta(t, float64(tc.older), float64(now.Sub(ga.rollouts["s"].canary.Began)), float64(50*time.Millisecond))
+	}
+	ga := &Gateway{Log: zerolog.Nop()}
+	ga.prepare()
+	now := time.Now()
+	ga.takeRead(State{Revision: 2}, now.Add(-time.Second))
+	ga.apply(State{Revision: 9, Changes: []Change{order}}, now, time.Second, now)
+	require.False(t, ga.rollouts["s"].canary.Began.Before(now), "a watch tells at once")
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -178,7 +178,7 @@
 	ga := ex.ga
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	of, ok := ga.pool.Pick(ex.askFor(model, tried), rand.Uint64(), now)
+	of, ok := ga.pool.Pick(ex.askFor(model, tried, now), rand.Uint64(), now)
 	if !ok {
 		return "", false
 	}
@@ -188,9 +188,9 @@
 }
 
 // askFor returns what an attempt needs; the lock is held.
-func (ex *exchange) askFor(model string, tried []string) pool.Ask {
+func (ex *exchange) askFor(model string, tried []string, now time.Time) pool.Ask {
 	ask := pool.Ask{Service: ex.service, Tried: tried, Prompt: ex.prompt(model), Cold: ex.ga.coldLimit(ex.service)}
-	return ex.ga.restrict(ask, ex)
+	return ex.ga.restrict(ask, ex, now)
 }
 
 // Take takes a retry from the service's window.
--- a/internal/gateway/servers_test.go
+++ b/internal/gateway/servers_test.go
@@ -152,7 +152,7 @@
 		}
 	}
 	ex := &exchange{ga: ga, as: &Ask{}, route: &routing.Route{Name: "r"}, service: "s", session: "any"}
-	ask := ex.askFor("", nil)
+	ask := ex.askFor("", nil, now)
 	require.True(t, ask.Only)
 	require.Equal(t, "v2", ask.Version)
 }
--- a/internal/rollout/canary.go
+++ b/internal/rollout/canary.go
@@ -51,6 +51,8 @@
 	phase Phase
 	// shares is what is tried of each route; nothing is until it is known.
 	shares Shares
+	// burst is what is tried besides of each route in the last part of the trial.
+	burst float64
 	// routes holds the tests of failures, one for each route, since a version may
 	// be bad on one only.
 	routes map[string]*failures
@@ -92,20 +94,23 @@
 // Shares returns what is tried of each route, nil if that is not known.
 func (ca *Canary) Shares() Shares { return ca.shares }
 
-// Try takes what is tried of each route; the first one that is known holds.
-func (ca *Canary) Try(shares Shares) {
+// Burst returns what is tried besides of each route in the last part of the trial.
+func (ca *Canary) Burst() float64 { return ca.burst }
+
+// Try takes what is tried of each route, and what besides in the last part of the trial; the
+// first that is known holds.
+func (ca *Canary) Try(shares Shares, burst float64) {
 	if ca.shares == nil && len(shares) > 0 {
-		ca.shares = shares
+		ca.shares, ca.burst = shares, burst
 	}
 }
 
 // Sent notes an attempt of a route at a server of one of the versions.
 func (ca *Canary) Sent(route string, isNew bool, now time.Time) {
-	share := 0.0
 	if ca.Phase() == Trying {
-		share = ca.shares.Of(route)
+		ca.sent.countTrial(ca.shareOf(route, now), ca.shares.Of(route))
 	}
-	ca.sent.count(isNew, share, now)
+	ca.sent.count(isNew, now)
 }
 
 // BeganBefore takes that the order is at least so old.
--- a/internal/rollout/canary_test.go
+++ b/internal/rollout/canary_test.go
@@ -11,6 +11,9 @@
 
 var began = time.Unix(1000, 0)
 
+// inBurst is in the burst of the trial of the tests' roll-out.
+var inBurst = began.Add(17 * time.Second)
+
 func canary() *Canary {
 	ca := waiting()
 	ca.Enter(Trying)
@@ -20,7 +23,7 @@
 // waiting returns a roll-out that has just been ordered.
 func waiting() *Canary {
 	ca := &Canary{Began: began, Plan: Plan{Service: "s", Version: "v2", Within: 20 * time.Second, MostShare: 0.15}}
-	ca.Try(Shares{AnyRoute: 0.05})
+	ca.Try(Shares{AnyRoute: 0.05}, 0)
 	return ca
 }
 
@@ -29,18 +32,18 @@
 	count := 0
 	for i := range 10_000 {
 		session := fmt.Sprint(i)
-		require.Equal(t, a.New(session, "r"), b.New(session, "r"))
-		if a.New(session, "r") {
+		require.Equal(t, a.New(session, "r", inBurst), b.New(session, "r", inBurst))
+		if a.New(session, "r", inBurst) {
 			count++
 		}
 	}
 	require.InDelta(t, 0.05*10_000, count, 120)
 	a.Enter(Shifting)
-	require.True(t, a.New("any", "r"))
+	require.True(t, a.New("any", "r", inBurst))
 	a.Enter(Trying)
 	require.Equal(t, Shifting, a.Phase(), "a phase never goes back")
 	a.Enter(Failed)
-	require.False(t, a.New("any", "r"))
+	require.False(t, a.New("any", "r", inBurst))
 }
 
 // Seen with under_load on Quito, and whenever sessions went on at another gateway than
@@ -52,7 +55,7 @@
 		require.False(t, due, at)
 	}
 	for i := range 1000 {
-		require.False(t, ca.New(fmt.Sprint(i), "r"))
+		require.False(t, ca.New(fmt.Sprint(i), "r", inBurst))
 	}
 	ph, due := ca.Due(began.Add(ca.Plan.Within / 2))
 	require.True(t, due)
@@ -64,19 +67,19 @@
 func TestTheShareHoldsForAVersionOfWhichNothingBadIsKnown(t *testing.T) {
 	for _, within := range []time.Duration{12 * time.Second, 14 * time.Second, 24 * time.Second, time.Minute} {
 		for _, burst := range []int{1, 3} {
-			checkShare(t, within, burst, func(ca *Canary, n int) bool { return ca.NewSingle("r", float64(n%100)/100) })
-			checkShare(t, within, burst, func(ca *Canary, n int) bool { return ca.New(fmt.Sprint(n), "r") })
+			checkShare(t, within, burst, func(ca *Canary, n int, now time.Time) bool { return ca.NewSingle("r", float64(n%100)/100, now) })
+			checkShare(t, within, burst, func(ca *Canary, n int, now time.Time) bool { return ca.New(fmt.Sprint(n), "r", now) })
 		}
 	}
 }
 
 // checkShare plays a roll-out in whose last quarter so many times the requests come. A
 // burst may make it late: the share goes first.
-func checkShare(t *testing.T, within time.Duration, burst int, isNew func(ca *Canary, n int) bool) {
+func checkShare(t *testing.T, within time.Duration, burst int, isNew func(ca *Canary, n int, now time.Time) bool) {
 	t.Helper()
 	ca := waiting()
 	ca.Plan.Within = within
-	ca.shares = ca.Plan.Shares(map[string]float64{"r": 100})
+	ca.shares, ca.burst = ca.Plan.Shares(map[string]float64{"r": 100})
 	all, toNew := 0, 0
 	for at := time.Duration(0); at < within; at += 10 * time.Millisecond {
 		now := began.Add(at)
@@ -89,7 +92,7 @@
 		}
 		for range arrivals {
 			all++
-			to := isNew(ca, all)
+			to := isNew(ca, all, now)
 			ca.Sent("r", to, now)
 			ca.Observe("server", "r", to, false)
 			if to {
@@ -205,7 +208,7 @@
 	ca.Enter(Failed)
 	ca.Enter(Complete)
 	require.Equal(t, Complete, ca.Phase())
-	require.True(t, ca.New("any", "r"))
+	require.True(t, ca.New("any", "r", inBurst))
 	_, due := ca.Due(began.Add(time.Minute))
 	require.False(t, due)
 	ca.Enter(Failed)
--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -22,20 +22,38 @@
 	all, toNew int
 	// planned is how many would have gone to the version by what is tried of each
 	// route; one gateway's own may be fewer by chance.
-	planned  float64
+	planned float64
+	// tried counts the requests that came while a share of them was tried, steady how many
+	// of them that would have been without the burst.
+	tried    int
+	steady   float64
 	arrivals rate.Meter
 }
 
-func (ex *exposure) count(isNew bool, share float64, now time.Time) {
+func (ex *exposure) count(isNew bool, now time.Time) {
 	ex.all++
 	if isNew {
 		ex.toNew++
 	}
-	ex.planned += share
 	ex.arrivals.Memory = rateMemory
 	ex.arrivals.Count("", now)
 }
 
+// countTrial counts a request of which a share is tried, steady of it without the burst.
+func (ex *exposure) countTrial(share, steady float64) {
+	ex.tried++
+	ex.planned += share
+	ex.steady += steady
+}
+
+// trialShare returns the part of the requests that are tried without the burst.
+func (ex *exposure) trialShare() float64 {
+	if ex.tried == 0 {
+		return 0
+	}
+	return ex.steady / float64(ex.tried)
+}
+
 // spent returns the requests that the version got until the shift.
 func (ex *exposure) spent() float64 { return max(ex.planned, float64(ex.toNew)) }
 
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -23,6 +23,13 @@
 	// shiftPart is the most of a bad version's share that the time after the shift may
 	// take; the rest is for the trial.
 	shiftPart = 2.0 / 3
+	// burstTime is the last part of the trial, in which more is tried so that its servers
+	// get the load to come: as long as it takes to find a bad version (some ten bad answers,
+	// told in half a second, and hearing).
+	burstTime = 3 * time.Second
+	// burstPart is the most of what may be tried that is kept for the burst: the rest is for
+	// versions that are bad at once, or on a route that is seldom asked for.
+	burstPart = 0.4
 	// longestTail is the most of a roll-out's time that may follow the shift. A version
 	// that is bad only under load shows it then; while its servers hold no prompts yet,
 	// answers take longer.
@@ -41,6 +48,8 @@
 	// nothing bad is known as well: everything moves late.
 	MostShare float64
 	MostExtra float64
+	// Servers is how many servers the version has, zero if that is not known.
+	Servers int
 }
 
 // share returns the part of all requests that may go to the version until the deadline.
@@ -59,6 +68,12 @@
 // trial returns the time in which sessions are tried.
 func (pl Plan) trial() time.Duration { return pl.Within - pl.wait() - pl.leastTail() }
 
+// burstAfter returns the time from the order to the burst of the trial, which ends when
+// everything moves at the earliest.
+func (pl Plan) burstAfter() time.Duration {
+	return max(pl.wait(), pl.Within-time.Duration(longestTail*float64(pl.Within))-burstTime)
+}
+
 // Withdraw returns the versions of a service that get nothing any more once a newer
 // order for a target comes: those that got nothing before, the version of the order
 // before unless everything had moved to it, and otherwise those it had moved from,
--- a/internal/rollout/power_test.go
+++ b/internal/rollout/power_test.go
@@ -38,12 +38,12 @@
 	for i, rate := range ro.perSecond {
 		rates[fmt.Sprint(i)] = rate
 	}
-	plan := Plan{Service: "s", Version: "v2", Within: ro.within, MostShare: 0.15, MostExtra: ro.extra}
-	shares := plan.Shares(rates)
+	plan := Plan{Service: "s", Version: "v2", Within: ro.within, MostShare: 0.15, MostExtra: ro.extra, Servers: 12}
+	shares, burst := plan.Shares(rates)
 	plan.MostExtra /= float64(ro.gateways)
 	for i := range gateways {
 		gateways[i] = &Canary{Began: began, Plan: plan}
-		gateways[i].Try(shares)
+		gateways[i].Try(shares, burst)
 	}
 	const step = 10 * time.Millisecond
 	phase, fiftieth := Waiting, time.Duration(-1)
@@ -70,7 +70,7 @@
 				continue
 			}
 			route, ca := fmt.Sprint(i), gateways[rn.IntN(ro.gateways)]
-			isNew := ca.NewSingle(route, rn.Float64())
+			isNew := ca.NewSingle(route, rn.Float64(), now)
 			bad := isNew && i == 0 && rn.Float64() < ro.failing
 			ca.Sent(route, isNew, now)
 			ca.Observe(fmt.Sprint(rn.IntN(12)), route, isNew, bad)
--- a/internal/rollout/sessions.go
+++ b/internal/rollout/sessions.go
@@ -1,19 +1,23 @@
 package rollout
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // New reports whether a session's request on a route goes to the new version. Every
 // gateway computes the same from the stored phase, and a process that starts anew does.
-func (ca *Canary) New(session, route string) bool {
-	return ca.NewSingle(route, place(ca.Plan.Version, session))
+func (ca *Canary) New(session, route string, now time.Time) bool {
+	return ca.NewSingle(route, place(ca.Plan.Version, session), now)
 }
 
 // NewSingle reports whether a request on a route that belongs to no session goes to the
 // new version. draw is uniform over [0, 1).
-func (ca *Canary) NewSingle(route string, draw float64) bool {
+func (ca *Canary) NewSingle(route string, draw float64, now time.Time) bool {
 	switch ca.Phase() {
 	case Trying:
-		return draw < ca.shares.Of(route)
+		return draw < ca.shareOf(route, now)
 	case Shifting, Complete:
 		return true
 	}
@@ -36,6 +40,36 @@
 	return false
 }
 
+const (
+	// fewestSubjects is the least number of servers that a version is tried on: one that
+	// fails by itself must not stand for the version.
+	fewestSubjects = 3
+	// subjectLoad is how many times the load to come the servers on trial get, where there
+	// are enough requests to try: peaks are above the mean, and a version that is bad only
+	// under load must show it before everything has moved.
+	subjectLoad = 1.25
+)
+
+// Subjects returns on how many of so many servers the version is tried, 0 for all of them.
+// The trial's share on as large a part of the servers is the load that they will have; on
+// all of them it is some hundredths of it.
+func (ca *Canary) Subjects(servers int) int {
+	if ca.Phase() != Trying {
+		return 0
+	}
+	return max(fewestSubjects, int((ca.sent.trialShare()+ca.burst)*float64(servers)/subjectLoad))
+}
+
+// shareOf returns the part of a route's requests that the version gets now while it is
+// tried. The share only grows, so that no session goes back.
+func (ca *Canary) shareOf(route string, now time.Time) float64 {
+	share := ca.shares.Of(route)
+	if now.Sub(ca.Began) >= ca.Plan.burstAfter() {
+		share = min(mostTrialShare, share+ca.burst)
+	}
+	return share
+}
+
 // place maps a session evenly to [0, 1).
 func place(version, session string) float64 {
 	return float64(xxhash.Sum64String(version+"\x00"+session)>>11) / (1 << 53)
--- a/internal/rollout/shares.go
+++ b/internal/rollout/shares.go
@@ -29,26 +29,40 @@
 	return sh[AnyRoute]
 }
 
-// Shares returns what to try of each route, given how many requests of each come to
-// this gateway in a second. A version may be bad on one route only, so that each route
-// gets about as many trials as every other one, as far as it has requests.
-func (pl Plan) Shares(perSecond map[string]float64) Shares {
+// burst returns how many requests to try in the burst, given all that come in a second: as
+// many as bring the fewest servers on which the version is tried to the load to come, as far
+// as the budget of the whole trial allows.
+func (pl Plan) burst(total, budget float64) float64 {
+	if pl.Servers == 0 {
+		return 0
+	}
+	loading := subjectLoad * fewestSubjects / float64(pl.Servers)
+	return max(0, min(burstPart*budget, loading*total*burstTime.Seconds()))
+}
+
+// Shares returns what to try of each route, and what besides in the burst, given how many
+// requests of each come to this gateway in a second. A version may be bad on one route
+// only, so that each route gets about as many trials as every other one, as far as it has
+// requests.
+func (pl Plan) Shares(perSecond map[string]float64) (shares Shares, burst float64) {
 	total := 0.0
 	for _, rate := range perSecond {
 		total += rate
 	}
 	within, trial := pl.Within.Seconds(), pl.trial().Seconds()
 	if trial <= 0 || within <= 0 {
-		return Shares{}
+		return Shares{}, 0
 	}
 	afterShift := pl.leastTail().Seconds()
 	budget := pl.share()*total*within + extraPart*pl.MostExtra - total*afterShift
-	budget = min(budget, wantedTrials*float64(len(perSecond)))
 	if total <= 0 {
 		// Nothing is known of the load: what holds for any.
-		return Shares{AnyRoute: min(mostTrialShare, (pl.share()*within-afterShift)/trial)}
+		return Shares{AnyRoute: min(mostTrialShare, (pl.share()*within-afterShift)/trial)}, 0
 	}
-	shares := Shares{AnyRoute: min(mostTrialShare, budget/(total*trial))}
+	inBurst := pl.burst(total, budget)
+	burst = inBurst / (total * burstTime.Seconds())
+	budget = min(budget-inBurst, wantedTrials*float64(len(perSecond)))
+	shares = Shares{AnyRoute: min(mostTrialShare, budget/(total*trial))}
 	routes := slices.SortedFunc(maps.Keys(perSecond), func(a, b string) int {
 		if perSecond[a] < perSecond[b] {
 			return -1
@@ -64,5 +78,5 @@
 		shares[route] = tried / requests
 		budget -= tried
 	}
-	return shares
+	return shares, burst
 }
--- /dev/null
+++ b/internal/rollout/underload_test.go
@@ -0,0 +1,115 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// underLoad is a roll-out of a version whose servers fail half of their requests while they
+// get more than a part of the load that they will have once everything has moved.
+type underLoad struct {
+	within    time.Duration
+	perSecond float64
+	servers   int
+	// above is that part.
+	above float64
+	share float64
+	// gathered is whether the trial is made on few of the servers.
+	gathered bool
+}
+
+// found plays the roll-out as one gateway that knows all outcomes, and reports whether the
+// version was left before everything moved.
+func (ul underLoad) found(rn *rand.Rand) bool {
+	plan := Plan{Service: "s", Version: "v2", Within: ul.within, MostShare: ul.share, MostExtra: 30, Servers: ul.servers}
+	ca := &Canary{Began: began, Plan: plan}
+	ca.Try(plan.Shares(map[string]float64{"r": ul.perSecond}))
+	recent := make([][]time.Duration, ul.servers)
+	const step = time.Millisecond
+	for at := time.Duration(0); at < ul.within; at += step {
+		now := began.Add(at)
+		if ca.Settle(now) {
+			return true
+		}
+		if ph, due := ca.Due(now); due {
+			if ph == Shifting {
+				return false
+			}
+			ca.Enter(ph)
+		}
+		if rn.Float64() >= ul.perSecond*step.Seconds() {
+			continue
+		}
+		isNew := ca.NewSingle("r", rn.Float64(), now)
+		ca.Sent("r", isNew, now)
+		if !isNew {
+			ca.Observe("old", "r", false, false)
+			continue
+		}
+		among := ul.servers
+		if few := ca.Subjects(ul.servers); ul.gathered && few > 0 {
+			among = min(among, few)
+		}
+		server := rn.IntN(among)
+		for len(recent[server]) > 0 && at-recent[server][0] > time.Second {
+			recent[server] = recent[server][1:]
+		}
+		recent[server] = append(recent[server], at)
+		loaded := float64(len(recent[server])) > ul.above*ul.perSecond/float64(ul.servers)
+		ca.Observe(fmt.Sprint(server), "r", true, loaded && rn.IntN(2) == 0)
+	}
+	return false
+}
+
+// The table of docs/design/rollouts.md: how often a version that is bad only under load is
+// found while it is tried.
+func TestWhatATrialFindsUnderLoad(t *testing.T) {
+	const runs = 40
+	for _, tc := range []struct {
+		name      string
+		perSecond float64
+		servers   int
+		share     float64
+		above     float64
+		least     int
+	}{
+		{"1,200 a second, 180 servers", 1200, 180, 0.15, 0.5, runs - 2},
+		{"1,200 a second, 180 servers", 1200, 180, 0.15, 0.8, runs - 4},
+		{"1,200 a second, 180 servers", 1200, 180, 0.15, 1.2, runs / 2},
+		{"300 a second, 42 servers, a smaller share", 300, 42, 0.0975, 0.3, runs - 4},
+		{"300 a second, 42 servers, a smaller share", 300, 42, 0.0975, 0.8, runs - 4},
+		{"150 a second, 18 servers", 150, 18, 0.15, 0.5, runs - 4},
+	} {
+		counts := map[bool]int{}
+		for _, gathered := range []bool{false, true} {
+			rn := rand.New(rand.NewPCG(1, 2))
+			for range runs {
+				if (underLoad{24 * time.Second, tc.perSecond, tc.servers, tc.above, tc.share, gathered}).found(rn) {
+					counts[gathered]++
+				}
+			}
+		}
+		t.Logf("%s, bad above %v of the load to come: found on all servers %d, on few %d of %d",
+			tc.name, tc.above, counts[false], counts[true], runs)
+		require.GreaterOrEqual(t, counts[true], tc.least)
+		require.GreaterOrEqual(t, counts[true], counts[false])
+	}
+}
+
+func TestOnHowManyServersAVersionIsTried(t *testing.T) {
+	ca := waiting()
+	require.Zero(t, ca.Subjects(60), "nobody gets it yet")
+	ca.Enter(Trying)
+	require.Equal(t, fewestSubjects, ca.Subjects(60), "nothing was counted")
+	for range 100 {
+		ca.Sent("r", false, began)
+	}
+	require.Equal(t, fewestSubjects, ca.Subjects(18))
+	require.Equal(t, int(0.05*1000/subjectLoad)-1, ca.Subjects(1000))
+	ca.Enter(Shifting)
+	require.Zero(t, ca.Subjects(60))
+}
