--- a/standin/cmd/days/play.go
+++ b/standin/cmd/days/play.go
@@ -38,6 +38,7 @@
 	Out   string   `help:"File for the results." required:""`
 	Seeds []int    `help:"Seeds of each day; 0 is the day's own." default:"1,2,3"`
 	Jobs  int      `help:"Days played at a time." default:"4"`
+	NoCPU bool     `help:"Charge no processor time: plays then mostly repeat." name:"no-cpu"`
 	Why   string   `help:"What is tried, for the bench's own records." default:"comparison of days"`
 	Days  []string `arg:"" help:"Days, as SITE.toml:DAY."`
 }
@@ -95,6 +96,9 @@
 	if seed != 0 {
 		args = append(args, "--seed", strconv.Itoa(seed))
 	}
+	if cm.NoCPU {
+		args = append(args, "--no-cpu")
+	}
 	out, err := exec.Command(cm.Bench, args...).CombinedOutput()
 	pl := played{Site: strings.TrimSuffix(filepath.Base(site), ".toml"), Day: strings.TrimSuffix(filepath.Base(day), ".toml"), Seed: seed}
 	if broken := brokenLine.FindSubmatch(out); broken != nil {
