fix: a trial is gathered only where eight servers can be brought to the load to come

Change: a trial is gathered on eight servers at the least, and only where 0.4 of what may be tried loads them; half of them must be bad then. Elsewhere it is what it was.

--- a/internal/rollout/shares.go
+++ b/internal/rollout/shares.go
@@ -30,14 +30,18 @@
 }
 
 // burst returns how many requests to try in the burst, given all that come in a second: as
-// many as bring the fewest servers on which the version is tried to the load to come, as far
-// as the budget of the whole trial allows.
+// many as bring the fewest servers that a trial is gathered on to the load to come, none if
+// the budget of the whole trial does not allow it.
 func (pl Plan) burst(total, budget float64) float64 {
-	if pl.Servers == 0 {
+	if pl.Servers <= fewestSubjects {
 		return 0
 	}
 	loading := subjectLoad * fewestSubjects / float64(pl.Servers)
-	return max(0, min(burstPart*budget, loading*total*burstTime.Seconds()))
+	wanted := loading * total * burstTime.Seconds()
+	if wanted > burstPart*budget {
+		return 0
+	}
+	return wanted
 }
 
 // Shares returns what to try of each route, and what besides in the burst, given how many
