--- a/internal/story/line.go
+++ b/internal/story/line.go
@@ -31,6 +31,8 @@
 	Runs    int `json:"runs"`
 	// Server and Model are those of the attempt, or of the last one.
 	Server string `json:"server"`
+	// Of is the data centre that a line on one is about.
+	Of     string `json:"of"`
 	Model  string `json:"model"`
 	Status int    `json:"status"`
 	// Before and the fields after it are of the attempt before.
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -62,7 +63,8 @@
 // ofBox reports whether an event may explain what became of requests on its box.
 func ofBox(id event.ID) bool {
 	switch id {
-	case event.ProcessStarted, event.ProcessStopping, event.StoreLost, event.StoreRegained, event.StateRead, event.ConfigInForce:
+	case event.ProcessStarted, event.ProcessStopping, event.StoreLost, event.StoreRegained, event.StateRead, event.ConfigInForce,
+		event.CentreEvacuated, event.CentreRestored, event.ServerCold, event.ServerWarm:
 		return true
 	}
 	return false
@@ -90,6 +92,9 @@
 	if end == nil {
 		return append(told, "Cause: unknown; no line on its end: the process "+st.lines[0].Box+" was killed or its log is cut."), nil
 	}
+	if around := st.around(end); around != "" {
+		told = append(told, around)
+	}
 	return append(told, "Cause: "+st.cause(end)), nil
 }
 
@@ -145,6 +150,45 @@
 	return result.Of(end.Code).Text() + "."
 }
 
+// around says which data centres and servers a box did not use, or not fully, when a request
+// ended there; empty if it used all.
+func (st *Story) around(end *line) string {
+	evacuated := st.inForce(end, event.CentreEvacuated, event.CentreRestored, func(li *line) string { return li.Of })
+	cold := st.inForce(end, event.ServerCold, event.ServerWarm, func(li *line) string { return li.Server })
+	var parts []string
+	if len(evacuated) > 0 {
+		parts = append(parts, "nothing was sent to evacuated data centres ("+strings.Join(evacuated, ", ")+")")
+	}
+	if len(cold) > 0 {
+		parts = append(parts, fmt.Sprintf("%d servers were cold and got a part of their usual load", len(cold)))
+	}
+	if parts == nil {
+		return ""
+	}
+	return "At " + end.Box + " " + strings.Join(parts, ", and ") + "."
+}
+
+// inForce returns the names, in order, of what had begun at a box before a line and not
+// ended. A process that starts knows of nothing.
+func (st *Story) inForce(end *line, begins, ends event.ID, name func(li *line) string) []string {
+	list := slices.Clone(st.boxes[end.Box])
+	slices.SortStableFunc(list, func(a, b line) int { return a.Time.Compare(b.Time) })
+	holds := map[string]bool{}
+	for i := range list {
+		li := &list[i]
+		switch {
+		case li.Time.After(end.Time):
+		case li.Event == begins:
+			holds[name(li)] = true
+		case li.Event == ends:
+			delete(holds, name(li))
+		case li.Event == event.ProcessStarted:
+			clear(holds)
+		}
+	}
+	return slices.Sorted(maps.Keys(holds))
+}
+
 // service says what was last heard on the key-value service at the box before a line.
 func (st *Story) service(end *line) string {
 	last := st.lastOf(end, event.StoreLost, event.StoreRegained, event.ProcessStarted)
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -88,3 +88,24 @@
 		}
 	})
 }
+
+func TestWhatABoxDidNotUseIsTold(t *testing.T) {
+	lines := []string{
+		`{"box":"a","event":523,"of":"dc9","time":"2026-01-01T00:00:00Z"}`,
+		`{"box":"a","event":100,"time":"2026-01-01T00:00:01Z"}`,
+		`{"box":"a","event":523,"of":"dc1","time":"2026-01-01T00:00:02Z"}`,
+		`{"box":"b","event":523,"of":"dc2","time":"2026-01-01T00:00:02Z"}`,
+		`{"box":"a","event":523,"of":"dc3","time":"2026-01-01T00:00:02Z"}`,
+		`{"box":"a","event":524,"of":"dc3","time":"2026-01-01T00:00:03Z"}`,
+		`{"box":"a","event":521,"server":"x@1","time":"2026-01-01T00:00:03Z"}`,
+		`{"box":"a","event":521,"server":"y@1","time":"2026-01-01T00:00:03Z"}`,
+		`{"box":"a","event":522,"server":"y@1","time":"2026-01-01T00:00:04Z"}`,
+		`{"box":"a","event":205,"request":"r","code":401,"time":"2026-01-01T00:00:05Z"}`,
+		`{"box":"a","event":523,"of":"dc4","time":"2026-01-01T00:00:06Z"}`,
+	}
+	told := tell(t, "r", lines)
+	require.Contains(t, told, "evacuated data centres (dc1)")
+	require.Contains(t, told, "1 servers were cold")
+	require.Contains(t, told, "no backend server with an allowed version is reachable")
+	require.NotContains(t, tell(t, "r", lines[9:10]), "evacuated")
+}
