feat: linnetrudderctl empties a data centre and gives it back

The product's own side had no word for it: operators marked each server as leaving, and had to remember which had been before. A list of evacuations in the configuration; entries leave the servers of such a data centre out, agents refuse what waits and what comes (404, did not run) and let run what runs; their reports don't say that they leave, since entries would keep that until the link is opened anew.

Not built: the shared limit on cold servers behind agents, which know themselves what runs on them.

--- a/cmd/linnetrudderctl/root.go
+++ b/cmd/linnetrudderctl/root.go
@@ -23,6 +23,7 @@
 	Versions versionsCmd `cmd:"" help:"List versions with their states and shares."`
 	Rollout  rolloutCmd  `cmd:"" help:"Set a version's share of new work. Example: linnetrudderctl rollout menu@v2 --share 0.1"`
 	Withdraw withdrawCmd `cmd:"" help:"Withdraw a version: it gets nothing new. Example: linnetrudderctl withdraw menu@v2"`
+	Evacuate evacuateCmd `cmd:"" help:"Empty a data centre: its backend servers get nothing new. Examples: linnetrudderctl evacuate north; linnetrudderctl evacuate north --end"`
 	Status   statusCmd   `cmd:"" help:"Show which box has which revision in force."`
 	Bill     billCmd     `cmd:"" help:"Sum up the bills by team and version."`
 	Timeline timelineCmd `cmd:"" help:"Merge the time lines of all processes. Example: linnetrudderctl timeline --request ID"`
--- a/cmd/linnetrudderctl/root_test.go
+++ b/cmd/linnetrudderctl/root_test.go
@@ -163,3 +163,17 @@
 	require.NotEqual(t, command.OK, execute([]string{"status"}, &out, &errOut), "an entry is needed")
 	require.Contains(t, errOut.String(), "--admin")
 }
+
+func TestADataCentreIsEmptiedAndGivenBack(t *testing.T) {
+	fa := newFake(t, map[string]any{
+		"POST /v1/evacuations/north": config.Change{Revision: 4}, "DELETE /v1/evacuations/north": config.Change{Revision: 5},
+	})
+	code, out, _ := run(fa.address, "evacuate", "north")
+	require.Equal(t, command.OK, code)
+	require.Contains(t, out, "north gets nothing new as of revision 4")
+	code, out, _ = run(fa.address, "evacuate", "north", "--end")
+	require.Equal(t, command.OK, code)
+	require.Contains(t, out, "north is used again as of revision 5")
+	require.Len(t, fa.operations, 2)
+	require.NotEmpty(t, fa.operations[1])
+}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -171,7 +171,7 @@
 	for i := range doc.Servers {
 		co := &doc.Servers[i]
 		se := bo.servers[co.Name]
-		if se == nil || !se.usable() || co.Leaving {
+		if se == nil || !se.usable() || co.Leaving || doc.Evacuated(co.DataCentre) {
 			continue
 		}
 		if se.slots == 0 {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -129,3 +129,24 @@
 		})
 	}
 }
+
+func TestAnEvacuatedDataCentreIsLeftAndComesBack(t *testing.T) {
+	bo := board(6)
+	doc := *bo.snapshot.Document()
+	doc.Evacuations = []config.Evacuation{{DataCentre: "here"}}
+	bo.Reconfigure(config.Compile(2, &doc))
+	picked := func() map[string]bool {
+		names := map[string]bool{}
+		for r := range uint64(200) {
+			if server, ok := bo.Pick("m@v1", nil, r*0x9e3779b97f4a7c15); ok {
+				names[server] = true
+			}
+		}
+		return names
+	}
+	require.Equal(t, map[string]bool{"s2": true, "s5": true}, picked())
+	back := doc
+	back.Evacuations = nil
+	bo.Reconfigure(config.Compile(3, &back))
+	require.Len(t, picked(), 4)
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -107,6 +107,9 @@
 	for i := range do.Versions {
 		errs = append(errs, add("versions", do.Versions[i].ID()))
 	}
+	for i := range do.Evacuations {
+		errs = append(errs, add("evacuations", do.Evacuations[i].DataCentre))
+	}
 	for i := range do.Servers {
 		errs = append(errs, add("servers", do.Servers[i].Name))
 	}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"slices"
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/selector"
@@ -48,6 +49,14 @@
 	Kinds []Kind `json:"kinds,omitempty" validate:"dive"`
 	// Rollouts are the plans by which versions come in.
 	Rollouts []Rollout `json:"rollouts,omitempty" validate:"dive"`
+	// Evacuations are the data centres whose servers are to get nothing new.
+	Evacuations []Evacuation `json:"evacuations,omitempty" validate:"dive"`
+}
+
+// Evacuation empties a data centre: its servers finish what they run and get nothing new
+// until it is taken away.
+type Evacuation struct {
+	DataCentre string `json:"data_centre" validate:"required"`
 }
 
 // Model is a name that callers may ask for.
@@ -149,6 +158,11 @@
 	MaxFailureRate float64 `json:"max_failure_rate" validate:"gt=0,lt=1"`
 }
 
+// Evacuated reports whether the servers of a data centre are to get nothing new.
+func (do *Document) Evacuated(dataCentre string) bool {
+	return slices.Contains(do.Evacuations, Evacuation{DataCentre: dataCentre})
+}
+
 // ID returns the version's full name, model@version.
 func (ve *Version) ID() string { return ve.Model + "@" + ve.Name }
 
--- a/internal/config/objects.go
+++ b/internal/config/objects.go
@@ -51,6 +51,9 @@
 	for i := range do.Rollouts {
 		put("rollouts", do.Rollouts[i].Model+"@"+do.Rollouts[i].To, &do.Rollouts[i])
 	}
+	for i := range do.Evacuations {
+		put("evacuations", do.Evacuations[i].DataCentre, &do.Evacuations[i])
+	}
 	return all
 }
 
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -36,6 +36,8 @@
 	add(http.MethodGet, "/v1/config/history", en.getHistory)
 	add(http.MethodGet, "/v1/config/history/{revision}", en.getRevision)
 	add(http.MethodPost, "/v1/versions/{model}/{version}", en.postVersion)
+	add(http.MethodPost, "/v1/evacuations/{data_centre}", en.postEvacuation)
+	add(http.MethodDelete, "/v1/evacuations/{data_centre}", en.deleteEvacuation)
 	add(http.MethodGet, "/v1/bill", en.getBill)
 	add(http.MethodGet, "/v1/boxes", en.getBoxes)
 	add(http.MethodPost, "/v1/explain", en.postExplain)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -226,6 +226,8 @@
 		return result.Leaving
 	case ga.server() == nil:
 		return result.VersionNotHere
+	case ga.snapshot.Document().Evacuated(ga.server().DataCentre):
+		return result.Leaving
 	case at.Service != "":
 		return ga.judgeService(at)
 	case !slices.Contains(ga.server().Versions, at.Version):
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -283,3 +283,22 @@
 
 func (fatal) Errorf(format string, args ...any) { panic(fmt.Sprintf(format, args...)) }
 func (fatal) FailNow()                          { panic("failed") }
+
+// What runs in a data centre that is emptied ends, what waits and what comes goes elsewhere;
+// after its end the server takes work again, which its reports must not hide.
+func TestAServerOfAnEvacuatedDataCentreTakesNothingNew(t *testing.T) {
+	ga := newGate(t, 1, config.Serving, 1)
+	require.Equal(t, Start, open(ga, 1, attempt("one", "m@v2"), start)[0].Do())
+	require.Empty(t, open(ga, 2, attempt("one", "m@v2"), start))
+	doc := document(config.Serving, 1)
+	doc.Evacuations = []config.Evacuation{{DataCentre: doc.Servers[0].DataCentre}}
+	acs := ga.Reconfigure(config.Compile(2, doc), start.Add(time.Millisecond))
+	require.Len(t, acs, 1)
+	require.Equal(t, uint64(2), acs[0].Key().Stream, "what waits")
+	require.Equal(t, result.Leaving, acs[0].Code())
+	require.Equal(t, 1, ga.Load().Running, "what runs is not cut")
+	require.False(t, ga.Load().Leaving, "an entry would leave it for good")
+	require.Equal(t, result.Leaving, open(ga, 3, attempt("one", "m@v2"), start)[0].Code())
+	ga.Reconfigure(config.Compile(3, document(config.Serving, 2)), start.Add(2*time.Millisecond))
+	require.Equal(t, Start, open(ga, 4, attempt("one", "m@v2"), start.Add(3*time.Millisecond))[0].Do())
+}
