--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -44,8 +44,8 @@
 	// servers before the request is.
 	spareSends = 2
 	// mostSends bounds all attempts, those that reached no server included: where half of
-	// a pool is gone at once, one request in 30 meets five servers in a row that are, each
-	// within a millisecond.
+	// a pool is gone at once, one request in 32 meets five servers in a row that are, by
+	// chance, each within a millisecond.
 	mostSends = 16
 	// patiencePart is the part of the target latency after which an attempt
 	// that may be repeated is given up for another: late enough to count as an
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -155,7 +155,8 @@
 }
 
 // Change is one change of what is kept. Exactly one field is set, and only that one is
-// passed on: all fields of 3,000 servers are a megabyte, theirs alone 0.4.
+// passed on: 3,000 servers take 0.62 MB with all fields, 0.28 MB with theirs alone (encoded in
+// a test).
 type Change struct {
 	// Document is a newer configuration.
 	Document *routing.Document `cbor:",omitempty"`
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -157,7 +157,7 @@
 
 // wholeKept is how long an encoded whole state is used again: after a restart of all gateways
 // those of a data centre ask for it within some tenths of a second, and to encode 3,000
-// servers takes some milliseconds each time.
+// servers takes 2.7 ms each time (measured in a test; a box may have a seventh of a core).
 const wholeKept = 200 * time.Millisecond
 
 // encodedState is a whole state as it is passed on.
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -22,7 +22,7 @@
 	// same moment: some that have just started may not be counted yet.
 	safePart = 0.9
 	// deviations is how many standard deviations of the number of gateways that were drawn
-	// lie below the bound: 1.5 in a million draws exceed a bound of 26.
+	// lie below the bound: 1.6 in a million draws exceed a bound of 26 (reckoned).
 	deviations = 5.5
 )
 
