--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -147,7 +147,7 @@
 		// No server of that version is there (yet or any more).
 		ask.Only, ask.Except = ask.Except, ask.Only
 	}
-	if ask.Only {
+	if ask.Only && ro.canary.Phase() == rollout.Trying {
 		ask.Few, ask.FewKey = ro.canary.TrialServers(ga.pool.Count(ask)), ro.order.Revision
 	}
 	return ask
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -40,7 +40,10 @@
 func (ga *Gateway) serverGone(id string, now time.Time) {
 	key := ga.keyOf(id)
 	ga.servers.Remove(id, now)
-	ga.forgetIfGone(id, key, "its entry ended")
+	if ga.servers.Get(id) == nil {
+		ga.pool.Forget(key)
+		ga.noteServer(event.ServerGone, id, "its entry ended")
+	}
 }
 
 // entryUnusable takes a server out of use whose entry does not name one any more. The
@@ -156,15 +159,6 @@
 	return id
 }
 
-// forgetIfGone forgets what is known of a server that is not listed any more; the lock is
-// held.
-func (ga *Gateway) forgetIfGone(id, key, why string) {
-	if ga.servers.Get(id) == nil {
-		ga.pool.Forget(key)
-		ga.noteServer(event.ServerGone, id, why)
-	}
-}
-
 func (ga *Gateway) noteServer(id event.ID, server, detail string) {
 	ga.Log.Info().Int("event", int(id)).Str("server", server).Str("detail", detail).Msg(event.Name(id))
 }
