feat: logs name the requests that were with a server when it ended

Cause: in an incident in which one request ended server after server, logs could not tell which requests were with a server when it ended, nor which requests are copies of each other, nor that a server had ended at all until its entry ran out two to three seconds later. In 13 of 14 copies one run had been dropped 0.04 to 0.12 s before its server ended, so that no connection was left that broke.

Change: no decision changes. Each request has a fingerprint (team, method, host, target, body), in the lines on its end. What was sent to a server is remembered for 5 s after it is over. Where a connection breaks off, one more is opened to learn whether the server still listens; event 525 then names who began to run there just before (bounded: eight of them), 526 says that it could not be found out. A counter for ends.

Tests: internal/poison. A retry waits for that answer, a round trip, 50 ms at the most.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,6 +57,8 @@
 	ServerWarm       ID = 522
 	CentreEvacuated  ID = 523
 	CentreRestored   ID = 524
+	ServerEnded      ID = 525
+	ServerUnclear    ID = 526
 	BillWritten      ID = 600
 	BillHeld         ID = 601
 	ClaimWon         ID = 602
@@ -137,6 +139,8 @@
 	{ServerWarm, "server_warm", "a backend server that was cold gets its usual load"},
 	{CentreEvacuated, "data_centre_evacuated", "an operator empties a data centre; its backend servers get nothing new"},
 	{CentreRestored, "data_centre_restored", "an operator has given a data centre back; its backend servers are used again"},
+	{ServerEnded, "server_ended", "a backend server's process has ended; the requests are named that began to run there just before"},
+	{ServerUnclear, "server_unclear", "a backend server broke a connection off, and whether it has ended could not be found out"},
 	{BillWritten, "bill_written", "bill records are durable"},
 	{BillHeld, "bill_held", "bill records wait for the key-value service"},
 	{ClaimWon, "claim_won", "a claim is durable"},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/direct"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 )
@@ -38,12 +39,21 @@
 	rest io.Reader
 	err  error
 	over bool
+	// run is what is remembered of the attempt in case its server ends; nil if it was never
+	// sent. left is set if this gateway ended the attempt without an answer.
+	run  *poison.Run
+	left bool
 	// settled is set once by whichever is first: the head of the answer, or the
 	// timer that gives the attempt up. silent is set if the latter was because the
 	// server said nothing to anybody.
 	settled, silent atomic.Bool
+	// stalled is set if the stream was left because it was silent.
+	stalled atomic.Bool
 }
 
+// attemptAnswered is the outcome of an attempt whose whole answer came.
+const attemptAnswered = "answered"
+
 // status returns the status of the answer, zero if there is none.
 func (se *sent) status() int {
 	if se.answer == nil {
@@ -73,6 +83,7 @@
 	se.offer, se.prompt = ex.offer, ex.prompt(step.Model())
 	ga.pool.Started(se.server.Key(), se.offer.Read(), now)
 	ga.sentTo(se.server, ex.route.Name, now)
+	se.run = ga.runs.Sent(se.server.Key(), ex.print, ex.as.ID, now)
 	ga.mu.Unlock()
 	ctx, se.cancel = context.WithCancel(ctx)
 	if step.Attempt() > 1 {
@@ -81,7 +92,8 @@
 	patience := time.AfterFunc(step.Patience().Sub(now), se.impatient)
 	se.call(ctx)
 	patience.Stop()
-	if !se.settled.CompareAndSwap(false, true) && se.err == nil {
+	se.left = !se.settled.CompareAndSwap(false, true)
+	if se.left && se.err == nil {
 		// Given up just as the head came: the call was cancelled already.
 		se.err = errGivenUp
 	}
@@ -124,6 +136,7 @@
 	ga.pool.Read(se.server.Key(), se.offer.Read())
 	if se.err == nil {
 		ga.pool.Hear(se.server.Key(), now)
+		se.run.Answered(now)
 	}
 	if se.err != nil && now.Before(se.step.Patience()) {
 		return
@@ -215,6 +228,7 @@
 		return ex.request.Refused(refusal.After, now)
 	case errors.Is(se.err, ErrUnreachable):
 		se.end("unreachable")
+		ex.ga.serverEnded(se.server, "it takes no connection")
 		ex.ga.leaveServer(ctx, se, now)
 		return ex.request.Unsent(now)
 	case errors.Is(se.err, ErrUnsent):
@@ -223,6 +237,9 @@
 		return ex.request.Unsent(now)
 	case se.err != nil:
 		se.end("lost")
+		if !se.left {
+			ex.ga.brokeOff(ctx, se.server)
+		}
 		if se.silent.Load() || now.Before(se.step.Patience()) {
 			ex.ga.judge(ctx, se, false, now)
 		}
@@ -247,6 +264,7 @@
 	}
 	se.ex.ga.mu.Lock()
 	se.ex.ga.pool.Ended(se.server.Key())
+	se.run.Over(outcome == attemptAnswered, time.Now())
 	se.ex.ga.mu.Unlock()
 	countAttempt(se.server.Service, outcome)
 }
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -39,7 +39,7 @@
 	} else {
 		err = ex.deliverLong(se)
 	}
-	se.end("answered")
+	se.end(attemptAnswered)
 	if err != nil {
 		ex.note(event.RequestFailed, codeOf(err), err.Error())
 		ex.an.Abort()
@@ -75,7 +75,7 @@
 		var er *result.Error
 		switch {
 		case err == nil:
-			se.end("answered")
+			se.end(attemptAnswered)
 			ex.ga.judge(ctx, se, true, now)
 			ex.ga.streamed(se, events, now.Sub(began), now)
 			ex.answered()
@@ -87,6 +87,9 @@
 			return
 		}
 		se.end("broken")
+		if !se.stalled.Load() {
+			ex.ga.brokeOff(ctx, se.server)
+		}
 		ex.ga.judge(ctx, se, false, now)
 		if se = ex.resume(ctx, err); se == nil {
 			return
@@ -172,6 +175,7 @@
 // nothing of the request changes.
 func (ex *exchange) stalled(se *sent) {
 	if ex.request.MayResume(time.Now()) && ex.spare(se) {
+		se.stalled.Store(true)
 		se.cancel()
 	}
 }
--- /dev/null
+++ b/internal/gateway/ends.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/poison"
+)
+
+const (
+	// probeTimeout bounds the question whether a server still listens: one that has ended
+	// refuses within a round trip of some milliseconds.
+	probeTimeout = 400 * time.Millisecond
+	// probeWait is how long a request whose connection broke off waits for the answer before
+	// it goes on elsewhere: some round trips, and far less than a caller notices.
+	probeWait = 50 * time.Millisecond
+	// probeAgain is how long one answer is used for others: with a server all its connections
+	// break off within some milliseconds.
+	probeAgain = 100 * time.Millisecond
+	// mostSuspects is how many suspects a line of the log names.
+	mostSuspects = 8
+)
+
+// probe is a question whether a server still listens.
+type probe struct {
+	at time.Time
+	// done is closed when the answer is known.
+	done chan struct{}
+}
+
+// brokeOff finds out whether a server has ended that broke a connection off, and waits a
+// moment for it: what is decided next may depend on it.
+func (ga *Gateway) brokeOff(ctx context.Context, se directory.Server) {
+	if ctx.Err() != nil {
+		return // the caller left or the time is over: this says nothing of the server
+	}
+	now := time.Now()
+	ga.mu.Lock()
+	ga.runs.Broke(se.Key(), now)
+	pr := ga.probe(ctx, se, now)
+	ga.mu.Unlock()
+	ti := time.NewTimer(probeWait)
+	defer ti.Stop()
+	select {
+	case <-pr.done:
+	case <-ti.C:
+	case <-ctx.Done():
+	}
+}
+
+// probe asks whether a server still listens, or returns the question that was just asked. The
+// lock is held.
+func (ga *Gateway) probe(ctx context.Context, se directory.Server, now time.Time) *probe {
+	pr := ga.probes[se.Key()]
+	if pr != nil && now.Sub(pr.at) < probeAgain {
+		return pr
+	}
+	pr = &probe{at: now, done: make(chan struct{})}
+	ga.probes[se.Key()] = pr
+	go ga.reach(context.WithoutCancel(ctx), se, pr)
+	return pr
+}
+
+func (ga *Gateway) reach(ctx context.Context, se directory.Server, pr *probe) {
+	defer close(pr.done)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	switch err := ga.Backend.Reach(ctx, se); {
+	case err == nil:
+		ga.mu.Lock()
+		defer ga.mu.Unlock()
+		ga.runs.Alive(se.Key())
+	case errors.Is(err, ErrUnreachable):
+		ga.serverEnded(se, "it broke off and takes no connection")
+	default:
+		ga.Log.Info().Int("event", int(event.ServerUnclear)).Str("server", se.Key()).Err(err).Msg(event.Name(event.ServerUnclear))
+	}
+}
+
+// serverEnded notes that a server's process is gone.
+func (ga *Gateway) serverEnded(se directory.Server, why string) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.noteEnded(se.Key(), why, time.Now())
+}
+
+// noteEnded takes the end of a server's life, the first time that it is noticed. The lock is
+// held.
+func (ga *Gateway) noteEnded(key, why string, now time.Time) {
+	if !ga.runs.Has(key) {
+		return
+	}
+	suspects := ga.runs.Ended(key, now)
+	serverEnds.Inc()
+	ga.Log.Info().Int("event", int(event.ServerEnded)).Str("server", key).Int("suspects", len(suspects)).
+		Strs("prints", prints(suspects)).Str("detail", why).Msg(event.Name(event.ServerEnded))
+}
+
+// prints names suspects for the log, the first of many.
+func prints(suspects []*poison.Run) []string {
+	names := make([]string, 0, mostSuspects)
+	for _, ru := range suspects[:min(mostSuspects, len(suspects))] {
+		names = append(names, ru.Request()+" "+ru.Print().String())
+	}
+	return names
+}
+
+// settleRuns forgets what is over for long.
+func (ga *Gateway) settleRuns(now time.Time) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.runs.Settle(now)
+	for key, pr := range ga.probes {
+		if now.Sub(pr.at) > probeTimeout {
+			delete(ga.probes, key)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/freshness"
 	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/pace"
+	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
 	"github.com/linnetrudder/linnetrudder/internal/rate"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
@@ -129,6 +130,10 @@
 	phases map[string]StoredPhase
 	// demands holds how many attempts are sent to each service, by route.
 	demands map[string]*rate.Meter
+	// runs knows which requests are with which server, probes which servers were just asked
+	// whether they have ended, by life.
+	runs   poison.Runs
+	probes map[string]*probe
 }
 
 // Run follows the key-value service until the context ends.
@@ -156,6 +161,7 @@
 	ga.phases = map[string]StoredPhase{}
 	ga.demands = map[string]*rate.Meter{}
 	ga.backlogs = map[string]*pace.Trend{}
+	ga.probes = map[string]*probe{}
 	ga.members = map[string]relay.Member{}
 	ga.plan = relay.Plan{Box: ga.Box, DataCentre: ga.DataCentre}
 	ga.loadPlan = ga.plan
@@ -222,6 +228,7 @@
 			ga.dropMissing(now)
 			ga.watchServers(now)
 			ga.expireLoads(now)
+			ga.settleRuns(now)
 			ga.advanceRollouts(ctx, now)
 		}
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 var (
 	storeFailures   = metrics.NewCounter(`linnetrudder_store_failures_total`)
+	serverEnds      = metrics.NewCounter(`linnetrudder_server_ends_total`)
 	unusableEntries = metrics.NewCounter(`linnetrudder_unusable_entries_total`)
 )
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/direct"
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
@@ -43,6 +44,9 @@
 		return
 	}
 	ex.body = body
+	ex.print = poison.PrintOf(poison.Request{
+		Team: ex.team(), Method: as.Method, Host: as.Host, Target: as.Target, Body: body,
+	})
 	ctx, cancel := context.WithDeadline(ctx, ex.request.Deadline)
 	defer cancel()
 	ex.run(ctx)
@@ -82,6 +86,8 @@
 	single  bool
 	draw    float64
 	body    []byte
+	// print is the same for all copies of the request, known once the body is.
+	print   poison.Print
 	request direct.Request
 	// attempts holds what was sent, by number.
 	attempts map[int]*sent
@@ -287,7 +293,8 @@
 	countRequest(kind, co, took.Seconds())
 	le := ex.ga.Log.Info().Int("event", int(id)).Str("request", ex.as.ID).Str("route", route).Str("team", ex.team()).
 		Str("session", ex.session).Int("code", int(co)).Uint64("version", ex.table.Version()).Dur("age_ms", ex.age).Dur("ms", took).
-		Int("sends", len(ex.attempts)).Int("runs", ex.request.Runs())
+		Int("sends", len(ex.attempts)).Int("runs", ex.request.Runs()).
+		Str("print", ex.print.String())
 	if last := ex.attempts[len(ex.attempts)]; last != nil {
 		le = last.describe(le)
 	}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -28,6 +29,7 @@
 	case known == nil:
 		ga.noteServer(event.ServerListed, se.ID, se.Service+" "+se.Version+" "+se.Address)
 	case se.Born != old.Born:
+		ga.noteEnded(old.Key(), "it has started again", now)
 		ga.pool.Forget(old.Key())
 		ga.noteServer(event.ServerRestarted, se.ID, se.Service+" "+se.Version+" "+se.Address)
 	case se.Draining && !old.Draining:
@@ -39,6 +41,10 @@
 // serverGone takes the end of a server's entry; the lock is held.
 func (ga *Gateway) serverGone(id string, now time.Time) {
 	key := ga.keyOf(id)
+	if se := ga.servers.Get(id); se != nil && !se.Draining && ga.runs.Has(key) {
+		// Some serve on for a while without an entry, others have ended.
+		ga.probe(context.Background(), *se, now)
+	}
 	ga.servers.Remove(id, now)
 	if ga.servers.Get(id) == nil {
 		ga.pool.Forget(key)
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -26,6 +26,8 @@
 	ID string
 	// Host and Path select the route.
 	Host, Path string
+	// Method and Target are those of the call, the target with its query.
+	Method, Target string
 	// Key proves the team; empty if the caller sent none.
 	Key string
 	// Received is when the head of the request had been read.
@@ -107,6 +109,9 @@
 // others; after the last kind the attempt may have run.
 type Backend interface {
 	Call(ctx context.Context, at *Attempt) (*Answer, error)
+	// Reach opens a connection to a server and closes it. It returns ErrUnreachable if
+	// nobody listens at the server's address.
+	Reach(ctx context.Context, se directory.Server) error
 }
 
 // Refusal is a server's word that an attempt did not run and never will.
--- /dev/null
+++ b/internal/poison/print.go
@@ -0,0 +1,61 @@
+// Package poison finds requests under which backend servers end: each server that begins
+// to run such a request fails, with all that runs there. It knows which requests were with
+// a server when it ended, counts the ends of each over all gateways, and says which are not
+// to be sent any more. It does no I/O and reads no clock.
+package poison
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+
+	"github.com/rotisserie/eris"
+)
+
+// Print is a request's fingerprint. Copies of a request have the same, whoever names them
+// anew: a caller's retry has an id of its own.
+type Print [16]byte
+
+// Request is what copies of a request have in common. Its fields are exported because it is
+// data without behaviour.
+type Request struct {
+	// Team is the name of the caller's team, empty on a public route: nobody can have
+	// another team's requests taken for copies of his own.
+	Team string
+	// Method, Host and Target are the caller's, the target with its query.
+	Method, Host, Target string
+	Body                 []byte
+}
+
+// PrintOf returns the fingerprint of a request. The hash is one that nobody can find a second
+// request for: what is blocked for one caller must not block what others send.
+func PrintOf(re Request) Print {
+	ha := sha256.New()
+	for _, part := range []string{re.Team, re.Method, re.Host, re.Target} {
+		var size [binary.MaxVarintLen64]byte
+		ha.Write(binary.AppendUvarint(size[:0], uint64(len(part))))
+		ha.Write([]byte(part))
+	}
+	ha.Write(re.Body)
+	return Print(ha.Sum(nil)[:len(Print{})])
+}
+
+// IsZero reports whether the fingerprint is not known yet.
+func (pr Print) IsZero() bool { return pr == Print{} }
+
+// String returns the fingerprint in hex, empty if it is not known.
+func (pr Print) String() string {
+	if pr.IsZero() {
+		return ""
+	}
+	return hex.EncodeToString(pr[:])
+}
+
+// ParsePrint reads what String wrote.
+func ParsePrint(text string) (Print, error) {
+	data, err := hex.DecodeString(text)
+	if err != nil || len(data) != len(Print{}) {
+		return Print{}, eris.Errorf("%q is no fingerprint of a request", text)
+	}
+	return Print(data), nil
+}
--- /dev/null
+++ b/internal/poison/runs.go
@@ -0,0 +1,157 @@
+package poison
+
+import "time"
+
+const (
+	// beganWithin is how long before its server's end a request began to run that may have
+	// caused it: engines fail in the first steps of a request, seen 0.04 to 0.12 s after the
+	// first token. What has run for longer is no suspect.
+	beganWithin = time.Second
+	// lingers is how long after a request was dropped its server may still end of it, where
+	// the moment of the end is known: an answer that is not sure is dropped with its first
+	// token.
+	lingers = time.Second
+	// kept is how long what is over is remembered. A server that ends unseen is noticed when
+	// its entry runs out, some three seconds later.
+	kept = 5 * time.Second
+)
+
+// Run is one request at one server.
+type Run struct {
+	print   Print
+	request string
+	server  string
+	// sent is when it was sent, first when the first part of its answer came, over when it
+	// came to its end or was dropped; each is zero before.
+	sent, first, over time.Time
+	// whole is set if the whole answer came.
+	whole bool
+}
+
+// Print returns the request's fingerprint.
+func (ru *Run) Print() Print { return ru.print }
+
+// Request returns the caller's id of the request.
+func (ru *Run) Request() string { return ru.request }
+
+// Answered notes that the first part of the answer came.
+func (ru *Run) Answered(now time.Time) {
+	if ru.first.IsZero() {
+		ru.first = now
+	}
+}
+
+// Over notes that the request is not at the server any more; whole is set if all of its
+// answer came.
+func (ru *Run) Over(whole bool, now time.Time) {
+	if ru.over.IsZero() {
+		ru.over, ru.whole = now, whole
+	}
+}
+
+// Runs knows which requests are with which server, and were until just now. The zero value
+// knows of none. It is not safe for concurrent use.
+type Runs struct {
+	servers map[string]*served
+}
+
+// served is what one life of a server got.
+type served struct {
+	// runs holds what is there, and what is over for less than kept.
+	runs []*Run
+	// broke is when a connection to it broke off that it may have ended with; zero if none
+	// did lately.
+	broke time.Time
+}
+
+// Sent notes that a request is sent to a server's life.
+func (rs *Runs) Sent(server string, pr Print, request string, now time.Time) *Run {
+	ru := &Run{print: pr, request: request, server: server, sent: now}
+	sv := rs.of(server)
+	sv.runs = append(sv.runs, ru)
+	return ru
+}
+
+func (rs *Runs) of(server string) *served {
+	if rs.servers == nil {
+		rs.servers = map[string]*served{}
+	}
+	sv := rs.servers[server]
+	if sv == nil {
+		sv = &served{}
+		rs.servers[server] = sv
+	}
+	return sv
+}
+
+// Broke notes that a server broke a connection off, which may be its end.
+func (rs *Runs) Broke(server string, now time.Time) {
+	if sv := rs.of(server); sv.broke.IsZero() || now.Sub(sv.broke) > lingers {
+		sv.broke = now
+	}
+}
+
+// Alive notes that a server has not ended after all.
+func (rs *Runs) Alive(server string) {
+	if sv := rs.servers[server]; sv != nil {
+		sv.broke = time.Time{}
+	}
+}
+
+// Has reports whether anything is known of what a server got lately.
+func (rs *Runs) Has(server string) bool { return rs.servers[server] != nil }
+
+// Ended returns the requests that may have caused the end of a server, and forgets it.
+func (rs *Runs) Ended(server string, now time.Time) []*Run {
+	sv := rs.servers[server]
+	if sv == nil {
+		return nil
+	}
+	delete(rs.servers, server)
+	var suspects []*Run
+	for _, ru := range sv.runs {
+		if sv.suspects(ru, now) {
+			suspects = append(suspects, ru)
+		}
+	}
+	return suspects
+}
+
+// suspects reports whether a request may have caused the end of its server, which is noticed
+// now.
+func (sv *served) suspects(ru *Run, now time.Time) bool {
+	end := now
+	if !sv.broke.IsZero() {
+		end = sv.broke
+		if !ru.over.IsZero() && end.Sub(ru.over) > lingers {
+			return false
+		}
+	}
+	if !ru.over.IsZero() && ru.over.Before(end) {
+		end = ru.over
+	}
+	return ru.first.IsZero() || end.Sub(ru.first) <= beganWithin
+}
+
+// Settle forgets what is over for long, and returns the fingerprints of those whose whole
+// answers came from servers that lived on.
+func (rs *Runs) Settle(now time.Time) []Print {
+	var sound []Print
+	for server, sv := range rs.servers {
+		left := sv.runs[:0]
+		for _, ru := range sv.runs {
+			switch {
+			case ru.over.IsZero() || now.Sub(ru.over) < kept:
+				left = append(left, ru)
+			case ru.whole:
+				sound = append(sound, ru.print)
+			}
+		}
+		clear(sv.runs[len(left):])
+		sv.runs = left
+		if len(left) == 0 {
+			delete(rs.servers, server)
+		}
+	}
+	return sound
+}
--- /dev/null
+++ b/internal/poison/runs_test.go
@@ -0,0 +1,102 @@
+package poison
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func after(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+
+func named(name string) Print { return PrintOf(Request{Target: name}) }
+
+func requests(runs []*Run) []string {
+	var ids []string
+	for _, ru := range runs {
+		ids = append(ids, ru.Request())
+	}
+	return ids
+}
+
+func TestCopiesHaveTheSamePrint(t *testing.T) {
+	re := Request{Team: "t", Method: "POST", Host: "h", Target: "/a?b", Body: []byte("c")}
+	pr := PrintOf(re)
+	require.Equal(t, pr, PrintOf(re))
+	for _, other := range []Request{
+		{Team: "u", Method: "POST", Host: "h", Target: "/a?b", Body: []byte("c")},
+		{Team: "t", Method: "PUT", Host: "h", Target: "/a?b", Body: []byte("c")},
+		{Team: "t", Method: "POST", Host: "g", Target: "/a?b", Body: []byte("c")},
+		{Team: "t", Method: "POST", Host: "h", Target: "/a?bc"},
+		{Team: "tP", Method: "OST", Host: "h", Target: "/a?b", Body: []byte("c")},
+	} {
+		require.NotEqual(t, pr, PrintOf(other))
+	}
+	read, err := ParsePrint(pr.String())
+	require.NoError(t, err)
+	require.Equal(t, pr, read)
+	for _, text := range []string{"", "0g", pr.String()[2:], pr.String() + "00"} {
+		_, err := ParsePrint(text)
+		require.Error(t, err, text)
+	}
+	require.Empty(t, Print{}.String())
+}
+
+func TestWhatBeganJustBeforeTheEndIsSuspected(t *testing.T) {
+	var rs Runs
+	old := rs.Sent("s", named("old"), "old", after(0))
+	old.Answered(after(100))
+	rs.Sent("s", named("waits"), "waits", after(2000))
+	began := rs.Sent("s", named("began"), "began", after(2000))
+	began.Answered(after(2400))
+	rs.Sent("other", named("elsewhere"), "elsewhere", after(2400))
+	rs.Broke("s", after(2500))
+	rs.Broke("s", after(2501))
+	require.Equal(t, []string{"waits", "began"}, requests(rs.Ended("s", after(2510))))
+	require.Empty(t, rs.Ended("s", after(2520)), "once")
+	require.True(t, rs.Has("other"))
+}
+
+// An answer that is not sure is dropped with its first token, and its server ends a
+// moment later, when nothing is open there any more.
+func TestWhatWasDroppedJustBeforeTheEndIsSuspected(t *testing.T) {
+	var rs Runs
+	dropped := rs.Sent("s", named("dropped"), "dropped", after(0))
+	dropped.Answered(after(200))
+	dropped.Over(false, after(201))
+	gone := rs.Sent("s", named("gone"), "gone", after(0))
+	gone.Over(false, after(10))
+	rs.Broke("s", after(1100))
+	require.Equal(t, []string{"dropped"}, requests(rs.Ended("s", after(1110))))
+}
+
+func TestAnEndThatIsNoticedLateReachesFurtherBack(t *testing.T) {
+	var rs Runs
+	ru := rs.Sent("s", named("dropped"), "dropped", after(0))
+	ru.Answered(after(200))
+	ru.Over(true, after(300))
+	require.Empty(t, rs.Settle(after(3000)))
+	require.Equal(t, []string{"dropped"}, requests(rs.Ended("s", after(3100))))
+}
+
+func TestAWholeAnswerFromAServerThatLivesOnIsSound(t *testing.T) {
+	var rs Runs
+	rs.Sent("s", named("whole"), "whole", after(0)).Over(true, after(100))
+	rs.Sent("s", named("dropped"), "dropped", after(0)).Over(false, after(100))
+	rs.Sent("s", named("runs"), "runs", after(0))
+	require.Empty(t, rs.Settle(after(100+int(kept.Milliseconds())-1)))
+	require.Equal(t, []Print{named("whole")}, rs.Settle(after(100+int(kept.Milliseconds()))))
+	require.Equal(t, []string{"runs"}, requests(rs.Ended("s", after(9000))))
+}
+
+func TestAServerThatLivesAfterABreakHasNotEndedThen(t *testing.T) {
+	var rs Runs
+	rs.Broke("s", after(0))
+	rs.Alive("s")
+	ru := rs.Sent("s", named("a"), "a", after(3000))
+	ru.Answered(after(3100))
+	require.Equal(t, []string{"a"}, requests(rs.Ended("s", after(3200))), "the break long before is not the end")
+	rs.Alive("unknown")
+}
