fix: a request under which three servers end is not sent to more

Cause: an attempt whose server ended was repeated like one whose connection was lost, up to three times, and nothing was remembered of it beyond the request's own end. Copies, the caller's retries among them, began anew at whichever gateway. In 13 of 14 copies one run had been dropped before its server ended, so that counting broken connections alone would find the cause late.

Change, decisions in internal/poison, pure: which requests may have caused an end (they began to run there 0.5 s before it or less, or wait there; also dropped ones; not those that never reached the server); ends are added up over all gateways, along the reports of load; ends within 0.1 s of each other count once, and what was answered by servers that live on is not accused. From three on the request is blocked for an hour: refused at once with code 410 and when to come back, not retried, not escalated, not resumed; attempts that wait at servers are given up. Blocks go with the reports and are kept in the key-value service, under no lease (an outage ends leases), so that gateways that start later know them. Removing the key lifts one.

Also: what a server says by breaking off late counts against it, like one that breaks off early.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -32,6 +32,12 @@
 	Next(place, confidence int, now time.Time) (int, bool)
 }
 
+// Blocks knows requests that are not to be sent to servers.
+type Blocks interface {
+	// Blocked returns how long the request is not to be sent any more, zero if it may be.
+	Blocked(now time.Time) time.Duration
+}
+
 // Pace knows how long servers take.
 type Pace interface {
 	// Usual returns how long the head of a model's answer usually takes now,
@@ -82,6 +88,7 @@
 	Retries                    Retries
 	Cascade                    Cascade
 	Pace                       Pace
+	Blocks                     Blocks
 
 	// place is the model asked now.
 	place int
@@ -203,9 +210,12 @@
 
 // again makes another attempt after one that gave nothing.
 func (re *Request) again(co result.Code, after time.Duration, now time.Time) Step {
+	left := re.Blocks.Blocked(now)
 	switch {
 	case re.delivered:
 		return re.Broken(now)
+	case left > 0:
+		return re.refuse(result.RequestBlocked, left)
 	case !re.maySend(), !re.mayRun(now), !re.take(now):
 		return re.refuse(co, after)
 	}
@@ -221,9 +231,10 @@
 	return re.Retries.Take(now)
 }
 
-// mayRun reports whether one more run is allowed and has time.
+// mayRun reports whether one more run is allowed and has time, and may be made: by then its
+// servers may have ended under the request.
 func (re *Request) mayRun(now time.Time) bool {
-	return re.runs < re.MaxRuns && re.Deadline.Sub(now) > minLeft
+	return re.runs < re.MaxRuns && re.Deadline.Sub(now) > minLeft && re.Blocks.Blocked(now) == 0
 }
 
 // maySend reports whether one more attempt may be sent, also if servers refuse
@@ -245,6 +256,9 @@
 	if re.Deadline.Sub(now) <= minLeft {
 		return re.refuse(result.DeadlinePassed, 0)
 	}
+	if left := re.Blocks.Blocked(now); left > 0 {
+		return re.refuse(result.RequestBlocked, left)
+	}
 	server, ok := re.Picker.Pick(re.model(), re.tried, now)
 	if !ok {
 		return re.refuse(co, after)
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -45,11 +45,17 @@
 
 func (pa pace) Usual(string) time.Duration { return time.Duration(pa) }
 
+// blocks says for how long the request is not to be sent.
+type blocks time.Duration
+
+func (bl *blocks) Blocked(time.Time) time.Duration { return time.Duration(*bl) }
+
 func request(change func(re *Request)) *Request {
 	retries := purse(10)
 	re := &Request{
 		Idempotent: true, MaxRuns: 3, Received: t0, Target: t0.Add(time.Second), Deadline: t0.Add(4 * time.Second),
 		Picker: servers{"a", "b", "c", "d", "e", "f"}, Retries: &retries, Cascade: threshold(50), Pace: pace(0),
+		Blocks: new(blocks),
 	}
 	if change != nil {
 		change(re)
@@ -83,6 +89,43 @@
 	require.Equal(t, Deliver, re.Answered(500, -1, t0).Do())
 }
 
+func TestABlockedRequestIsRefusedAtOnce(t *testing.T) {
+	bl := blocks(time.Minute)
+	re := request(func(re *Request) { re.Blocks = &bl })
+	st := re.Begin(t0)
+	require.Equal(t, Refuse, st.Do())
+	require.Equal(t, result.RequestBlocked, st.Code())
+	require.Equal(t, result.DidNotRun, result.Of(st.Code()).Run())
+	require.Equal(t, time.Minute, st.RetryAfter())
+}
+
+func TestARequestThatIsBlockedMeanwhileIsNotSentAgain(t *testing.T) {
+	for name, then := range map[string]func(re *Request) Step{
+		"lost":     func(re *Request) Step { return re.Lost(t0) },
+		"failed":   func(re *Request) Step { return re.Answered(500, -1, t0) },
+		"refused":  func(re *Request) Step { return re.Refused(0, t0) },
+		"unsent":   func(re *Request) Step { return re.Unsent(t0) },
+		"not sure": func(re *Request) Step { return re.Answered(200, 10, t0) },
+		"broken": func(re *Request) Step {
+			re.Answered(200, 90, t0)
+			return re.Broken(t0)
+		},
+	} {
+		var bl blocks
+		re := request(func(re *Request) {
+			re.Blocks, re.Models, re.Resumable = &bl, []string{"small", "large"}, true
+		})
+		require.Equal(t, Send, re.Begin(t0).Do())
+		bl = blocks(time.Minute)
+		st := then(re)
+		require.NotEqual(t, Send, st.Do(), name)
+		if st.Do() == Refuse {
+			ran := name == "lost"
+			require.Equal(t, ran, result.Of(st.Code()).Run() == result.MayHave, name)
+		}
+	}
+}
+
 func TestASafeFailureIsRepeatedAsOftenAsAllowed(t *testing.T) {
 	re := request(nil)
 	re.Begin(t0)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,8 @@
 	RequestRefused   ID = 205
 	RequestFailed    ID = 206
 	RequestResumed   ID = 207
+	RequestBlocked   ID = 208
+	RequestUnblocked ID = 209
 	AttemptAdmitted  ID = 300
 	AttemptQueued    ID = 301
 	AttemptRefused   ID = 302
@@ -106,6 +108,8 @@
 	{RequestRefused, "request_refused", "the request was refused and did not run"},
 	{RequestFailed, "request_failed", "the request ended without a whole answer"},
 	{RequestResumed, "request_resumed", "a broken stream is continued at another backend server"},
+	{RequestBlocked, "request_blocked", "backend servers ended under a request; from now on its copies are not sent to any"},
+	{RequestUnblocked, "request_unblocked", "copies of a request are sent to backend servers again"},
 	{AttemptAdmitted, "attempt_admitted", "the agent started an attempt on its backend server"},
 	{AttemptQueued, "attempt_queued", "the agent put an attempt into its queue"},
 	{AttemptRefused, "attempt_refused", "the agent refused an attempt; it did not run"},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,11 +69,12 @@
 	now := time.Now()
 	se := &sent{ex: ex, step: step, began: now}
 	ex.attempts[step.Attempt()] = se
+	ctx, se.cancel = context.WithCancel(ctx)
 	ga.mu.Lock()
 	listed := ga.servers.Get(step.Server())
 	if listed == nil {
 		ga.mu.Unlock()
-		se.err, se.over, se.cancel = ErrUnsent, true, func() {}
+		se.err, se.over = ErrUnsent, true
 		return se
 	}
 	se.server = *listed
@@ -84,8 +85,8 @@
 	ga.pool.Started(se.server.Key(), se.offer.Read(), now)
 	ga.sentTo(se.server, ex.route.Name, now)
 	se.run = ga.runs.Sent(se.server.Key(), ex.print, ex.as.ID, now)
+	ga.waiting[se] = true
 	ga.mu.Unlock()
-	ctx, se.cancel = context.WithCancel(ctx)
 	if step.Attempt() > 1 {
 		ex.noteAttempt(se)
 	}
@@ -134,6 +135,7 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.pool.Read(se.server.Key(), se.offer.Read())
+	delete(ga.waiting, se)
 	if se.err == nil {
 		ga.pool.Hear(se.server.Key(), now)
 		se.run.Answered(now)
@@ -221,18 +223,18 @@
 	var refusal *Refusal
 	switch {
 	case errors.As(se.err, &refusal):
-		se.end("refused")
+		se.unsent("refused")
 		if refusal.Gone {
 			ex.forgetServer(se)
 		}
 		return ex.request.Refused(refusal.After, now)
 	case errors.Is(se.err, ErrUnreachable):
-		se.end("unreachable")
+		se.unsent("unreachable")
 		ex.ga.serverEnded(se.server, "it takes no connection")
 		ex.ga.leaveServer(ctx, se, now)
 		return ex.request.Unsent(now)
 	case errors.Is(se.err, ErrUnsent):
-		se.end("unsent")
+		se.unsent("unsent")
 		ex.ga.judge(ctx, se, false, now)
 		return ex.request.Unsent(now)
 	case se.err != nil:
@@ -240,7 +242,7 @@
 		if !se.left {
 			ex.ga.brokeOff(ctx, se.server)
 		}
-		if se.silent.Load() || now.Before(se.step.Patience()) {
+		if se.silent.Load() || !se.left {
 			ex.ga.judge(ctx, se, false, now)
 		}
 		return ex.request.Lost(now)
@@ -269,6 +271,14 @@
 	countAttempt(se.server.Service, outcome)
 }
 
+// unsent ends an attempt that its server never began.
+func (se *sent) unsent(outcome string) {
+	if se.run != nil {
+		se.run.Unsent()
+	}
+	se.end(outcome)
+}
+
 // drop ends an attempt whose answer is not wanted any more.
 func (se *sent) drop() { se.end("dropped") }
 
--- /dev/null
+++ b/internal/gateway/blocks.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/poison"
+	"github.com/linnetrudder/linnetrudder/internal/relay"
+)
+
+const (
+	// storeSpread is the most that a gateway waits before it stores a block of its own: of all
+	// that know enough at the same moment a few write.
+	storeSpread = 300 * time.Millisecond
+	// storeOthers is the least time after which it stores one that another gateway told it,
+	// and still is not known to be kept.
+	storeOthers = 2 * time.Second
+	// storeAgain is the pause after a write that failed.
+	storeAgain = time.Second
+)
+
+// accuse takes a suspicion; the lock is held. Copies of a request come to any gateway and
+// each sees the ends of its own only, so that suspicions are added up: they go with the
+// reports of load, to the collectors and among them. Where each counted for itself, a request
+// ended 3 servers a gateway; with a write to the key-value service for each suspicion an
+// ended rack of 40 servers would take 800 writes (reckoned: 20 suspects a server).
+func (ga *Gateway) accuse(su poison.Suspicion, now time.Time) {
+	if ga.cases.Accuse(su, now) && ga.blocks.Left(su.Print, now) == 0 {
+		ga.storing[su.Print] = now.Add(rand.N(storeSpread))
+		ga.takeBlock(poison.NewBlock(su.Print, now), false, now)
+	}
+}
+
+// takeBlock takes a block, an own one, another gateway's or one that the key-value service
+// holds. Attempts that no server has begun yet are given up: a server that still has them in
+// its queue would end of them. The lock is held.
+func (ga *Gateway) takeBlock(bl poison.Block, stored bool, now time.Time) {
+	if !ga.blocks.Add(bl, stored, now) {
+		return
+	}
+	if _, own := ga.storing[bl.Print]; !own && !stored {
+		ga.storing[bl.Print] = now.Add(storeOthers + rand.N(storeOthers))
+	}
+	blocksBegun.Inc()
+	ga.Log.Warn().Int("event", int(event.RequestBlocked)).Str("print", bl.Print.String()).Int("servers", ga.cases.Servers(bl.Print)).
+		Dur("for_ms", ga.blocks.Left(bl.Print, now)).Bool("stored", stored).Msg(event.Name(event.RequestBlocked))
+	for se := range ga.waiting {
+		if se.ex.print == bl.Print {
+			se.giveUp(false)
+		}
+	}
+}
+
+// unblock ends a block; the lock is held.
+func (ga *Gateway) unblock(pr poison.Print, why string) {
+	delete(ga.storing, pr)
+	if ga.blocks.Lift(pr) {
+		ga.noteUnblocked(pr, why)
+	}
+}
+
+func (ga *Gateway) noteUnblocked(pr poison.Print, why string) {
+	ga.Log.Info().Int("event", int(event.RequestUnblocked)).Str("print", pr.String()).Str("detail", why).
+		Msg(event.Name(event.RequestUnblocked))
+}
+
+// liftOthers ends the blocks that the key-value service held and a whole state does not name
+// any more; the lock is held.
+func (ga *Gateway) liftOthers(named map[poison.Print]bool) {
+	for _, bl := range ga.blocks.Stored() {
+		if !named[bl.Print] {
+			ga.unblock(bl.Print, "it is not kept any more")
+		}
+	}
+}
+
+// heardOfBlocks takes what another gateway tells of requests under which servers end; the
+// lock is held.
+func (ga *Gateway) heardOfBlocks(re relay.Report, now time.Time) {
+	for _, su := range re.Suspicions {
+		ga.accuse(su, now)
+	}
+	for _, bl := range re.Blocks {
+		ga.takeBlock(bl, false, now)
+	}
+}
+
+// keepBlocks stores the blocks that the key-value service does not hold yet, and ends those
+// whose time is over.
+func (ga *Gateway) keepBlocks(ctx context.Context, now time.Time) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	for _, bl := range ga.blocks.Unstored() {
+		if !ga.fresh.Failing() && !now.Before(ga.storing[bl.Print]) {
+			ga.storing[bl.Print] = now.Add(storeAgain)
+			go ga.storeBlock(ctx, bl)
+		}
+	}
+	over := ga.blocks.Expire(now)
+	for _, pr := range over {
+		delete(ga.storing, pr)
+		ga.noteUnblocked(pr, "its time is over")
+	}
+	if len(over) > 0 && ga.plan.Watches(ga.memberList()) {
+		go ga.removeBlocks(ctx, over)
+	}
+}
+
+func (ga *Gateway) storeBlock(ctx context.Context, bl poison.Block) {
+	err := ga.Source.Block(ctx, bl)
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if err != nil {
+		ga.noteBlockCall(bl.Print, err)
+		return
+	}
+	delete(ga.storing, bl.Print)
+	ga.blocks.Add(bl, true, time.Now())
+}
+
+func (ga *Gateway) removeBlocks(ctx context.Context, over []poison.Print) {
+	for _, pr := range over {
+		if err := ga.Source.Unblock(ctx, pr); err != nil {
+			ga.noteBlockCall(pr, err)
+		}
+	}
+}
+
+func (ga *Gateway) noteBlockCall(pr poison.Print, why error) {
+	ga.Log.Warn().Int("event", int(event.StoreCallFailed)).Str("print", pr.String()).Err(why).Msg(event.Name(event.StoreCallFailed))
+}
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -93,8 +93,11 @@
 	if !ga.runs.Has(key) {
 		return
 	}
-	suspects := ga.runs.Ended(key, now)
+	suspects, ago := ga.runs.Ended(key, now)
 	serverEnds.Inc()
+	for _, ru := range suspects {
+		ga.accuse(poison.Suspicion{Print: ru.Print(), Server: key, Ago: ago}, now)
+	}
 	ga.Log.Info().Int("event", int(event.ServerEnded)).Str("server", key).Int("suspects", len(suspects)).
 		Strs("prints", prints(suspects)).Str("detail", why).Msg(event.Name(event.ServerEnded))
 }
@@ -112,7 +115,10 @@
 func (ga *Gateway) settleRuns(now time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.runs.Settle(now)
+	for _, pr := range ga.runs.Settle(now) {
+		ga.cases.Acquit(pr, now)
+	}
+	ga.cases.Expire(now)
 	for key, pr := range ga.probes {
 		if now.Sub(pr.at) > probeTimeout {
 			delete(ga.probes, key)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
 )
@@ -186,18 +187,21 @@
 // replace takes the whole state; the lock is held.
 func (ga *Gateway) replace(st State) {
 	now := time.Now()
-	listed, evacuated := map[string]bool{}, map[string]bool{}
+	listed, evacuated, blocked := map[string]bool{}, map[string]bool{}, map[poison.Print]bool{}
 	for _, ch := range st.Changes {
 		switch {
 		case ch.Server != nil:
 			listed[ch.Server.ID] = true
 		case ch.Evacuated != "":
 			evacuated[ch.Evacuated] = true
+		case ch.Blocked != nil:
+			blocked[ch.Blocked.Print] = true
 		}
 		ga.change(ch)
 	}
 	ga.keepServers(listed, now)
 	ga.keepEvacuated(evacuated, now)
+	ga.liftOthers(blocked)
 	ga.history.Reset(st.Revision)
 	ga.replaceMembers(st)
 	ga.stateRead = true
@@ -263,6 +267,10 @@
 		for _, ta := range ch.Tallies {
 			ga.tallied(ta)
 		}
+	case ch.Blocked != nil:
+		ga.takeBlock(*ch.Blocked, true, time.Now())
+	case ch.Unblocked != nil:
+		ga.unblock(*ch.Unblocked, "what is kept of it ended")
 	case ch.Member != nil:
 		ga.joined(*ch.Member)
 	case ch.MemberGone != "":
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
@@ -79,6 +80,10 @@
 
 func (*script) Tell(context.Context, string, []Tally) error { return nil }
 
+func (sc *script) Block(context.Context, poison.Block) error { return sc.failed() }
+
+func (sc *script) Unblock(context.Context, poison.Print) error { return sc.failed() }
+
 // Keys are accepted all the time while the service answers, and for as long as
 // the bound allows after it was cut off, but never longer.
 func TestKeysAreAcceptedUpToTheBoundOnTheirAge(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,6 +134,13 @@
 	// whether they have ended, by life.
 	runs   poison.Runs
 	probes map[string]*probe
+	// cases holds what is suspected of requests, blocks those that are not to be sent.
+	cases  poison.Cases
+	blocks poison.Blocks
+	// waiting holds the attempts whose servers have answered nothing yet, storing when the
+	// blocks are to be stored that the key-value service does not hold yet.
+	waiting map[*sent]bool
+	storing map[poison.Print]time.Time
 }
 
 // Run follows the key-value service until the context ends.
@@ -162,6 +169,9 @@
 	ga.demands = map[string]*rate.Meter{}
 	ga.backlogs = map[string]*pace.Trend{}
 	ga.probes = map[string]*probe{}
+	ga.cases = poison.Cases{Ends: poison.FewestEnds}
+	ga.waiting = map[*sent]bool{}
+	ga.storing = map[poison.Print]time.Time{}
 	ga.members = map[string]relay.Member{}
 	ga.plan = relay.Plan{Box: ga.Box, DataCentre: ga.DataCentre}
 	ga.loadPlan = ga.plan
@@ -229,6 +239,7 @@
 			ga.watchServers(now)
 			ga.expireLoads(now)
 			ga.settleRuns(now)
+			ga.keepBlocks(ctx, now)
 			ga.advanceRollouts(ctx, now)
 		}
 	}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -76,9 +76,9 @@
 func (ga *Gateway) exchangeLoads(ctx context.Context, to loadPeer) {
 	cl := relay.Client{Address: to.member.Address, Slack: loadTimeout, HTTP: ga.RelayHTTP}
 	defer cl.Close()
-	failed := false
+	failed, heard := false, uint64(0)
 	for ctx.Err() == nil {
-		re := ga.report(to.asCollector)
+		re, next := ga.reportSince(to.asCollector, heard)
 		answer, err := cl.Exchange(ctx, re)
 		if ctx.Err() != nil {
 			return
@@ -92,6 +92,7 @@
 			sleep(ctx, loadAgain)
 			continue
 		}
+		heard = next
 		ga.tookReport(re, time.Now())
 		ga.takeRest(answer, time.Now())
 		sleep(ctx, loadEvery)
@@ -114,6 +115,17 @@
 	ga.loadPlan.Failed(to.Box, time.Now())
 }
 
+// reportSince returns this gateway's report to one that has heard the suspicions before a
+// number, and the number that it has heard then.
+func (ga *Gateway) reportSince(collector bool, heard uint64) (relay.Report, uint64) {
+	re := ga.report(collector)
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	var next uint64
+	re.Suspicions, next = ga.cases.Since(heard, time.Now())
+	return re, next
+}
+
 // report returns this gateway's report.
 func (ga *Gateway) report(collector bool) relay.Report {
 	ga.mu.Lock()
@@ -126,7 +138,8 @@
 		re.Tallies = ga.outgoing()
 	}
 	re.Work = re.Work.Busiest(loadServers)
-	re.Ready = ga.isReady(time.Now())
+	now := time.Now()
+	re.Ready, re.Blocks = ga.isReady(now), ga.blocks.News(now)
 	return re
 }
 
@@ -147,6 +160,7 @@
 	defer ga.mu.Unlock()
 	ga.takeGroup(answer, now)
 	ga.heardOf(answer, now)
+	ga.heardOfBlocks(answer, now)
 }
 
 // takeGroup takes the report of several gateways; the lock is held.
@@ -193,6 +207,7 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.heardOf(re, now)
+	ga.heardOfBlocks(re, now)
 	var work load.Work
 	var gateways int
 	if re.Collector {
@@ -206,6 +221,7 @@
 	}
 	return relay.Report{
 		Box: ga.Box, Collector: true, Work: work.Busiest(loadServers), Ready: ga.isReady(now), Gateways: gateways,
+		Blocks: ga.blocks.News(now),
 	}
 }
 
--- a/internal/gateway/relayed_test.go
+++ b/internal/gateway/relayed_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/rollout"
@@ -113,6 +114,19 @@
 
 func (view) Tell(context.Context, string, []Tally) error { return nil }
 
+func (vi view) Block(_ context.Context, bl poison.Block) error {
+	_, _, err := vi.since(0)
+	if err == nil {
+		vi.kept.add(Change{Blocked: &bl})
+	}
+	return err
+}
+
+func (vi view) Unblock(_ context.Context, pr poison.Print) error {
+	vi.kept.add(Change{Unblocked: &pr})
+	return nil
+}
+
 // relaying is three gateways of one data centre, of which a and b watch for c.
 type relaying struct {
 	kept      *keptState
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -172,7 +172,7 @@
 		Idempotent: ro.Idempotent(), Resumable: ro.Kind == routing.Streaming && ro.Resumable,
 		MaxRuns:  max(plainAttempts, ro.Attempts),
 		Received: as.Received, Target: as.Received.Add(ro.Target), Deadline: as.Received.Add(limit),
-		Picker: ex, Retries: ex, Cascade: ex, Pace: ex,
+		Picker: ex, Retries: ex, Cascade: ex, Pace: ex, Blocks: ex,
 	}
 	if as.AnyModel {
 		ex.request.Models = ro.Models
@@ -206,6 +206,13 @@
 	return ex.ga.window(ex.service).Take(now)
 }
 
+// Blocked returns how long the request is not to be sent, zero if it may be.
+func (ex *exchange) Blocked(now time.Time) time.Duration {
+	ex.ga.mu.Lock()
+	defer ex.ga.mu.Unlock()
+	return ex.ga.blocks.Left(ex.print, now)
+}
+
 // Usual returns how long the head of a model's answer usually takes, or is expected to
 // take from the server just chosen if that is more: what is slow because much is in
 // progress there is not lost.
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/rollout"
@@ -179,6 +180,9 @@
 	Phase *StoredPhase `cbor:",omitempty"`
 	// Tallies is what gateways tell of a new version.
 	Tallies []Tally `cbor:",omitempty"`
+	// Blocked is a request that is not to be sent to servers, Unblocked one that may be again.
+	Blocked   *poison.Block `cbor:",omitempty"`
+	Unblocked *poison.Print `cbor:",omitempty"`
 	// Member is a gateway that is a member; MemberGone the box of one that is not any
 	// more.
 	Member     *relay.Member `cbor:",omitempty"`
@@ -259,6 +263,9 @@
 	// Tell keeps tallies of one roll-out, the own one and those of gateways that report to
 	// this one, in place of the box's last ones.
 	Tell(ctx context.Context, box string, tallies []Tally) error
+	// Block keeps a block, Unblock ends it.
+	Block(ctx context.Context, bl poison.Block) error
+	Unblock(ctx context.Context, pr poison.Print) error
 	// Join makes a gateway a member for as long as the lease is renewed.
 	Join(ctx context.Context, me relay.Member, ttl time.Duration) (Lease, error)
 	// Renew renews a lease; it returns ErrLeaseOver if there is none any more.
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -129,6 +129,9 @@
 	for _, ro := range ga.rollouts {
 		all = append(all, Change{Order: &ro.order})
 	}
+	for _, bl := range ga.blocks.Stored() {
+		all = append(all, Change{Blocked: &bl})
+	}
 	for _, me := range ga.members {
 		all = append(all, Change{Member: &me})
 	}
--- /dev/null
+++ b/internal/poison/blocks.go
@@ -0,0 +1,123 @@
+package poison
+
+import "time"
+
+const (
+	// Term is how long a request is not sent any more: a caller who goes on asking costs
+	// three servers an hour at the most, and a mended engine serves him again without an
+	// operator.
+	Term = time.Hour
+	// blockNews is how long a block is told to others with reports: they come ten times a
+	// second, and the key-value service keeps it for those that start later.
+	blockNews = 3 * time.Second
+	// mostBlocks bounds the blocks that are held. Each has cost three servers.
+	mostBlocks = 1024
+)
+
+// Block says that a request is not to be sent to backend servers for a while. Its fields are
+// exported because it is data without behaviour.
+type Block struct {
+	Print Print `cbor:"1,keyasint"`
+	// UntilMS is its end in Unix milliseconds: processes that start later know no other
+	// clock in common.
+	UntilMS int64 `cbor:"2,keyasint"`
+}
+
+// NewBlock returns a block that begins now.
+func NewBlock(pr Print, now time.Time) Block {
+	return Block{Print: pr, UntilMS: now.Add(Term).UnixMilli()}
+}
+
+// left returns how long a block lasts from now on; a clock that is wrong makes it no longer
+// than any.
+func (bl Block) left(now time.Time) time.Duration {
+	return min(Term, time.UnixMilli(bl.UntilMS).Sub(now.Round(0)))
+}
+
+// held is a block that is in force.
+type held struct {
+	block Block
+	// until is its end by the own steady clock, since when it was heard of first.
+	until, since time.Time
+	// stored is set once the key-value service is known to hold it.
+	stored bool
+}
+
+// Blocks holds the blocks in force. The zero value holds none. It is not safe for concurrent
+// use.
+type Blocks struct{ held map[Print]*held }
+
+// Add takes a block; stored is set if the key-value service holds it. It reports whether it
+// is new.
+func (bs *Blocks) Add(bl Block, stored bool, now time.Time) bool {
+	left := bl.left(now)
+	if he := bs.held[bl.Print]; he != nil {
+		he.stored = he.stored || stored
+		return false
+	}
+	if left <= 0 || len(bs.held) >= mostBlocks {
+		return false
+	}
+	if bs.held == nil {
+		bs.held = map[Print]*held{}
+	}
+	bs.held[bl.Print] = &held{block: bl, until: now.Add(left), since: now, stored: stored}
+	return true
+}
+
+// Lift ends a block. It reports whether there was one.
+func (bs *Blocks) Lift(pr Print) bool {
+	_, ok := bs.held[pr]
+	delete(bs.held, pr)
+	return ok
+}
+
+// Left returns how long a request is not to be sent, zero if it may be.
+func (bs *Blocks) Left(pr Print, now time.Time) time.Duration {
+	he := bs.held[pr]
+	if he == nil {
+		return 0
+	}
+	return max(0, he.until.Sub(now))
+}
+
+// Unstored returns the blocks that the key-value service does not hold yet as far as is known.
+func (bs *Blocks) Unstored() []Block {
+	return bs.list(func(he *held) bool { return !he.stored })
+}
+
+// Stored returns those that it holds.
+func (bs *Blocks) Stored() []Block {
+	return bs.list(func(he *held) bool { return he.stored })
+}
+
+// News returns the blocks that others may not have heard of.
+func (bs *Blocks) News(now time.Time) []Block {
+	return bs.list(func(he *held) bool { return now.Sub(he.since) < blockNews })
+}
+
+func (bs *Blocks) list(which func(he *held) bool) []Block {
+	var list []Block
+	for _, he := range bs.held {
+		if which(he) {
+			list = append(list, he.block)
+		}
+	}
+	return list
+}
+
+// Expire drops the blocks whose time is over and returns those that the key-value service may
+// still hold.
+func (bs *Blocks) Expire(now time.Time) []Print {
+	var over []Print
+	for pr, he := range bs.held {
+		if he.until.After(now) {
+			continue
+		}
+		delete(bs.held, pr)
+		if he.stored {
+			over = append(over, pr)
+		}
+	}
+	return over
+}
--- /dev/null
+++ b/internal/poison/cases.go
@@ -0,0 +1,173 @@
+package poison
+
+import "time"
+
+const (
+	// FewestEnds is the number of servers that ended with a request after which it is not
+	// sent any more. One end says little: all that was with the server is suspected.
+	FewestEnds = 3
+	// together is the span within which ends count as one against a request: a rack takes its
+	// servers at once, a request one after the other, each after its first steps there.
+	together = 100 * time.Millisecond
+	// caseKept is how long ends are remembered: callers repeat within seconds or minutes.
+	caseKept = 10 * time.Minute
+	// soundKept is how long a request is held for sound at the least, twice that at the most.
+	soundKept = time.Minute
+	// mostSound bounds the fingerprints of one such span: some minutes of a busy gateway,
+	// 64 KB.
+	mostSound = 4096
+	// newsKept is how long suspicions are told to others: a gateway that was silent for
+	// longer has been left by them.
+	newsKept = 10 * time.Second
+	// mostCases bounds the requests that something is held against, at some 250 B each: where
+	// many servers end, most of what was there is suspected once.
+	mostCases = 1 << 14
+	// mostNews bounds the suspicions that are kept for others, mostTold those that are told
+	// at once, some 50 B each.
+	mostNews = 1024
+	mostTold = 128
+)
+
+// Suspicion says that a request was with a server just before it ended. Its fields are
+// exported because the codec needs them.
+type Suspicion struct {
+	Print Print `cbor:"1,keyasint"`
+	// Server names one life of a server.
+	Server string `cbor:"2,keyasint"`
+	// Ago is how long ago the server ended.
+	Ago time.Duration `cbor:"3,keyasint"`
+}
+
+// Cases counts the servers that ended with each request, as all gateways saw it. Its
+// exported fields are set before use. It is not safe for concurrent use.
+type Cases struct {
+	// Ends is the number of ends from which a request is held to cause them.
+	Ends int
+
+	cases map[Print]*oneCase
+	// sound and soundBefore hold the requests whose whole answers came from servers that
+	// lived on, of this span and the one before; turned is when this one began.
+	sound, soundBefore map[Print]bool
+	turned             time.Time
+	// news holds what others are to hear, oldest first; told is how many there were before.
+	news []timedSuspicion
+	told uint64
+}
+
+// oneCase is what is held against one request.
+type oneCase struct {
+	// servers holds the lives that ended with it, moments the ends that count: no two of them
+	// are together.
+	servers map[string]bool
+	moments []time.Time
+	newest  time.Time
+}
+
+// count counts an end at a moment.
+func (on *oneCase) count(at time.Time) {
+	for _, other := range on.moments {
+		if at.Sub(other).Abs() < together {
+			return
+		}
+	}
+	on.moments = append(on.moments, at)
+}
+
+type timedSuspicion struct {
+	Suspicion
+	at time.Time
+}
+
+// Accuse takes a suspicion, an own one or another gateway's. It reports whether the request
+// is now held to cause the ends.
+func (ca *Cases) Accuse(su Suspicion, now time.Time) bool {
+	if ca.IsSound(su.Print) {
+		return false
+	}
+	if ca.cases == nil {
+		ca.cases = map[Print]*oneCase{}
+	}
+	on := ca.cases[su.Print]
+	if on == nil {
+		if len(ca.cases) >= mostCases {
+			return false
+		}
+		on = &oneCase{servers: map[string]bool{}}
+		ca.cases[su.Print] = on
+	}
+	if on.servers[su.Server] {
+		return false
+	}
+	on.servers[su.Server], on.newest = true, now
+	on.count(now.Add(-su.Ago))
+	ca.tell(timedSuspicion{su, now})
+	return len(on.moments) >= ca.Ends
+}
+
+// Servers returns how many servers are known to have ended with a request.
+func (ca *Cases) Servers(pr Print) int {
+	if on := ca.cases[pr]; on != nil {
+		return len(on.servers)
+	}
+	return 0
+}
+
+// Acquit notes that servers live on after whole answers to a request: what is sent often, or
+// by many alike, is with a server that ends sooner or later.
+func (ca *Cases) Acquit(pr Print, now time.Time) {
+	if ca.sound == nil || now.Sub(ca.turned) >= soundKept || len(ca.sound) >= mostSound {
+		ca.sound, ca.soundBefore, ca.turned = map[Print]bool{}, ca.sound, now
+	}
+	ca.sound[pr] = true
+	delete(ca.cases, pr)
+}
+
+// IsSound reports whether a request was acquitted lately.
+func (ca *Cases) IsSound(pr Print) bool { return ca.sound[pr] || ca.soundBefore[pr] }
+
+func (ca *Cases) tell(su timedSuspicion) {
+	ca.news = append(ca.news, su)
+	if len(ca.news) > mostNews {
+		ca.drop(len(ca.news) - mostNews)
+	}
+}
+
+func (ca *Cases) drop(n int) {
+	ca.news = append(ca.news[:0], ca.news[n:]...)
+	ca.told += uint64(n)
+}
+
+// Since returns the suspicions that somebody has not heard who has heard those before a
+// number, and the number to go on from.
+func (ca *Cases) Since(heard uint64, now time.Time) ([]Suspicion, uint64) {
+	from := int(max(heard, ca.told) - ca.told)
+	if from >= len(ca.news) {
+		return nil, ca.told + uint64(len(ca.news))
+	}
+	list := ca.news[from:min(len(ca.news), from+mostTold)]
+	news := make([]Suspicion, len(list))
+	for i, su := range list {
+		news[i] = su.Suspicion
+		news[i].Ago += now.Sub(su.at)
+	}
+	return news, ca.told + uint64(from+len(list))
+}
+
+// Expire forgets what is old.
+func (ca *Cases) Expire(now time.Time) {
+	old := 0
+	for old < len(ca.news) && now.Sub(ca.news[old].at) >= newsKept {
+		old++
+	}
+	if old > 0 {
+		ca.drop(old)
+	}
+	for pr, on := range ca.cases {
+		if now.Sub(on.newest) >= caseKept {
+			delete(ca.cases, pr)
+		}
+	}
+	if now.Sub(ca.turned) >= 2*soundKept {
+		ca.sound, ca.soundBefore = nil, nil
+	}
+}
--- /dev/null
+++ b/internal/poison/cases_test.go
@@ -0,0 +1,136 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestARequestIsHeldToCauseEndsFromTheThirdServerOn(t *testing.T) {
+	ca := Cases{Ends: 3}
+	pr := named("p")
+	require.False(t, ca.Accuse(Suspicion{Print: pr, Server: "a"}, t0))
+	require.False(t, ca.Accuse(Suspicion{Print: pr, Server: "a"}, t0), "another gateway saw the same end")
+	require.False(t, ca.Accuse(Suspicion{Print: named("other"), Server: "b"}, t0))
+	require.False(t, ca.Accuse(Suspicion{Print: pr, Server: "b"}, t0.Add(together)))
+	require.Equal(t, 2, ca.Servers(pr))
+	require.True(t, ca.Accuse(Suspicion{Print: pr, Server: "a@2"}, t0.Add(2*together)), "another life of a server")
+}
+
+func TestServersThatEndTogetherCountAsOne(t *testing.T) {
+	ca := Cases{Ends: 2}
+	pr := named("p")
+	for i, server := range []string{"a", "b", "c", "d"} {
+		at := t0.Add(time.Duration(i) * together / 4)
+		require.False(t, ca.Accuse(Suspicion{Print: pr, Server: server}, at), "all of a rack")
+	}
+	late := t0.Add(3 * together)
+	require.False(t, ca.Accuse(Suspicion{Print: pr, Server: "e", Ago: 3 * together}, late), "another gateway told it late")
+	require.True(t, ca.Accuse(Suspicion{Print: pr, Server: "f", Ago: together}, late))
+}
+
+func TestEndsLongAgoDoNotCount(t *testing.T) {
+	ca := Cases{Ends: 2}
+	pr := named("p")
+	require.False(t, ca.Accuse(Suspicion{Print: pr, Server: "a"}, t0))
+	ca.Expire(t0.Add(caseKept))
+	require.False(t, ca.Accuse(Suspicion{Print: pr, Server: "b"}, t0.Add(caseKept)))
+}
+
+// What many callers send alike is with some server whenever a rack ends.
+func TestWhatWasAnsweredByServersThatLiveOnIsNotAccused(t *testing.T) {
+	ca := Cases{Ends: 2}
+	pr := named("popular")
+	require.False(t, ca.Accuse(Suspicion{Print: pr, Server: "a"}, t0))
+	ca.Acquit(pr, t0)
+	for i, server := range []string{"b", "c", "d"} {
+		require.False(t, ca.Accuse(Suspicion{Print: pr, Server: server}, t0.Add(soundKept+time.Duration(i)*together)))
+	}
+	ca.Acquit(named("other"), t0.Add(soundKept))
+	require.True(t, ca.IsSound(pr), "of the span before")
+	ca.Expire(t0.Add(3 * soundKept))
+	require.False(t, ca.IsSound(pr))
+}
+
+func TestWhatIsSoundIsBounded(t *testing.T) {
+	var ca Cases
+	for i := range 3 * mostSound {
+		ca.Acquit(named(fmt.Sprint(i)), t0)
+	}
+	require.LessOrEqual(t, len(ca.sound)+len(ca.soundBefore), 2*mostSound)
+	require.True(t, ca.IsSound(named(fmt.Sprint(3*mostSound-1))))
+}
+
+func TestEachSuspicionIsToldOnce(t *testing.T) {
+	ca := Cases{Ends: 3}
+	news, heard := ca.Since(0, t0)
+	require.Empty(t, news)
+	for i := range mostTold + 5 {
+		ca.Accuse(Suspicion{Print: named(fmt.Sprint(i)), Server: "a"}, t0)
+	}
+	news, heard = ca.Since(heard, t0)
+	require.Len(t, news, mostTold)
+	news, heard = ca.Since(heard, t0)
+	require.Len(t, news, 5)
+	news, heard = ca.Since(heard, t0)
+	require.Empty(t, news)
+	ca.Expire(t0.Add(newsKept))
+	ca.Accuse(Suspicion{Print: named("new"), Server: "a"}, t0.Add(newsKept))
+	news, _ = ca.Since(heard, t0.Add(newsKept))
+	require.Equal(t, []Suspicion{{Print: named("new"), Server: "a"}}, news)
+	news, _ = ca.Since(0, t0)
+	require.Len(t, news, 1, "who begins hears what is new")
+	for i := range 2 * mostNews {
+		ca.Accuse(Suspicion{Print: named(fmt.Sprint("many", i)), Server: "a"}, t0.Add(newsKept))
+	}
+	require.Len(t, ca.news, mostNews)
+}
+
+func TestCasesAreBounded(t *testing.T) {
+	ca := Cases{Ends: 1}
+	for i := range mostCases {
+		require.True(t, ca.Accuse(Suspicion{Print: named(fmt.Sprint(i)), Server: "a"}, t0))
+	}
+	require.False(t, ca.Accuse(Suspicion{Print: named("one more"), Server: "a"}, t0))
+	ca.Expire(t0.Add(caseKept))
+	require.True(t, ca.Accuse(Suspicion{Print: named("one more"), Server: "a"}, t0.Add(caseKept)))
+}
+
+func TestABlockLastsItsTerm(t *testing.T) {
+	var bs Blocks
+	pr := named("p")
+	require.Zero(t, bs.Left(pr, t0))
+	require.True(t, bs.Add(NewBlock(pr, t0), false, t0))
+	require.False(t, bs.Add(NewBlock(pr, t0.Add(time.Minute)), false, t0.Add(time.Minute)))
+	require.Equal(t, Term-time.Minute, bs.Left(pr, t0.Add(time.Minute)))
+	require.Empty(t, bs.Expire(t0.Add(Term-1)))
+	require.Empty(t, bs.Expire(t0.Add(Term)), "nothing was stored")
+	require.Zero(t, bs.Left(pr, t0))
+}
+
+func TestABlockIsStoredOnceAndTakenOffWhenItIsOver(t *testing.T) {
+	var bs Blocks
+	bl := NewBlock(named("p"), t0)
+	bs.Add(bl, false, t0)
+	require.Equal(t, []Block{bl}, bs.Unstored())
+	require.Equal(t, []Block{bl}, bs.News(t0))
+	require.Empty(t, bs.Stored())
+	require.False(t, bs.Add(bl, true, t0))
+	require.Empty(t, bs.Unstored())
+	require.Equal(t, []Block{bl}, bs.Stored())
+	require.Empty(t, bs.News(t0.Add(blockNews)))
+	require.Equal(t, []Print{bl.Print}, bs.Expire(t0.Add(Term)))
+	require.False(t, bs.Lift(bl.Print))
+}
+
+// A box whose clock is wrong does not block for longer than the term, and what is over when
+// it is read blocks nothing.
+func TestClocksThatAreWrongDoNotProlongABlock(t *testing.T) {
+	var bs Blocks
+	require.True(t, bs.Add(NewBlock(named("ahead"), t0.Add(5*time.Hour)), true, t0))
+	require.Equal(t, Term, bs.Left(named("ahead"), t0))
+	require.False(t, bs.Add(NewBlock(named("over"), t0.Add(-Term)), true, t0))
+	require.Zero(t, bs.Left(named("over"), t0))
+}
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -4,13 +4,13 @@
 
 const (
 	// beganWithin is how long before its server's end a request began to run that may have
-	// caused it: engines fail in the first steps of a request, seen 0.04 to 0.12 s after the
-	// first token. What has run for longer is no suspect.
-	beganWithin = time.Second
-	// lingers is how long after a request was dropped its server may still end of it, where
-	// the moment of the end is known: an answer that is not sure is dropped with its first
-	// token.
-	lingers = time.Second
+	// caused it, also one that was dropped since: engines fail in the first steps of a
+	// request, seen 0.04 to 0.13 s after the first token. With 1 s, requests that had moved on
+	// were suspected when four servers ended together for another reason.
+	beganWithin = 500 * time.Millisecond
+	// breakKept is how long a broken connection is taken for the moment of an end that is
+	// noticed later.
+	breakKept = time.Second
 	// kept is how long what is over is remembered. A server that ends unseen is noticed when
 	// its entry runs out, some three seconds later.
 	kept = 5 * time.Second
@@ -24,8 +24,9 @@
 	// sent is when it was sent, first when the first part of its answer came, over when it
 	// came to its end or was dropped; each is zero before.
 	sent, first, over time.Time
-	// whole is set if the whole answer came.
-	whole bool
+	// whole is set if the whole answer came, unsent if the request never was at the server or
+	// the server said that it did not run.
+	whole, unsent bool
 }
 
 // Print returns the request's fingerprint.
@@ -41,6 +42,9 @@
 	}
 }
 
+// Unsent notes that the server never began the request.
+func (ru *Run) Unsent() { ru.unsent = true }
+
 // Over notes that the request is not at the server any more; whole is set if all of its
 // answer came.
 func (ru *Run) Over(whole bool, now time.Time) {
@@ -86,7 +90,7 @@
 
 // Broke notes that a server broke a connection off, which may be its end.
 func (rs *Runs) Broke(server string, now time.Time) {
-	if sv := rs.of(server); sv.broke.IsZero() || now.Sub(sv.broke) > lingers {
+	if sv := rs.of(server); sv.broke.IsZero() || now.Sub(sv.broke) > breakKept {
 		sv.broke = now
 	}
 }
@@ -101,36 +105,44 @@
 // Has reports whether anything is known of what a server got lately.
 func (rs *Runs) Has(server string) bool { return rs.servers[server] != nil }
 
-// Ended returns the requests that may have caused the end of a server, and forgets it.
-func (rs *Runs) Ended(server string, now time.Time) []*Run {
+// Ended returns the requests that may have caused the end of a server, and how long ago that
+// was at the least, and forgets the server.
+func (rs *Runs) Ended(server string, now time.Time) (suspects []*Run, ago time.Duration) {
 	sv := rs.servers[server]
 	if sv == nil {
-		return nil
+		return nil, 0
 	}
 	delete(rs.servers, server)
-	var suspects []*Run
+	if !sv.broke.IsZero() {
+		ago = now.Sub(sv.broke)
+	}
 	for _, ru := range sv.runs {
 		if sv.suspects(ru, now) {
 			suspects = append(suspects, ru)
 		}
 	}
-	return suspects
+	return suspects, ago
 }
 
 // suspects reports whether a request may have caused the end of its server, which is noticed
 // now.
 func (sv *served) suspects(ru *Run, now time.Time) bool {
-	end := now
-	if !sv.broke.IsZero() {
-		end = sv.broke
-		if !ru.over.IsZero() && end.Sub(ru.over) > lingers {
-			return false
+	if ru.unsent {
+		return false
+	}
+	end := sv.broke
+	if end.IsZero() {
+		// It ended at some moment since it answered last.
+		end = now
+		if !ru.over.IsZero() {
+			end = ru.over
 		}
 	}
-	if !ru.over.IsZero() && ru.over.Before(end) {
-		end = ru.over
+	from := ru.first
+	if from.IsZero() {
+		from = ru.over
 	}
-	return ru.first.IsZero() || end.Sub(ru.first) <= beganWithin
+	return from.IsZero() || end.Sub(from) <= beganWithin
 }
 
 // Settle forgets what is over for long, and returns the fingerprints of those whose whole
--- a/internal/poison/runs_test.go
+++ b/internal/poison/runs_test.go
@@ -13,8 +13,10 @@
 
 func named(name string) Print { return PrintOf(Request{Target: name}) }
 
-func requests(runs []*Run) []string {
+// ended returns the ids of the requests that are suspected of a server's end.
+func ended(rs *Runs, server string, now time.Time) []string {
 	var ids []string
+	runs, _ := rs.Ended(server, now)
 	for _, ru := range runs {
 		ids = append(ids, ru.Request())
 	}
@@ -50,12 +52,12 @@
 	old.Answered(after(100))
 	rs.Sent("s", named("waits"), "waits", after(2000))
 	began := rs.Sent("s", named("began"), "began", after(2000))
-	began.Answered(after(2400))
+	began.Answered(after(2100))
 	rs.Sent("other", named("elsewhere"), "elsewhere", after(2400))
 	rs.Broke("s", after(2500))
 	rs.Broke("s", after(2501))
-	require.Equal(t, []string{"waits", "began"}, requests(rs.Ended("s", after(2510))))
-	require.Empty(t, rs.Ended("s", after(2520)), "once")
+	require.Equal(t, []string{"waits", "began"}, ended(&rs, "s", after(2510)))
+	require.Empty(t, ended(&rs, "s", after(2520)), "once")
 	require.True(t, rs.Has("other"))
 }
 
@@ -68,8 +70,23 @@
 	dropped.Over(false, after(201))
 	gone := rs.Sent("s", named("gone"), "gone", after(0))
 	gone.Over(false, after(10))
-	rs.Broke("s", after(1100))
-	require.Equal(t, []string{"dropped"}, requests(rs.Ended("s", after(1110))))
+	unsent := rs.Sent("s", named("unsent"), "unsent", after(590))
+	unsent.Unsent()
+	unsent.Over(false, after(595))
+	rs.Broke("s", after(600))
+	require.Equal(t, []string{"dropped"}, ended(&rs, "s", after(1110)), "noticed when all of them are over")
+}
+
+// Four servers that end together, of which a request had left two and a half a second before.
+func TestWhatMovedOnInTimeIsNoSuspect(t *testing.T) {
+	var rs Runs
+	for _, server := range []string{"a", "b"} {
+		ru := rs.Sent(server, named("moved"), "moved", after(0))
+		ru.Answered(after(100))
+		ru.Over(false, after(110))
+		rs.Broke(server, after(700))
+		require.Empty(t, ended(&rs, server, after(710)))
+	}
 }
 
 func TestAnEndThatIsNoticedLateReachesFurtherBack(t *testing.T) {
@@ -78,7 +95,7 @@
 	ru.Answered(after(200))
 	ru.Over(true, after(300))
 	require.Empty(t, rs.Settle(after(3000)))
-	require.Equal(t, []string{"dropped"}, requests(rs.Ended("s", after(3100))))
+	require.Equal(t, []string{"dropped"}, ended(&rs, "s", after(3100)))
 }
 
 func TestAWholeAnswerFromAServerThatLivesOnIsSound(t *testing.T) {
@@ -88,7 +105,7 @@
 	rs.Sent("s", named("runs"), "runs", after(0))
 	require.Empty(t, rs.Settle(after(100+int(kept.Milliseconds())-1)))
 	require.Equal(t, []Print{named("whole")}, rs.Settle(after(100+int(kept.Milliseconds()))))
-	require.Equal(t, []string{"runs"}, requests(rs.Ended("s", after(9000))))
+	require.Equal(t, []string{"runs"}, ended(&rs, "s", after(9000)))
 }
 
 func TestAServerThatLivesAfterABreakHasNotEndedThen(t *testing.T) {
@@ -97,6 +114,6 @@
 	rs.Alive("s")
 	ru := rs.Sent("s", named("a"), "a", after(3000))
 	ru.Answered(after(3100))
-	require.Equal(t, []string{"a"}, requests(rs.Ended("s", after(3200))), "the break long before is not the end")
+	require.Equal(t, []string{"a"}, ended(&rs, "s", after(3200)), "the break long before is not the end")
 	rs.Alive("unknown")
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/load"
+	"github.com/linnetrudder/linnetrudder/internal/poison"
 )
 
 // Request asks for the changes after a revision of the key-value service. The
@@ -69,6 +70,10 @@
 	// Tallies is what the sender tells of versions being rolled out, as it encoded it, for
 	// the collector to pass on.
 	Tallies []byte `cbor:"6,keyasint,omitempty"`
+	// Suspicions is what the receiver has not heard yet of requests under which servers
+	// ended, Blocks which of them were blocked just now.
+	Suspicions []poison.Suspicion `cbor:"7,keyasint,omitempty"`
+	Blocks     []poison.Block     `cbor:"8,keyasint,omitempty"`
 }
 
 // Loads takes reports.
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -49,6 +49,7 @@
 	BillsFull          Code = 407
 	ClaimsUnavailable  Code = 408
 	StaleConfiguration Code = 409
+	RequestBlocked     Code = 410
 	LinkLost           Code = 500
 	ServerFailed       Code = 501
 	AnswerBroken       Code = 502
@@ -135,6 +136,7 @@
 	{BillsFull, "bills_full", http.StatusServiceUnavailable, DidNotRun, later, "too many bill records wait for the key-value service"},
 	{ClaimsUnavailable, "claims_unavailable", http.StatusServiceUnavailable, DidNotRun, later, "the claim on the key could not be made; nothing ran"},
 	{StaleConfiguration, "stale_configuration", http.StatusServiceUnavailable, DidNotRun, soon, "the configuration is too old to accept a key by it"},
+	{RequestBlocked, "request_blocked", http.StatusServiceUnavailable, DidNotRun, later, "backend servers ended under copies of the request; it is not sent to more of them for a while"},
 	{LinkLost, "link_lost", http.StatusBadGateway, MayHave, 0, "the connection was lost after the request was sent"},
 	{ServerFailed, "server_failed", http.StatusBadGateway, MayHave, 0, "the backend server failed after the request was sent to it"},
 	{AnswerBroken, "answer_broken", http.StatusBadGateway, Ran, 0, "the answer broke off after a part of it was delivered"},
