feat: ages count the time for which a machine was suspended

Cause: the steady clock that the library reads stands still while a machine is suspended. A gateway would have held its configuration for as new after it as before and accepted keys that were taken away meanwhile, however long it slept; an agent would not have noticed that its gate's knowledge is old. A frozen process is noticed: its clock goes on.

Change: internal/clock, a steady clock that counts suspended time. It reads the clock that does (a system call) only when the time of day has moved against the steady one, which setting it does as well. The end of a block is reckoned by the time of day. Event 107 says that a machine was suspended, 108 that this can't be noticed.

Ruled out: the time of day for ages (it is set by two seconds and more); a call of the system for each reading. The lease under which an agent gives orders is compared by the time of day already, and orders are fenced.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/bill"
 	"github.com/linnetrudder/linnetrudder/internal/claim"
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/config"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/gate"
@@ -243,7 +244,7 @@
 	if fr.Kind != wire.Offer || fr.Nonce == 0 || fr.Nonce != ag.nonce {
 		return
 	}
-	ag.act(ag.gate.Confirm(fr.Revision, time.Now()))
+	ag.act(ag.gate.Confirm(fr.Revision, clock.Now()))
 	if ag.gate.Confirmed() {
 		ag.nonce = 0
 	}
@@ -253,7 +254,7 @@
 func (ag *Agent) adopted(sn *config.Snapshot) {
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
-	ag.act(ag.gate.Reconfigure(sn, time.Now()))
+	ag.act(ag.gate.Reconfigure(sn, clock.Now()))
 }
 
 // count notes an outcome; the lock is held.
@@ -274,7 +275,7 @@
 	return node.Every(ctx, tickEvery, func(now time.Time) {
 		ag.Node.Tick(now)
 		ag.mu.Lock()
-		ag.act(ag.gate.Tick(now))
+		ag.act(ag.gate.Tick(clock.Now()))
 		confirmed := ag.gate.Confirmed()
 		ag.mu.Unlock()
 		if !confirmed {
@@ -295,7 +296,7 @@
 	ag.Node.Stop()
 	ag.mu.Lock()
 	ag.ledger.MakeDue(time.Now())
-	ag.act(ag.gate.Leave(time.Now()))
+	ag.act(ag.gate.Leave(clock.Now()))
 	ag.mu.Unlock()
 	for _, li := range ag.Node.Links() {
 		li.Send(ag.Beat(li))
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/gate"
 	"github.com/linnetrudder/linnetrudder/internal/link"
@@ -62,7 +63,7 @@
 	if err != nil {
 		return result.NotDispatched, nil
 	}
-	if gate.Stalled(ru.decided, time.Now()) {
+	if gate.Stalled(ru.decided, clock.Now()) {
 		// The process was frozen after the gate decided, so what the gate knew
 		// is out of date.
 		return result.NotDispatched, nil
@@ -174,6 +175,6 @@
 	defer ag.mu.Unlock()
 	ag.count(at.Version, co)
 	delete(ag.streams, key)
-	ag.act(ag.gate.Ended(key, time.Now()))
+	ag.act(ag.gate.Ended(key, clock.Now()))
 	return ag.load()
 }
--- a/internal/agent/streams.go
+++ b/internal/agent/streams.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/gate"
 	"github.com/linnetrudder/linnetrudder/internal/link"
@@ -30,7 +31,7 @@
 		ag.refuse(key, fr.Open, result.BillsFull, 0)
 		return
 	}
-	ag.act(ag.gate.Open(key, fr.Open, time.Now()))
+	ag.act(ag.gate.Open(key, fr.Open, clock.Now()))
 	if st := ag.streams[key]; st != nil && st.cancel == nil {
 		li.Send(&wire.Frame{Kind: wire.Verdict, Stream: key.Stream, Code: result.Queued})
 		ag.Node.Note(timeline.Entry{Event: event.AttemptQueued, Request: fr.Open.Request, Team: fr.Open.Team, Version: fr.Open.Version})
@@ -73,7 +74,7 @@
 		Load: &lo, Revision: ag.gate.Revision(), Stamp: ag.Node.Stamp(),
 	})
 	ag.Node.Note(timeline.Entry{Event: event.AttemptAdmitted, Request: at.Request, Team: at.Team, Version: at.Version})
-	ru := &run{ag: ag, li: st.li, key: key, at: at, decided: time.Now()}
+	ru := &run{ag: ag, li: st.li, key: key, at: at, decided: clock.Now()}
 	go func() {
 		defer cancel()
 		ru.do(ctx)
@@ -88,7 +89,7 @@
 	if st == nil {
 		return
 	}
-	if ag.gate.Cancel(key, time.Now()) {
+	if ag.gate.Cancel(key, clock.Now()) {
 		delete(ag.streams, key)
 	}
 	if st.cancel != nil {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -16,6 +16,8 @@
 	SettingsReloaded ID = 104
 	SettingsRefused  ID = 105
 	MetricsUnserved  ID = 106
+	MachineSuspended ID = 107
+	ClockUnreadable  ID = 108
 	RequestReceived  ID = 200
 	RequestRouted    ID = 201
 	RequestRetried   ID = 202
@@ -100,6 +102,8 @@
 	{SettingsReloaded, "settings_reloaded", "a changed settings file was read and is in force"},
 	{SettingsRefused, "settings_refused", "a changed settings file is not valid; what was in force stays"},
 	{MetricsUnserved, "metrics_unserved", "the metrics address could not be listened on; callers are served all the same"},
+	{MachineSuspended, "machine_suspended", "the machine was suspended; what the process knows is older by that time"},
+	{ClockUnreadable, "clock_unreadable", "the clock that counts suspended time can't be read; a suspended machine is not noticed"},
 	{RequestReceived, "request_received", "a caller's request was read and its team known"},
 	{RequestRouted, "request_routed", "an attempt was sent to a backend server"},
 	{RequestRetried, "request_retried", "a refused or failed attempt is followed by another"},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/direct"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
@@ -66,7 +67,7 @@
 // service for the whole.
 func (ex *exchange) open(ctx context.Context, step direct.Step) *sent {
 	ga := ex.ga
-	now := time.Now()
+	now := clock.Now()
 	se := &sent{ex: ex, step: step, began: now}
 	ex.attempts[step.Attempt()] = se
 	ctx, se.cancel = context.WithCancel(ctx)
@@ -98,7 +99,7 @@
 		// Given up just as the head came: the call was cancelled already.
 		se.err = errGivenUp
 	}
-	se.headCame(time.Now())
+	se.headCame(clock.Now())
 	return se
 }
 
@@ -162,7 +163,7 @@
 	ex := se.ex
 	se.answer, se.err = ex.ga.Backend.Call(ctx, &Attempt{
 		Ask: ex.as, Body: ex.body, Server: se.server, Team: ex.team(), Model: se.step.Model(),
-		Urgency: ex.urgency(se.step), Left: ex.left(time.Now()), LastEvent: ex.lastEvent(se.step), Fresh: se.step.Last(),
+		Urgency: ex.urgency(se.step), Left: ex.left(clock.Now()), LastEvent: ex.lastEvent(se.step), Fresh: se.step.Last(),
 	})
 	if se.err != nil || se.answer.Stream {
 		return
@@ -219,7 +220,7 @@
 // outcome tells the request what became of an attempt until the head of its
 // answer.
 func (ex *exchange) outcome(ctx context.Context, se *sent) direct.Step {
-	now := time.Now()
+	now := clock.Now()
 	var refusal *Refusal
 	switch {
 	case errors.As(se.err, &refusal):
@@ -266,7 +267,7 @@
 	}
 	se.ex.ga.mu.Lock()
 	se.ex.ga.pool.Ended(se.server.Key())
-	se.run.Over(outcome == attemptAnswered, time.Now())
+	se.run.Over(outcome == attemptAnswered, clock.Now())
 	se.ex.ga.mu.Unlock()
 	countAttempt(se.server.Service, outcome)
 }
--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
@@ -29,7 +30,7 @@
 func (ga *Gateway) accuse(su poison.Suspicion, now time.Time) {
 	if ga.cases.Accuse(su, now) && ga.blocks.Left(su.Print, now) == 0 {
 		ga.storing[su.Print] = now.Add(rand.N(storeSpread))
-		ga.takeBlock(poison.NewBlock(su.Print, now), false, now)
+		ga.takeBlock(poison.NewBlock(su.Print, clock.Day()), false, now)
 	}
 }
 
@@ -37,7 +38,7 @@
 // holds. Attempts that no server has begun yet are given up: a server that still has them in
 // its queue would end of them. The lock is held.
 func (ga *Gateway) takeBlock(bl poison.Block, stored bool, now time.Time) {
-	if !ga.blocks.Add(bl, stored, now) {
+	if !ga.blocks.Add(bl, bl.Left(clock.Day()), stored, now) {
 		return
 	}
 	if _, own := ga.storing[bl.Print]; !own && !stored {
@@ -117,7 +118,7 @@
 		return
 	}
 	delete(ga.storing, bl.Print)
-	ga.blocks.Add(bl, true, time.Now())
+	ga.blocks.Add(bl, bl.Left(clock.Day()), true, clock.Now())
 }
 
 func (ga *Gateway) removeBlocks(ctx context.Context, over []poison.Print) {
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/direct"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
@@ -28,7 +29,7 @@
 
 // deliver gives the caller the answer of an attempt.
 func (ex *exchange) deliver(ctx context.Context, se *sent) {
-	ex.head = time.Now()
+	ex.head = clock.Now()
 	if se.answer.Stream {
 		ex.deliverStream(ctx, se)
 		return
@@ -69,9 +70,9 @@
 		return
 	}
 	for {
-		began := time.Now()
+		began := clock.Now()
 		events, err := ex.relay(se)
-		now := time.Now()
+		now := clock.Now()
 		var er *result.Error
 		switch {
 		case err == nil:
@@ -114,7 +115,7 @@
 
 // resume continues a broken stream; it returns nil if the request has ended.
 func (ex *exchange) resume(ctx context.Context, why error) *sent {
-	step := ex.request.Broken(time.Now())
+	step := ex.request.Broken(clock.Now())
 	for step.Do() == direct.Send && ctx.Err() == nil {
 		se := ex.open(ctx, step)
 		step = ex.outcome(ctx, se)
@@ -174,7 +175,7 @@
 // silence is no reason to end it. It runs on a timer while relay waits, when
 // nothing of the request changes.
 func (ex *exchange) stalled(se *sent) {
-	if ex.request.MayResume(time.Now()) && ex.spare(se) {
+	if ex.request.MayResume(clock.Now()) && ex.spare(se) {
 		se.stalled.Store(true)
 		se.cancel()
 	}
@@ -182,7 +183,7 @@
 
 // spare reports whether another server and a retry are to be had.
 func (ex *exchange) spare(se *sent) bool {
-	ga, now := ex.ga, time.Now()
+	ga, now := ex.ga, clock.Now()
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ask := ga.restrict(pool.Ask{Service: ex.service, Tried: []string{se.server.ID}, Cold: ga.coldLimit(ex.service)}, ex, now)
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
@@ -37,7 +38,7 @@
 	if ctx.Err() != nil {
 		return // the caller left or the time is over: this says nothing of the server
 	}
-	now := time.Now()
+	now := clock.Now()
 	ga.mu.Lock()
 	ga.runs.Broke(se.Key(), now)
 	pr := ga.probe(ctx, se, now)
@@ -84,7 +85,7 @@
 func (ga *Gateway) serverEnded(se directory.Server, why string) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.noteEnded(se.Key(), why, time.Now())
+	ga.noteEnded(se.Key(), why, clock.Now())
 }
 
 // noteEnded takes the end of a server's life, the first time that it is noticed. The lock is
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
@@ -77,15 +78,15 @@
 // from. A watcher that fails is not asked again for a while; one that has not kept
 // changes that far back is asked again as soon as the service has told them.
 func (ga *Gateway) hear(ctx context.Context, revision uint64) (uint64, error) {
-	wa, ok := ga.watcher(time.Now())
+	wa, ok := ga.watcher(clock.Now())
 	if !ok {
-		return ga.watchService(ctx, revision, ga.watchWait(time.Now()))
+		return ga.watchService(ctx, revision, ga.watchWait(clock.Now()))
 	}
 	next, err := ga.ask(ctx, revision)
 	if err == nil || ctx.Err() != nil {
 		return next, nil
 	}
-	if errors.Is(err, errUnknown) && ga.mayCatchUp(time.Now()) {
+	if errors.Is(err, errUnknown) && ga.mayCatchUp(clock.Now()) {
 		return ga.watchService(ctx, revision, watchLeast)
 	}
 	ga.leaveWatcher(wa, err)
@@ -95,12 +96,12 @@
 
 // watchService waits once for changes from the key-value service.
 func (ga *Gateway) watchService(ctx context.Context, revision uint64, wait time.Duration) (uint64, error) {
-	sent := time.Now()
+	sent := clock.Now()
 	st, err := ga.Source.Watch(ctx, revision, wait)
 	if err != nil {
 		return revision, err
 	}
-	ga.apply(st, sent, wait, time.Now())
+	ga.apply(st, sent, wait, clock.Now())
 	if len(st.Changes) > 0 {
 		sleep(ctx, gather)
 	}
@@ -130,9 +131,9 @@
 	}
 	ga.mu.Lock()
 	was := ga.fresh.Failed()
-	ga.plan.ServiceFailed(time.Now())
+	ga.plan.ServiceFailed(clock.Now())
 	ga.servers.StoreLost()
-	age, began := ga.fresh.Age(time.Now()), !ga.fresh.Known()
+	age, began := ga.fresh.Age(clock.Now()), !ga.fresh.Known()
 	ga.mu.Unlock()
 	storeFailures.Inc()
 	if was {
@@ -168,7 +169,7 @@
 
 // regained notes that the service answers again. The lock is held.
 func (ga *Gateway) regained() {
-	ga.servers.StoreBack(time.Now())
+	ga.servers.StoreBack(clock.Now())
 	ga.Log.Info().Int("event", int(event.StoreRegained)).Msg(event.Name(event.StoreRegained))
 }
 
@@ -176,7 +177,7 @@
 func (ga *Gateway) takeRead(st State, sent time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.unheard = min(mostUnheard, ga.fresh.Age(time.Now()))
+	ga.unheard = min(mostUnheard, ga.fresh.Age(clock.Now()))
 	if ga.fresh.Read(sent) {
 		ga.regained()
 	}
@@ -186,7 +187,7 @@
 
 // replace takes the whole state; the lock is held.
 func (ga *Gateway) replace(st State) {
-	now := time.Now()
+	now := clock.Now()
 	listed, evacuated, blocked := map[string]bool{}, map[string]bool{}, map[poison.Print]bool{}
 	for _, ch := range st.Changes {
 		switch {
@@ -233,7 +234,7 @@
 		ga.change(ch)
 	}
 	encoded := len(changes) == 0 || len(ba.Data) > 0
-	if encoded && ga.serves(time.Now()) {
+	if encoded && ga.serves(clock.Now()) {
 		ga.history.Add(ba)
 	} else {
 		ga.history.Reset(ba.To)
@@ -250,15 +251,15 @@
 	case ch.Document != nil:
 		ga.adopt(ch.Document)
 	case ch.Server != nil:
-		ga.putServer(*ch.Server, time.Now())
+		ga.putServer(*ch.Server, clock.Now())
 	case ch.Gone != "":
-		ga.serverGone(ch.Gone, time.Now())
+		ga.serverGone(ch.Gone, clock.Now())
 	case ch.Unusable != nil:
 		ga.entryUnusable(*ch.Unusable)
 	case ch.Evacuated != "":
 		ga.evacuate(ch.Evacuated)
 	case ch.Restored != "":
-		ga.restore(ch.Restored, time.Now())
+		ga.restore(ch.Restored, clock.Now())
 	case ch.Order != nil:
 		ga.ordered(*ch.Order)
 	case ch.Phase != nil:
@@ -268,7 +269,7 @@
 			ga.tallied(ta)
 		}
 	case ch.Blocked != nil:
-		ga.takeBlock(*ch.Blocked, true, time.Now())
+		ga.takeBlock(*ch.Blocked, true, clock.Now())
 	case ch.Unblocked != nil:
 		ga.unblock(*ch.Unblocked, "what is kept of it ended")
 	case ch.Member != nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,7 +12,9 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/budget"
 	"github.com/linnetrudder/linnetrudder/internal/cascade"
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/freshness"
 	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/pace"
@@ -57,6 +59,8 @@
 	// RelayHTTP opens connections to other gateways, for changes and for reports of load.
 	RelayHTTP *http.Client
 
+	// suspended is the suspended time that was logged; only the goroutine that ticks uses it.
+	suspended time.Duration
 	// relayed asks the watcher; only the goroutine that follows uses it.
 	relayed relay.Client
 	// table is the configuration in force, nil before the first.
@@ -146,6 +150,9 @@
 // Run follows the key-value service until the context ends.
 func (ga *Gateway) Run(ctx context.Context) error {
 	ga.prepare()
+	if err := clock.Err(); err != nil {
+		ga.Log.Error().Int("event", int(event.ClockUnreadable)).Err(err).Msg(event.Name(event.ClockUnreadable))
+	}
 	var wg sync.WaitGroup
 	wg.Go(func() { ga.tick(ctx) })
 	wg.Go(func() { ga.keepMembership(ctx) })
@@ -162,7 +169,7 @@
 		DataCentre: ga.DataCentre, Directory: &ga.servers, Loads: &ga.loads, Warmup: warmup.Tracker{Box: ga.Box},
 	}
 	ga.unusable = map[string]bool{}
-	ga.countFleet(time.Now())
+	ga.countFleet(clock.Now())
 	ga.retries = map[string]*budget.Window{}
 	ga.rollouts = map[string]*timedRollout{}
 	ga.phases = map[string]StoredPhase{}
@@ -233,8 +240,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ti.C:
+		case <-ti.C:
+			now := clock.Now()
 			ga.noteTick(now)
+			ga.noteSuspended()
 			ga.dropMissing(now)
 			ga.watchServers(now)
 			ga.expireLoads(now)
@@ -251,6 +260,16 @@
 	ga.fresh.Tick(now)
 }
 
+// noteSuspended logs that the machine was suspended since the last tick.
+func (ga *Gateway) noteSuspended() {
+	total := clock.Suspended()
+	if total == ga.suspended {
+		return
+	}
+	ga.Log.Warn().Int("event", int(event.MachineSuspended)).Dur("for_ms", total-ga.suspended).Msg(event.Name(event.MachineSuspended))
+	ga.suspended = total
+}
+
 // window returns the retry window of a service; the lock is held.
 func (ga *Gateway) window(service string) *budget.Window {
 	wi := ga.retries[service]
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 )
 
@@ -43,6 +44,6 @@
 func (ex *exchange) forgetServer(se *sent) {
 	ex.ga.mu.Lock()
 	defer ex.ga.mu.Unlock()
-	ex.ga.servers.Remove(se.server.ID, time.Now())
+	ex.ga.servers.Remove(se.server.ID, clock.Now())
 	ex.ga.noteServer(event.ServerGone, se.server.ID, "another server has its address")
 }
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
@@ -42,7 +43,7 @@
 	defer wg.Wait()
 	stops := map[loadPeer]context.CancelFunc{}
 	for ctx.Err() == nil {
-		peers := ga.loadPeers(time.Now())
+		peers := ga.loadPeers(clock.Now())
 		for pe, stop := range stops {
 			if !slices.Contains(peers, pe) {
 				stop()
@@ -93,8 +94,8 @@
 			continue
 		}
 		heard = next
-		ga.tookReport(re, time.Now())
-		ga.takeRest(answer, time.Now())
+		ga.tookReport(re, clock.Now())
+		ga.takeRest(answer, clock.Now())
 		sleep(ctx, loadEvery)
 	}
 }
@@ -112,7 +113,7 @@
 func (ga *Gateway) leavePeer(to relay.Member) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.loadPlan.Failed(to.Box, time.Now())
+	ga.loadPlan.Failed(to.Box, clock.Now())
 }
 
 // reportSince returns this gateway's report to one that has heard the suspicions before a
@@ -122,7 +123,7 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	var next uint64
-	re.Suspicions, next = ga.cases.Since(heard, time.Now())
+	re.Suspicions, next = ga.cases.Since(heard, clock.Now())
 	return re, next
 }
 
@@ -138,7 +139,7 @@
 		re.Tallies = ga.outgoing()
 	}
 	re.Work = re.Work.Busiest(loadServers)
-	now := time.Now()
+	now := clock.Now()
 	re.Ready, re.Blocks = ga.isReady(now), ga.blocks.News(now)
 	return re
 }
@@ -203,7 +204,7 @@
 
 // Reported takes another gateway's report.
 func (ga *Gateway) Reported(re relay.Report) relay.Report {
-	now := time.Now()
+	now := clock.Now()
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.heardOf(re, now)
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 )
@@ -63,7 +64,7 @@
 // ask asks the watcher once for changes after a revision, and returns the revision
 // to go on from.
 func (ga *Gateway) ask(ctx context.Context, revision uint64) (uint64, error) {
-	sent := time.Now()
+	sent := clock.Now()
 	up, err := ga.relayed.Ask(ctx, relay.Request{After: revision, Wait: ga.askWait()})
 	switch {
 	case err != nil:
@@ -111,7 +112,7 @@
 func (ga *Gateway) askWait() time.Duration {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	if ga.serves(time.Now()) {
+	if ga.serves(clock.Now()) {
 		return relayWait / 2
 	}
 	return relayWait
@@ -127,7 +128,7 @@
 
 // leaveWatcher notes that a watcher did not serve.
 func (ga *Gateway) leaveWatcher(wa relay.Member, why error) {
-	now := time.Now()
+	now := clock.Now()
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	if errors.Is(why, errOld) {
@@ -155,7 +156,7 @@
 	defer over.Stop()
 	for waiting := true; ; {
 		ga.mu.Lock()
-		ga.asked = time.Now()
+		ga.asked = clock.Now()
 		batches, to, ok := ga.history.Since(rq.After)
 		age, changed, confirmed := ga.fresh.Age(ga.asked), ga.changed, ga.confirmed
 		if !ok {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
@@ -57,7 +58,7 @@
 		return
 	}
 	or.Plan.MostShare, or.Plan.MostExtra = ga.Bounds.CanaryShare, ga.ownExtra()
-	ro := &timedRollout{order: or, canary: rollout.Canary{Plan: or.Plan, Began: time.Now().Add(-ga.unheard)}}
+	ro := &timedRollout{order: or, canary: rollout.Canary{Plan: or.Plan, Began: clock.Now().Add(-ga.unheard)}}
 	ro.withdrawn = ga.withdrawnFor(old, or)
 	ga.rollouts[or.Plan.Service] = ro
 	ga.Log.Info().Int("event", int(event.RolloutOrdered)).Str("service", or.Plan.Service).
@@ -111,7 +112,7 @@
 // take takes what is kept of a roll-out.
 func (ga *Gateway) take(ro *timedRollout, ph StoredPhase) {
 	ro.canary.Try(ph.Shares, ph.Burst)
-	ro.canary.BeganBefore(time.Now().Add(-ph.Elapsed))
+	ro.canary.BeganBefore(clock.Now().Add(-ph.Elapsed))
 	if ro.canary.Phase() == ph.Phase {
 		return
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/direct"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
@@ -47,7 +48,7 @@
 	ex.print = poison.PrintOf(poison.Request{
 		Team: ex.team(), Method: as.Method, Host: as.Host, Target: as.Target, Body: body,
 	})
-	ctx, cancel := context.WithDeadline(ctx, ex.request.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, clock.Until(ex.request.Deadline))
 	defer cancel()
 	ex.run(ctx)
 }
@@ -228,7 +229,7 @@
 
 // run carries out the decisions until the request has its answer.
 func (ex *exchange) run(ctx context.Context) {
-	now := time.Now()
+	now := clock.Now()
 	ex.ga.mu.Lock()
 	ex.ga.window(ex.service).Request(now)
 	if len(ex.request.Models) > 0 {
@@ -292,7 +293,7 @@
 
 // note logs the final outcome and counts it.
 func (ex *exchange) note(id event.ID, co result.Code, detail string) {
-	took := time.Since(ex.as.Received)
+	took := clock.Since(ex.as.Received)
 	kind, route := "none", ""
 	if ex.route != nil {
 		kind, route = string(ex.route.Kind), ex.route.Name
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 )
@@ -24,7 +25,7 @@
 // readState reads everything, from the service or the rest of it from a watcher, and returns
 // the revision to go on from.
 func (ga *Gateway) readState(ctx context.Context) (uint64, error) {
-	sent := time.Now()
+	sent := clock.Now()
 	var from relay.Member
 	st, whole, err := ga.Source.Read(ctx, func(first State) bool {
 		var ok bool
@@ -36,7 +37,7 @@
 		if ok {
 			return revision, nil
 		}
-		sent = time.Now()
+		sent = clock.Now()
 		st, _, err = ga.Source.Read(ctx, func(State) bool { return true })
 	}
 	if err != nil {
@@ -77,7 +78,7 @@
 	if ga.Bounds.Revoke != 0 && ga.Bounds.oldest() < relayLeast {
 		return relay.Member{}, false
 	}
-	return ga.plan.Watcher(members, time.Now())
+	return ga.plan.Watcher(members, clock.Now())
 }
 
 // readFrom takes the whole state from a watcher, which may have to read it first. It reports
@@ -86,8 +87,8 @@
 	cl := relay.Client{Address: wa.Address, Slack: startSlack, HTTP: ga.RelayHTTP}
 	defer cl.Close()
 	var failed error
-	for end := time.Now().Add(startWait); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, startAgain) {
-		sent := time.Now()
+	for end := clock.Now().Add(startWait); ctx.Err() == nil && clock.Now().Before(end); sleep(ctx, startAgain) {
+		sent := clock.Now()
 		up, err := cl.Ask(ctx, relay.Request{})
 		switch {
 		case err != nil:
@@ -117,7 +118,7 @@
 	}
 	for _, se := range ga.servers.Listed() {
 		listed := *se
-		listed.ColdFor = ga.pool.Warmup.Left(se.Key(), time.Now())
+		listed.ColdFor = ga.pool.Warmup.Left(se.Key(), clock.Now())
 		all = append(all, Change{Server: &listed})
 	}
 	for _, dataCentre := range ga.servers.Evacuated() {
@@ -145,7 +146,7 @@
 	if !ga.stateRead || !ga.plan.Watches(ga.memberList()) {
 		return up
 	}
-	now := time.Now()
+	now := clock.Now()
 	if ga.whole.revision != up.Revision || now.Sub(ga.whole.at) > wholeKept {
 		data, err := cbor.Marshal(ga.wholeState())
 		if err != nil {
--- a/internal/poison/blocks.go
+++ b/internal/poison/blocks.go
@@ -23,15 +23,15 @@
 	UntilMS int64 `cbor:"2,keyasint"`
 }
 
-// NewBlock returns a block that begins now.
-func NewBlock(pr Print, now time.Time) Block {
-	return Block{Print: pr, UntilMS: now.Add(Term).UnixMilli()}
+// NewBlock returns a block that begins at a time of day.
+func NewBlock(pr Print, day time.Time) Block {
+	return Block{Print: pr, UntilMS: day.Add(Term).UnixMilli()}
 }
 
-// left returns how long a block lasts from now on; a clock that is wrong makes it no longer
-// than any.
-func (bl Block) left(now time.Time) time.Duration {
-	return min(Term, time.UnixMilli(bl.UntilMS).Sub(now.Round(0)))
+// Left returns how long a block lasts from a time of day on; a clock that is wrong makes it no
+// longer than any.
+func (bl Block) Left(day time.Time) time.Duration {
+	return min(Term, time.UnixMilli(bl.UntilMS).Sub(day))
 }
 
 // held is a block that is in force.
@@ -47,10 +47,9 @@
 // use.
 type Blocks struct{ held map[Print]*held }
 
-// Add takes a block; stored is set if the key-value service holds it. It reports whether it
-// is new.
-func (bs *Blocks) Add(bl Block, stored bool, now time.Time) bool {
-	left := bl.left(now)
+// Add takes a block that lasts for a while yet; stored is set if the key-value service holds
+// it. It reports whether it is new.
+func (bs *Blocks) Add(bl Block, left time.Duration, stored bool, now time.Time) bool {
 	if he := bs.held[bl.Print]; he != nil {
 		he.stored = he.stored || stored
 		return false
--- a/internal/poison/cases_test.go
+++ b/internal/poison/cases_test.go
@@ -102,8 +102,8 @@
 	var bs Blocks
 	pr := named("p")
 	require.Zero(t, bs.Left(pr, t0))
-	require.True(t, bs.Add(NewBlock(pr, t0), false, t0))
-	require.False(t, bs.Add(NewBlock(pr, t0.Add(time.Minute)), false, t0.Add(time.Minute)))
+	require.True(t, bs.Add(NewBlock(pr, t0), Term, false, t0))
+	require.False(t, bs.Add(NewBlock(pr, t0.Add(time.Minute)), Term, false, t0.Add(time.Minute)))
 	require.Equal(t, Term-time.Minute, bs.Left(pr, t0.Add(time.Minute)))
 	require.Empty(t, bs.Expire(t0.Add(Term-1)))
 	require.Empty(t, bs.Expire(t0.Add(Term)), "nothing was stored")
@@ -113,11 +113,11 @@
 func TestABlockIsStoredOnceAndTakenOffWhenItIsOver(t *testing.T) {
 	var bs Blocks
 	bl := NewBlock(named("p"), t0)
-	bs.Add(bl, false, t0)
+	bs.Add(bl, Term, false, t0)
 	require.Equal(t, []Block{bl}, bs.Unstored())
 	require.Equal(t, []Block{bl}, bs.News(t0))
 	require.Empty(t, bs.Stored())
-	require.False(t, bs.Add(bl, true, t0))
+	require.False(t, bs.Add(bl, Term, true, t0))
 	require.Empty(t, bs.Unstored())
 	require.Equal(t, []Block{bl}, bs.Stored())
 	require.Empty(t, bs.News(t0.Add(blockNews)))
@@ -129,8 +129,9 @@
 // it is read blocks nothing.
 func TestClocksThatAreWrongDoNotProlongABlock(t *testing.T) {
 	var bs Blocks
-	require.True(t, bs.Add(NewBlock(named("ahead"), t0.Add(5*time.Hour)), true, t0))
-	require.Equal(t, Term, bs.Left(named("ahead"), t0))
-	require.False(t, bs.Add(NewBlock(named("over"), t0.Add(-Term)), true, t0))
+	ahead, over := NewBlock(named("ahead"), t0.Add(5*time.Hour)), NewBlock(named("over"), t0.Add(-Term))
+	require.Equal(t, Term, ahead.Left(t0))
+	require.True(t, bs.Add(ahead, ahead.Left(t0), true, t0))
+	require.False(t, bs.Add(over, over.Left(t0), true, t0))
 	require.Zero(t, bs.Left(named("over"), t0))
 }
