test: ways to find a request under which servers end; racks, outages, ends of blocks

Found on the way: a request that is seldom sent alike and was in progress whenever a rack ended (six of 18 servers, six times in 18 s) was blocked, since a whole answer only counted for it after 5 s. It counts now as soon as its server has answered something 1 s later or more: none blocked.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -139,7 +139,7 @@
 	delete(ga.waiting, se)
 	if se.err == nil {
 		ga.pool.Hear(se.server.Key(), now)
-		se.run.Answered(now)
+		ga.runs.Answered(se.run, now)
 	}
 	if se.err != nil && now.Before(se.step.Patience()) {
 		return
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,7 +18,9 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
@@ -45,12 +49,13 @@
 }
 
 const (
-	// poisonPath is where the request is sent that servers end of.
-	poisonPath = "/menu/poison"
-	readTime   = 30 * time.Millisecond
-	eventPause = 20 * time.Millisecond
-	restarts   = 2 * time.Second
-	entryLasts = 2500 * time.Millisecond
+	// poisonPath and plainPoison are where requests are sent that servers end of.
+	poisonPath  = "/menu/poison"
+	plainPoison = "/cards/poison"
+	readTime    = 30 * time.Millisecond
+	eventPause  = 20 * time.Millisecond
+	restarts    = 2 * time.Second
+	entryLasts  = 2500 * time.Millisecond
 )
 
 func (cr *crashing) start() {
@@ -101,7 +106,7 @@
 	if err := cr.Reach(ctx, at.Server); err != nil {
 		return nil, err
 	}
-	poison := at.Ask.Path == poisonPath
+	poison := strings.HasSuffix(at.Ask.Path, "/poison")
 	if poison {
 		cr.mu.Lock()
 		cr.sent = append(cr.sent, time.Now())
@@ -114,10 +119,13 @@
 	if poison {
 		events = 0
 		time.AfterFunc(cr.endsAfter, func() { cr.end(se) })
-		if cr.silent {
+		if cr.silent || at.Model == "" {
 			return nil, se.work(ctx, time.Hour)
 		}
 	}
+	if at.Model == "" {
+		return &Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("whole"))}, nil
+	}
 	confidence := 90
 	if at.Model == "small" {
 		confidence = 2
@@ -187,12 +195,17 @@
 type inside struct {
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
+	// cut is set while nothing gets through.
+	cut atomic.Bool
 }
 
 func (in *inside) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	in.mu.Lock()
 	li := in.listeners[address]
 	in.mu.Unlock()
+	if in.cut.Load() {
+		return nil, net.ErrClosed
+	}
 	near, far := net.Pipe()
 	select {
 	case li.accepted <- far:
@@ -241,12 +254,21 @@
 }
 
 func newScene(t *testing.T, gateways, servers int) *scene {
+	t.Helper()
+	return newSceneWith(t, gateways, servers, func(*scene) {})
+}
+
+// newSceneWith changes the scene before its gateways start.
+func newSceneWith(t *testing.T, gateways, servers int, change func(sc *scene)) *scene {
 	t.Helper()
 	kept := &keptState{news: make(chan struct{}), watches: map[string]int{}, cut: map[string]bool{}}
 	kept.add(Change{Document: &routing.Document{Version: 1, Services: []routing.Service{{Name: "llm"}}, Routes: []routing.Route{{
 		Name: "menu", Host: "h", Prefix: "/menu/", Kind: routing.Streaming, Resumable: true, Public: true,
 		Timeout: 8 * time.Second, Target: 2 * time.Second, Gap: time.Second, Attempts: 3, Models: []string{"small", "large"},
 		Split: []routing.Share{{Service: "llm", Weight: 1}},
+	}, {
+		Name: "cards", Host: "h", Prefix: "/cards/", Kind: routing.Unsafe, Public: true, Timeout: time.Second,
+		Target: 150 * time.Millisecond, Attempts: 1, Split: []routing.Share{{Service: "llm", Weight: 1}},
 	}}}})
 	sc := &scene{
 		t: t, servers: &crashing{kept: kept, endsAfter: 100 * time.Millisecond, servers: map[string]*fakeServer{}},
@@ -257,6 +279,7 @@
 		sc.stop()
 		time.Sleep(time.Minute)
 	})
+	change(sc)
 	for range servers {
 		sc.servers.start()
 	}
@@ -314,7 +337,7 @@
 		ca.took, ca.answered = time.Since(began), ca.code == 0
 		sc.mu.Lock()
 		defer sc.mu.Unlock()
-		if path == poisonPath {
+		if strings.HasSuffix(path, "/poison") {
 			sc.copies = append(sc.copies, ca)
 		} else {
 			sc.others = append(sc.others, ca)
@@ -323,14 +346,14 @@
 }
 
 // play sends copies of the request and others for a while, to all gateways from one on.
-func (sc *scene) play(first int, lasts time.Duration) {
+func (sc *scene) play(first int, poison string, lasts time.Duration) {
 	n := 0
 	for until := time.Now().Add(lasts); time.Now().Before(until); time.Sleep(25 * time.Millisecond) {
 		n++
 		gateway := first + n%(len(sc.gateways)-first)
 		sc.ask(gateway, fmt.Sprint("/menu/", first, "/", n), fmt.Sprint("other", first, "-", n))
-		if n%12 == 0 {
-			sc.ask(first+n/12%(len(sc.gateways)-first), poisonPath, fmt.Sprint("copy", first, "-", n))
+		if n%12 == 0 && poison != "" {
+			sc.ask(first+n/12%(len(sc.gateways)-first), poison, fmt.Sprint("copy", first, "-", n))
 		}
 	}
 }
@@ -373,7 +396,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			sc := newScene(t, 4, 18)
 			sc.servers.silent = silent
-			sc.play(0, 20*time.Second)
+			sc.play(0, poisonPath, 20*time.Second)
 			sc.callers.Wait()
 			require.LessOrEqual(t, sc.servers.tooMany(3*time.Second), 3, "%d ends", len(sc.servers.ended))
 			ends := len(sc.servers.ended)
@@ -385,7 +408,7 @@
 			sc.addGateway()
 			time.Sleep(3 * time.Second)
 			sc.copies = nil
-			sc.play(4, 5*time.Second)
+			sc.play(4, poisonPath, 5*time.Second)
 			sc.callers.Wait()
 			require.Len(t, sc.servers.ended, ends, "what was known is kept")
 			require.NotEmpty(t, sc.copies)
@@ -404,3 +427,161 @@
 		})
 	}
 }
+
+// A request that may run once only meets one server a copy, and each gateway sees one end.
+func TestAPlainRequestUnderWhichServersEndIsFoundTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := newScene(t, 12, 18)
+		sc.play(0, plainPoison, 20*time.Second)
+		sc.callers.Wait()
+		require.LessOrEqual(t, len(sc.servers.ended), 6)
+		require.Zero(t, sc.servers.tooMany(3*time.Second))
+		refused := 0
+		for _, ca := range sc.copies {
+			if result.Of(ca.code).Run() == result.DidNotRun {
+				refused++
+			}
+		}
+		require.Greater(t, refused, 9*len(sc.copies)/10)
+	})
+}
+
+// blocked counts the requests that a scene's gateways have blocked.
+func (sc *scene) blocked() int {
+	all := 0
+	for _, ga := range sc.gateways {
+		ga.mu.Lock()
+		all += len(ga.blocks.News(clock.Now().Add(-time.Hour)))
+		ga.mu.Unlock()
+	}
+	return all
+}
+
+// A third of the servers ends at the same moment, again and again, each time under everything
+// that is in progress there.
+func TestServersThatEndTogetherBlockNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := newScene(t, 4, 18)
+		for range 6 {
+			sc.play(0, "", 1500*time.Millisecond)
+			sc.servers.mu.Lock()
+			var rack []*fakeServer
+			for _, se := range sc.servers.servers {
+				select {
+				case <-se.gone:
+				default:
+					rack = append(rack, se)
+				}
+			}
+			sc.servers.mu.Unlock()
+			for _, se := range rack[:6] {
+				sc.servers.end(se)
+			}
+			sc.play(0, "", 1500*time.Millisecond)
+		}
+		sc.callers.Wait()
+		require.Len(t, sc.servers.ended, 36)
+		require.Zero(t, sc.blocked())
+	})
+}
+
+// Without the key-value service blocks go with the reports, and are kept once it is back.
+func TestBlocksAreToldWhileTheKeyValueServiceIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := newScene(t, 8, 18)
+		cut := func(cut bool) {
+			for i := range 16 {
+				sc.servers.kept.setCut(fmt.Sprint("b", i), cut)
+			}
+		}
+		cut(true)
+		sc.play(0, poisonPath, 6*time.Second)
+		sc.callers.Wait()
+		require.Less(t, len(sc.servers.ended), 10)
+		require.Equal(t, 8, sc.blocked(), "each gateway")
+		ends := len(sc.servers.ended)
+		cut(false)
+		time.Sleep(8 * time.Second)
+		sc.stop()
+		sc.addGateway()
+		time.Sleep(3 * time.Second)
+		sc.play(8, poisonPath, 2*time.Second)
+		sc.callers.Wait()
+		require.Len(t, sc.servers.ended, ends)
+	})
+}
+
+// An operator ends a block by removing what is kept of it; one that is over ends by itself and
+// is taken off.
+func TestABlockEndsEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := newScene(t, 4, 18)
+		sc.play(0, poisonPath, 5*time.Second)
+		sc.callers.Wait()
+		require.Equal(t, 4, sc.blocked())
+		time.Sleep(5 * time.Second)
+		pr := sc.gateways[0].blocks.Stored()[0].Print
+		sc.servers.kept.add(Change{Unblocked: &pr})
+		time.Sleep(3 * time.Second)
+		require.Zero(t, sc.blocked())
+
+		again := poison.NewBlock(pr, clock.Day())
+		sc.servers.kept.add(Change{Blocked: &again})
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 4, sc.blocked())
+		time.Sleep(poison.Term)
+		require.Zero(t, sc.blocked())
+		st, _, err := view{kept: sc.servers.kept}.since(0)
+		require.NoError(t, err)
+		require.NotNil(t, st.Changes[len(st.Changes)-1].Unblocked, "taken off by a watcher")
+	})
+}
+
+// Ways to learn of a request under which servers end, over the same 20 s: each gateway for
+// itself, through the key-value service only, and with the reports; from two, three and four
+// ends on. The table is in the page on it.
+func TestWaysToFindARequestUnderWhichServersEnd(t *testing.T) {
+	type way struct {
+		name         string
+		told, stored bool
+		ends         int
+	}
+	ended := map[string]int{}
+	for _, gateways := range []int{4, 23} {
+		for _, wa := range []way{
+			{"nothing is remembered", false, false, 1 << 20},
+			{"each for itself", false, false, 3},
+			{"blocks through the service", false, true, 3},
+			{"suspicions and blocks with reports", true, true, 2},
+			{"suspicions and blocks with reports", true, true, 3},
+			{"suspicions and blocks with reports", true, true, 4},
+		} {
+			synctest.Test(t, func(t *testing.T) {
+				sc := newSceneWith(t, gateways, 18, func(sc *scene) {
+					sc.network.cut.Store(!wa.told)
+					sc.servers.kept.noBlocks = !wa.stored
+				})
+				for _, ga := range sc.gateways {
+					ga.mu.Lock()
+					ga.cases.Ends = wa.ends
+					ga.mu.Unlock()
+				}
+				sc.play(0, poisonPath, 20*time.Second)
+				sc.callers.Wait()
+				served := 0
+				for _, ca := range sc.others {
+					if ca.answered {
+						served++
+					}
+				}
+				name := fmt.Sprint(wa.name, ", from ", wa.ends, " ends")
+				ended[fmt.Sprint(gateways, name)] = len(sc.servers.ended)
+				t.Logf("%d gateways, %s: %d servers ended, %d copies too many, %.3f of the others served",
+					gateways, name, len(sc.servers.ended), sc.servers.tooMany(3*time.Second), float64(served)/float64(len(sc.others)))
+			})
+		}
+		taken := ended[fmt.Sprint(gateways, "suspicions and blocks with reports, from 3 ends")]
+		require.Less(t, taken, ended[fmt.Sprint(gateways, "each for itself, from 3 ends")])
+		require.LessOrEqual(t, taken, 10)
+	}
+}
--- a/internal/gateway/relayed_test.go
+++ b/internal/gateway/relayed_test.go
@@ -31,6 +31,8 @@
 	// watches counts the watches of each box, cut names those that get no answers.
 	watches map[string]int
 	cut     map[string]bool
+	// noBlocks is set where it keeps none.
+	noBlocks bool
 }
 
 // view is the source as one box sees it.
@@ -116,10 +118,14 @@
 
 func (vi view) Block(_ context.Context, bl poison.Block) error {
 	_, _, err := vi.since(0)
-	if err == nil {
-		vi.kept.add(Change{Blocked: &bl})
+	if err != nil {
+		return err
+	}
+	if vi.kept.noBlocks {
+		return result.New(result.StoreDown, "keeps no blocks")
 	}
-	return err
+	vi.kept.add(Change{Blocked: &bl})
+	return nil
 }
 
 func (vi view) Unblock(_ context.Context, pr poison.Print) error {
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -11,6 +11,9 @@
 	// breakKept is how long a broken connection is taken for the moment of an end that is
 	// noticed later.
 	breakKept = time.Second
+	// livesOn is how long after a request was over its server must have answered something
+	// for the request to have done it no harm.
+	livesOn = 2 * beganWithin
 	// kept is how long what is over is remembered. A server that ends unseen is noticed when
 	// its entry runs out, some three seconds later.
 	kept = 5 * time.Second
@@ -35,12 +38,6 @@
 // Request returns the caller's id of the request.
 func (ru *Run) Request() string { return ru.request }
 
-// Answered notes that the first part of the answer came.
-func (ru *Run) Answered(now time.Time) {
-	if ru.first.IsZero() {
-		ru.first = now
-	}
-}
 
 // Unsent notes that the server never began the request.
 func (ru *Run) Unsent() { ru.unsent = true }
@@ -63,6 +60,8 @@
 type served struct {
 	// runs holds what is there, and what is over for less than kept.
 	runs []*Run
+	// heard is when the server answered last.
+	heard time.Time
 	// broke is when a connection to it broke off that it may have ended with; zero if none
 	// did lately.
 	broke time.Time
@@ -76,6 +75,16 @@
 	return ru
 }
 
+// Answered notes that the first part of an answer came.
+func (rs *Runs) Answered(ru *Run, now time.Time) {
+	if ru.first.IsZero() {
+		ru.first = now
+	}
+	if sv := rs.servers[ru.server]; sv != nil {
+		sv.heard = now
+	}
+}
+
 func (rs *Runs) of(server string) *served {
 	if rs.servers == nil {
 		rs.servers = map[string]*served{}
@@ -145,17 +154,18 @@
 	return from.IsZero() || end.Sub(from) <= beganWithin
 }
 
-// Settle forgets what is over for long, and returns the fingerprints of those whose whole
-// answers came from servers that lived on.
+// Settle forgets what is over for long or surely did no harm, and returns the fingerprints of
+// those whose whole answers came from servers that lived on.
 func (rs *Runs) Settle(now time.Time) []Print {
 	var sound []Print
 	for server, sv := range rs.servers {
 		left := sv.runs[:0]
 		for _, ru := range sv.runs {
-			switch {
-			case ru.over.IsZero() || now.Sub(ru.over) < kept:
+			if ru.over.IsZero() || now.Sub(ru.over) < kept && sv.heard.Sub(ru.over) < livesOn {
 				left = append(left, ru)
-			case ru.whole:
+				continue
+			}
+			if ru.whole {
 				sound = append(sound, ru.print)
 			}
 		}
--- a/internal/poison/runs_test.go
+++ b/internal/poison/runs_test.go
@@ -49,10 +49,10 @@
 func TestWhatBeganJustBeforeTheEndIsSuspected(t *testing.T) {
 	var rs Runs
 	old := rs.Sent("s", named("old"), "old", after(0))
-	old.Answered(after(100))
+	rs.Answered(old, after(100))
 	rs.Sent("s", named("waits"), "waits", after(2000))
 	began := rs.Sent("s", named("began"), "began", after(2000))
-	began.Answered(after(2100))
+	rs.Answered(began, after(2100))
 	rs.Sent("other", named("elsewhere"), "elsewhere", after(2400))
 	rs.Broke("s", after(2500))
 	rs.Broke("s", after(2501))
@@ -66,7 +66,7 @@
 func TestWhatWasDroppedJustBeforeTheEndIsSuspected(t *testing.T) {
 	var rs Runs
 	dropped := rs.Sent("s", named("dropped"), "dropped", after(0))
-	dropped.Answered(after(200))
+	rs.Answered(dropped, after(200))
 	dropped.Over(false, after(201))
 	gone := rs.Sent("s", named("gone"), "gone", after(0))
 	gone.Over(false, after(10))
@@ -82,7 +82,7 @@
 	var rs Runs
 	for _, server := range []string{"a", "b"} {
 		ru := rs.Sent(server, named("moved"), "moved", after(0))
-		ru.Answered(after(100))
+		rs.Answered(ru, after(100))
 		ru.Over(false, after(110))
 		rs.Broke(server, after(700))
 		require.Empty(t, ended(&rs, server, after(710)))
@@ -92,7 +92,7 @@
 func TestAnEndThatIsNoticedLateReachesFurtherBack(t *testing.T) {
 	var rs Runs
 	ru := rs.Sent("s", named("dropped"), "dropped", after(0))
-	ru.Answered(after(200))
+	rs.Answered(ru, after(200))
 	ru.Over(true, after(300))
 	require.Empty(t, rs.Settle(after(3000)))
 	require.Equal(t, []string{"dropped"}, ended(&rs, "s", after(3100)))
@@ -108,12 +108,24 @@
 	require.Equal(t, []string{"runs"}, ended(&rs, "s", after(9000)))
 }
 
+func TestAServerThatAnswersLaterHasTakenNoHarm(t *testing.T) {
+	var rs Runs
+	rs.Sent("s", named("whole"), "whole", after(0)).Over(true, after(100))
+	rs.Sent("s", named("dropped"), "dropped", after(0)).Over(false, after(100))
+	later := rs.Sent("s", named("later"), "later", after(900))
+	rs.Answered(later, after(1090))
+	require.Empty(t, rs.Settle(after(1095)))
+	rs.Answered(rs.Sent("s", named("last"), "last", after(1000)), after(1100))
+	require.Equal(t, []Print{named("whole")}, rs.Settle(after(1100)))
+	require.Equal(t, []string{"later", "last"}, ended(&rs, "s", after(1110)))
+}
+
 func TestAServerThatLivesAfterABreakHasNotEndedThen(t *testing.T) {
 	var rs Runs
 	rs.Broke("s", after(0))
 	rs.Alive("s")
 	ru := rs.Sent("s", named("a"), "a", after(3000))
-	ru.Answered(after(3100))
+	rs.Answered(ru, after(3100))
 	require.Equal(t, []string{"a"}, ended(&rs, "s", after(3200)), "the break long before is not the end")
 	rs.Alive("unknown")
 }
