--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -275,7 +275,9 @@
 // unsent ends an attempt that its server never began.
 func (se *sent) unsent(outcome string) {
 	if se.run != nil {
+		se.ex.ga.mu.Lock()
 		se.run.Unsent()
+		se.ex.ga.mu.Unlock()
 	}
 	se.end(outcome)
 }
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -52,10 +52,12 @@
 	// poisonPath and plainPoison are where requests are sent that servers end of.
 	poisonPath  = "/menu/poison"
 	plainPoison = "/cards/poison"
-	readTime    = 30 * time.Millisecond
-	eventPause  = 20 * time.Millisecond
-	restarts    = 2 * time.Second
-	entryLasts  = 2500 * time.Millisecond
+	// poolSize is how many servers there are.
+	poolSize   = 18
+	readTime   = 30 * time.Millisecond
+	eventPause = 20 * time.Millisecond
+	restarts   = 2 * time.Second
+	entryLasts = 2500 * time.Millisecond
 )
 
 func (cr *crashing) start() {
@@ -253,13 +255,13 @@
 	callers        sync.WaitGroup
 }
 
-func newScene(t *testing.T, gateways, servers int) *scene {
+func newScene(t *testing.T, gateways int) *scene {
 	t.Helper()
-	return newSceneWith(t, gateways, servers, func(*scene) {})
+	return newSceneWith(t, gateways, func(*scene) {})
 }
 
 // newSceneWith changes the scene before its gateways start.
-func newSceneWith(t *testing.T, gateways, servers int, change func(sc *scene)) *scene {
+func newSceneWith(t *testing.T, gateways int, change func(sc *scene)) *scene {
 	t.Helper()
 	kept := &keptState{news: make(chan struct{}), watches: map[string]int{}, cut: map[string]bool{}}
 	kept.add(Change{Document: &routing.Document{Version: 1, Services: []routing.Service{{Name: "llm"}}, Routes: []routing.Route{{
@@ -280,7 +282,7 @@
 		time.Sleep(time.Minute)
 	})
 	change(sc)
-	for range servers {
+	for range poolSize {
 		sc.servers.start()
 	}
 	for range gateways {
@@ -365,8 +367,17 @@
 	sc.stops = nil
 }
 
+// ends returns how many servers have ended.
+func (cr *crashing) ends() int {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	return len(cr.ended)
+}
+
 // tooMany returns how many copies reached servers later than a time after the third end.
 func (cr *crashing) tooMany(later time.Duration) int {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
 	if len(cr.ended) < 3 {
 		return 0
 	}
@@ -394,12 +405,12 @@
 func TestARequestUnderWhichServersEndIsNotSentToMore(t *testing.T) {
 	for _, silent := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			sc := newScene(t, 4, 18)
+			sc := newScene(t, 4)
 			sc.servers.silent = silent
 			sc.play(0, poisonPath, 20*time.Second)
 			sc.callers.Wait()
-			require.LessOrEqual(t, sc.servers.tooMany(3*time.Second), 3, "%d ends", len(sc.servers.ended))
-			ends := len(sc.servers.ended)
+			require.LessOrEqual(t, sc.servers.tooMany(3*time.Second), 3, "%d ends", sc.servers.ends())
+			ends := sc.servers.ends()
 			require.Less(t, ends, 10)
 
 			// All gateways are lost at once, and others begin.
@@ -410,7 +421,7 @@
 			sc.copies = nil
 			sc.play(4, poisonPath, 5*time.Second)
 			sc.callers.Wait()
-			require.Len(t, sc.servers.ended, ends, "what was known is kept")
+			require.Equal(t, ends, sc.servers.ends(), "what was known is kept")
 			require.NotEmpty(t, sc.copies)
 			for _, ca := range sc.copies {
 				require.Equal(t, result.DidNotRun, result.Of(ca.code).Run())
@@ -431,10 +442,10 @@
 // A request that may run once only meets one server a copy, and each gateway sees one end.
 func TestAPlainRequestUnderWhichServersEndIsFoundTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sc := newScene(t, 12, 18)
+		sc := newScene(t, 12)
 		sc.play(0, plainPoison, 20*time.Second)
 		sc.callers.Wait()
-		require.LessOrEqual(t, len(sc.servers.ended), 6)
+		require.LessOrEqual(t, sc.servers.ends(), 6)
 		require.Zero(t, sc.servers.tooMany(3*time.Second))
 		refused := 0
 		for _, ca := range sc.copies {
@@ -446,6 +457,14 @@
 	})
 }
 
+// storedAt returns the first block that a gateway knows to be kept.
+func (sc *scene) storedAt(gateway int) poison.Print {
+	ga := sc.gateways[gateway]
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.blocks.Stored()[0].Print
+}
+
 // blocked counts the requests that a scene's gateways have blocked.
 func (sc *scene) blocked() int {
 	all := 0
@@ -461,7 +480,7 @@
 // that is in progress there.
 func TestServersThatEndTogetherBlockNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sc := newScene(t, 4, 18)
+		sc := newScene(t, 4)
 		for range 6 {
 			sc.play(0, "", 1500*time.Millisecond)
 			sc.servers.mu.Lock()
@@ -480,7 +499,7 @@
 			sc.play(0, "", 1500*time.Millisecond)
 		}
 		sc.callers.Wait()
-		require.Len(t, sc.servers.ended, 36)
+		require.Equal(t, 36, sc.servers.ends())
 		require.Zero(t, sc.blocked())
 	})
 }
@@ -488,7 +507,7 @@
 // Without the key-value service blocks go with the reports, and are kept once it is back.
 func TestBlocksAreToldWhileTheKeyValueServiceIsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sc := newScene(t, 8, 18)
+		sc := newScene(t, 8)
 		cut := func(cut bool) {
 			for i := range 16 {
 				sc.servers.kept.setCut(fmt.Sprint("b", i), cut)
@@ -497,9 +516,9 @@
 		cut(true)
 		sc.play(0, poisonPath, 6*time.Second)
 		sc.callers.Wait()
-		require.Less(t, len(sc.servers.ended), 10)
+		require.Less(t, sc.servers.ends(), 10)
 		require.Equal(t, 8, sc.blocked(), "each gateway")
-		ends := len(sc.servers.ended)
+		ends := sc.servers.ends()
 		cut(false)
 		time.Sleep(8 * time.Second)
 		sc.stop()
@@ -507,7 +526,7 @@
 		time.Sleep(3 * time.Second)
 		sc.play(8, poisonPath, 2*time.Second)
 		sc.callers.Wait()
-		require.Len(t, sc.servers.ended, ends)
+		require.Equal(t, ends, sc.servers.ends())
 	})
 }
 
@@ -515,21 +534,21 @@
 // is taken off.
 func TestABlockEndsEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sc := newScene(t, 4, 18)
+		sc := newScene(t, 4)
 		sc.play(0, poisonPath, 5*time.Second)
 		sc.callers.Wait()
 		require.Equal(t, 4, sc.blocked())
 		time.Sleep(5 * time.Second)
-		pr := sc.gateways[0].blocks.Stored()[0].Print
+		pr := sc.storedAt(0)
 		sc.servers.kept.add(Change{Unblocked: &pr})
 		time.Sleep(3 * time.Second)
 		require.Zero(t, sc.blocked())
 
-		again := poison.NewBlock(pr, clock.Day())
+		again := poison.NewBlock(pr, clock.Day().Add(10*time.Second-poison.Term))
 		sc.servers.kept.add(Change{Blocked: &again})
 		time.Sleep(3 * time.Second)
 		require.Equal(t, 4, sc.blocked())
-		time.Sleep(poison.Term)
+		time.Sleep(10 * time.Second)
 		require.Zero(t, sc.blocked())
 		st, _, err := view{kept: sc.servers.kept}.since(0)
 		require.NoError(t, err)
@@ -557,7 +576,7 @@
 			{"suspicions and blocks with reports", true, true, 4},
 		} {
 			synctest.Test(t, func(t *testing.T) {
-				sc := newSceneWith(t, gateways, 18, func(sc *scene) {
+				sc := newSceneWith(t, gateways, func(sc *scene) {
 					sc.network.cut.Store(!wa.told)
 					sc.servers.kept.noBlocks = !wa.stored
 				})
@@ -575,9 +594,9 @@
 					}
 				}
 				name := fmt.Sprint(wa.name, ", from ", wa.ends, " ends")
-				ended[fmt.Sprint(gateways, name)] = len(sc.servers.ended)
+				ended[fmt.Sprint(gateways, name)] = sc.servers.ends()
 				t.Logf("%d gateways, %s: %d servers ended, %d copies too many, %.3f of the others served",
-					gateways, name, len(sc.servers.ended), sc.servers.tooMany(3*time.Second), float64(served)/float64(len(sc.others)))
+					gateways, name, sc.servers.ends(), sc.servers.tooMany(3*time.Second), float64(served)/float64(len(sc.others)))
 			})
 		}
 		taken := ended[fmt.Sprint(gateways, "suspicions and blocks with reports, from 3 ends")]
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -38,7 +38,6 @@
 // Request returns the caller's id of the request.
 func (ru *Run) Request() string { return ru.request }
 
-
 // Unsent notes that the server never began the request.
 func (ru *Run) Unsent() { ru.unsent = true }
 
