fix: requests that take a server's whole machine with them are found as well

Cause: an end counted once a connection was refused.

Change: a server that broke a connection off, has not been found alive since and whose entry ends without having drained has ended. The probe at the end of an entry is gone: where all entries lapse in an outage of the key-value service, each gateway would have asked all servers.

--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -34,6 +34,8 @@
 	endsAfter time.Duration
 	// silent is set if that request's server ends before any of its answer came.
 	silent bool
+	// withMachine is set if servers end with their machines, which then refuse nothing.
+	withMachine bool
 
 	mu      sync.Mutex
 	servers map[string]*fakeServer
@@ -97,6 +99,9 @@
 func (cr *crashing) Reach(_ context.Context, se directory.Server) error {
 	select {
 	case <-cr.server(se.ID).gone:
+		if cr.withMachine {
+			return errors.New("no answer in time")
+		}
 		return ErrUnreachable
 	default:
 		return nil
@@ -105,8 +110,11 @@
 
 func (cr *crashing) Call(ctx context.Context, at *Attempt) (*Answer, error) {
 	se := cr.server(at.Server.ID)
-	if err := cr.Reach(ctx, at.Server); err != nil {
+	switch err := cr.Reach(ctx, at.Server); {
+	case errors.Is(err, ErrUnreachable):
 		return nil, err
+	case err != nil:
+		return nil, ErrUnsent
 	}
 	poison := strings.HasSuffix(at.Ask.Path, "/poison")
 	if poison {
@@ -465,6 +473,19 @@
 	return ga.blocks.Stored()[0].Print
 }
 
+// A request that takes the whole machine with it: nobody refuses a connection there, and the
+// server's entry runs out some seconds later.
+func TestARequestUnderWhichMachinesEndIsFoundAsWell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := newSceneWith(t, 4, func(sc *scene) { sc.servers.withMachine = true })
+		sc.play(0, poisonPath, 20*time.Second)
+		sc.callers.Wait()
+		require.Equal(t, 4, sc.blocked())
+		require.LessOrEqual(t, sc.servers.ends(), 30)
+		require.LessOrEqual(t, sc.servers.tooMany(3*time.Second), 3)
+	})
+}
+
 // blocked counts the requests that a scene's gateways have blocked.
 func (sc *scene) blocked() int {
 	all := 0
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"strconv"
 	"time"
 
@@ -41,9 +40,9 @@
 // serverGone takes the end of a server's entry; the lock is held.
 func (ga *Gateway) serverGone(id string, now time.Time) {
 	key := ga.keyOf(id)
-	if se := ga.servers.Get(id); se != nil && !se.Draining && ga.runs.Has(key) {
-		// Some serve on for a while without an entry, others have ended.
-		ga.probe(context.Background(), *se, now)
+	if se := ga.servers.Get(id); se != nil && !se.Draining && ga.runs.Broken(key) {
+		// A machine that is gone with its server refuses no connection.
+		ga.noteEnded(key, "it broke off and its entry ended", now)
 	}
 	ga.servers.Remove(id, now)
 	if ga.servers.Get(id) == nil {
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -110,6 +110,12 @@
 	}
 }
 
+// Broken reports whether a server broke a connection off and has not been found alive since.
+func (rs *Runs) Broken(server string) bool {
+	sv := rs.servers[server]
+	return sv != nil && !sv.broke.IsZero()
+}
+
 // Has reports whether anything is known of what a server got lately.
 func (rs *Runs) Has(server string) bool { return rs.servers[server] != nil }
 
