fix: a block of what other gateways see answered is ended

A gateway that has just started knows of no whole answer to what all callers ask alike. While servers end under everything that is there, it would hold such a request to cause the ends and have it blocked everywhere for five minutes.

Change: who has seen whole answers to it, from servers that answered something later, does not take the block and ends what the key-value service holds of it; whoever hears that lifts it and begins to count anew (event 210, 209). Watchers do so within 0.3 s, the others after 2 s if it is still there. Only an answer that its server was heard after counts now; that time passed without a word does not.

--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -40,6 +40,10 @@
 // holds. Attempts that no server has begun yet are given up: a server that still has them in
 // its queue would end of them. The lock is held.
 func (ga *Gateway) takeBlock(bl poison.Block, stored bool, now time.Time) {
+	if ga.cases.IsSound(bl.Print) {
+		ga.object(bl.Print, stored, now)
+		return
+	}
 	if !ga.blocks.Add(bl, bl.Left(clock.Day()), stored, now) {
 		return
 	}
@@ -56,9 +60,31 @@
 	}
 }
 
+// object puts down that a block is to be ended which another gateway made and the key-value
+// service holds. One that has just started may know no whole answer yet to what all callers
+// ask alike, while servers end under everything that is there. The lock is held.
+func (ga *Gateway) object(pr poison.Print, stored bool, now time.Time) {
+	if _, due := ga.objecting[pr]; due || !stored {
+		return
+	}
+	ga.objecting[pr] = ga.turn(now)
+	ga.Log.Warn().Int("event", int(event.BlockDoubted)).Str("print", pr.String()).Msg(event.Name(event.BlockDoubted))
+}
+
+// turn returns when this gateway is to write what any of them can: those that watch first.
+// The lock is held.
+func (ga *Gateway) turn(now time.Time) time.Time {
+	if ga.plan.Watches(ga.memberList()) {
+		return now.Add(rand.N(storeSpread))
+	}
+	return now.Add(storeOthers + rand.N(storeOthers))
+}
+
 // unblock ends a block; the lock is held.
 func (ga *Gateway) unblock(pr poison.Print, why string) {
 	delete(ga.storing, pr)
+	delete(ga.objecting, pr)
+	ga.cases.Forget(pr)
 	if ga.blocks.Lift(pr) {
 		ga.noteUnblocked(pr, why)
 	}
@@ -101,6 +127,12 @@
 			go ga.storeBlock(ctx, bl)
 		}
 	}
+	for pr, due := range ga.objecting {
+		if !ga.fresh.Failing() && !now.Before(due) {
+			ga.objecting[pr] = now.Add(storeAgain)
+			go ga.removeBlocks(ctx, []poison.Print{pr})
+		}
+	}
 	over := ga.blocks.Expire(now)
 	for _, pr := range over {
 		delete(ga.storing, pr)
@@ -125,9 +157,14 @@
 
 func (ga *Gateway) removeBlocks(ctx context.Context, over []poison.Print) {
 	for _, pr := range over {
-		if err := ga.Source.Unblock(ctx, pr); err != nil {
+		err := ga.Source.Unblock(ctx, pr)
+		ga.mu.Lock()
+		if err != nil {
 			ga.noteBlockCall(pr, err)
+		} else {
+			delete(ga.objecting, pr)
 		}
+		ga.mu.Unlock()
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,6 +145,9 @@
 	// blocks are to be stored that the key-value service does not hold yet.
 	waiting map[*sent]bool
 	storing map[poison.Print]time.Time
+	// objecting holds when the blocks are to be ended that others made of requests which
+	// servers answer here and live on.
+	objecting map[poison.Print]time.Time
 }
 
 // Run follows the key-value service until the context ends.
@@ -179,6 +182,7 @@
 	ga.cases = poison.Cases{Ends: poison.FewestEnds}
 	ga.waiting = map[*sent]bool{}
 	ga.storing = map[poison.Print]time.Time{}
+	ga.objecting = map[poison.Print]time.Time{}
 	ga.members = map[string]relay.Member{}
 	ga.plan = relay.Plan{Box: ga.Box, DataCentre: ga.DataCentre}
 	ga.loadPlan = ga.plan
--- a/internal/poison/cases.go
+++ b/internal/poison/cases.go
@@ -139,6 +139,9 @@
 	delete(ca.cases, pr)
 }
 
+// Forget drops what is held against a request.
+func (ca *Cases) Forget(pr Print) { delete(ca.cases, pr) }
+
 // IsSound reports whether a request was acquitted lately.
 func (ca *Cases) IsSound(pr Print) bool { return ca.sound[pr] || ca.soundBefore[pr] }
 
--- a/internal/poison/cases_test.go
+++ b/internal/poison/cases_test.go
@@ -43,6 +43,14 @@
 	require.Equal(t, Term, ca.Accuse(Suspicion{Print: pr, Server: "d"}, later))
 }
 
+func TestWhatIsForgottenBeginsAnew(t *testing.T) {
+	ca := Cases{Ends: 2}
+	pr := named("p")
+	require.Zero(t, ca.Accuse(Suspicion{Print: pr, Server: "a"}, t0))
+	ca.Forget(pr)
+	require.Zero(t, ca.Accuse(Suspicion{Print: pr, Server: "b"}, t0.Add(time.Second)))
+}
+
 func TestEndsLongAgoDoNotCount(t *testing.T) {
 	ca := Cases{Ends: 2}
 	pr := named("p")
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -160,18 +160,18 @@
 }
 
 // Settle forgets what is over for long or surely did no harm, and returns the fingerprints of
-// those whose whole answers came from servers that lived on.
+// those whose whole answers came from servers that are known to have lived on.
 func (rs *Runs) Settle(now time.Time) []Print {
 	var sound []Print
 	for server, sv := range rs.servers {
 		left := sv.runs[:0]
 		for _, ru := range sv.runs {
-			if ru.over.IsZero() || now.Sub(ru.over) < kept && sv.heard.Sub(ru.over) < livesOn {
-				left = append(left, ru)
-				continue
-			}
-			if ru.whole {
+			livedOn := !ru.over.IsZero() && sv.heard.Sub(ru.over) >= livesOn
+			switch {
+			case livedOn && ru.whole:
 				sound = append(sound, ru.print)
+			case !livedOn && (ru.over.IsZero() || now.Sub(ru.over) < kept):
+				left = append(left, ru)
 			}
 		}
 		clear(sv.runs[len(left):])
