--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -24,6 +24,7 @@
 	Gateways int           `help:"Gateways." default:"4"`
 	Servers  int           `help:"Backend servers." default:"6"`
 	Callers  int           `help:"Callers." default:"16"`
+	Poison   bool          `help:"Let one request end the servers that run it."`
 }
 
 func main() {
@@ -54,6 +55,9 @@
 			return broken, fmt.Errorf("folder: %w", err)
 		}
 		pl := soak.Draw(seed, ar.Gateways, ar.Servers, ar.Trouble)
+		if ar.Poison {
+			pl = pl.WithPoison()
+		}
 		so := &soak.Soak{Bin: ar.Bin, Dir: dir, Callers: ar.Callers}
 		violations, err := so.Run(context.Background(), pl)
 		if err != nil {
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -27,6 +27,8 @@
 	PlannedStop Promise = "planned-stop"
 	// InTime: a request has its final answer by its deadline.
 	InTime Promise = "in-time"
+	// FewEnds: a request under which three servers have ended reaches few more.
+	FewEnds Promise = "few-ends"
 	// Recovery: requests are served soon after the last fault.
 	Recovery Promise = "recovery"
 )
@@ -52,6 +54,8 @@
 	body          string
 	// broken is set if the answer did not end well or none came.
 	broken bool
+	// poison is set for copies of a request under which servers end.
+	poison bool
 }
 
 const (
@@ -69,6 +73,10 @@
 	// recoverPart the part of them that must be.
 	recoverWithin = 3 * time.Second
 	recoverPart   = 0.9
+	// mostEnds is how many servers may end under a request, and tellWithin how long after the
+	// third of them more may.
+	mostEnds   = 3
+	tellWithin = 3 * time.Second
 )
 
 // record is everything that a run has seen.
@@ -77,6 +85,8 @@
 	began    time.Time
 	outcomes []outcome
 	ran      *ledger
+	// poisoned holds the copies of a request under which servers end.
+	poisoned []outcome
 	// revoked and drained hold when keys were taken away and servers began to leave.
 	revoked, drained map[string]time.Time
 }
@@ -110,9 +120,31 @@
 			add(PlannedStop, ou, "%s", detail)
 		}
 	}
+	list = append(list, re.checkEnds()...)
 	return append(list, re.checkRecovery()...)
 }
 
+// checkEnds looks at the copies of a request under which servers end, of those at gateways that
+// nothing had struck for a while.
+func (re *record) checkEnds() []Violation {
+	var ends []run
+	late := 0
+	var last outcome
+	for _, ou := range re.poisoned {
+		for _, ru := range re.ran.of(ou.id) {
+			ends = append(ends, ru)
+			if len(ends) > mostEnds && ru.at.Sub(ends[mostEnds-1].at) > tellWithin && re.calm(ou.gateway, ou.sent, ru.at) {
+				late++
+				last = ou
+			}
+		}
+	}
+	if late <= mostEnds {
+		return nil
+	}
+	return []Violation{{FewEnds, last.id, fmt.Sprintf("%d servers ended, %d of them late", len(ends), late)}}
+}
+
 // wanted returns the whole answer.
 func (ou outcome) wanted() string {
 	if !strings.HasPrefix(ou.path, "/stream/") {
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -29,6 +30,9 @@
 	req.Header.Set("X-Request-Id", ou.id)
 	req.Header.Set("Authorization", "Bearer "+ou.key)
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	if ou.poison {
+		req.Header.Set(headerPoison, "1")
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		ou.broken = true
@@ -69,6 +73,8 @@
 		py.configure()
 	case Revoke:
 		py.revoke()
+	case Poison:
+		py.poison(fa)
 	default:
 		py.strikeServer(fa)
 	}
@@ -157,10 +163,7 @@
 	py.mu.Unlock()
 	switch fa.Kind {
 	case ServerCrash:
-		py.substitute(fa.Target, se)
-		se.stop()
-		time.Sleep(lapse)
-		py.store.Remove("servers/" + se.id)
+		py.crash(se)
 	case ServerDrain:
 		py.substitute(fa.Target, se)
 		py.drain(se)
@@ -177,6 +180,41 @@
 	}
 }
 
+// crash ends a server without a word; its entry stays for a while.
+func (py *play) crash(se *server) {
+	py.mu.Lock()
+	place := slices.Index(py.servers, se)
+	py.mu.Unlock()
+	py.substitute(place, se)
+	se.stop()
+	time.Sleep(lapse)
+	py.store.Remove("servers/" + se.id)
+}
+
+// poisonEvery is the pause between two copies of a request under which servers end.
+const poisonEvery = 400 * time.Millisecond
+
+// poison sends copies of one request, each to another gateway.
+func (py *play) poison(fa Fault) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 4 * deadline}
+	for n := 0; time.Until(py.rec.began.Add(fa.Until)) > 0; n++ {
+		ou := outcome{
+			id: fmt.Sprint(poisonID, n), gateway: n % len(py.members), path: "/safe/poison", key: py.key(n + 1), poison: true,
+		}
+		if py.so.Sabotage == VariesPoison {
+			ou.path += fmt.Sprint(n)
+		}
+		py.ask(client, &ou)
+		py.mu.Lock()
+		py.rec.poisoned = append(py.rec.poisoned, ou)
+		py.mu.Unlock()
+		time.Sleep(poisonEvery)
+	}
+}
+
+// poisonID begins the ids of such copies.
+const poisonID = "poison-"
+
 // drain lets a server leave as planned: it serves on for a while after it said so.
 func (py *play) drain(se *server) {
 	se.drained = true
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -51,6 +51,8 @@
 	// ServerReset resets the connections to it, ServerSilent holds up what passes.
 	ServerReset  Kind = "server-reset"
 	ServerSilent Kind = "server-silent"
+	// Poison lets a caller send one request again and again under which servers end.
+	Poison Kind = "poison"
 	// Configure changes the configuration, Revoke takes a key away.
 	Configure Kind = "configure"
 	Revoke    Kind = "revoke"
@@ -98,6 +100,16 @@
 	gap = 450 * time.Millisecond
 )
 
+// WithPoison adds a request under which servers end, drawn apart, so that all other faults of
+// a seed stay.
+func (pl Plan) WithPoison() Plan {
+	rn := rand.New(rand.NewPCG(pl.Seed, pl.Seed+1))
+	from := warmUp + time.Duration(rn.Int64N(int64(pl.Calm-warmUp)/2))
+	pl.Faults = append(slices.Clone(pl.Faults), Fault{Kind: Poison, From: from, Until: pl.End})
+	slices.SortFunc(pl.Faults, func(a, b Fault) int { return int(a.From - b.From) })
+	return pl
+}
+
 // Draw draws a plan for so many gateways and servers, with faults for a time.
 func Draw(seed uint64, gateways, servers int, trouble time.Duration) Plan {
 	rn := rand.New(rand.NewPCG(seed, seed))
--- a/standin/soak/server.go
+++ b/standin/soak/server.go
@@ -55,6 +55,9 @@
 	slowBy = 10
 )
 
+// headerPoison marks the request that servers end under.
+const headerPoison = "X-Soak-Poison"
+
 // server is one life of a stand-in backend server.
 type server struct {
 	id       string
@@ -62,6 +65,8 @@
 	cable    *fleet.Cable
 	http     *http.Server
 	sabotage Sabotage
+	// ends ends the server as a crash does.
+	ends func()
 
 	mu      sync.Mutex
 	faults  map[Kind]int
@@ -160,6 +165,11 @@
 		pause *= slowBy
 	}
 	time.Sleep(pause)
+	if r.Header.Get(headerPoison) != "" {
+		se.ends()
+		<-r.Context().Done()
+		return
+	}
 	switch {
 	case se.sabotage == LiesNotRun && rand.Float64() < oddPart:
 		w.Header().Set("X-Not-Executed", "full")
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -32,6 +32,8 @@
 	WithholdsNews Sabotage = "withholds-news"
 	// KillsForStop ends processes at once where a planned stop is asked for.
 	KillsForStop Sabotage = "kills-for-stop"
+	// VariesPoison makes each copy of a request differ under which servers end.
+	VariesPoison Sabotage = "varies-poison"
 	// StaysDown never ends an outage of the key-value service.
 	StaysDown Sabotage = "stays-down"
 )
@@ -227,6 +229,7 @@
 	if err != nil {
 		return err
 	}
+	se.ends = sync.OnceFunc(func() { py.faults.Go(func() { py.crash(se) }) })
 	py.servers = append(py.servers, se)
 	py.store.Set("servers/"+se.id, se.entry())
 	return nil
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -89,6 +89,7 @@
 		{WithholdsNews, RevokedKey, []Fault{{StoreLapse, 0, second(0.2), second(0.2)}, {StoreLoses, 0, second(0.4), second(0.5)}, {Revoke, 0, second(0.8), second(0.8)}}, second(5)},
 		{WithholdsNews, LeavingServer, []Fault{{StoreLoses, 0, second(0.2), second(0.3)}, {ServerDrain, 0, second(4.7), second(4.7)}}, second(5)},
 		{KillsForStop, PlannedStop, []Fault{{Stop, 0, second(1), second(1)}, {Stop, 1, second(2), second(2)}}, second(3)},
+		{VariesPoison, FewEnds, []Fault{{Poison, 0, second(0.5), second(8)}}, second(8)},
 		{StaysDown, Recovery, []Fault{{StoreDown, 0, second(0.5), second(1)}}, second(1)},
 	} {
 		t.Run(string(ca.sabotage)+" "+string(ca.promise), func(t *testing.T) {
@@ -112,3 +113,15 @@
 	re.plan.Faults = []Fault{{StoreHang, 0, 4 * time.Second, 5 * time.Second}}
 	require.NotEqual(t, InTime, re.check()[0].Promise, "not beside an outage")
 }
+
+// One request ends server after server while gateways are killed, paused and cut off from the
+// key-value service, and servers crash by themselves.
+func TestARequestUnderWhichServersEndIsNotSentToMore(t *testing.T) {
+	for seed := uint64(1); seed <= 2; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			pl := Draw(seed, 3, 5, 6*time.Second).WithPoison()
+			require.Empty(t, playPlan(t, pl, ""), "%v", pl.Faults)
+		})
+	}
+}
