fix: a connection that broke long ago does not make the end of an entry a server's end

Some servers' entries go without a word and they serve on; one that broke a connection off at any time before and could not be asked then would have been taken for ended.

--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -40,7 +40,7 @@
 // serverGone takes the end of a server's entry; the lock is held.
 func (ga *Gateway) serverGone(id string, now time.Time) {
 	key := ga.keyOf(id)
-	if se := ga.servers.Get(id); se != nil && !se.Draining && ga.runs.Broken(key) {
+	if se := ga.servers.Get(id); se != nil && !se.Draining && ga.runs.Broken(key, now) {
 		// A machine that is gone with its server refuses no connection.
 		ga.noteEnded(key, "it broke off and its entry ended", now)
 	}
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -113,10 +113,11 @@
 	}
 }
 
-// Broken reports whether a server broke a connection off and has not been found alive since.
-func (rs *Runs) Broken(server string) bool {
+// Broken reports whether a server broke a connection off lately and has not been found alive
+// since.
+func (rs *Runs) Broken(server string, now time.Time) bool {
 	sv := rs.servers[server]
-	return sv != nil && !sv.broke.IsZero()
+	return sv != nil && !sv.broke.IsZero() && now.Sub(sv.broke) < kept
 }
 
 // Has reports whether anything is known of what a server got lately.
--- a/internal/poison/runs_test.go
+++ b/internal/poison/runs_test.go
@@ -123,11 +123,12 @@
 
 func TestAServerThatLivesAfterABreakHasNotEndedThen(t *testing.T) {
 	var rs Runs
-	require.False(t, rs.Broken("s"))
+	require.False(t, rs.Broken("s", after(0)))
 	rs.Broke("s", after(0))
-	require.True(t, rs.Broken("s"))
+	require.True(t, rs.Broken("s", after(0)))
+	require.False(t, rs.Broken("s", after(0).Add(kept)), "long ago")
 	rs.Alive("s")
-	require.False(t, rs.Broken("s"))
+	require.False(t, rs.Broken("s", after(0)))
 	ru := rs.Sent("s", named("a"), "a", after(3000))
 	rs.Answered(ru, after(3100))
 	require.Equal(t, []string{"a"}, ended(&rs, "s", after(3200)), "the break long before is not the end")
