test: fuzzing of what other gateways and watchers send

Batches of changes (torn, passed on twice, out of order), whole states, reports: no panic, a configuration never goes back, what was not named stays, blocks are bounded.

--- /dev/null
+++ b/internal/gateway/fuzz_test.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/linnetrudder/linnetrudder/internal/clock"
+	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/load"
+	"github.com/linnetrudder/linnetrudder/internal/poison"
+	"github.com/linnetrudder/linnetrudder/internal/relay"
+	"github.com/linnetrudder/linnetrudder/internal/rollout"
+	"github.com/linnetrudder/linnetrudder/internal/routing"
+)
+
+// knowing returns a gateway that knows one server and a configuration.
+func knowing() *Gateway {
+	ga := &Gateway{Log: zerolog.Nop(), Box: "a", DataCentre: "dc", Bounds: Bounds{Revoke: 5 * time.Second, RetryWindow: time.Second}}
+	ga.prepare()
+	good := directory.Server{ID: "good", Service: "svc", Address: "1.2.3.4:5", DataCentre: "dc", Version: "v1"}
+	ga.takeRead(State{Revision: 5, Changes: []Change{
+		{Document: &routing.Document{Version: 3, Services: []routing.Service{{Name: "svc"}}}}, {Server: &good},
+	}}, clock.Now())
+	return ga
+}
+
+// changesOf returns one change of each kind, as a watcher passes them on.
+func changesOf(f *testing.F) []byte {
+	f.Helper()
+	pr := poison.PrintOf(poison.Request{Target: "x"})
+	bl := poison.NewBlock(pr, time.Minute, clock.Day())
+	data, err := cbor.Marshal([]Change{
+		{Document: &routing.Document{Version: 4}},
+		{Server: &directory.Server{ID: "s", Service: "svc", Address: "1.2.3.4:6", DataCentre: "dc", Version: "v2"}},
+		{Gone: "s"},
+		{Unusable: &UnusableServer{ID: "u", Reason: "r"}},
+		{Evacuated: "dc2"},
+		{Restored: "dc2"},
+		{Order: &Order{Plan: rollout.Plan{Service: "svc", Version: "v2", Within: time.Second}, Revision: 6}},
+		{Phase: &StoredPhase{Service: "svc", Order: 6, Phase: rollout.Trying, Revision: 7}},
+		{Tallies: []Tally{{Service: "svc", Order: 6, Box: "b", Life: 1}}},
+		{Blocked: &bl},
+		{Unblocked: &pr},
+		{Member: &relay.Member{Box: "b", Address: "1.2.3.4:7"}},
+		{MemberGone: "b"},
+	})
+	require.NoError(f, err)
+	return data
+}
+
+// holds checks what must hold whatever another process sends.
+func holds(t *testing.T, ga *Gateway) {
+	t.Helper()
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	require.GreaterOrEqual(t, ga.table.Load().Version(), uint64(3), "a configuration never goes back")
+	require.LessOrEqual(t, len(ga.blocks.Stored())+len(ga.blocks.Unstored()), 1024)
+	require.NotNil(t, ga.servers.Get("good"), "what was not named stays")
+}
+
+// Changes that a watcher passes on: torn ones, ones that were passed on before, and ones out of
+// order.
+func FuzzBatches(f *testing.F) {
+	f.Add(changesOf(f), changesOf(f))
+	f.Add([]byte{0x80}, []byte{0xff})
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		ga := knowing()
+		for _, order := range [][][]byte{{first, second}, {second, first}, {first, first}} {
+			for i, data := range order {
+				ba := relay.Batch{To: uint64(6 + i), Data: data}
+				batches, err := decodeBatches([]relay.Batch{ba})
+				if err != nil || names(batches[0], "good") {
+					continue
+				}
+				ga.mu.Lock()
+				ga.takeBatch(batches[0], ba)
+				ga.mu.Unlock()
+			}
+		}
+		holds(t, ga)
+	})
+}
+
+// names reports whether changes say anything of a server.
+func names(changes []Change, server string) bool {
+	for _, ch := range changes {
+		if ch.Gone == server || ch.Server != nil && ch.Server.ID == server || ch.Unusable != nil && ch.Unusable.ID == server {
+			return true
+		}
+	}
+	return false
+}
+
+// A whole state that can't be decoded changes nothing.
+func FuzzWhole(f *testing.F) {
+	f.Add(changesOf(f))
+	f.Add([]byte("torn"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		ga := knowing()
+		_, err := ga.takeWhole(relay.Update{Revision: 9, Whole: data}, clock.Now())
+		if err != nil {
+			holds(t, ga)
+		}
+		require.GreaterOrEqual(t, ga.Table().Version(), uint64(3))
+	})
+}
+
+// Reports of other gateways, whatever is in them.
+func FuzzReports(f *testing.F) {
+	pr := poison.PrintOf(poison.Request{Target: "x"})
+	data, err := cbor.Marshal(relay.Report{
+		Box: "b", Work: load.Work{1: 2}, Ready: true, Gateways: 3, Tallies: changesOf(f),
+		Suspicions: []poison.Suspicion{{Print: pr, Server: "s", Ago: time.Second}},
+		Blocks:     []poison.Block{poison.NewBlock(pr, time.Hour, clock.Day())}, Doubts: []poison.Print{pr},
+	})
+	require.NoError(f, err)
+	f.Add(data)
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var re relay.Report
+		if cbor.Unmarshal(data, &re) != nil {
+			return
+		}
+		ga := knowing()
+		answer := ga.Reported(re)
+		require.Equal(t, "a", answer.Box)
+		ga.takeRest(re, clock.Now())
+		ga.expireLoads(clock.Now().Add(time.Hour))
+		holds(t, ga)
+	})
+}
