--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -45,6 +45,46 @@
 	started int
 	// sent holds when copies of that request reached servers, ended when servers ended.
 	sent, ended []time.Time
+	// of holds the same by the request's path, the ends being those of servers that began it.
+	of map[string]*deadly
+}
+
+// deadly is what became of one request under which servers end.
+type deadly struct{ sent, ended []time.Time }
+
+// tooMany returns how many copies reached servers later than tellWithin after the third end,
+// and later than a time.
+func (de *deadly) tooMany(known time.Time) int {
+	if len(de.ended) < 3 {
+		return 0
+	}
+	many := 0
+	for _, at := range de.sent {
+		if at.After(de.ended[2].Add(tellWithin)) && at.After(known) {
+			many++
+		}
+	}
+	return many
+}
+
+// deadly returns what became of the request of a path; the lock is held.
+func (cr *crashing) deadly(path string) *deadly {
+	if cr.of == nil {
+		cr.of = map[string]*deadly{}
+	}
+	if cr.of[path] == nil {
+		cr.of[path] = &deadly{}
+	}
+	return cr.of[path]
+}
+
+// endUnder ends the server that began a request.
+func (cr *crashing) endUnder(path string, se *fakeServer) {
+	cr.mu.Lock()
+	de := cr.deadly(path)
+	de.ended = append(de.ended, time.Now())
+	cr.mu.Unlock()
+	cr.end(se)
 }
 
 type fakeServer struct {
@@ -125,6 +165,8 @@
 	if poison {
 		cr.mu.Lock()
 		cr.sent = append(cr.sent, time.Now())
+		de := cr.deadly(at.Ask.Path)
+		de.sent = append(de.sent, time.Now())
 		cr.mu.Unlock()
 	}
 	if err := se.work(ctx, readTime); err != nil {
@@ -133,7 +175,7 @@
 	events := 10
 	if poison {
 		events = 0
-		time.AfterFunc(cr.endsAfter, func() { cr.end(se) })
+		time.AfterFunc(cr.endsAfter, func() { cr.endUnder(at.Ask.Path, se) })
 		if cr.silent || at.Model == "" {
 			return nil, se.work(ctx, time.Hour)
 		}
@@ -309,7 +351,15 @@
 
 // addGateway starts one more gateway, each third in the same data centre.
 func (sc *scene) addGateway() {
-	n := len(sc.gateways)
+	sc.mu.Lock()
+	sc.gateways, sc.stops = append(sc.gateways, nil), append(sc.stops, nil)
+	n := len(sc.gateways) - 1
+	sc.mu.Unlock()
+	sc.begin(n)
+}
+
+// begin starts the gateway of a number.
+func (sc *scene) begin(n int) {
 	box := fmt.Sprint("b", n)
 	ga := &Gateway{
 		Log: zerolog.New(sc.log), Box: box, DataCentre: fmt.Sprint("dc", n%3), Source: view{kept: sc.servers.kept, box: box},
@@ -331,8 +381,10 @@
 		defer close(done)
 		_ = ga.Run(ctx)
 	}()
-	sc.gateways = append(sc.gateways, ga)
-	sc.stops = append(sc.stops, func() {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.gateways[n] = ga
+	sc.stops[n] = sync.OnceFunc(func() {
 		cancel()
 		_ = hs.Close()
 		<-done
@@ -350,7 +402,10 @@
 			Patience: 8 * time.Second, AnyModel: true, PromptTokens: 1000,
 			ReadBody: func() ([]byte, error) { return []byte(path), nil },
 		}
-		sc.gateways[gateway].Serve(sc.t.Context(), as, ca)
+		sc.mu.Lock()
+		ga := sc.gateways[gateway]
+		sc.mu.Unlock()
+		ga.Serve(sc.t.Context(), as, ca)
 		ca.took, ca.answered = time.Since(began), ca.code == 0
 		sc.mu.Lock()
 		defer sc.mu.Unlock()
@@ -379,7 +434,6 @@
 	for _, stop := range sc.stops {
 		stop()
 	}
-	sc.stops = nil
 }
 
 // ends returns how many servers have ended.
@@ -532,6 +586,58 @@
 	})
 }
 
+// Four such requests at once, of which two are plain, while the key-value service is away for
+// four seconds and half of the gateways are lost and replaced in the middle of it.
+func TestSeveralSuchRequestsBesideOtherTrouble(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := newScene(t, 8)
+		paths := []string{"/menu/a/poison", "/menu/b/poison", "/cards/a/poison", "/cards/b/poison"}
+		var callers sync.WaitGroup
+		callers.Go(func() { sc.play(0, "", 20*time.Second) })
+		for _, path := range paths {
+			callers.Go(func() {
+				for n := range 50 {
+					sc.ask(n%8, path, fmt.Sprint("copy", path, n))
+					time.Sleep(400 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		sc.cutAll(true)
+		time.Sleep(2 * time.Second)
+		for i := range 4 {
+			sc.replace(2 * i)
+		}
+		time.Sleep(2 * time.Second)
+		sc.cutAll(false)
+		back := time.Now()
+		callers.Wait()
+		sc.callers.Wait()
+		// Nobody can be told anything while both the service and a gateway's memory are gone.
+		known := back.Add(tellWithin)
+		sc.servers.mu.Lock()
+		defer sc.servers.mu.Unlock()
+		for _, path := range paths {
+			de := sc.servers.of[path]
+			require.LessOrEqual(t, de.tooMany(known), 3, "%s: %d ends", path, len(de.ended))
+			require.LessOrEqual(t, len(de.ended), 20, path)
+		}
+	})
+}
+
+// cutAll cuts all gateways off from the key-value service, or ends that.
+func (sc *scene) cutAll(cut bool) {
+	for i := range 2 * len(sc.gateways) {
+		sc.servers.kept.setCut(fmt.Sprint("b", i), cut)
+	}
+}
+
+// replace loses a gateway and starts another one under its name, which knows nothing.
+func (sc *scene) replace(i int) {
+	sc.stops[i]()
+	sc.begin(i)
+}
+
 // What all callers ask alike is with each server that ends. A gateway that has just started
 // knows of no whole answer to it and blocks it; the others know better.
 func TestABlockOfWhatOthersAnswerIsEnded(t *testing.T) {
