--- /dev/null
+++ b/internal/gateway/scene_test.go
@@ -0,0 +1,521 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/linnetrudder/linnetrudder/internal/clock"
+	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/poison"
+	"github.com/linnetrudder/linnetrudder/internal/relay"
+	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/routing"
+)
+
+// crashing is a service's servers, of which each ends that begins to run one request. It
+// calls no network; time is the test's.
+type crashing struct {
+	kept *keptState
+	// endsAfter is the time from a request's first token to its server's end.
+	endsAfter time.Duration
+	// silent is set if that request's server ends before any of its answer came.
+	silent bool
+	// withMachine is set if servers end with their machines, which then refuse nothing.
+	withMachine bool
+
+	mu      sync.Mutex
+	servers map[string]*fakeServer
+	started int
+	// sent holds when copies of that request reached servers, ended when servers ended.
+	sent, ended []time.Time
+	// of holds the same by the request's path, the ends being those of servers that began it.
+	of map[string]*deadly
+}
+
+// deadly is what became of one request under which servers end.
+type deadly struct{ sent, ended []time.Time }
+
+// tooMany returns how many copies reached servers later than tellWithin after the third end,
+// and later than a time.
+func (de *deadly) tooMany(known time.Time) int {
+	if len(de.ended) < 3 {
+		return 0
+	}
+	many := 0
+	for _, at := range de.sent {
+		if at.After(de.ended[2].Add(tellWithin)) && at.After(known) {
+			many++
+		}
+	}
+	return many
+}
+
+// deadly returns what became of the request of a path; the lock is held.
+func (cr *crashing) deadly(path string) *deadly {
+	if cr.of == nil {
+		cr.of = map[string]*deadly{}
+	}
+	if cr.of[path] == nil {
+		cr.of[path] = &deadly{}
+	}
+	return cr.of[path]
+}
+
+// endUnder ends the server that began a request.
+func (cr *crashing) endUnder(path string, se *fakeServer) {
+	cr.mu.Lock()
+	de := cr.deadly(path)
+	de.ended = append(de.ended, time.Now())
+	cr.mu.Unlock()
+	cr.end(se)
+}
+
+type fakeServer struct {
+	listed directory.Server
+	// gone is closed when the process has ended.
+	gone chan struct{}
+}
+
+const (
+	// poisonPath and plainPoison are where requests are sent that servers end of.
+	poisonPath  = "/menu/poison"
+	plainPoison = "/cards/poison"
+	// poolSize is how many servers there are.
+	poolSize   = 18
+	readTime   = 30 * time.Millisecond
+	eventPause = 20 * time.Millisecond
+	// tellWithin is how long gateways may take to tell each other.
+	tellWithin = 3 * time.Second
+	restarts   = 2 * time.Second
+	entryLasts = 2500 * time.Millisecond
+)
+
+func (cr *crashing) start() {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	cr.started++
+	id := fmt.Sprint("s", cr.started)
+	se := &fakeServer{
+		listed: directory.Server{ID: id, Service: "llm", Address: id, DataCentre: fmt.Sprint("dc", cr.started%3), Version: "v1"},
+		gone:   make(chan struct{}),
+	}
+	cr.servers[id] = se
+	cr.kept.add(Change{Server: &se.listed})
+}
+
+// end ends a server, once.
+func (cr *crashing) end(se *fakeServer) {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	select {
+	case <-se.gone:
+		return
+	default:
+	}
+	close(se.gone)
+	cr.ended = append(cr.ended, time.Now())
+	time.AfterFunc(entryLasts, func() { cr.kept.add(Change{Gone: se.listed.ID}) })
+	time.AfterFunc(restarts, cr.start)
+}
+
+func (cr *crashing) server(id string) *fakeServer {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	return cr.servers[id]
+}
+
+func (cr *crashing) Reach(_ context.Context, se directory.Server) error {
+	select {
+	case <-cr.server(se.ID).gone:
+		if cr.withMachine {
+			return errors.New("no answer in time")
+		}
+		return ErrUnreachable
+	default:
+		return nil
+	}
+}
+
+func (cr *crashing) Call(ctx context.Context, at *Attempt) (*Answer, error) {
+	se := cr.server(at.Server.ID)
+	switch err := cr.Reach(ctx, at.Server); {
+	case errors.Is(err, ErrUnreachable):
+		return nil, err
+	case err != nil:
+		return nil, ErrUnsent
+	}
+	poison := strings.HasSuffix(at.Ask.Path, "/poison")
+	if poison {
+		cr.mu.Lock()
+		cr.sent = append(cr.sent, time.Now())
+		de := cr.deadly(at.Ask.Path)
+		de.sent = append(de.sent, time.Now())
+		cr.mu.Unlock()
+	}
+	if err := se.work(ctx, readTime); err != nil {
+		return nil, err
+	}
+	events := 10
+	if poison {
+		events = 0
+		time.AfterFunc(cr.endsAfter, func() { cr.endUnder(at.Ask.Path, se) })
+		if cr.silent || at.Model == "" {
+			return nil, se.work(ctx, time.Hour)
+		}
+	}
+	if at.Model == "" {
+		return &Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("whole"))}, nil
+	}
+	confidence := 90
+	if at.Model == "small" {
+		confidence = 2
+	}
+	return &Answer{
+		Status: http.StatusOK, Stream: true, Confidence: confidence, Body: &fakeStream{ctx: ctx, server: se, left: events},
+	}, nil
+}
+
+// work takes a time, or fails with the server's end or as the attempt is given up.
+func (se *fakeServer) work(ctx context.Context, takes time.Duration) error {
+	ti := time.NewTimer(takes)
+	defer ti.Stop()
+	select {
+	case <-ti.C:
+		return nil
+	case <-se.gone:
+		return errors.New("call: EOF")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// fakeStream is an answer of some events, one with none left waits for its server's end.
+type fakeStream struct {
+	ctx    context.Context
+	server *fakeServer
+	left   int
+	sent   int
+}
+
+func (st *fakeStream) Read(buf []byte) (int, error) {
+	if st.sent > 0 && st.sent == st.left {
+		return 0, io.EOF
+	}
+	pause := eventPause
+	if st.left == 0 {
+		pause = time.Hour
+	}
+	if err := st.server.work(st.ctx, pause); err != nil {
+		return 0, io.ErrUnexpectedEOF
+	}
+	st.sent++
+	return copy(buf, fmt.Sprintf("id: %d\ndata: x\n\n", st.sent)), nil
+}
+
+func (*fakeStream) Close() error { return nil }
+
+// caller keeps what one request's caller got.
+type caller struct {
+	code     result.Code
+	after    time.Duration
+	took     time.Duration
+	answered bool
+}
+
+func (*caller) Whole(int, http.Header, []byte) error { return nil }
+func (*caller) Head(int, http.Header) error          { return nil }
+func (*caller) Part([]byte) error                    { return nil }
+func (ca *caller) Abort()                            { ca.code = result.AnswerBroken }
+
+func (ca *caller) Refuse(co result.Code, _ string, after time.Duration) {
+	ca.code, ca.after = co, after
+}
+
+// inside is a network without one: connections between gateways are pipes.
+type inside struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+	// cut is set while nothing gets through.
+	cut atomic.Bool
+}
+
+func (in *inside) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	in.mu.Lock()
+	li := in.listeners[address]
+	in.mu.Unlock()
+	if in.cut.Load() {
+		return nil, net.ErrClosed
+	}
+	near, far := net.Pipe()
+	select {
+	case li.accepted <- far:
+		return near, nil
+	case <-li.over:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// pipeListener is one address of it.
+type pipeListener struct {
+	accepted chan net.Conn
+	over     chan struct{}
+	once     sync.Once
+}
+
+func (li *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-li.accepted:
+		return conn, nil
+	case <-li.over:
+		return nil, net.ErrClosed
+	}
+}
+
+func (li *pipeListener) Close() error {
+	li.once.Do(func() { close(li.over) })
+	return nil
+}
+
+func (*pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// scene is some gateways before such servers.
+type scene struct {
+	t        *testing.T
+	servers  *crashing
+	network  *inside
+	gateways []*Gateway
+	stops    []func()
+	// copies holds what the callers of that request got, others what those of all others did.
+	mu             sync.Mutex
+	copies, others []*caller
+	callers        sync.WaitGroup
+	// log takes what gateways log that are added from now on.
+	log io.Writer
+}
+
+func newScene(t *testing.T, gateways int) *scene {
+	t.Helper()
+	return newSceneWith(t, gateways, func(*scene) {})
+}
+
+// newSceneWith changes the scene before its gateways start.
+func newSceneWith(t *testing.T, gateways int, change func(sc *scene)) *scene {
+	t.Helper()
+	kept := &keptState{news: make(chan struct{}), watches: map[string]int{}, cut: map[string]bool{}}
+	kept.add(Change{Document: &routing.Document{Version: 1, Services: []routing.Service{{Name: "llm"}}, Routes: []routing.Route{{
+		Name: "menu", Host: "h", Prefix: "/menu/", Kind: routing.Streaming, Resumable: true, Public: true,
+		Timeout: 8 * time.Second, Target: 2 * time.Second, Gap: time.Second, Attempts: 3, Models: []string{"small", "large"},
+		Split: []routing.Share{{Service: "llm", Weight: 1}},
+	}, {
+		Name: "cards", Host: "h", Prefix: "/cards/", Kind: routing.Unsafe, Public: true, Timeout: time.Second,
+		Target: 150 * time.Millisecond, Attempts: 1, Split: []routing.Share{{Service: "llm", Weight: 1}},
+	}}}})
+	sc := &scene{
+		t: t, servers: &crashing{kept: kept, endsAfter: 100 * time.Millisecond, servers: map[string]*fakeServer{}},
+		network: &inside{listeners: map[string]*pipeListener{}}, log: io.Discard,
+	}
+	t.Cleanup(func() {
+		sc.callers.Wait()
+		sc.stop()
+		time.Sleep(time.Minute)
+	})
+	change(sc)
+	for range poolSize {
+		sc.servers.start()
+	}
+	for range gateways {
+		sc.addGateway()
+	}
+	time.Sleep(3 * time.Second)
+	return sc
+}
+
+// addGateway starts one more gateway, each third in the same data centre.
+func (sc *scene) addGateway() {
+	sc.mu.Lock()
+	sc.gateways, sc.stops = append(sc.gateways, nil), append(sc.stops, nil)
+	n := len(sc.gateways) - 1
+	sc.mu.Unlock()
+	sc.begin(n)
+}
+
+// begin starts the gateway of a number.
+func (sc *scene) begin(n int) {
+	box := fmt.Sprint("b", n)
+	ga := &Gateway{
+		Log: zerolog.New(sc.log), Box: box, DataCentre: fmt.Sprint("dc", n%3), Source: view{kept: sc.servers.kept, box: box},
+		Backend: sc.servers, Bounds: Bounds{Revoke: 5 * time.Second, RetryRatio: 0.9, RetryWindow: 10 * time.Second},
+		RelayAddress: box + ":1", RelayHTTP: &http.Client{Transport: &http.Transport{DialContext: sc.network.dial}},
+	}
+	router := http.NewServeMux()
+	router.Handle(relay.Path, &relay.Server{Feed: ga})
+	router.Handle(relay.LoadPath, &relay.LoadServer{Loads: ga})
+	li := &pipeListener{accepted: make(chan net.Conn), over: make(chan struct{})}
+	sc.network.mu.Lock()
+	sc.network.listeners[ga.RelayAddress] = li
+	sc.network.mu.Unlock()
+	hs := &http.Server{Handler: router}
+	go func() { _ = hs.Serve(li) }()
+	ctx, cancel := context.WithCancel(sc.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = ga.Run(ctx)
+	}()
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.gateways[n] = ga
+	sc.stops[n] = sync.OnceFunc(func() {
+		cancel()
+		_ = hs.Close()
+		<-done
+		ga.RelayHTTP.CloseIdleConnections()
+	})
+}
+
+// ask sends a request to a gateway and keeps what its caller gets.
+func (sc *scene) ask(gateway int, path, id string) {
+	sc.callers.Go(func() {
+		began := time.Now()
+		ca := &caller{}
+		as := &Ask{
+			ID: id, Host: "h", Path: path, Target: path, Method: http.MethodPost, Received: began,
+			Patience: 8 * time.Second, AnyModel: true, PromptTokens: 1000,
+			ReadBody: func() ([]byte, error) { return []byte(path), nil },
+		}
+		sc.mu.Lock()
+		ga := sc.gateways[gateway]
+		sc.mu.Unlock()
+		ga.Serve(sc.t.Context(), as, ca)
+		ca.took, ca.answered = time.Since(began), ca.code == 0
+		sc.mu.Lock()
+		defer sc.mu.Unlock()
+		if strings.HasSuffix(path, "/poison") {
+			sc.copies = append(sc.copies, ca)
+		} else {
+			sc.others = append(sc.others, ca)
+		}
+	})
+}
+
+// play sends copies of the request and others for a while, to all gateways from one on.
+func (sc *scene) play(first int, poison string, lasts time.Duration) {
+	n := 0
+	for until := time.Now().Add(lasts); time.Now().Before(until); time.Sleep(25 * time.Millisecond) {
+		n++
+		gateway := first + n%(len(sc.gateways)-first)
+		sc.ask(gateway, fmt.Sprint("/menu/", first, "/", n), fmt.Sprint("other", first, "-", n))
+		if n%12 == 0 && poison != "" {
+			sc.ask(first+n/12%(len(sc.gateways)-first), poison, fmt.Sprint("copy", first, "-", n))
+		}
+	}
+}
+
+func (sc *scene) stop() {
+	for _, stop := range sc.stops {
+		stop()
+	}
+}
+
+// ends returns how many servers have ended.
+func (cr *crashing) ends() int {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	return len(cr.ended)
+}
+
+// tooMany returns how many copies reached servers later than tellWithin after the third end.
+func (cr *crashing) tooMany() int {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	if len(cr.ended) < 3 {
+		return 0
+	}
+	slices.SortFunc(cr.ended, time.Time.Compare)
+	bound := cr.ended[2].Add(tellWithin)
+	many := 0
+	for _, at := range cr.sent {
+		if at.After(bound) {
+			many++
+		}
+	}
+	return many
+}
+
+// storedAt returns the first block that a gateway knows to be kept.
+func (sc *scene) storedAt(gateway int) poison.Print {
+	ga := sc.gateways[gateway]
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.blocks.Stored()[0].Print
+}
+
+// blocked counts the requests that a scene's gateways have blocked.
+func (sc *scene) blocked() int {
+	all := 0
+	for _, ga := range sc.gateways {
+		ga.mu.Lock()
+		all += len(ga.blocks.News(clock.Now().Add(-time.Hour)))
+		ga.mu.Unlock()
+	}
+	return all
+}
+
+// cutAll cuts all gateways off from the key-value service, or ends that.
+func (sc *scene) cutAll(cut bool) {
+	for i := range 2 * len(sc.gateways) {
+		sc.servers.kept.setCut(fmt.Sprint("b", i), cut)
+	}
+}
+
+// replace loses a gateway and starts another one under its name, which knows nothing.
+func (sc *scene) replace(i int) {
+	sc.stops[i]()
+	sc.begin(i)
+}
+
+// keptBlocks returns the blocks that the key-value service holds.
+func (sc *scene) keptBlocks() []poison.Print {
+	st, _, err := view{kept: sc.servers.kept}.since(0)
+	require.NoError(sc.t, err)
+	var kept []poison.Print
+	for _, ch := range st.Changes {
+		if ch.Blocked != nil {
+			kept = append(kept, ch.Blocked.Print)
+		}
+		if ch.Unblocked != nil {
+			kept = slices.DeleteFunc(kept, func(pr poison.Print) bool { return pr == *ch.Unblocked })
+		}
+	}
+	return kept
+}
+
+// all returns every server that there ever was.
+func (cr *crashing) all() []*fakeServer {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	return slices.Collect(maps.Values(cr.servers))
+}
+
+// hasRun reports whether a gateway has anything at a server.
+func (ga *Gateway) hasRun(server string) bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.runs.Has(server)
+}
