fix: an agent forgets a break once its server is found alive

Cause: a server that broke an answer off and lived on kept that moment as its end's, for a second and more; what was sent after it was no suspect when the server did end. Gateways forget it (Alive), agents did not. Test: agent.TestAServerThatLivesAfterABreakHasNotEnded, which failed before.

From reading the whole change once more, behaviour as it was: a run gives the suspicion against it (built twice before), one Settle for gateways and agents (the same lines stood in both), one place for the turn of others.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -281,7 +281,7 @@
 		ag.Node.Tick(now)
 		ag.mu.Lock()
 		ag.act(ag.gate.Tick(clock.Now()))
-		ag.settleRuns(clock.Now())
+		ag.cases.Settle(&ag.dispatched, clock.Now())
 		confirmed := ag.gate.Confirmed()
 		ag.mu.Unlock()
 		if !confirmed {
--- a/internal/agent/ends.go
+++ b/internal/agent/ends.go
@@ -48,8 +48,14 @@
 		ag.dispatched.Broke(ag.server(), now)
 	}
 	ag.mu.Unlock()
-	if ctx.Err() == nil && (ru.refused || ru.broke && !ag.listens(ctx)) {
+	switch {
+	case ctx.Err() != nil:
+	case ru.refused, ru.broke && !ag.listens(ctx):
 		ag.serverEnded(now)
+	case ru.broke:
+		ag.mu.Lock()
+		defer ag.mu.Unlock()
+		ag.dispatched.Alive(ag.server())
 	}
 }
 
@@ -79,7 +85,7 @@
 	var list []poison.Suspicion
 	for _, ru := range suspects {
 		if !ru.Print().IsZero() && !ag.cases.IsSound(ru.Print()) {
-			list = append(list, poison.Suspicion{Print: ru.Print(), Server: life, Ago: now.Sub(at), Lasted: ru.LastedUntil(at)})
+			list = append(list, ru.Suspicion(life, at, now))
 		}
 	}
 	ag.mu.Unlock()
@@ -91,11 +97,3 @@
 		li.Send(&wire.Frame{Kind: wire.Suspect, Suspicions: list})
 	}
 }
-
-// settleRuns forgets what is over for long; the lock is held.
-func (ag *Agent) settleRuns(now time.Time) {
-	for _, pr := range ag.dispatched.Settle(now) {
-		ag.cases.Acquit(pr, now)
-	}
-	ag.cases.Expire(now)
-}
--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/gate"
 	"github.com/linnetrudder/linnetrudder/internal/node"
 	"github.com/linnetrudder/linnetrudder/internal/result"
@@ -34,3 +35,19 @@
 	require.Equal(t, result.NotDispatched, co)
 	require.Zero(t, calls)
 }
+
+// A server that breaks an answer off and lives on has not ended then: what is sent later is
+// suspected if it ends.
+func TestAServerThatLivesAfterABreakHasNotEnded(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer server.Close()
+	ag := &Agent{
+		HTTP: server.Client(),
+		Node: &node.Node{Settings: settings.Settings{Server: settings.Server{Name: "s", Address: strings.TrimPrefix(server.URL, "http://")}}},
+	}
+	ru := &run{ag: ag, at: &wire.Attempt{Method: http.MethodGet, Path: "/"}, decided: clock.Now()}
+	co, _ := ru.call(t.Context())
+	require.Equal(t, result.ServerFailed, co)
+	ru.settle(t.Context(), co)
+	require.False(t, ag.dispatched.Broken("s", clock.Now()))
+}
--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -52,7 +52,7 @@
 		return
 	}
 	if _, own := ga.storing[bl.Print]; !own && !stored {
-		ga.storing[bl.Print] = now.Add(storeOthers + rand.N(storeOthers))
+		ga.storing[bl.Print] = othersTurn(now)
 	}
 	blocksBegun.Inc()
 	ga.Log.Warn().Int("event", int(event.RequestBlocked)).Str("print", bl.Print.String()).Int("servers", ga.cases.Servers(bl.Print)).
@@ -93,9 +93,12 @@
 	if ga.plan.Watches(ga.memberList()) {
 		return now.Add(rand.N(storeSpread))
 	}
-	return now.Add(storeOthers + rand.N(storeOthers))
+	return othersTurn(now)
 }
 
+// othersTurn returns when a gateway writes what another one should have written by then.
+func othersTurn(now time.Time) time.Time { return now.Add(storeOthers + rand.N(storeOthers)) }
+
 // unblock ends a block; the lock is held.
 func (ga *Gateway) unblock(pr poison.Print, why string) {
 	delete(ga.storing, pr)
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -97,7 +97,7 @@
 	suspects, at := ga.runs.Ended(key, now)
 	serverEnds.Inc()
 	for _, ru := range suspects {
-		ga.accuse(poison.Suspicion{Print: ru.Print(), Server: key, Ago: now.Sub(at), Lasted: ru.LastedUntil(at)}, now)
+		ga.accuse(ru.Suspicion(key, at, now), now)
 	}
 	ga.Log.Info().Int("event", int(event.ServerEnded)).Str("server", key).Int("suspects", len(suspects)).
 		Strs("prints", prints(suspects)).Str("detail", why).Msg(event.Name(event.ServerEnded))
@@ -116,10 +116,7 @@
 func (ga *Gateway) settleRuns(now time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	for _, pr := range ga.runs.Settle(now) {
-		ga.cases.Acquit(pr, now)
-	}
-	ga.cases.Expire(now)
+	ga.cases.Settle(&ga.runs, now)
 	for key, pr := range ga.probes {
 		if now.Sub(pr.at) > probeTimeout {
 			delete(ga.probes, key)
--- a/internal/poison/cases.go
+++ b/internal/poison/cases.go
@@ -160,6 +160,15 @@
 	delete(ca.cases, pr)
 }
 
+// Settle lets go of what is over at the servers and of what is old here, and acquits what was
+// answered as a whole by servers that lived on.
+func (ca *Cases) Settle(rs *Runs, now time.Time) {
+	for _, pr := range rs.Settle(now) {
+		ca.Acquit(pr, now)
+	}
+	ca.Expire(now)
+}
+
 // Forget drops what is held against a request.
 func (ca *Cases) Forget(pr Print) { delete(ca.cases, pr) }
 
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -74,8 +74,11 @@
 	return ru
 }
 
-// LastedUntil returns how long the request had been at its server at a time.
-func (ru *Run) LastedUntil(at time.Time) time.Duration { return max(0, at.Sub(ru.sent)) }
+// Suspicion returns what is held against the request once the life of a server has ended that
+// it was at.
+func (ru *Run) Suspicion(server string, at, now time.Time) Suspicion {
+	return Suspicion{Print: ru.print, Server: server, Ago: now.Sub(at), Lasted: max(0, at.Sub(ru.sent))}
+}
 
 // Answered notes that the first part of an answer came.
 func (rs *Runs) Answered(ru *Run, now time.Time) {
