feat: logs name the servers that limit what they take, and what was sent to them since

A server may name in its answers how many requests a second it takes from all gateways together; nothing read that. Now the adapter decodes it, also from refusals and from answers that leave open whether the call has run; events 527 and 528 tell the limit, since when a gateway knows it and how many requests it has sent since, so that a limit that is not read, one that each gateway takes for itself and one that later attempts pass by can be told apart. Counter linnetrudder_server_limits_total.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -64,6 +64,8 @@
 	CentreRestored   ID = 524
 	ServerEnded      ID = 525
 	ServerUnclear    ID = 526
+	ServerLimited    ID = 527
+	ServerUnlimited  ID = 528
 	BillWritten      ID = 600
 	BillHeld         ID = 601
 	ClaimWon         ID = 602
@@ -151,6 +153,8 @@
 	{CentreRestored, "data_centre_restored", "an operator has given a data centre back; its backend servers are used again"},
 	{ServerEnded, "server_ended", "a backend server's process has ended; the requests are named that began to run there just before"},
 	{ServerUnclear, "server_unclear", "a backend server broke a connection off, and whether it has ended could not be found out"},
+	{ServerLimited, "server_limited", "a backend server names in its answers how many requests a second it takes from all gateways together, or another number"},
+	{ServerUnlimited, "server_unlimited", "a backend server that named a limit names none any more"},
 	{BillWritten, "bill_written", "bill records are durable"},
 	{BillHeld, "bill_held", "bill records wait for the key-value service"},
 	{ClaimWon, "claim_won", "a claim is durable"},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -137,6 +137,7 @@
 	defer ga.mu.Unlock()
 	ga.pool.Read(se.server.Key(), se.offer.Read())
 	delete(ga.waiting, se)
+	ga.heardLimit(se, now)
 	if se.err == nil {
 		ga.pool.Hear(se.server.Key(), now)
 		ga.runs.Answered(se.run, now)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,6 +12,7 @@
 	storeFailures   = metrics.NewCounter(`linnetrudder_store_failures_total`)
 	serverEnds      = metrics.NewCounter(`linnetrudder_server_ends_total`)
 	blocksBegun     = metrics.NewCounter(`linnetrudder_request_blocks_total`)
+	limitsNamed     = metrics.NewCounter(`linnetrudder_server_limits_total`)
 	unusableEntries = metrics.NewCounter(`linnetrudder_unusable_entries_total`)
 )
 
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -104,10 +104,13 @@
 	// Confidence is the model's own rating from 0 to 100, below zero if it gave
 	// none.
 	Confidence int
+	// Limit is how many requests a second the server takes from all gateways together; nil
+	// if it names no limit.
+	Limit *float64
 }
 
-// Backend calls backend servers. Errors are *Refusal, ErrUnsent, ErrUnreachable or
-// others; after the last kind the attempt may have run.
+// Backend calls backend servers. Errors are *Refusal, *Doubt, ErrUnsent, ErrUnreachable or
+// others; after a *Doubt and the last kind the attempt may have run.
 type Backend interface {
 	Call(ctx context.Context, at *Attempt) (*Answer, error)
 	// Reach opens a connection to a server and closes it. It returns ErrUnreachable if
@@ -123,11 +126,26 @@
 	After time.Duration
 	// Gone is set if another server now has the address.
 	Gone bool
+	// Limit is as in an Answer.
+	Limit *float64
 }
 
 // Error returns the reason.
 func (re *Refusal) Error() string { return "refused: " + re.Reason }
 
+// Doubt is an answer that leaves open whether the attempt has run.
+type Doubt struct {
+	// Status is the answer's status line.
+	Status string
+	// Limit is as in an Answer.
+	Limit *float64
+}
+
+// Error returns the status.
+func (do *Doubt) Error() string {
+	return "server answered " + do.Status + " and may have run the call"
+}
+
 var (
 	// ErrUnsent means that an attempt never reached its server.
 	ErrUnsent = eris.New("attempt was not sent")
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/backpressure"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/outlier"
@@ -96,6 +97,8 @@
 	Loads *load.Table
 	// Warmup knows which servers are cold.
 	Warmup warmup.Tracker
+	// Limits knows which servers name limits.
+	Limits backpressure.Tracker
 
 	outliers outlier.Detector
 	// speeds knows how quickly models read.
@@ -168,7 +171,10 @@
 }
 
 // Reserve notes that an attempt will be made at the server of an offer.
-func (po *Pool) Reserve(of Offer, now time.Time) { po.Warmup.Sent(of.server.Key(), now) }
+func (po *Pool) Reserve(of Offer, now time.Time) {
+	po.Warmup.Sent(of.server.Key(), now)
+	po.Limits.Sent(of.server.Key())
+}
 
 // load returns how long a server has to work for what all processes have in progress
 // there. How quick servers are compared with each other is left out: learnt from how long
@@ -317,5 +323,6 @@
 	po.outliers.Forget(id)
 	po.holdings.forget(id)
 	po.Warmup.Forget(id)
+	po.Limits.Forget(id)
 	delete(po.heard, id)
 }
