fix: copies of a request are the same at each entry

Cause: entries took the host into the fingerprint of a request, and callers reach each entry by a name or number of its own. The seventh, seen once, is an end whose word comes some tens of milliseconds late: it moves towards the next one and counts as one of a rack's (a test shows it, four in place of three). Now entries, which route nothing by host, leave it out. The test allows four now besides the six that it did, and says why.

--- a/internal/entry/ask.go
+++ b/internal/entry/ask.go
@@ -193,8 +193,9 @@
 // findPrint takes the fingerprint; a request that is blocked is refused before anything is
 // chosen or claimed for it.
 func (en *Entry) findPrint(r *http.Request, as *ask) error {
+	// No host: callers reach each entry by a name or number of its own, and none is routed by it.
 	as.print = poison.PrintOf(poison.Request{
-		Team: as.team, Method: r.Method, Host: r.Host, Target: r.URL.RequestURI(), Body: as.body,
+		Team: as.team, Method: r.Method, Target: r.URL.RequestURI(), Body: as.body,
 	})
 	if en.blocked(as.print, clock.Now()) > 0 {
 		return result.New(result.RequestBlocked, "")
--- a/internal/poison/cases_test.go
+++ b/internal/poison/cases_test.go
@@ -194,3 +194,20 @@
 		require.Equal(t, []Block{second}, list)
 	}
 }
+
+// The word on an end that comes late by some tens of milliseconds moves the end that it tells of
+// towards the next one: it may then count as one of a rack's, and one server more ends.
+func TestALateWordCostsOneServerMore(t *testing.T) {
+	ca := Cases{Ends: FewestEnds}
+	pr := named("x")
+	ends := 0
+	for i, late := range []time.Duration{40 * time.Millisecond, 0, 0, 0} {
+		ended := t0.Add(time.Duration(i) * 125 * time.Millisecond)
+		su := Suspicion{Print: pr, Server: fmt.Sprint("s", i), Lasted: 122 * time.Millisecond}
+		ends++
+		if ca.Accuse(su, ended.Add(late)) > 0 {
+			break
+		}
+	}
+	require.LessOrEqual(t, ends, FewestEnds+1)
+}
--- a/internal/poison/print.go
+++ b/internal/poison/print.go
@@ -22,7 +22,8 @@
 	// Team is the name of the caller's team, empty on a public route: nobody can have
 	// another team's requests taken for copies of his own.
 	Team string
-	// Method, Host and Target are the caller's, the target with its query.
+	// Method, Host and Target are the caller's, the target with its query. Host is empty where
+	// requests are not routed by it: copies may come by several then.
 	Method, Host, Target string
 	Body                 []byte
 }
--- a/standin/e2e/poison_test.go
+++ b/standin/e2e/poison_test.go
@@ -47,7 +47,10 @@
 }
 
 // One request ends each engine that runs it, and comes again through either entry. Before it
-// was blocked, each copy ended up to four engines, and so did the next one.
+// was blocked, each copy ended up to four engines, and so did the next one. Once it had ended
+// seven: what each entry was asked under a host of its own was no copy of the other's for them, so
+// that each ended three engines, always six together, and one more where an end's word came late.
+// It holds since entries leave the host out.
 func TestARequestUnderWhichEnginesEndIsNotSentToMore(t *testing.T) {
 	si := newSite(t, 6, 3*time.Millisecond)
 	stop := si.load(4, func(n int) call { return call{stream: n%2 == 0, kind: "patient"} })
@@ -64,6 +67,7 @@
 	}))
 	runs := si.poisonRuns(ids)
 	require.LessOrEqual(t, runs, 6)
+	require.LessOrEqual(t, runs, 4, "three, of which both entries know, and one whose word came late")
 	for n := range 6 {
 		ca := ask(n)
 		require.Equal(t, result.RequestBlocked, ca.code)
