fix: a blocked request gets its chance, and its callers know when to come back

Cause: a block left no way to learn that it was wrong but what happened to be in flight. Now one copy is tried, by one gateway for all, 0.6 to 3 s and 10 to 60 s after the block began, at a server that runs nothing else; that it was made goes with the reports and into the key-value service, and who is next in rank makes it if it was not. While a block is fresh requests wait for the verdict for a quarter of their target at the most; Retry-After is a second after the next trial, not five minutes. Tests changed: of a plain deadly request one copy may reach servers late, the second trial (of three sends that the users bear; none before), and two servers more may end of trials; the stand-in's kept blocks count each once.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -29,6 +29,7 @@
 	RequestBlocked   ID = 208
 	RequestUnblocked ID = 209
 	BlockDoubted     ID = 210
+	BlockTried       ID = 211
 	AttemptAdmitted  ID = 300
 	AttemptQueued    ID = 301
 	AttemptRefused   ID = 302
@@ -118,6 +119,7 @@
 	{RequestBlocked, "request_blocked", "backend servers ended under a request; from now on its copies are not sent to any"},
 	{RequestUnblocked, "request_unblocked", "copies of a request are sent to backend servers again"},
 	{BlockDoubted, "block_doubted", "another process blocked a request that servers answer here and live on; the block is ended"},
+	{BlockTried, "block_tried", "one copy of a blocked request is sent to a backend server, to see whether it does harm"},
 	{AttemptAdmitted, "attempt_admitted", "the agent started an attempt on its backend server"},
 	{AttemptQueued, "attempt_queued", "the agent put an attempt into its queue"},
 	{AttemptRefused, "attempt_refused", "the agent refused an attempt; it did not run"},
--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/clock"
@@ -17,12 +16,19 @@
 	// storeSpread is the most that a gateway waits before it stores a block of its own: of all
 	// that know enough at the same moment a few write.
 	storeSpread = 300 * time.Millisecond
+	// storeWatchers is the time after which one that watches the key-value service stores a block
+	// that another gateway told it: by then it would know of that one's write. Where the only
+	// gateway that had counted three ends was lost at once, others waited for storeOthers, and
+	// gateways that started meanwhile sent 6, 7 and 12 copies too many in three of 90 plays.
+	storeWatchers = 500 * time.Millisecond
 	// storeOthers is the least time after which it stores one that another gateway told it,
 	// and still is not known to be kept.
 	storeOthers = 2 * time.Second
 	// storeAgain is the pause after a write that failed.
 	storeAgain = time.Second
-	// doubtKept is how long a doubt is told to others, once: reports come ten times a second.
+	// doubtKept is how long a doubt is told to others: reports come ten times a second. It is
+	// remembered for twice as long, since who heard of it later tells it for longer, and a
+	// doubt that is new again to those who told it first would never end.
 	doubtKept = 3 * time.Second
 )
 
@@ -52,7 +58,7 @@
 		return
 	}
 	if _, own := ga.storing[bl.Print]; !own && !stored {
-		ga.storing[bl.Print] = othersTurn(now)
+		ga.storing[bl.Print] = ga.turn(now.Add(storeWatchers))
 	}
 	blocksBegun.Inc()
 	ga.Log.Warn().Int("event", int(event.RequestBlocked)).Str("print", bl.Print.String()).Int("servers", ga.cases.Servers(bl.Print)).
@@ -116,13 +122,20 @@
 // unblock ends a block; the lock is held.
 func (ga *Gateway) unblock(pr poison.Print, why string) {
 	delete(ga.storing, pr)
-	delete(ga.objecting, pr)
 	ga.cases.Forget(pr)
 	if ga.blocks.Lift(pr) {
+		close(ga.lifted)
+		ga.lifted = make(chan struct{})
 		ga.noteUnblocked(pr, why)
 	}
 }
 
+// notKept ends a block that the key-value service does not hold any more; the lock is held.
+func (ga *Gateway) notKept(pr poison.Print) {
+	delete(ga.objecting, pr)
+	ga.unblock(pr, "it is not kept any more")
+}
+
 func (ga *Gateway) noteUnblocked(pr poison.Print, why string) {
 	ga.Log.Info().Int("event", int(event.RequestUnblocked)).Str("print", pr.String()).Str("detail", why).
 		Msg(event.Name(event.RequestUnblocked))
@@ -133,7 +146,7 @@
 func (ga *Gateway) liftOthers(named map[poison.Print]bool) {
 	for _, bl := range ga.blocks.Stored() {
 		if !named[bl.Print] {
-			ga.unblock(bl.Print, "it is not kept any more")
+			ga.notKept(bl.Print)
 		}
 	}
 }
@@ -157,7 +170,12 @@
 // blockNews adds to a report what others may not have heard of requests under which servers
 // end; the lock is held.
 func (ga *Gateway) blockNews(re relay.Report, now time.Time) relay.Report {
-	re.Blocks, re.Doubts = ga.blocks.News(now), slices.Collect(maps.Keys(ga.doubts))
+	re.Blocks = ga.blocks.News(now)
+	for pr, since := range ga.doubts {
+		if now.Sub(since) < doubtKept {
+			re.Doubts = append(re.Doubts, pr)
+		}
+	}
 	return re
 }
 
@@ -178,7 +196,7 @@
 			go ga.removeBlocks(ctx, []poison.Print{pr})
 		}
 	}
-	maps.DeleteFunc(ga.doubts, func(_ poison.Print, since time.Time) bool { return now.Sub(since) >= doubtKept })
+	maps.DeleteFunc(ga.doubts, func(_ poison.Print, since time.Time) bool { return now.Sub(since) >= 2*doubtKept })
 	over := ga.blocks.Expire(now)
 	for _, pr := range over {
 		delete(ga.storing, pr)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -271,7 +271,7 @@
 	case ch.Blocked != nil:
 		ga.takeBlock(*ch.Blocked, true, clock.Now())
 	case ch.Unblocked != nil:
-		ga.unblock(*ch.Unblocked, "what is kept of it ended")
+		ga.notKept(*ch.Unblocked)
 	case ch.Member != nil:
 		ga.joined(*ch.Member)
 	case ch.MemberGone != "":
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,6 +141,8 @@
 	// cases holds what is suspected of requests, blocks those that are not to be sent.
 	cases  poison.Cases
 	blocks poison.Blocks
+	// lifted is closed when a block has been lifted, and made anew.
+	lifted chan struct{}
 	// waiting holds the attempts whose servers have answered nothing yet, storing when the
 	// blocks are to be stored that the key-value service does not hold yet.
 	waiting map[*sent]bool
@@ -191,6 +193,7 @@
 	ga.plan = relay.Plan{Box: ga.Box, DataCentre: ga.DataCentre}
 	ga.loadPlan = ga.plan
 	ga.changed = make(chan struct{})
+	ga.lifted = make(chan struct{})
 	ga.confirmed = make(chan struct{})
 	ga.back = make(chan struct{}, 1)
 	ga.life = rand.Uint64()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -50,6 +50,7 @@
 	})
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(ex.request.Deadline))
 	defer cancel()
+	ex.awaitVerdict(ctx)
 	ex.run(ctx)
 }
 
@@ -87,8 +88,10 @@
 	single  bool
 	draw    float64
 	body    []byte
-	// print is the same for all copies of the request, known once the body is.
+	// print is the same for all copies of the request, known once the body is. trial is set if
+	// the request is sent once although it is blocked.
 	print   poison.Print
+	trial   bool
 	request direct.Request
 	// attempts holds what was sent, by number.
 	attempts map[int]*sent
@@ -204,7 +207,7 @@
 
 // askFor returns what an attempt needs; the lock is held.
 func (ex *exchange) askFor(model string, tried []string, now time.Time) pool.Ask {
-	ask := pool.Ask{Service: ex.service, Tried: tried, Prompt: ex.prompt(model), Cold: ex.ga.coldLimit(ex.service)}
+	ask := pool.Ask{Service: ex.service, Tried: tried, Prompt: ex.prompt(model), Cold: ex.ga.coldLimit(ex.service), Alone: ex.trial}
 	return ex.ga.restrict(ask, ex, now)
 }
 
@@ -215,11 +218,15 @@
 	return ex.ga.window(ex.service).Take(now)
 }
 
-// Blocked returns how long the request is not to be sent, zero if it may be.
+// Blocked returns when it is worth coming back with a request that is not to be sent, zero if
+// it may be.
 func (ex *exchange) Blocked(now time.Time) time.Duration {
+	if ex.trial && ex.request.Runs() == 0 {
+		return 0 // also after attempts that reached no server: most have just ended
+	}
 	ex.ga.mu.Lock()
 	defer ex.ga.mu.Unlock()
-	return ex.ga.blocks.Left(ex.print, now)
+	return ex.ga.blocks.Return(ex.print, now)
 }
 
 // Usual returns how long the head of a model's answer usually takes, or is expected to
--- a/internal/poison/blocks.go
+++ b/internal/poison/blocks.go
@@ -24,6 +24,8 @@
 	// UntilMS is its end in Unix milliseconds: processes that start later know no other
 	// clock in common.
 	UntilMS int64 `cbor:"2,keyasint" json:"until_ms"`
+	// Tried is the number of the newest trial that was made, zero before the first.
+	Tried int `cbor:"3,keyasint,omitempty" json:"tried,omitempty"`
 }
 
 // NewBlock returns a block that begins at a time of day.
@@ -40,10 +42,11 @@
 // held is a block that is in force.
 type held struct {
 	block Block
-	// until is its end by the own steady clock, since when it was heard of first.
+	// until is its end by the own steady clock, since when it or its newest trial was heard of.
 	until, since time.Time
-	// stored is set once the key-value service is known to hold it.
-	stored bool
+	// stored is set once the key-value service is known to hold it, unsaved if it holds it
+	// without the newest trial.
+	stored, unsaved bool
 }
 
 // Blocks holds the blocks in force. The zero value holds none. It is not safe for concurrent
@@ -55,6 +58,10 @@
 func (bs *Blocks) Add(bl Block, left time.Duration, stored bool, now time.Time) bool {
 	if he := bs.held[bl.Print]; he != nil {
 		he.stored = he.stored || stored
+		he.take(bl.Tried, now)
+		if stored && bl.Tried == he.block.Tried {
+			he.unsaved = false
+		}
 		return false
 	}
 	if left <= 0 || len(bs.held) >= mostBlocks {
@@ -91,7 +98,7 @@
 
 // Unstored returns the blocks that the key-value service does not hold yet as far as is known.
 func (bs *Blocks) Unstored() []Block {
-	return bs.list(func(he *held) bool { return !he.stored })
+	return bs.list(func(he *held) bool { return !he.stored || he.unsaved })
 }
 
 // Stored returns those that it holds.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -48,6 +48,8 @@
 	// all processes for the same key; zero for all.
 	Few    int
 	FewKey uint64
+	// Alone asks for a server that runs nothing else, if there is one.
+	Alone bool
 	// Cold bounds what the service's servers get that are cold.
 	Cold quota.Limit
 }
@@ -143,6 +145,9 @@
 	if se := po.unheard(list, now); se != nil {
 		list = []*directory.Server{se}
 	}
+	if ask.Alone {
+		list = po.idle(list)
+	}
 	if ask.Prompt.Start != "" {
 		return po.holder(list, ask.Prompt, now), true
 	}
@@ -189,6 +194,28 @@
 	return least
 }
 
+// idle returns the servers of a list at which nothing is in progress as far as is known, all of
+// it if there is none.
+func (po *Pool) idle(list []*directory.Server) []*directory.Server {
+	var idle []*directory.Server
+	for _, se := range list {
+		if po.attempts(se.Key()) == 0 {
+			idle = append(idle, se)
+		}
+	}
+	if len(idle) == 0 {
+		return list
+	}
+	return idle
+}
+
+// AnyIdle reports whether an attempt may go to a server that runs nothing else.
+func (po *Pool) AnyIdle(ask Ask, now time.Time) bool {
+	return slices.ContainsFunc(po.Directory.Servers(ask.Service), func(se *directory.Server) bool {
+		return ask.fits(se) && po.attempts(se.Key()) == 0 && po.waitFor(se, ask.Cold, now) == 0 && po.outliers.Usable(se.Key(), now)
+	})
+}
+
 // few returns so many of a list of servers, those that rank first for a key.
 func few(list []*directory.Server, n int, key uint64) []*directory.Server {
 	slices.SortFunc(list, func(a, b *directory.Server) int {
