--- a/internal/agent/limits.go
+++ b/internal/agent/limits.go
@@ -1,11 +1,12 @@
 package agent
 
 import (
-	"fmt"
 	"math"
 	"net/http"
 	"strconv"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/linnetrudder/linnetrudder/internal/backpressure"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
@@ -43,7 +44,7 @@
 	}
 	rate, err := strconv.ParseFloat(text, 64)
 	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
-		return nil, fmt.Errorf("%s: %.40q is no rate", headerLimit, text)
+		return nil, eris.Errorf("%s: %.40q is no rate", headerLimit, text)
 	}
 	return &rate, nil
 }
--- a/standin/e2e/poison_test.go
+++ b/standin/e2e/poison_test.go
@@ -93,3 +93,27 @@
 	}
 	require.Equal(t, runs, si.poisonRuns(ids))
 }
+
+// What all callers ask alike is with each engine that ends under another request. Where nothing
+// spoke for it yet it was blocked as well, and stayed so for five minutes at both entries.
+func TestWhatAllCallersAskAlikeIsServedBesideIt(t *testing.T) {
+	si := newSite(t, 6, 3*time.Millisecond)
+	stop := si.load(4, func(int) call { return call{stream: true, kind: "patient"} })
+	defer stop()
+	require.NoError(t, fleet.Until(bound, "both entries block it", func() bool {
+		blocked := 0
+		for _, en := range si.entries {
+			if si.ask(en, call{content: engine.Poison, stream: true}).code == result.RequestBlocked {
+				blocked++
+			}
+		}
+		return blocked == len(si.entries)
+	}))
+	time.Sleep(5 * time.Second)
+	for range 5 {
+		for _, en := range si.entries {
+			ca := si.ask(en, call{stream: true, kind: "patient"})
+			require.NotEqual(t, result.RequestBlocked, ca.code)
+		}
+	}
+}
