fix: entries lift the block of what a server has answered and lived on

Cause: entries learned of ends by agents, and of nothing that speaks for a request; a block held for its term whatever servers answered meanwhile. Entries now name what they have blocked in their beats (64 at the most), an agent asks its own server for a connection half a second after a whole answer to one of these, and its beats say which were sound; each entry lifts those, and the watchers take them off what is kept. Gateways are not touched.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -89,6 +89,8 @@
 	// on.
 	dispatched poison.Runs
 	cases      poison.Cases
+	// blocked holds what entries have blocked, and when one of them last said so.
+	blocked map[poison.Print]time.Time
 	// nonce is the newest question that confirms the configuration.
 	nonce uint64
 }
@@ -202,7 +204,7 @@
 			lo.Versions = append(lo.Versions, *ou)
 		}
 	}
-	return &wire.Frame{Kind: wire.Beat, Revision: ag.gate.Revision(), Load: &lo}
+	return &wire.Frame{Kind: wire.Beat, Revision: ag.gate.Revision(), Load: &lo, Prints: ag.soundOf()}
 }
 
 // load returns the load; the lock is held.
@@ -221,6 +223,7 @@
 	switch fr.Kind {
 	case wire.Beat:
 		ag.billed(fr.Bills)
+		ag.hearBlocked(fr.Prints, clock.Now())
 	case wire.Open:
 		ag.open(li, fr)
 	case wire.Cancel:
@@ -281,7 +284,7 @@
 		ag.Node.Tick(now)
 		ag.mu.Lock()
 		ag.act(ag.gate.Tick(clock.Now()))
-		ag.cases.Settle(&ag.dispatched, clock.Now())
+		ag.settleRuns(ctx, clock.Now())
 		confirmed := ag.gate.Confirmed()
 		ag.mu.Unlock()
 		if !confirmed {
--- a/internal/entry/blocks.go
+++ b/internal/entry/blocks.go
@@ -46,9 +46,26 @@
 	}
 }
 
+// liftSound ends the blocks of requests that a server has answered and lived on.
+func (en *Entry) liftSound(prints []poison.Print, now time.Time) {
+	for _, pr := range prints {
+		en.mu.Lock()
+		lifted := en.blocks.Lift(pr)
+		if lifted {
+			en.cases.Acquit(pr, now)
+			en.unwritten = true
+		}
+		en.mu.Unlock()
+		if lifted {
+			en.Node.Note(timeline.Entry{Event: event.RequestUnblocked, Detail: pr.String() + ": a server answered it and lives on"})
+		}
+	}
+}
+
+// takeBlock takes a block, unless it was lifted a moment ago.
 func (en *Entry) takeBlock(bl poison.Block, stored bool, now time.Time) {
 	en.mu.Lock()
-	begun := en.blocks.Add(bl, bl.Left(clock.Day()), stored, now)
+	begun := !en.cases.IsSound(bl.Print) && en.blocks.Add(bl, bl.Left(clock.Day()), stored, now)
 	en.mu.Unlock()
 	if begun {
 		en.Node.Note(timeline.Entry{Event: event.RequestBlocked, Detail: bl.Print.String()})
@@ -93,21 +110,31 @@
 		return
 	}
 	en.mu.Lock()
-	list := en.blocks.Unstored()
+	list, unwritten := en.blocks.Unstored(), en.unwritten
 	en.mu.Unlock()
-	if len(list) == 0 {
+	if len(list) == 0 && !unwritten {
 		return
 	}
-	edit := func(value []byte) ([]byte, error) { return poison.MergeBlocks(value, list, clock.Day()) }
+	edit := func(value []byte) ([]byte, error) { return poison.MergeBlocks(value, list, en.isSound, clock.Day()) }
 	if !en.merge(ctx, blocksKey, edit) {
 		en.Node.Note(timeline.Entry{Event: event.StoreCallFailed, Detail: "blocks could not be stored"})
 		return
 	}
+	en.mu.Lock()
+	en.unwritten = false
+	en.mu.Unlock()
 	for _, bl := range list {
 		en.takeBlock(bl, true, clock.Now())
 	}
 }
 
+// isSound reports whether a server answered a request lately and lived on.
+func (en *Entry) isSound(pr poison.Print) bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.cases.IsSound(pr)
+}
+
 func (en *Entry) expireBlocks(now time.Time) {
 	en.mu.Lock()
 	over := en.blocks.Expire(now)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,6 +104,8 @@
 	// cases holds what agents suspect of requests, blocks those that are not to be sent.
 	cases  poison.Cases
 	blocks poison.Blocks
+	// unwritten is set if a block was lifted that may still be kept.
+	unwritten bool
 	// inProgress counts the callers' requests.
 	inProgress int
 }
@@ -177,7 +179,11 @@
 
 // Beat returns the heartbeat for an agent.
 func (en *Entry) Beat(li *link.Link) *wire.Frame {
-	return &wire.Frame{Kind: wire.Beat, Revision: en.Node.Snapshot().Revision(), Bills: en.told(li.Peer.Box())}
+	fr := &wire.Frame{Kind: wire.Beat, Revision: en.Node.Snapshot().Revision(), Bills: en.told(li.Peer.Box())}
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	fr.Prints = en.blocks.Prints()
+	return fr
 }
 
 // Frame takes a frame from an agent.
@@ -193,6 +199,9 @@
 		}
 		en.mu.Unlock()
 	}
+	if len(fr.Prints) > 0 {
+		en.liftSound(fr.Prints, clock.Now())
+	}
 	switch fr.Kind {
 	case wire.Verdict, wire.Head, wire.Data, wire.End:
 		en.deliver(li, fr)
--- a/internal/poison/blocks.go
+++ b/internal/poison/blocks.go
@@ -1,6 +1,10 @@
 package poison
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// FirstTerm is how long a request is not sent at first: one that is blocked wrongly, as a
@@ -90,6 +94,12 @@
 	return max(0, he.until.Sub(now))
 }
 
+// Prints returns what is blocked, some of it if that is much: it goes with each beat.
+func (bs *Blocks) Prints() []Print {
+	prints := slices.Collect(maps.Keys(bs.held))
+	return prints[:min(len(prints), mostTold)]
+}
+
 // IsStored reports whether the key-value service holds a block.
 func (bs *Blocks) IsStored(pr Print) bool {
 	he := bs.held[pr]
--- a/internal/poison/cases_test.go
+++ b/internal/poison/cases_test.go
@@ -171,14 +171,14 @@
 
 func TestADocumentHoldsBlocksUntilTheyAreOver(t *testing.T) {
 	first, second := NewBlock(named("a"), Term, t0), NewBlock(named("b"), Term, t0.Add(time.Minute))
-	value, err := MergeBlocks(nil, []Block{first}, t0)
+	value, err := MergeBlocks(nil, []Block{first}, none, t0)
 	require.NoError(t, err)
-	value, err = MergeBlocks(value, []Block{second, first}, t0.Add(time.Minute))
+	value, err = MergeBlocks(value, []Block{second, first}, none, t0.Add(time.Minute))
 	require.NoError(t, err)
 	list, err := DecodeBlocks(value)
 	require.NoError(t, err)
 	require.Equal(t, []Block{second, first}, list)
-	value, err = MergeBlocks(value, nil, t0.Add(Term))
+	value, err = MergeBlocks(value, nil, none, t0.Add(Term))
 	require.NoError(t, err)
 	list, err = DecodeBlocks(value)
 	require.NoError(t, err)
@@ -187,7 +187,7 @@
 	for _, torn := range []string{"{", `[{"print":"00"}]`, `[{"print":7}]`} {
 		_, err = DecodeBlocks([]byte(torn))
 		require.Error(t, err, torn)
-		value, err = MergeBlocks([]byte(torn), []Block{second}, t0)
+		value, err = MergeBlocks([]byte(torn), []Block{second}, none, t0)
 		require.NoError(t, err)
 		list, err = DecodeBlocks(value)
 		require.NoError(t, err)
@@ -211,3 +211,17 @@
 	}
 	require.LessOrEqual(t, ends, FewestEnds+1)
 }
+
+// none says that no block was lifted.
+func none(Print) bool { return false }
+
+func TestWhatWasLiftedIsNotKept(t *testing.T) {
+	first, second := NewBlock(named("a"), Term, t0), NewBlock(named("b"), Term, t0)
+	value, err := MergeBlocks(nil, []Block{first, second}, none, t0)
+	require.NoError(t, err)
+	value, err = MergeBlocks(value, nil, func(pr Print) bool { return pr == first.Print }, t0)
+	require.NoError(t, err)
+	list, err := DecodeBlocks(value)
+	require.NoError(t, err)
+	require.Equal(t, []Block{second}, list)
+}
--- a/internal/poison/document.go
+++ b/internal/poison/document.go
@@ -19,10 +19,11 @@
 	return list, nil
 }
 
-// MergeBlocks returns a document with more blocks and without those whose time is over. One
+// MergeBlocks returns a document with more blocks and without those whose time is over or that
+// were lifted. One
 // that can't be read is replaced: what it held costs three servers each once more, and no
 // block could be kept otherwise.
-func MergeBlocks(value []byte, more []Block, day time.Time) ([]byte, error) {
+func MergeBlocks(value []byte, more []Block, lifted func(pr Print) bool, day time.Time) ([]byte, error) {
 	old, err := DecodeBlocks(value)
 	if err != nil {
 		old = nil
@@ -30,7 +31,7 @@
 	var list []Block
 	listed := map[Print]bool{}
 	for _, bl := range append(more, old...) {
-		if !listed[bl.Print] && bl.Left(day) > 0 {
+		if !listed[bl.Print] && bl.Left(day) > 0 && !lifted(bl.Print) {
 			list = append(list, bl)
 			listed[bl.Print] = true
 		}
--- a/internal/poison/fuzz_test.go
+++ b/internal/poison/fuzz_test.go
@@ -25,7 +25,7 @@
 			}
 		}
 		own := NewBlock(named("own"), Term, t0)
-		merged, err := MergeBlocks(value, []Block{own}, t0)
+		merged, err := MergeBlocks(value, []Block{own}, none, t0)
 		require.NoError(t, err)
 		list, err = DecodeBlocks(merged)
 		require.NoError(t, err)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -89,6 +89,9 @@
 	IDs    []string    `cbor:"18,keyasint,omitempty"`
 
 	Suspicions []poison.Suspicion `cbor:"19,keyasint,omitempty"`
+	// Prints are, in an entry's beat, of the requests that it has blocked; in an agent's, of those
+	// among them that its server has answered as a whole and lived on.
+	Prints []poison.Print `cbor:"20,keyasint,omitempty"`
 }
 
 // Attempt is what an agent needs to judge and run one attempt.
--- a/standin/e2e/poison_test.go
+++ b/standin/e2e/poison_test.go
@@ -95,7 +95,8 @@
 }
 
 // What all callers ask alike is with each engine that ends under another request. Where nothing
-// spoke for it yet it was blocked as well, and stayed so for five minutes at both entries.
+// spoke for it yet it was blocked as well, and stayed so for five minutes at both entries. It holds
+// since an agent asks its server whether it lives on after a whole answer, and tells the entries.
 func TestWhatAllCallersAskAlikeIsServedBesideIt(t *testing.T) {
 	si := newSite(t, 6, 3*time.Millisecond)
 	stop := si.load(4, func(int) call { return call{stream: true, kind: "patient"} })
