feat: log what servers report about shutdown and pauses

Before any change of what is decided. A server that shuts down says so in its answers, and one that rejects an attempt may ask for a pause; nothing recorded either. What a server reports about itself is now decoded once into gateway.ServerStatus, which answers, rejections and doubtful answers carry alike (the limit was a field of each before), and is recorded as soon as the head is there, also if the body is never read. Events 529 to 532 and three counters tell a report that is not read (532 with every kind of attempt), one that is forgotten (531 more than once, or 512 and 510 between them), and a pause that is kept too short (530 with `sent` above zero, 529 again at once) apart.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -76,6 +76,10 @@
 // write their entries again within about two seconds (the users' letter).
 const returnGrace = 2 * time.Second
 
+// leavingKept is the least time for which the shutdown of a server that is no longer listed is
+// remembered: its entry may reappear while it still drains.
+const leavingKept = 10 * time.Minute
+
 // Directory is one process's list. The zero value is empty. It is not safe for
 // concurrent use.
 type Directory struct {
@@ -86,6 +90,8 @@
 	away bool
 	// settled is when entries that are gone mean gone again.
 	settled time.Time
+	// leaving holds when servers announced their shutdown first, by the key of their life.
+	leaving map[string]time.Time
 	// evacuated holds the data centres whose servers are to get nothing.
 	evacuated map[string]bool
 	// byService holds those that may take new work; nil after a change, until it is
@@ -125,6 +131,24 @@
 	di.byService = nil
 }
 
+// Leave records that a server announced its shutdown. It reports whether that is news.
+func (di *Directory) Leave(key string, now time.Time) bool {
+	if _, known := di.leaving[key]; known {
+		return false
+	}
+	if di.leaving == nil {
+		di.leaving = map[string]time.Time{}
+	}
+	di.leaving[key] = now
+	return true
+}
+
+// LeavingSince returns when a server announced its shutdown, false if it did not.
+func (di *Directory) LeavingSince(key string) (time.Time, bool) {
+	at, ok := di.leaving[key]
+	return at, ok
+}
+
 // Evacuate takes the servers of a data centre out of use until Restore. It reports whether
 // they were in use.
 func (di *Directory) Evacuate(dataCentre string) bool {
@@ -205,6 +229,9 @@
 	if dropped != nil {
 		di.byService = nil
 	}
+	maps.DeleteFunc(di.leaving, func(key string, at time.Time) bool {
+		return now.Sub(at) >= leavingKept && di.Life(key) == nil
+	})
 	return dropped
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -67,6 +67,10 @@
 	ServerUnclear    ID = 526
 	ServerLimited    ID = 527
 	ServerUnlimited  ID = 528
+	ServerPaused     ID = 529
+	ServerResumed    ID = 530
+	ServerLeaving    ID = 531
+	AttemptUnwanted  ID = 532
 	BillWritten      ID = 600
 	BillHeld         ID = 601
 	ClaimWon         ID = 602
@@ -157,6 +161,10 @@
 	{ServerUnclear, "server_unclear", "a backend server broke a connection off, and whether it has ended could not be found out"},
 	{ServerLimited, "server_limited", "a backend server names in its answers how many requests a second it takes from all gateways together, or another number"},
 	{ServerUnlimited, "server_unlimited", "a backend server that named a limit names none any more"},
+	{ServerPaused, "server_paused", "a backend server rejected an attempt and asked this process for a pause"},
+	{ServerResumed, "server_resumed", "the pause that a backend server asked for is over; how many attempts were sent to it meanwhile"},
+	{ServerLeaving, "server_leaving", "a backend server announced its shutdown in an answer"},
+	{AttemptUnwanted, "attempt_unwanted", "an attempt is sent to a backend server that is leaving or asked for a pause"},
 	{BillWritten, "bill_written", "bill records are durable"},
 	{BillHeld, "bill_held", "bill records wait for the key-value service"},
 	{ClaimWon, "claim_won", "a claim is durable"},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -87,6 +87,7 @@
 	ga.sentTo(se.server, ex.route.Name, now)
 	se.run = ga.runs.Sent(se.server.Key(), ex.print, ex.as.ID, now)
 	ga.waiting[se] = true
+	ga.noteUnwanted(se, now)
 	ga.mu.Unlock()
 	if step.Attempt() > 1 {
 		ex.noteAttempt(se)
@@ -137,7 +138,6 @@
 	defer ga.mu.Unlock()
 	ga.pool.Read(se.server.Key(), se.offer.Read())
 	delete(ga.waiting, se)
-	ga.heardLimit(se, now)
 	if se.err == nil {
 		ga.pool.Hear(se.server.Key(), now)
 		ga.runs.Answered(se.run, now)
@@ -166,6 +166,7 @@
 		Ask: ex.as, Body: ex.body, Server: se.server, Team: ex.team(), Model: se.step.Model(),
 		Urgency: ex.urgency(se.step), Left: ex.left(clock.Now()), LastEvent: ex.lastEvent(se.step), Fresh: se.step.Last(),
 	})
+	ex.ga.takeServerStatus(se, clock.Now())
 	if se.err != nil || se.answer.Stream {
 		return
 	}
@@ -229,7 +230,7 @@
 		if refusal.Gone {
 			ex.forgetServer(se)
 		}
-		return ex.request.Refused(refusal.After, now)
+		return ex.request.Refused(refusal.Server.RetryAfter, now)
 	case errors.Is(se.err, ErrUnreachable):
 		se.unsent("unreachable")
 		ex.ga.serverEnded(se.server, "it takes no connection")
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/backpressure"
@@ -9,29 +8,6 @@
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 )
 
-// heardLimit takes what an attempt's server says of what it takes; the lock is held.
-func (ga *Gateway) heardLimit(se *sent, now time.Time) {
-	if limit, said := se.limit(); said {
-		ga.takeLimit(se.server.Key(), limit, now)
-	}
-}
-
-// limit returns the limit that the server named, nil for none, and whether it said anything
-// of it: a refusal that names none may have been made before the server thought of it.
-func (se *sent) limit() (limit *float64, said bool) {
-	var refusal *Refusal
-	var doubt *Doubt
-	switch {
-	case se.answer != nil:
-		return se.answer.Limit, true
-	case errors.As(se.err, &refusal):
-		return refusal.Limit, refusal.Limit != nil
-	case errors.As(se.err, &doubt):
-		return doubt.Limit, doubt.Limit != nil
-	}
-	return nil, false
-}
-
 // takeLimit takes what a server's answer says of its limit, nil for none; the lock is held.
 func (ga *Gateway) takeLimit(server string, limit *float64, now time.Time) {
 	sent, lasts := ga.pool.Limits.Use(server, now)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,7 +13,11 @@
 	serverEnds      = metrics.NewCounter(`linnetrudder_server_ends_total`)
 	blocksBegun     = metrics.NewCounter(`linnetrudder_request_blocks_total`)
 	limitsNamed     = metrics.NewCounter(`linnetrudder_server_limits_total`)
+	serverPauses    = metrics.NewCounter(`linnetrudder_server_pauses_total`)
+	serversLeaving  = metrics.NewCounter(`linnetrudder_servers_leaving_total`)
 	unusableEntries = metrics.NewCounter(`linnetrudder_unusable_entries_total`)
+	// attemptsUnwanted counts attempts sent to a server that is leaving or asked for a pause.
+	attemptsUnwanted = metrics.NewCounter(`linnetrudder_attempts_unwanted_total`)
 )
 
 // countRequest counts a final outcome and its latency in seconds.
--- a/internal/gateway/scene_test.go
+++ b/internal/gateway/scene_test.go
@@ -182,14 +182,14 @@
 		}
 	}
 	if at.Model == "" {
-		return &Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("whole")), Limit: cr.limit(se)}, nil
+		return &Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("whole")), Server: ServerStatus{Limit: cr.limit(se)}}, nil
 	}
 	confidence := 90
 	if at.Model == "small" {
 		confidence = 2
 	}
 	return &Answer{
-		Status: http.StatusOK, Stream: true, Confidence: confidence, Limit: cr.limit(se), Body: &fakeStream{ctx: ctx, server: se, left: events},
+		Status: http.StatusOK, Stream: true, Confidence: confidence, Server: ServerStatus{Limit: cr.limit(se)}, Body: &fakeStream{ctx: ctx, server: se, left: events},
 	}, nil
 }
 
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -152,6 +152,7 @@
 		ga.noteServer(event.ServerWarm, key, "")
 	}
 	ga.pool.Limits.Tick(now)
+	ga.endPauses(now)
 	ga.countFleet(now)
 }
 
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -104,9 +104,8 @@
 	// Confidence is the model's own rating from 0 to 100, below zero if it gave
 	// none.
 	Confidence int
-	// Limit is how many requests a second the server takes from all gateways together; nil
-	// if it names no limit.
-	Limit *float64
+	// Server is what the server reports about itself.
+	Server ServerStatus
 }
 
 // Backend calls backend servers. Errors are *Refusal, *Doubt, ErrUnsent, ErrUnreachable or
@@ -118,16 +117,14 @@
 	Reach(ctx context.Context, se directory.Server) error
 }
 
-// Refusal is a server's word that an attempt did not run and never will.
+// Refusal is a server's confirmation that it did not execute the attempt and never will.
 type Refusal struct {
-	// Reason says what the server gave as its reason.
+	// Reason is the reason that the server gave.
 	Reason string
-	// After is when the server may be asked again; zero if it did not say.
-	After time.Duration
 	// Gone is set if another server now has the address.
 	Gone bool
-	// Limit is as in an Answer.
-	Limit *float64
+	// Server is what the server reports about itself; the zero value if Gone is set.
+	Server ServerStatus
 }
 
 // Error returns the reason.
@@ -137,8 +134,8 @@
 type Doubt struct {
 	// Status is the answer's status line.
 	Status string
-	// Limit is as in an Answer.
-	Limit *float64
+	// Server is what the server reports about itself.
+	Server ServerStatus
 }
 
 // Error returns the status.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -102,6 +102,8 @@
 	Warmup warmup.Tracker
 	// Limits knows which servers name limits.
 	Limits backpressure.Tracker
+	// Pauses tracks servers that asked for a pause.
+	Pauses backpressure.Pauses
 
 	outliers outlier.Detector
 	// speeds knows how quickly models read.
@@ -245,6 +247,7 @@
 func (po *Pool) Reserve(of Offer, now time.Time) {
 	po.Warmup.Sent(of.server.Key(), now)
 	po.Limits.Sent(of.server.Key(), now)
+	po.Pauses.Sent(of.server.Key())
 }
 
 // load returns how long a server has to work for what all processes have in progress
