--- a/internal/gateway/scene_test.go
+++ b/internal/gateway/scene_test.go
@@ -47,6 +47,13 @@
 	// limits holds what servers name in their answers, arrived when requests reached them, by id.
 	limits  map[string]float64
 	arrived map[string][]time.Time
+	// leaving holds the servers that announce their shutdown, pauses the pause that servers ask
+	// for which reject everything, by id. rejected holds what they rejected.
+	leaving  map[string]bool
+	pauses   map[string]time.Duration
+	rejected []rejection
+	// received holds when each box's requests reached each server.
+	received map[boxServer][]time.Time
 }
 
 // deadly is what became of one request under which servers end.
@@ -153,7 +160,7 @@
 	}
 }
 
-func (cr *crashing) Call(ctx context.Context, at *Attempt) (*Answer, error) {
+func (cr *crashing) call(ctx context.Context, at *Attempt, box string) (*Answer, error) {
 	se := cr.server(at.Server.ID)
 	switch err := cr.Reach(ctx, at.Server); {
 	case errors.Is(err, ErrUnreachable):
@@ -162,6 +169,9 @@
 		return nil, ErrUnsent
 	}
 	cr.arrive(se)
+	if lasts, ok := cr.reject(at, box); ok {
+		return nil, &Refusal{Reason: "shed", Server: ServerStatus{RetryAfter: lasts, Leaving: cr.isLeaving(se)}}
+	}
 	poison := strings.HasSuffix(at.Ask.Path, "/poison")
 	if poison {
 		cr.mu.Lock()
@@ -182,14 +192,14 @@
 		}
 	}
 	if at.Model == "" {
-		return &Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("whole")), Server: ServerStatus{Limit: cr.limit(se)}}, nil
+		return &Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("whole")), Server: cr.status(se)}, nil
 	}
 	confidence := 90
 	if at.Model == "small" {
 		confidence = 2
 	}
 	return &Answer{
-		Status: http.StatusOK, Stream: true, Confidence: confidence, Server: ServerStatus{Limit: cr.limit(se)}, Body: &fakeStream{ctx: ctx, server: se, left: events},
+		Status: http.StatusOK, Stream: true, Confidence: confidence, Server: cr.status(se), Body: &fakeStream{ctx: ctx, server: se, left: events},
 	}, nil
 }
 
@@ -213,6 +223,11 @@
 	return nil
 }
 
+// status returns what a server reports about itself in an answer.
+func (cr *crashing) status(se *fakeServer) ServerStatus {
+	return ServerStatus{Limit: cr.limit(se), Leaving: cr.isLeaving(se)}
+}
+
 // work takes a time, or fails with the server's end or as the attempt is given up.
 func (se *fakeServer) work(ctx context.Context, takes time.Duration) error {
 	ti := time.NewTimer(takes)
@@ -384,7 +399,7 @@
 	box := fmt.Sprint("b", n)
 	ga := &Gateway{
 		Log: zerolog.New(sc.log), Box: box, DataCentre: fmt.Sprint("dc", n%3), Source: view{kept: sc.servers.kept, box: box},
-		Backend: sc.servers, Bounds: Bounds{Revoke: 5 * time.Second, RetryRatio: 0.9, RetryWindow: 10 * time.Second},
+		Backend: boxBackend{crashing: sc.servers, box: box}, Bounds: Bounds{Revoke: 5 * time.Second, RetryRatio: 0.9, RetryWindow: 10 * time.Second},
 		RelayAddress: box + ":1", RelayHTTP: &http.Client{Transport: &http.Transport{DialContext: sc.network.dial}},
 	}
 	router := http.NewServeMux()
--- /dev/null
+++ b/internal/gateway/serverstatus_test.go
@@ -0,0 +1,211 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/linnetrudder/linnetrudder/internal/result"
+)
+
+const (
+	// leaveWithin is how long after a server's announcement requests may still reach it.
+	leaveWithin = 2 * time.Second
+	// pauseSlack is how long after a server asked for a pause requests may still reach it that
+	// were sent before, mostInPause how many may come later.
+	pauseSlack  = 500 * time.Millisecond
+	mostInPause = 2
+	// askedPause is the pause that servers ask for.
+	askedPause = 3 * time.Second
+)
+
+// boxServer is one box's view of a server.
+type boxServer struct{ box, server string }
+
+// rejection is one attempt that a server rejected.
+type rejection struct {
+	by boxServer
+	at time.Time
+}
+
+// boxBackend calls the servers of a scene for one box.
+type boxBackend struct {
+	*crashing
+	box string
+}
+
+func (bb boxBackend) Call(ctx context.Context, at *Attempt) (*Answer, error) {
+	bb.receive(boxServer{bb.box, at.Server.ID})
+	return bb.call(ctx, at, bb.box)
+}
+
+func (cr *crashing) receive(from boxServer) {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	if cr.received == nil {
+		cr.received = map[boxServer][]time.Time{}
+	}
+	cr.received[from] = append(cr.received[from], time.Now())
+}
+
+// leave lets a server announce its shutdown from now on.
+func (cr *crashing) leave(id string) {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	if cr.leaving == nil {
+		cr.leaving = map[string]bool{}
+	}
+	cr.leaving[id] = true
+}
+
+func (cr *crashing) isLeaving(se *fakeServer) bool {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	return cr.leaving[se.listed.ID]
+}
+
+// shed lets a server reject everything and ask for a pause, zero to end that.
+func (cr *crashing) shed(id string, pause time.Duration) {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	if cr.pauses == nil {
+		cr.pauses = map[string]time.Duration{}
+	}
+	if pause == 0 {
+		delete(cr.pauses, id)
+		return
+	}
+	cr.pauses[id] = pause
+}
+
+// reject returns the pause that a server asks for which rejects an attempt.
+func (cr *crashing) reject(at *Attempt, box string) (time.Duration, bool) {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	pause, ok := cr.pauses[at.Server.ID]
+	if ok {
+		cr.rejected = append(cr.rejected, rejection{by: boxServer{box, at.Server.ID}, at: time.Now()})
+	}
+	return pause, ok
+}
+
+// mostInPauses returns the most requests that a box sent to a server during a pause that the
+// server had asked it for, those not counted that were on their way.
+func (cr *crashing) mostInPauses(pause time.Duration) int {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	most := 0
+	for _, re := range cr.rejected {
+		n := 0
+		for _, at := range cr.received[re.by] {
+			if at.After(re.at.Add(pauseSlack)) && at.Before(re.at.Add(pause)) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// What users saw: a model server announced in its answers that it was leaving, and 11 s later a
+// gateway that had delivered such an answer still sent it first attempts and escalations (2 s are
+// allowed). Order of events: the key-value service stops answering; the server begins to leave and
+// can't publish that; a gateway delivers an answer with the announcement; the service is back; the
+// gateway sends requests to the server until its entry changes.
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	for _, gateways := range []int{1, 4, 23} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sc := newScene(t, gateways)
+				sc.press(4 * time.Second)
+				sc.cutAll(true)
+				leaving, announced := []string{"s3", "s9"}, time.Now()
+				for _, id := range leaving {
+					sc.servers.leave(id)
+				}
+				sc.press(8 * time.Second)
+				sc.cutAll(false)
+				sc.press(4 * time.Second)
+				for _, id := range leaving {
+					require.Zero(t, len(sc.servers.arrivals(id, announced.Add(leaveWithin))), id)
+				}
+				sc.callers.Wait()
+				for _, ca := range sc.others {
+					require.True(t, ca.answered, "%+v", ca)
+				}
+			})
+		})
+	}
+}
+
+// What users saw: during a burst model servers rejected requests and asked for a pause of 3 s, and
+// the same gateways sent them up to 26 more requests within it (two are allowed after the first half
+// second). Callers paid a round trip for each rejection, and up to a tenth of them were refused
+// after two or three. Order of events: load rises; a server rejects an attempt with a pause; the
+// gateway goes on with another server, and sends the next caller's attempt to the first one again.
+func TestPausedServerGetsNothing(t *testing.T) {
+	for _, gateways := range []int{1, 4, 23} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sc := newScene(t, gateways)
+				sc.press(2 * time.Second)
+				shedding := []string{"s1", "s5", "s8", "s13"}
+				for _, id := range shedding {
+					sc.servers.shed(id, askedPause)
+				}
+				sc.press(10 * time.Second)
+				require.LessOrEqual(t, sc.servers.mostInPauses(askedPause), mostInPause)
+				for _, id := range shedding {
+					sc.servers.shed(id, 0)
+				}
+				sc.press(askedPause)
+				used := time.Now()
+				sc.press(6 * time.Second)
+				for _, id := range shedding {
+					require.Greater(t, len(sc.servers.arrivals(id, used)), 12, "%s is used as before", id)
+				}
+				sc.callers.Wait()
+				for _, ca := range sc.others {
+					require.True(t, ca.answered, "%+v", ca)
+				}
+			})
+		})
+	}
+}
+
+// Callers of a pool whose servers all asked for a pause are refused at once with the time after
+// which one of them accepts requests.
+func TestCallersOfAPausedPoolAreRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := newScene(t, 4)
+		for _, se := range sc.servers.all() {
+			sc.servers.shed(se.listed.ID, askedPause)
+		}
+		sc.press(2 * time.Second)
+		sc.callers.Wait()
+		sc.others = nil
+		sc.press(500 * time.Millisecond)
+		sc.callers.Wait()
+		require.NotEmpty(t, sc.others)
+		for _, ca := range sc.others {
+			require.Equal(t, result.Overloaded, ca.code)
+			require.Positive(t, ca.after)
+			require.LessOrEqual(t, ca.after, askedPause)
+			require.Less(t, ca.took, 10*time.Millisecond, "at once")
+		}
+		for _, se := range sc.servers.all() {
+			sc.servers.shed(se.listed.ID, 0)
+		}
+		time.Sleep(askedPause)
+		sc.others = nil
+		sc.press(2 * time.Second)
+		sc.callers.Wait()
+		for _, ca := range sc.others {
+			require.True(t, ca.answered, "%+v", ca)
+		}
+	})
+}
