fix: a server that announced its shutdown gets nothing new

Callers saw nothing until the server stopped; their streams were then cut. While the key-value service was away a server announced its shutdown in its answers, and a gateway that had delivered one sent it requests 11 s later.

Cause: that a server leaves was taken from its entry alone. Event 532 followed each event 531 at once on all ways of sending, which rules out that the announcement was read and lost, or ignored by later attempts only.

Change: the directory, from which each choice of a server is made, leaves an announced server out for the rest of its life, whatever its entry says, also if that lapses and reappears. Announcements go with the reports of load to all gateways (new package gossip, three hops at most, one second) and with the whole state to one that starts.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -90,7 +90,7 @@
 	away bool
 	// settled is when entries that are gone mean gone again.
 	settled time.Time
-	// leaving holds when servers announced their shutdown first, by the key of their life.
+	// leaving holds when servers announced their shutdown, by the key of their life.
 	leaving map[string]time.Time
 	// evacuated holds the data centres whose servers are to get nothing.
 	evacuated map[string]bool
@@ -131,15 +131,18 @@
 	di.byService = nil
 }
 
-// Leave records that a server announced its shutdown. It reports whether that is news.
-func (di *Directory) Leave(key string, now time.Time) bool {
+// Leave records that a server announced its shutdown. It takes nothing new for the rest of its
+// life, whatever its entry says: the entry can't be written while the key-value service is away,
+// and may lapse and reappear. It reports whether that is news.
+func (di *Directory) Leave(key string, at time.Time) bool {
 	if _, known := di.leaving[key]; known {
 		return false
 	}
 	if di.leaving == nil {
 		di.leaving = map[string]time.Time{}
 	}
-	di.leaving[key] = now
+	di.leaving[key] = at
+	di.byService = nil
 	return true
 }
 
@@ -149,6 +152,15 @@
 	return at, ok
 }
 
+// Leaving returns the servers that announced their shutdown, by the key of their life.
+func (di *Directory) Leaving() []string { return slices.Sorted(maps.Keys(di.leaving)) }
+
+// Drains reports whether a server takes nothing new, by its entry or its announcement.
+func (di *Directory) Drains(se *Server) bool {
+	_, leaving := di.leaving[se.Key()]
+	return se.Draining || leaving
+}
+
 // Evacuate takes the servers of a data centre out of use until Restore. It reports whether
 // they were in use.
 func (di *Directory) Evacuate(dataCentre string) bool {
@@ -192,7 +204,7 @@
 	if se == nil {
 		return
 	}
-	if di.doubtful(now) && !se.Draining {
+	if di.doubtful(now) && !di.Drains(se) {
 		if _, ok := di.missing[id]; !ok {
 			di.missing[id] = di.dropAt(now)
 		}
@@ -275,7 +287,7 @@
 func (di *Directory) rebuild() {
 	di.byService = map[string][]*Server{}
 	for _, se := range di.servers {
-		if !se.Draining && !di.evacuated[se.DataCentre] {
+		if !di.Drains(se) && !di.evacuated[se.DataCentre] {
 			di.byService[se.Service] = append(di.byService[se.Service], se)
 		}
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -173,3 +173,39 @@
 	di.Put(Server{ID: "c", Born: 2000, Service: "s"})
 	require.Nil(t, di.Life((&Server{ID: "c", Born: 1000}).Key()))
 }
+
+func TestAnnouncedShutdownOutlastsTheEntry(t *testing.T) {
+	var di Directory
+	di.Put(Server{ID: "a", Service: "s", Born: 1})
+	di.Put(Server{ID: "b", Service: "s", Born: 1})
+	key := di.Get("a").Key()
+	require.True(t, di.Leave(key, t0))
+	require.False(t, di.Leave(key, at(1)), "no news")
+	require.Equal(t, []string{"b"}, ids(&di))
+	require.True(t, di.Drains(di.Get("a")))
+
+	di.Put(Server{ID: "a", Service: "s", Born: 1})
+	require.Equal(t, []string{"b"}, ids(&di), "a late entry says that it is ready")
+	di.StoreLost()
+	di.Remove("a", at(2))
+	require.Nil(t, di.Get("a"), "a server that leaves is not waited for")
+	di.StoreBack(at(3))
+	di.Put(Server{ID: "a", Service: "s", Born: 1})
+	require.Equal(t, []string{"b"}, ids(&di), "its entry reappears")
+	di.Drop("a")
+	di.Put(Server{ID: "a", Service: "s", Born: 2})
+	require.Len(t, ids(&di), 2, "its next life")
+}
+
+func TestAnnouncedShutdownsAreForgottenWithTheirServers(t *testing.T) {
+	var di Directory
+	di.Put(Server{ID: "listed", Service: "s"})
+	di.Leave("listed", t0)
+	di.Leave("gone", t0)
+	di.Tick(t0.Add(leavingKept - 1))
+	require.Equal(t, []string{"gone", "listed"}, di.Leaving())
+	di.Tick(t0.Add(leavingKept))
+	require.Equal(t, []string{"listed"}, di.Leaving())
+	_, ok := di.LeavingSince("gone")
+	require.False(t, ok)
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -163,7 +163,7 @@
 	{ServerUnlimited, "server_unlimited", "a backend server that named a limit names none any more"},
 	{ServerPaused, "server_paused", "a backend server rejected an attempt and asked this process for a pause"},
 	{ServerResumed, "server_resumed", "the pause that a backend server asked for is over; how many attempts were sent to it meanwhile"},
-	{ServerLeaving, "server_leaving", "a backend server announced its shutdown in an answer"},
+	{ServerLeaving, "server_leaving", "a backend server announced its shutdown in an answer; it gets nothing new"},
 	{AttemptUnwanted, "attempt_unwanted", "an attempt is sent to a backend server that is leaving or asked for a pause"},
 	{BillWritten, "bill_written", "bill records are durable"},
 	{BillHeld, "bill_held", "bill records wait for the key-value service"},
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
@@ -193,6 +194,8 @@
 		switch {
 		case ch.Server != nil:
 			listed[ch.Server.ID] = true
+		case ch.Leaving != "":
+			ga.serverLeaves(ch.Leaving, clock.Now(), gossip.MostHops, "announced to a watcher")
 		case ch.Evacuated != "":
 			evacuated[ch.Evacuated] = true
 		case ch.Blocked != nil:
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -38,6 +38,7 @@
 		{Server: &directory.Server{ID: "s", Service: "svc", Address: "1.2.3.4:6", DataCentre: "dc", Version: "v2"}},
 		{Gone: "s"},
 		{Unusable: &UnusableServer{ID: "u", Reason: "r"}},
+		{Leaving: "u"},
 		{Evacuated: "dc2"},
 		{Restored: "dc2"},
 		{Order: &Order{Plan: rollout.Plan{Service: "svc", Version: "v2", Within: time.Second}, Revision: 6}},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/freshness"
+	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/pace"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
@@ -104,6 +105,8 @@
 	// said to be unusable.
 	fleet    quota.Fleet
 	unusable map[string]bool
+	// leavingNews holds the servers whose shutdown is passed on to other gateways.
+	leavingNews gossip.Spread
 	// loads holds what other gateways report of servers' work, loadPlan says to which
 	// of them this one reports.
 	loads    load.Table
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -9,6 +9,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/backpressure"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 )
@@ -143,8 +144,10 @@
 	now := clock.Now()
 	re.Ready = ga.isReady(now)
 	re.Limits = ga.pool.Limits.News(backpressure.ToCollector, now)
+	re.Leaving = ga.leavingNotices(gossip.ToCollector, now)
 	if collector {
 		re.Limits = ga.pool.Limits.News(backpressure.BetweenCollectors, now)
+		re.Leaving = ga.leavingNotices(gossip.BetweenCollectors, now)
 	}
 	return ga.blockNews(re, now)
 }
@@ -168,6 +171,7 @@
 	ga.heardOf(answer, now)
 	ga.heardOfBlocks(answer, now)
 	ga.heardOfLimits(answer, now)
+	ga.takeLeaving(answer, now)
 }
 
 // takeGroup takes the report of several gateways; the lock is held.
@@ -216,11 +220,12 @@
 	ga.heardOf(re, now)
 	ga.heardOfBlocks(re, now)
 	ga.heardOfLimits(re, now)
+	ga.takeLeaving(re, now)
 	var work load.Work
 	var gateways int
-	to := backpressure.ToMember
+	to, peer := backpressure.ToMember, gossip.ToMember
 	if re.Collector {
-		to = backpressure.BetweenCollectors
+		to, peer = backpressure.BetweenCollectors, gossip.BetweenCollectors
 		ga.takeGroup(re, now)
 		work, gateways = ga.loads.Group(ga.pool.Work()), ga.loads.GroupSize()
 	} else {
@@ -231,7 +236,7 @@
 	}
 	answer := relay.Report{
 		Box: ga.Box, Collector: true, Work: work.Busiest(loadServers), Ready: ga.isReady(now), Gateways: gateways,
-		Limits: ga.pool.Limits.News(to, now),
+		Limits: ga.pool.Limits.News(to, now), Leaving: ga.leavingNotices(peer, now),
 	}
 	return ga.blockNews(answer, now)
 }
--- a/internal/gateway/serverstatus.go
+++ b/internal/gateway/serverstatus.go
@@ -4,7 +4,10 @@
 	"errors"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/gossip"
+	"github.com/linnetrudder/linnetrudder/internal/relay"
 )
 
 // ServerStatus is what a backend server reports about itself in the head of an answer. An
@@ -54,12 +57,44 @@
 		ga.Log.Info().Int("event", int(event.ServerPaused)).Str("server", key).Dur("for_ms", st.RetryAfter).
 			Msg(event.Name(event.ServerPaused))
 	}
-	if st.Leaving && ga.servers.Leave(key, now) {
-		serversLeaving.Inc()
-		ga.noteServer(event.ServerLeaving, key, "announced in an answer")
+	if st.Leaving {
+		ga.serverLeaves(key, now, 0, "announced in an answer")
 	}
 }
 
+// serverLeaves takes a server out of use that announced its shutdown, and passes that on to other
+// gateways. The lock is held.
+func (ga *Gateway) serverLeaves(key string, at time.Time, hops uint8, detail string) {
+	if !ga.servers.Leave(key, at) {
+		return
+	}
+	ga.leavingNews.Learn(key, hops, clock.Now())
+	serversLeaving.Inc()
+	ga.noteServer(event.ServerLeaving, key, detail)
+}
+
+// takeLeaving takes another gateway's notices of servers that announced their shutdown. The lock is
+// held.
+func (ga *Gateway) takeLeaving(re relay.Report, now time.Time) {
+	for _, no := range re.Leaving {
+		if no.Valid() {
+			ga.serverLeaves(no.Server, now.Add(-no.Age), no.Hops+1, "announced to "+re.Box)
+		}
+	}
+}
+
+// leavingNotices returns what another gateway is told of servers that announced their shutdown. The
+// lock is held.
+func (ga *Gateway) leavingNotices(to gossip.Peer, now time.Time) []gossip.Notice {
+	var list []gossip.Notice
+	for _, fa := range ga.leavingNews.Due(to, now) {
+		if at, ok := ga.servers.LeavingSince(fa.Key()); ok {
+			list = append(list, gossip.Notice{Server: fa.Key(), Age: max(0, now.Sub(at)), Hops: fa.Hops()})
+		}
+	}
+	return list
+}
+
 // noteUnwanted logs an attempt that is sent although its server asked for none. The lock is
 // held.
 func (ga *Gateway) noteUnwanted(se *sent, now time.Time) {
--- a/internal/gateway/serverstatus_test.go
+++ b/internal/gateway/serverstatus_test.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
+	"github.com/linnetrudder/linnetrudder/internal/gossip"
+	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 )
 
@@ -115,7 +120,12 @@
 // gateway that had delivered such an answer still sent it first attempts and escalations (2 s are
 // allowed). Order of events: the key-value service stops answering; the server begins to leave and
 // can't publish that; a gateway delivers an answer with the announcement; the service is back; the
-// gateway sends requests to the server until its entry changes.
+// gateway sends requests to the server until its entry changes. Cause: that a server leaves was known
+// from its entry alone; what its answers say of it was passed on and not read. Evidence: the server
+// received as many requests as all others before and after the announcement, on all ways of sending,
+// and event 532 followed each event 531 as soon as answers were decoded. The mend holds since the
+// directory, from which every choice of a server is made, leaves an announced server out for the rest
+// of its life, whatever its entry says, and gateways tell each other along the reports of load.
 func TestLeavingServerGetsNothingNew(t *testing.T) {
 	for _, gateways := range []int{1, 4, 23} {
 		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
@@ -209,3 +219,54 @@
 		}
 	})
 }
+
+// An announcement counts in every kind of answer, also in those that no caller gets.
+func TestServerStatusIsTakenFromEveryKindOfAnswer(t *testing.T) {
+	leaving := ServerStatus{Leaving: true}
+	for name, se := range map[string]*sent{
+		"answer":               {answer: &Answer{Server: leaving}},
+		"answer of a failure":  {answer: &Answer{Status: 500, Server: leaving}},
+		"answer given up":      {answer: &Answer{Server: leaving}, err: errGivenUp},
+		"answer that broke":    {answer: &Answer{Server: leaving}, err: io.ErrUnexpectedEOF},
+		"rejection":            {err: &Refusal{Server: leaving}},
+		"doubtful answer":      {err: &Doubt{Server: leaving}},
+		"wrapped rejection":    {err: eris.Wrap(&Refusal{Server: leaving}, "call")},
+		"another server's":     {err: &Refusal{Gone: true, Server: leaving}},
+		"no answer":            {err: ErrUnsent},
+		"answer of no concern": {answer: &Answer{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := clock.Now()
+			ga, log := newServing()
+			se.server = *ga.servers.Get("x1")
+			ga.takeServerStatus(se, now)
+			if name == "another server's" || name == "no answer" || name == "answer of no concern" {
+				require.Len(t, servedBy(ga, now), 3)
+				return
+			}
+			require.Equal(t, map[string]bool{"x0": true, "x2": true}, servedBy(ga, now))
+			require.Contains(t, log.String(), "server_leaving")
+		})
+	}
+}
+
+// A gateway that starts learns from a watcher which servers leave.
+func TestWholeStateNamesLeavingServers(t *testing.T) {
+	now := clock.Now()
+	wa, _ := newServing(Change{Member: &relay.Member{Box: "a", DataCentre: "dc0", Address: "127.0.0.1:1"}})
+	wa.serverLeaves("x2", now, 0, "")
+	ga, _ := newServing()
+	_, err := ga.takeWhole(wa.Updates(t.Context(), relay.Request{After: 0}), now)
+	require.NoError(t, err)
+	require.Equal(t, map[string]bool{"x0": true, "x1": true}, servedBy(ga, now))
+}
+
+// Notices from another process may be malformed.
+func TestMalformedNoticesOfLeavingServersAreIgnored(t *testing.T) {
+	now := clock.Now()
+	ga, _ := newServing()
+	ga.Reported(relay.Report{Box: "b", Leaving: []gossip.Notice{
+		{Server: "x0", Hops: gossip.MostHops}, {Server: "x1", Age: -time.Second}, {}, {Server: "x2", Age: time.Hour},
+	}})
+	require.Equal(t, map[string]bool{"x0": true, "x1": true}, servedBy(ga, now))
+}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -186,6 +186,8 @@
 	Gone   string            `cbor:",omitempty"`
 	// Unusable is an entry of a backend server that names none that may be used.
 	Unusable *UnusableServer `cbor:",omitempty"`
+	// Leaving is the key of a server's life that announced its shutdown.
+	Leaving string `cbor:",omitempty"`
 	// Evacuated is a data centre whose servers are to get nothing, Restored one that an
 	// operator has given back.
 	Evacuated, Restored string `cbor:",omitempty"`
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -121,6 +121,9 @@
 		listed.ColdFor = ga.pool.Warmup.Left(se.Key(), clock.Now())
 		all = append(all, Change{Server: &listed})
 	}
+	for _, key := range ga.servers.Leaving() {
+		all = append(all, Change{Leaving: key})
+	}
 	for _, dataCentre := range ga.servers.Evacuated() {
 		all = append(all, Change{Evacuated: dataCentre})
 	}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,113 @@
+// Package gossip decides which facts a gateway passes on to other gateways, and for how long.
+// Facts travel with the reports of load: from a gateway to its collector, between collectors, and
+// from a collector to its gateways. It does no I/O and reads no clock.
+package gossip
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// KeepFor is how long a fact is passed on. Reports are sent ten times per second, so
+	// that a few of them may be lost.
+	KeepFor = time.Second
+	// mostPerReport bounds the facts of one kind in one report, at about 25 B each.
+	mostPerReport = 64
+	// MostHops is how many gateways a fact may pass. Without a bound it would circulate
+	// forever: each gateway adds the transfer time to its age unnoticed.
+	MostHops = 3
+)
+
+// Peer is the role of the gateway that a report goes to.
+type Peer string
+
+// The peers.
+const (
+	// ToCollector is a gateway's collector.
+	ToCollector Peer = "to collector"
+	// BetweenCollectors is another collector.
+	BetweenCollectors Peer = "between collectors"
+	// ToMember is a gateway that reports to this collector.
+	ToMember Peer = "to member"
+)
+
+// hops returns how many gateways a fact may have passed that is told to the peer. A collector tells
+// other collectors only what its own group learned.
+func (pe Peer) hops() uint8 {
+	switch pe {
+	case ToCollector:
+		return 0
+	case BetweenCollectors:
+		return 1
+	default:
+		return MostHops - 1
+	}
+}
+
+// Fact names one fact to pass on.
+type Fact struct {
+	key  string
+	hops uint8
+}
+
+// Key returns the name under which the fact was learned.
+func (fa Fact) Key() string { return fa.key }
+
+// Hops returns how many gateways the fact has passed.
+func (fa Fact) Hops() uint8 { return fa.hops }
+
+// learned is a fact that is being passed on.
+type learned struct {
+	at   time.Time
+	hops uint8
+}
+
+// Spread holds the facts of one kind that are being passed on. The zero value holds none. It is
+// not safe for concurrent use.
+type Spread struct{ facts map[string]learned }
+
+// Learn begins to pass a fact on that has passed so many gateways, zero for one that was observed
+// here. A fact that is learned again is passed on for KeepFor from then on.
+func (sp *Spread) Learn(key string, hops uint8, now time.Time) {
+	if sp.facts == nil {
+		sp.facts = map[string]learned{}
+	}
+	sp.facts[key] = learned{at: now, hops: hops}
+}
+
+// Due returns the facts for a report to a peer.
+func (sp *Spread) Due(to Peer, now time.Time) []Fact {
+	var list []Fact
+	for key, le := range sp.facts {
+		if le.hops <= to.hops() && now.Sub(le.at) < KeepFor && len(list) < mostPerReport {
+			list = append(list, Fact{key: key, hops: le.hops})
+		}
+	}
+	return list
+}
+
+// Spreads reports whether a fact is still being passed on.
+func (sp *Spread) Spreads(key string) bool {
+	_, ok := sp.facts[key]
+	return ok
+}
+
+// Tick drops the facts that are no longer passed on.
+func (sp *Spread) Tick(now time.Time) {
+	maps.DeleteFunc(sp.facts, func(_ string, le learned) bool { return now.Sub(le.at) >= KeepFor })
+}
+
+// Notice passes on that a server did something once. Its fields are exported because the codec needs
+// them.
+type Notice struct {
+	// Server is the key of one life of a server.
+	Server string `cbor:"1,keyasint"`
+	// Age is how long ago it was observed.
+	Age time.Duration `cbor:"2,keyasint"`
+	// Hops is how many gateways the notice has passed.
+	Hops uint8 `cbor:"3,keyasint,omitempty"`
+}
+
+// Valid reports whether a notice from another process is well-formed.
+func (no *Notice) Valid() bool { return no.Server != "" && no.Age >= 0 && no.Hops < MostHops }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/backpressure"
+	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 )
@@ -80,6 +81,8 @@
 	// Limits names the servers that name limits in their answers since a moment ago, or other
 	// ones, or none any more.
 	Limits []backpressure.Notice `cbor:"10,keyasint,omitempty"`
+	// Leaving names the servers that have just announced their shutdown.
+	Leaving []gossip.Notice `cbor:"11,keyasint,omitempty"`
 }
 
 // Loads takes reports.
