fix: a ready answer is delivered if the larger model's server rejects the attempt

What callers saw: the smallest model's answer was ready, a better one was asked of a larger model, its server rejected the attempt, and with no retry left they got an error (502).

Cause: the answer at hand was dropped before the next attempt was sent. Servers reject within some round trips, so that it is now held for 20 ms after an escalation, dropped as soon as the larger model's head comes, and delivered if the request would end without an answer. direct decides, held.go carries it out. Keeping it until the larger model's head comes would make two servers work on each such request.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -103,6 +103,9 @@
 	unsent    int
 	unused    int
 	delivered bool
+	// held is set while the shell holds the answer of the model at heldPlace.
+	held      bool
+	heldPlace int
 }
 
 // Runs returns how many attempts ran or may have run.
@@ -204,11 +207,17 @@
 	if !ok || !re.take(now) {
 		return Step{}, false
 	}
+	re.held, re.heldPlace = true, re.place
 	re.place = place
 	re.tried = nil
-	return re.attempt(server, now), true
+	st := re.attempt(server, now)
+	st.escalate = true
+	return st, true
 }
 
+// Released says that the shell no longer holds the answer of before an escalation.
+func (re *Request) Released() { re.held = false }
+
 // again makes another attempt after one that gave nothing.
 func (re *Request) again(co result.Code, now time.Time) Step {
 	left := re.Blocks.Blocked(now)
@@ -314,9 +323,15 @@
 	return Step{do: Deliver, model: re.model()}
 }
 
-// refuse ends the request. After an attempt that may have run, no code says
-// that the request did not.
+// refuse ends the request, with the held answer if there is one. After an attempt that may have
+// run, no code says that the request did not.
 func (re *Request) refuse(co result.Code, after time.Duration) Step {
+	if re.held {
+		re.held, re.place = false, re.heldPlace
+		st := re.deliver()
+		st.fallback = true
+		return st
+	}
 	if re.runs > 0 {
 		co = result.LinkLost
 	}
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -118,6 +118,43 @@
 	require.Equal(t, Deliver, re.Answered(500, -1, t0).Do())
 }
 
+// What users saw: an answer was ready, a larger model was asked for a better one, its server rejected
+// the attempt, and with no retry left the caller got an error. Cause: the answer at hand was dropped
+// before the larger model's server had accepted anything.
+func TestHeldAnswerIsDeliveredIfTheLargerModelRejects(t *testing.T) {
+	escalated := func(t *testing.T, retries int) *Request {
+		t.Helper()
+		pu := purse(retries)
+		re := request(func(re *Request) { re.Models, re.Retries = []string{"small", "large"}, &pu })
+		require.False(t, re.Begin(t0).Escalates())
+		st := re.Answered(200, 10, t0)
+		require.Equal(t, "large", st.Model())
+		require.True(t, st.Escalates())
+		return re
+	}
+	for name, reject := range map[string]func(re *Request) Step{
+		"rejected": func(re *Request) Step { return re.Refused(t0) },
+		"unsent":   func(re *Request) Step { re.unused = -1; return re.Unsent(t0) },
+		"lost":     func(re *Request) Step { return re.Lost(t0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			st := reject(escalated(t, 1))
+			require.Equal(t, Deliver, st.Do())
+			require.True(t, st.Fallback())
+			require.Equal(t, "small", st.Model())
+
+			re := escalated(t, 1)
+			re.Released()
+			st = reject(re)
+			require.Equal(t, Refuse, st.Do())
+			require.Equal(t, result.LinkLost, st.Code())
+		})
+	}
+	st := escalated(t, 2).Refused(t0)
+	require.Equal(t, Send, st.Do(), "another server of the larger model comes first")
+	require.False(t, st.Escalates())
+}
+
 func TestABlockedRequestIsRefusedAtOnce(t *testing.T) {
 	bl := blocks(time.Minute)
 	re := request(func(re *Request) { re.Blocks = &bl })
--- a/internal/direct/step.go
+++ b/internal/direct/step.go
@@ -31,6 +31,8 @@
 	limit    time.Time
 	resume   bool
 	last     bool
+	escalate bool
+	fallback bool
 	code     result.Code
 	after    time.Duration
 }
@@ -60,6 +62,13 @@
 // Last reports whether the attempt is the last that may run, after others that did.
 func (st Step) Last() bool { return st.last }
 
+// Escalates reports whether the attempt asks a larger model although an answer is at hand. The shell
+// holds that answer until the attempt's server had time to reject it.
+func (st Step) Escalates() bool { return st.escalate }
+
+// Fallback reports whether the answer to deliver is the one held since an escalation.
+func (st Step) Fallback() bool { return st.fallback }
+
 // Code returns the final code of a refusal.
 func (st Step) Code() result.Code { return st.code }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,7 +39,8 @@
 	// rest is what follows body of one that is longer than wholeBytes.
 	rest io.Reader
 	err  error
-	over bool
+	// over is set once what the attempt holds was freed.
+	over atomic.Bool
 	// run is what is remembered of the attempt in case its server ends; nil if it was never
 	// sent. left is set if this gateway ended the attempt without an answer.
 	run  *poison.Run
@@ -75,7 +76,8 @@
 	listed := ga.servers.Get(step.Server())
 	if listed == nil {
 		ga.mu.Unlock()
-		se.err, se.over = ErrUnsent, true
+		se.err = ErrUnsent
+		se.over.Store(true)
 		return se
 	}
 	se.server = *listed
@@ -260,10 +262,9 @@
 // end frees what the attempt holds.
 func (se *sent) end(outcome string) {
 	se.cancel()
-	if se.over {
+	if !se.over.CompareAndSwap(false, true) {
 		return
 	}
-	se.over = true
 	if se.answer != nil {
 		_ = se.answer.Body.Close()
 	}
--- /dev/null
+++ b/internal/gateway/held.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/direct"
+)
+
+// rejectionTime is how long an answer is held after an escalation from it: servers reject an attempt
+// within some round trips.
+const rejectionTime = 20 * time.Millisecond
+
+// heldAnswer is an answer that is dropped after rejectionTime unless the caller needs it after all.
+type heldAnswer struct {
+	attempt *sent
+	release *time.Timer
+}
+
+// replace frees the attempt before a step. The answer that an escalation is to improve on is held for
+// a moment: the larger model's server may reject the attempt while no retry is left.
+func (ex *exchange) replace(at *sent, step direct.Step) {
+	switch {
+	case at == nil:
+	case step.Escalates():
+		ex.dropHeld()
+		ex.held = &heldAnswer{attempt: at, release: time.AfterFunc(rejectionTime, at.drop)}
+	default:
+		at.drop()
+		if ex.held != nil {
+			ex.held.release.Reset(rejectionTime)
+		}
+	}
+}
+
+// checkHeld tells the request whether the answer before an escalation is still held, once the head of
+// the next answer came or will not come. If it is, it stays so until the next step.
+func (ex *exchange) checkHeld(at *sent) {
+	if ex.held == nil {
+		return
+	}
+	if at.answer != nil || !ex.held.release.Stop() {
+		ex.dropHeld()
+		ex.request.Released()
+	}
+}
+
+// takeHeld returns the held answer.
+func (ex *exchange) takeHeld() *sent {
+	at := ex.held.attempt
+	ex.held = nil
+	return at
+}
+
+// dropHeld drops the held answer if there is one.
+func (ex *exchange) dropHeld() {
+	if ex.held == nil {
+		return
+	}
+	ex.held.release.Stop()
+	ex.takeHeld().drop()
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -104,6 +104,8 @@
 	// model's answer.
 	choice   modelChoice
 	smallest int
+	// held is the answer of before an escalation, nil once it is not needed any more.
+	held *heldAnswer
 	// delivered is the id of the last event that the caller got.
 	delivered string
 	// head is when the head came of the answer that the caller gets first.
@@ -253,6 +255,7 @@
 	}
 	ex.ga.mu.Unlock()
 	step := ex.request.Begin(now)
+	defer ex.dropHeld()
 	var at *sent
 	for {
 		switch step.Do() {
@@ -260,12 +263,15 @@
 			ex.refuse(step.Code(), "", step.RetryAfter())
 			return
 		case direct.Send:
-			if at != nil {
-				at.drop()
-			}
+			ex.replace(at, step)
 			at = ex.open(ctx, step)
+			ex.checkHeld(at)
 			step = ex.outcome(ctx, at)
 		case direct.Deliver:
+			if step.Fallback() {
+				at.drop()
+				at = ex.takeHeld()
+			}
 			ex.deliver(ctx, at)
 			return
 		default:
