fix: while servers reject attempts, escalations leave retries to requests without an answer

What callers saw: where every request asks a larger model, a single rejection by one server was final: they were refused although the others accepted requests.

Cause: escalations took every retry of the window as soon as it was allowed. While a server is known to have asked for a pause they now leave four, or a tenth of what is allowed where that is less.

--- a/internal/backpressure/pause.go
+++ b/internal/backpressure/pause.go
@@ -38,6 +38,9 @@
 	return 0
 }
 
+// Any reports whether any server is paused.
+func (pa *Pauses) Any() bool { return len(pa.servers) > 0 }
+
 // Sent records that a request is sent to a server.
 func (pa *Pauses) Sent(key string) {
 	if se := pa.servers[key]; se != nil {
--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// reservePart bounds a window's reserve to a part of what is allowed: in a window with few requests
+// the whole reserve would leave nothing.
+const reservePart = 0.1
+
 // windowParts is how many parts a window is counted in; an outcome is
 // forgotten at most one part too late.
 const windowParts = 20
@@ -41,15 +45,28 @@
 	return true
 }
 
+// TakeSpare is Take for a repeat that its request can do without: it leaves a reserve to others, or
+// a tenth of what is allowed if that is less.
+func (wi *Window) TakeSpare(reserve float64, now time.Time) bool {
+	allowed, taken := wi.count(now)
+	return allowed-taken >= 1+min(reserve, reservePart*allowed) && wi.Take(now)
+}
+
 // Left returns how many repeats are allowed now.
 func (wi *Window) Left(now time.Time) float64 {
+	allowed, taken := wi.count(now)
+	return allowed - taken
+}
+
+// count returns how many repeats are allowed within the window and how many were taken.
+func (wi *Window) count(now time.Time) (allowed, taken float64) {
 	wi.at(now)
 	var all part
 	for _, pa := range wi.parts {
 		all.requests += pa.requests
 		all.repeats += pa.repeats
 	}
-	return wi.Ratio*float64(all.requests) + wi.Slack - float64(all.repeats)
+	return wi.Ratio*float64(all.requests) + wi.Slack, float64(all.repeats)
 }
 
 // at returns the part of the present time and clears those that have passed.
--- a/internal/budget/window_test.go
+++ b/internal/budget/window_test.go
@@ -22,6 +22,29 @@
 	require.True(t, wi.Take(now.Add(11*time.Second)), "an old repeat is forgotten")
 }
 
+func TestSpareRepeatsLeaveAReserve(t *testing.T) {
+	for requests, want := range map[int]struct{ spare, rest int }{
+		100: {48, 2}, // of 50
+		20:  {9, 1},  // of 10
+		2:   {0, 1},  // of 1
+	} {
+		wi := Window{Span: 10 * time.Second, Ratio: 0.5}
+		now := time.Unix(1000, 0)
+		for range requests {
+			wi.Request(now)
+		}
+		spare, rest := 0, 0
+		for wi.TakeSpare(2, now) {
+			spare++
+		}
+		for wi.Take(now) {
+			rest++
+		}
+		require.Equal(t, want.spare, spare, requests)
+		require.Equal(t, want.rest, rest, requests)
+	}
+}
+
 // Whenever a repeat is allowed, the span before it holds to the ratio; the
 // window is counted in parts, so that it may be one part shorter for repeats.
 func TestAnySpanHoldsToTheRatio(t *testing.T) {
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -24,6 +24,8 @@
 type Retries interface {
 	// Take reports whether one more is allowed and takes it.
 	Take(now time.Time) bool
+	// TakeSpare is Take for an attempt that the request can do without.
+	TakeSpare(now time.Time) bool
 }
 
 // Cascade chooses models.
@@ -204,7 +206,7 @@
 		return Step{}, false
 	}
 	server, ok := re.Picker.Pick(re.Models[place], nil, now)
-	if !ok || !re.take(now) {
+	if !ok || !re.takeSpare(now) {
 		return Step{}, false
 	}
 	re.held, re.heldPlace = true, re.place
@@ -250,6 +252,15 @@
 	return re.Retries.Take(now)
 }
 
+// takeSpare reports whether an attempt is allowed that the request can do without.
+func (re *Request) takeSpare(now time.Time) bool {
+	if re.unused > 0 {
+		re.unused--
+		return true
+	}
+	return re.Retries.TakeSpare(now)
+}
+
 // mayRun reports whether one more run is allowed and has time, and may be made: by then its
 // servers may have ended under the request.
 func (re *Request) mayRun(now time.Time) bool {
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -31,6 +31,8 @@
 	return *pu >= 0
 }
 
+func (pu *purse) TakeSpare(now time.Time) bool { return pu.Take(now) }
+
 // limitWait is how long the limits of servers keep an attempt from all that are left.
 var limitWait time.Duration
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,9 @@
 	// ownSlack is the retries that one gateway allows itself besides; the
 	// platform's slack is for all together, and how many there are is not known.
 	ownSlack = 2
+	// retryReserve is how many retries of a service escalations leave to requests that have no
+	// answer yet, while servers are known to reject attempts.
+	retryReserve = 4
 	// staleMargin is what is taken off the bound on the configuration's age, but
 	// not more than staleShare of it: a watch may hear nothing for a second
 	// although changes are made, and a clock may run a little slow.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -220,6 +220,17 @@
 	return ex.ga.window(ex.service).Take(now)
 }
 
+// TakeSpare takes a retry from the service's window for an attempt that the request can do without.
+func (ex *exchange) TakeSpare(now time.Time) bool {
+	ex.ga.mu.Lock()
+	defer ex.ga.mu.Unlock()
+	reserve := 0.0
+	if ex.ga.pool.Pauses.Any() {
+		reserve = retryReserve
+	}
+	return ex.ga.window(ex.service).TakeSpare(reserve, now)
+}
+
 // Blocked returns when it is worth coming back with a request that is not to be sent, zero if
 // it may be.
 func (ex *exchange) Blocked(now time.Time) time.Duration {
