refactor: one decoder for what servers report about themselves

Package selfreport does it once, given the names of the headers; gateway.ServerStatus becomes selfreport.Report.

What can't be read now changes nothing of what is known, at gateways as at agents (a limit that can't be read ended the limit before), and is logged: event 533, five lines in 10 s at the most, and a counter.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -71,6 +71,7 @@
 	ServerResumed    ID = 530
 	ServerLeaving    ID = 531
 	AttemptUnwanted  ID = 532
+	ReportUnreadable ID = 533
 	BillWritten      ID = 600
 	BillHeld         ID = 601
 	ClaimWon         ID = 602
@@ -165,6 +166,7 @@
 	{ServerResumed, "server_resumed", "the pause that a backend server asked for is over; how many attempts were sent to it meanwhile"},
 	{ServerLeaving, "server_leaving", "a backend server announced its shutdown in an answer; it gets nothing new"},
 	{AttemptUnwanted, "attempt_unwanted", "an attempt is sent to a backend server that is leaving or asked for a pause"},
+	{ReportUnreadable, "report_unreadable", "what a backend server reports about itself could not be read; what was known stays in force"},
 	{BillWritten, "bill_written", "bill records are durable"},
 	{BillHeld, "bill_held", "bill records wait for the key-value service"},
 	{ClaimWon, "claim_won", "a claim is durable"},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,9 @@
 	// retryReserve is how many retries of a service escalations leave to requests that have no
 	// answer yet, while servers are known to reject attempts.
 	retryReserve = 4
+	// unreadableBurst is how many unreadable reports are logged in each unreadablePeriod.
+	unreadableBurst  = 5
+	unreadablePeriod = 10 * time.Second
 	// staleMargin is what is taken off the bound on the configuration's age, but
 	// not more than staleShare of it: a watch may hear nothing for a second
 	// although changes are made, and a clock may run a little slow.
@@ -108,6 +111,8 @@
 	// said to be unusable.
 	fleet    quota.Fleet
 	unusable map[string]bool
+	// unreadable bounds the log lines of reports that could not be read.
+	unreadable zerolog.BurstSampler
 	// leavingNews holds the servers whose shutdown is passed on to other gateways.
 	leavingNews gossip.Spread
 	// loads holds what other gateways report of servers' work, loadPlan says to which
@@ -183,6 +188,7 @@
 		Box: ga.Box, DataCentre: ga.DataCentre, Directory: &ga.servers, Loads: &ga.loads,
 	}
 	ga.unusable = map[string]bool{}
+	ga.unreadable = zerolog.BurstSampler{Burst: unreadableBurst, Period: unreadablePeriod}
 	ga.countFleet(clock.Now())
 	ga.retries = map[string]*budget.Window{}
 	ga.rollouts = map[string]*timedRollout{}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,13 +9,14 @@
 )
 
 var (
-	storeFailures   = metrics.NewCounter(`linnetrudder_store_failures_total`)
-	serverEnds      = metrics.NewCounter(`linnetrudder_server_ends_total`)
-	blocksBegun     = metrics.NewCounter(`linnetrudder_request_blocks_total`)
-	limitsNamed     = metrics.NewCounter(`linnetrudder_server_limits_total`)
-	serverPauses    = metrics.NewCounter(`linnetrudder_server_pauses_total`)
-	serversLeaving  = metrics.NewCounter(`linnetrudder_servers_leaving_total`)
-	unusableEntries = metrics.NewCounter(`linnetrudder_unusable_entries_total`)
+	storeFailures     = metrics.NewCounter(`linnetrudder_store_failures_total`)
+	serverEnds        = metrics.NewCounter(`linnetrudder_server_ends_total`)
+	blocksBegun       = metrics.NewCounter(`linnetrudder_request_blocks_total`)
+	limitsNamed       = metrics.NewCounter(`linnetrudder_server_limits_total`)
+	serverPauses      = metrics.NewCounter(`linnetrudder_server_pauses_total`)
+	serversLeaving    = metrics.NewCounter(`linnetrudder_servers_leaving_total`)
+	reportsUnreadable = metrics.NewCounter(`linnetrudder_reports_unreadable_total`)
+	unusableEntries   = metrics.NewCounter(`linnetrudder_unusable_entries_total`)
 	// attemptsUnwanted counts attempts sent to a server that is leaving or asked for a pause.
 	attemptsUnwanted = metrics.NewCounter(`linnetrudder_attempts_unwanted_total`)
 )
--- a/internal/gateway/scene_test.go
+++ b/internal/gateway/scene_test.go
@@ -24,6 +24,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
+	"github.com/linnetrudder/linnetrudder/internal/selfreport"
 )
 
 // crashing is a service's servers, of which each ends that begins to run one request. It
@@ -170,7 +171,7 @@
 	}
 	cr.arrive(se)
 	if lasts, ok := cr.reject(at, box); ok {
-		return nil, &Refusal{Reason: "shed", Server: ServerStatus{RetryAfter: lasts, Leaving: cr.isLeaving(se)}}
+		return nil, &Refusal{Reason: "shed", Report: selfreport.Report{RetryAfter: lasts, Leaving: cr.isLeaving(se)}}
 	}
 	poison := strings.HasSuffix(at.Ask.Path, "/poison")
 	if poison {
@@ -192,14 +193,14 @@
 		}
 	}
 	if at.Model == "" {
-		return &Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("whole")), Server: cr.status(se)}, nil
+		return &Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("whole")), Report: cr.report(se)}, nil
 	}
 	confidence := 90
 	if at.Model == "small" {
 		confidence = 2
 	}
 	return &Answer{
-		Status: http.StatusOK, Stream: true, Confidence: confidence, Server: cr.status(se), Body: &fakeStream{ctx: ctx, server: se, left: events},
+		Status: http.StatusOK, Stream: true, Confidence: confidence, Report: cr.report(se), Body: &fakeStream{ctx: ctx, server: se, left: events},
 	}, nil
 }
 
@@ -223,9 +224,9 @@
 	return nil
 }
 
-// status returns what a server reports about itself in an answer.
-func (cr *crashing) status(se *fakeServer) ServerStatus {
-	return ServerStatus{Limit: cr.limit(se), Leaving: cr.isLeaving(se)}
+// report returns what a server reports about itself in an answer.
+func (cr *crashing) report(se *fakeServer) selfreport.Report {
+	return selfreport.Report{Limit: cr.limit(se), Leaving: cr.isLeaving(se)}
 }
 
 // work takes a time, or fails with the server's end or as the attempt is given up.
--- a/internal/gateway/serverstatus.go
+++ b/internal/gateway/selfreports.go
@@ -8,60 +8,58 @@
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
+	"github.com/linnetrudder/linnetrudder/internal/selfreport"
 )
 
-// ServerStatus is what a backend server reports about itself in the head of an answer. An
-// adapter decodes it once, whatever the answer says about the request.
-type ServerStatus struct {
-	// Limit is the rate in requests per second that the server accepts from all gateways
-	// together; nil if it reports none.
-	Limit *float64
-	// RetryAfter is how long the server wants no requests from this gateway; zero if it did
-	// not ask for a pause.
-	RetryAfter time.Duration
-	// Leaving is set once the server shuts down. It stays set until its process ends.
-	Leaving bool
-}
-
-// serverStatus returns what the attempt's server reported about itself. ok is false if the
+// selfReport returns what the attempt's server reported about itself. ok is false if the
 // server did not answer.
-func (se *sent) serverStatus() (st ServerStatus, ok bool) {
+func (se *sent) selfReport() (re selfreport.Report, ok bool) {
 	var refusal *Refusal
 	var doubt *Doubt
 	switch {
 	case se.answer != nil:
-		return se.answer.Server, true
+		return se.answer.Report, true
 	case errors.As(se.err, &refusal):
-		return refusal.Server, !refusal.Gone
+		return refusal.Report, !refusal.Gone
 	case errors.As(se.err, &doubt):
-		return doubt.Server, true
+		return doubt.Report, true
 	}
-	return ServerStatus{}, false
+	return selfreport.Report{}, false
 }
 
-// takeServerStatus records what an attempt's server reported about itself.
-func (ga *Gateway) takeServerStatus(se *sent, now time.Time) {
-	st, ok := se.serverStatus()
+// takeSelfReport records what an attempt's server reported about itself.
+func (ga *Gateway) takeSelfReport(se *sent, now time.Time) {
+	re, ok := se.selfReport()
 	if !ok {
 		return
 	}
 	key := se.server.Key()
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	if se.answer != nil || st.Limit != nil {
+	if re.Err != nil {
+		ga.noteUnreadable(key, re.Err)
+	}
+	if se.answer != nil && re.Err == nil || re.Limit != nil {
 		// A rejection without a limit does not end one: it may be older than the limit.
-		ga.takeLimit(key, st.Limit, now)
+		ga.takeLimit(key, re.Limit, now)
 	}
-	if st.RetryAfter > 0 && ga.pool.Pauses.Begin(key, st.RetryAfter, now) {
+	if re.RetryAfter > 0 && ga.pool.Pauses.Begin(key, re.RetryAfter, now) {
 		serverPauses.Inc()
-		ga.Log.Info().Int("event", int(event.ServerPaused)).Str("server", key).Dur("for_ms", st.RetryAfter).
+		ga.Log.Info().Int("event", int(event.ServerPaused)).Str("server", key).Dur("for_ms", re.RetryAfter).
 			Msg(event.Name(event.ServerPaused))
 	}
-	if st.Leaving {
+	if re.Leaving {
 		ga.serverLeaves(key, now, 0, "announced in an answer")
 	}
 }
 
+// noteUnreadable logs a report that could not be read, and counts all of them.
+func (ga *Gateway) noteUnreadable(key string, why error) {
+	reportsUnreadable.Inc()
+	lo := ga.Log.Sample(&ga.unreadable)
+	lo.Warn().Int("event", int(event.ReportUnreadable)).Str("server", key).Err(why).Msg(event.Name(event.ReportUnreadable))
+}
+
 // serverLeaves takes a server out of use that announced its shutdown, and passes that on to other
 // gateways. The lock is held.
 func (ga *Gateway) serverLeaves(key string, at time.Time, hops uint8, detail string) {
--- a/internal/gateway/serverstatus_test.go
+++ b/internal/gateway/selfreports_test.go
@@ -15,6 +15,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/selfreport"
 )
 
 const (
@@ -239,17 +240,17 @@
 }
 
 // An announcement counts in every kind of answer, also in those that no caller gets.
-func TestServerStatusIsTakenFromEveryKindOfAnswer(t *testing.T) {
-	leaving := ServerStatus{Leaving: true}
+func TestSelfReportIsTakenFromEveryKindOfAnswer(t *testing.T) {
+	leaving := selfreport.Report{Leaving: true}
 	for name, se := range map[string]*sent{
-		"answer":               {answer: &Answer{Server: leaving}},
-		"answer of a failure":  {answer: &Answer{Status: 500, Server: leaving}},
-		"answer given up":      {answer: &Answer{Server: leaving}, err: errGivenUp},
-		"answer that broke":    {answer: &Answer{Server: leaving}, err: io.ErrUnexpectedEOF},
-		"rejection":            {err: &Refusal{Server: leaving}},
-		"doubtful answer":      {err: &Doubt{Server: leaving}},
-		"wrapped rejection":    {err: eris.Wrap(&Refusal{Server: leaving}, "call")},
-		"another server's":     {err: &Refusal{Gone: true, Server: leaving}},
+		"answer":               {answer: &Answer{Report: leaving}},
+		"answer of a failure":  {answer: &Answer{Status: 500, Report: leaving}},
+		"answer given up":      {answer: &Answer{Report: leaving}, err: errGivenUp},
+		"answer that broke":    {answer: &Answer{Report: leaving}, err: io.ErrUnexpectedEOF},
+		"rejection":            {err: &Refusal{Report: leaving}},
+		"doubtful answer":      {err: &Doubt{Report: leaving}},
+		"wrapped rejection":    {err: eris.Wrap(&Refusal{Report: leaving}, "call")},
+		"another server's":     {err: &Refusal{Gone: true, Report: leaving}},
 		"no answer":            {err: ErrUnsent},
 		"answer of no concern": {answer: &Answer{}},
 	} {
@@ -257,7 +258,7 @@
 			now := clock.Now()
 			ga, log := newServing()
 			se.server = *ga.servers.Get("x1")
-			ga.takeServerStatus(se, now)
+			ga.takeSelfReport(se, now)
 			if name == "another server's" || name == "no answer" || name == "answer of no concern" {
 				require.Len(t, servedBy(ga, now), 3)
 				return
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -18,6 +18,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/rollout"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
+	"github.com/linnetrudder/linnetrudder/internal/selfreport"
 )
 
 // Ask is a caller's request as an adapter decodes it. Its fields are exported
@@ -104,8 +105,8 @@
 	// Confidence is the model's own rating from 0 to 100, below zero if it gave
 	// none.
 	Confidence int
-	// Server is what the server reports about itself.
-	Server ServerStatus
+	// Report is what the server reports about itself.
+	Report selfreport.Report
 }
 
 // Backend calls backend servers. Errors are *Refusal, *Doubt, ErrUnsent, ErrUnreachable or
@@ -123,8 +124,8 @@
 	Reason string
 	// Gone is set if another server now has the address.
 	Gone bool
-	// Server is what the server reports about itself; the zero value if Gone is set.
-	Server ServerStatus
+	// Report is what the server reports about itself; the zero value if Gone is set.
+	Report selfreport.Report
 }
 
 // Error returns the reason.
@@ -134,8 +135,8 @@
 type Doubt struct {
 	// Status is the answer's status line.
 	Status string
-	// Server is what the server reports about itself.
-	Server ServerStatus
+	// Report is what the server reports about itself.
+	Report selfreport.Report
 }
 
 // Error returns the status.
