feat: a server is probed after its pause, and avoided by gateways that it did not ask for one

After its pause a server that rejects everything looks idle, and every caller was sent there first; and each gateway had to be rejected by each server itself. Now one first attempt at a time probes a server after its pause until it accepts one, requests that were rejected go elsewhere, and gateways tell each other of pauses along the reports of load. Who was told only avoids the server: it is used if there is no other, since it asked somebody else. Package gossip carries both kinds of notices.

--- a/internal/backpressure/pause.go
+++ b/internal/backpressure/pause.go
@@ -2,32 +2,80 @@
 
 import "time"
 
-// pause is one pause that a server asked for.
+const (
+	// probeTimeout is how long the request that probes a server after its pause may go without
+	// an answer before another one probes.
+	probeTimeout = 2 * time.Second
+	// recoveryTimeout is how long after its pause a server that accepted nothing is still probed.
+	recoveryTimeout = 10 * time.Second
+	// leastNews is how much longer than known a pause must last to be news: processes learn of
+	// the same overload one after the other.
+	leastNews = 500 * time.Millisecond
+)
+
+// pause is the newest pause that a server asked for.
 type pause struct {
 	until time.Time
-	// sent counts the requests sent since the pause began.
+	// sent counts the requests sent during the pause.
 	sent int
+	// ended is set once the end of the pause was reported.
+	ended bool
+	// probed is when a request was last sent after the pause; zero if none was.
+	probed time.Time
+	// others is when the pauses are over that the server asked other processes for.
+	others time.Time
 }
 
-// Pauses tracks the backend servers that asked this process for a pause. The zero value knows of
-// none. It is not safe for concurrent use.
+// Pauses tracks the backend servers that asked for a pause. One that asked this process gets nothing
+// until the pause is over, and is then probed by one request at a time until it accepts one, since it
+// may reject all of them. One that asked another process is avoided meanwhile. The zero value knows
+// of none. It is not safe for concurrent use.
 type Pauses struct{ servers map[string]*pause }
 
-// Begin records that a server wants no requests for a duration. A pause is never shortened. It
-// reports whether the server was not paused before.
+// Begin records that a server wants no requests from this process for a duration. A pause is never
+// shortened. It reports whether the server was not paused before.
 func (pa *Pauses) Begin(key string, lasts time.Duration, now time.Time) bool {
+	se := pa.server(key)
+	began := !now.Before(se.until)
+	if began {
+		*se = pause{others: se.others}
+	}
+	if until := now.Add(lasts); until.After(se.until) {
+		se.until = until
+	}
+	return began
+}
+
+// Told records that a server wants no requests from another process for a duration. It reports
+// whether that is news.
+func (pa *Pauses) Told(key string, left time.Duration, now time.Time) bool {
+	if left-pa.Remaining(key, now) < leastNews {
+		return false
+	}
+	pa.server(key).others = now.Add(left)
+	return true
+}
+
+// Remaining returns how long a server wants no requests from this process or another one, as far as
+// is known, zero if it accepts them.
+func (pa *Pauses) Remaining(key string, now time.Time) time.Duration {
+	se := pa.servers[key]
+	if se == nil {
+		return 0
+	}
+	return max(0, se.until.Sub(now), se.others.Sub(now))
+}
+
+func (pa *Pauses) server(key string) *pause {
 	if pa.servers == nil {
 		pa.servers = map[string]*pause{}
 	}
-	se, until := pa.servers[key], now.Add(lasts)
+	se := pa.servers[key]
 	if se == nil {
-		pa.servers[key] = &pause{until: until}
-		return true
+		se = &pause{ended: true}
+		pa.servers[key] = se
 	}
-	if until.After(se.until) {
-		se.until = until
-	}
-	return false
+	return se
 }
 
 // Left returns how long a server still wants no requests, zero if it accepts them.
@@ -38,13 +86,41 @@
 	return 0
 }
 
-// Any reports whether any server is paused.
+// Any reports whether any server is paused or was just before.
 func (pa *Pauses) Any() bool { return len(pa.servers) > 0 }
 
+// Avoid reports whether a server should only be used if there is no other: it has accepted nothing
+// since its pause, or asked another process for one. probe is set if a request may probe it all the
+// same.
+func (pa *Pauses) Avoid(key string, now time.Time) (avoid, probe bool) {
+	se := pa.servers[key]
+	switch {
+	case se == nil:
+		return false, false
+	case now.Before(se.others):
+		return true, false
+	case se.until.IsZero() || now.Before(se.until):
+		return false, false
+	}
+	return true, se.probed.IsZero() || now.Sub(se.probed) >= probeTimeout
+}
+
 // Sent records that a request is sent to a server.
-func (pa *Pauses) Sent(key string) {
-	if se := pa.servers[key]; se != nil {
+func (pa *Pauses) Sent(key string, now time.Time) {
+	se := pa.servers[key]
+	switch {
+	case se == nil:
+	case now.Before(se.until):
 		se.sent++
+	default:
+		se.probed = now
+	}
+}
+
+// Accepted records that a server did not reject a request, which ends its recovery.
+func (pa *Pauses) Accepted(key string, now time.Time) {
+	if se := pa.servers[key]; se != nil && !now.Before(se.until) {
+		se.until, se.probed = time.Time{}, time.Time{}
 	}
 }
 
@@ -55,14 +131,20 @@
 	Sent int
 }
 
-// Tick drops the pauses that are over and returns them.
+// Tick returns the pauses that ended since it was last called, and drops what is no longer needed.
 func (pa *Pauses) Tick(now time.Time) []EndedPause {
 	var ended []EndedPause
 	for key, se := range pa.servers {
-		if !now.Before(se.until) {
-			delete(pa.servers, key)
+		if now.Before(se.until) {
+			continue
+		}
+		if !se.ended {
+			se.ended = true
 			ended = append(ended, EndedPause{Server: key, Sent: se.sent})
 		}
+		if now.Sub(se.until) >= recoveryTimeout && now.Sub(se.probed) >= probeTimeout && !now.Before(se.others) {
+			delete(pa.servers, key)
+		}
 	}
 	return ended
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,8 +113,9 @@
 	unusable map[string]bool
 	// unreadable bounds the log lines of reports that could not be read.
 	unreadable zerolog.BurstSampler
-	// leavingNews holds the servers whose shutdown is passed on to other gateways.
-	leavingNews gossip.Spread
+	// leavingNews and pauseNews hold the servers whose shutdown or pause is passed on to other
+	// gateways.
+	leavingNews, pauseNews gossip.Spread
 	// loads holds what other gateways report of servers' work, loadPlan says to which
 	// of them this one reports.
 	loads    load.Table
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -143,12 +143,12 @@
 	re.Work = re.Work.Busiest(loadServers)
 	now := clock.Now()
 	re.Ready = ga.isReady(now)
-	re.Limits = ga.pool.Limits.News(backpressure.ToCollector, now)
-	re.Leaving = ga.leavingNotices(gossip.ToCollector, now)
+	to, peer := backpressure.ToCollector, gossip.ToCollector
 	if collector {
-		re.Limits = ga.pool.Limits.News(backpressure.BetweenCollectors, now)
-		re.Leaving = ga.leavingNotices(gossip.BetweenCollectors, now)
+		to, peer = backpressure.BetweenCollectors, gossip.BetweenCollectors
 	}
+	re.Limits = ga.pool.Limits.News(to, now)
+	ga.addNotices(&re, peer, now)
 	return ga.blockNews(re, now)
 }
 
@@ -171,7 +171,7 @@
 	ga.heardOf(answer, now)
 	ga.heardOfBlocks(answer, now)
 	ga.heardOfLimits(answer, now)
-	ga.takeLeaving(answer, now)
+	ga.takeNotices(answer, now)
 }
 
 // takeGroup takes the report of several gateways; the lock is held.
@@ -220,7 +220,7 @@
 	ga.heardOf(re, now)
 	ga.heardOfBlocks(re, now)
 	ga.heardOfLimits(re, now)
-	ga.takeLeaving(re, now)
+	ga.takeNotices(re, now)
 	var work load.Work
 	var gateways int
 	to, peer := backpressure.ToMember, gossip.ToMember
@@ -236,8 +236,9 @@
 	}
 	answer := relay.Report{
 		Box: ga.Box, Collector: true, Work: work.Busiest(loadServers), Ready: ga.isReady(now), Gateways: gateways,
-		Limits: ga.pool.Limits.News(to, now), Leaving: ga.leavingNotices(peer, now),
+		Limits: ga.pool.Limits.News(to, now),
 	}
+	ga.addNotices(&answer, peer, now)
 	return ga.blockNews(answer, now)
 }
 
--- a/internal/gateway/selfreports.go
+++ b/internal/gateway/selfreports.go
@@ -43,16 +43,27 @@
 		// A rejection without a limit does not end one: it may be older than the limit.
 		ga.takeLimit(key, re.Limit, now)
 	}
-	if re.RetryAfter > 0 && ga.pool.Pauses.Begin(key, re.RetryAfter, now) {
-		serverPauses.Inc()
-		ga.Log.Info().Int("event", int(event.ServerPaused)).Str("server", key).Dur("for_ms", re.RetryAfter).
-			Msg(event.Name(event.ServerPaused))
+	switch {
+	case re.RetryAfter > 0:
+		ga.pauseServer(key, re.RetryAfter, now)
+	case se.answer != nil:
+		ga.pool.Pauses.Accepted(key, now)
 	}
 	if re.Leaving {
 		ga.serverLeaves(key, now, 0, "announced in an answer")
 	}
 }
 
+// pauseServer sends a server nothing for as long as it asked for. The lock is held.
+func (ga *Gateway) pauseServer(key string, lasts time.Duration, now time.Time) {
+	if !ga.pool.Pauses.Begin(key, lasts, now) {
+		return
+	}
+	ga.pauseNews.Learn(key, 0, now)
+	serverPauses.Inc()
+	ga.Log.Info().Int("event", int(event.ServerPaused)).Str("server", key).Dur("for_ms", lasts).Msg(event.Name(event.ServerPaused))
+}
+
 // noteUnreadable logs a report that could not be read, and counts all of them.
 func (ga *Gateway) noteUnreadable(key string, why error) {
 	reportsUnreadable.Inc()
@@ -71,26 +82,34 @@
 	ga.noteServer(event.ServerLeaving, key, detail)
 }
 
-// takeLeaving takes another gateway's notices of servers that announced their shutdown. The lock is
-// held.
-func (ga *Gateway) takeLeaving(re relay.Report, now time.Time) {
+// takeNotices takes another gateway's notices of servers that announced their shutdown or asked for a
+// pause. The lock is held.
+func (ga *Gateway) takeNotices(re relay.Report, now time.Time) {
 	for _, no := range re.Leaving {
 		if no.Valid() {
 			ga.serverLeaves(no.Server, now.Add(-no.Age), no.Hops+1, "announced to "+re.Box)
 		}
 	}
+	for _, no := range re.Pauses {
+		if no.Valid() && ga.servers.Life(no.Server) != nil && ga.pool.Pauses.Told(no.Server, no.Lasts-no.Age, now) {
+			ga.pauseNews.Learn(no.Server, no.Hops+1, now)
+		}
+	}
 }
 
-// leavingNotices returns what another gateway is told of servers that announced their shutdown. The
-// lock is held.
-func (ga *Gateway) leavingNotices(to gossip.Peer, now time.Time) []gossip.Notice {
-	var list []gossip.Notice
+// addNotices adds to a report what its receiver is told of servers that announced their shutdown or
+// asked for a pause. The lock is held.
+func (ga *Gateway) addNotices(re *relay.Report, to gossip.Peer, now time.Time) {
 	for _, fa := range ga.leavingNews.Due(to, now) {
 		if at, ok := ga.servers.LeavingSince(fa.Key()); ok {
-			list = append(list, gossip.Notice{Server: fa.Key(), Age: max(0, now.Sub(at)), Hops: fa.Hops()})
+			re.Leaving = append(re.Leaving, gossip.Notice{Server: fa.Key(), Age: max(0, now.Sub(at)), Hops: fa.Hops()})
+		}
+	}
+	for _, fa := range ga.pauseNews.Due(to, now) {
+		if left := ga.pool.Pauses.Remaining(fa.Key(), now); left > 0 {
+			re.Pauses = append(re.Pauses, gossip.Notice{Server: fa.Key(), Hops: fa.Hops(), Lasts: left})
 		}
 	}
-	return list
 }
 
 // noteUnwanted logs an attempt that is sent although its server asked for none. The lock is
--- a/internal/gateway/selfreports_test.go
+++ b/internal/gateway/selfreports_test.go
@@ -173,15 +173,14 @@
 				for _, id := range shedding {
 					sc.servers.shed(id, askedPause)
 				}
-				sc.press(time.Second)
+				sc.press(askedPause)
 				sc.callers.Wait()
 				for _, ca := range sc.others {
-					// A gateway with few requests in its window has few retries for the first
-					// rejections.
+					// Until a gateway knows of rejections, escalations leave no retries for them.
 					require.True(t, ca.answered || ca.refusedAtOnce(), "%+v", ca)
 				}
 				sc.others = nil
-				sc.press(9 * time.Second)
+				sc.press(7 * time.Second)
 				require.LessOrEqual(t, sc.servers.mostInPauses(askedPause), mostInPause)
 				for _, id := range shedding {
 					sc.servers.shed(id, 0)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -209,7 +209,11 @@
 
 // askFor returns what an attempt needs; the lock is held.
 func (ex *exchange) askFor(model string, tried []string, now time.Time) pool.Ask {
-	ask := pool.Ask{Service: ex.service, Tried: tried, Prompt: ex.prompt(model), Cold: ex.ga.coldLimit(ex.service), Alone: ex.trial}
+	ask := pool.Ask{
+		Service: ex.service, Tried: tried, Prompt: ex.prompt(model), Cold: ex.ga.coldLimit(ex.service), Alone: ex.trial,
+		// Only first attempts probe: a request that was rejected would be again.
+		Probe: len(ex.attempts) == 0,
+	}
 	return ex.ga.restrict(ask, ex, now)
 }
 
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -154,6 +154,7 @@
 	ga.pool.Limits.Tick(now)
 	ga.endPauses(now)
 	ga.leavingNews.Tick(now)
+	ga.pauseNews.Tick(now)
 	ga.countFleet(now)
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -107,7 +107,11 @@
 	Age time.Duration `cbor:"2,keyasint"`
 	// Hops is how many gateways the notice has passed.
 	Hops uint8 `cbor:"3,keyasint,omitempty"`
+	// Lasts is for how long it holds, counted from Age; zero if it has no end.
+	Lasts time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Valid reports whether a notice from another process is well-formed.
-func (no *Notice) Valid() bool { return no.Server != "" && no.Age >= 0 && no.Hops < MostHops }
+func (no *Notice) Valid() bool {
+	return no.Server != "" && no.Age >= 0 && no.Hops < MostHops && no.Lasts >= 0
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -53,6 +53,8 @@
 	FewKey uint64
 	// Alone asks for a server that runs nothing else, if there is one.
 	Alone bool
+	// Probe allows a server that may still reject everything after its pause.
+	Probe bool
 	// Cold bounds what the service's servers get that are cold.
 	Cold quota.Limit
 }
@@ -120,24 +122,29 @@
 	reading map[string]time.Duration
 	// heard is when each server last answered anything.
 	heard map[string]time.Time
-	// usable and ejected are buffers of Pick.
-	usable, ejected []*directory.Server
+	// usable, avoided and ejected are buffers of Pick.
+	usable, avoided, ejected []*directory.Server
 }
 
-// Pick returns a server for an attempt. If every server that fits was ejected,
-// it returns one of them rather than none.
+// Pick returns a server for an attempt. If every server that fits is avoided or was ejected, it
+// returns one of them rather than none.
 func (po *Pool) Pick(ask Ask, random uint64, now time.Time) (Offer, bool) {
-	po.usable, po.ejected = po.usable[:0], po.ejected[:0]
+	po.usable, po.avoided, po.ejected = po.usable[:0], po.avoided[:0], po.ejected[:0]
 	for _, se := range po.Directory.Servers(ask.Service) {
 		switch {
 		case !ask.fits(se), !po.accepts(se, ask.Cold, now):
-		case po.outliers.Usable(se.Key(), now):
-			po.usable = append(po.usable, se)
-		default:
+		case !po.outliers.Usable(se.Key(), now):
 			po.ejected = append(po.ejected, se)
+		case po.avoids(se, ask.Probe, now):
+			po.avoided = append(po.avoided, se)
+		default:
+			po.usable = append(po.usable, se)
 		}
 	}
 	list := po.usable
+	if len(list) == 0 {
+		list = po.avoided
+	}
 	if len(list) == 0 {
 		list = po.ejected
 	}
@@ -175,6 +182,13 @@
 	return quotas == 0 && pause == 0
 }
 
+// avoids reports whether an attempt should only go to a server if there is no other, since it may
+// reject everything.
+func (po *Pool) avoids(se *directory.Server, probe bool, now time.Time) bool {
+	avoid, free := po.Pauses.Avoid(se.Key(), now)
+	return avoid && (!probe || !free)
+}
+
 // unheard returns a server that names a limit and has said nothing for a while, nil if there is
 // none: few processes may ask it, and if these prefer others nobody learns that it takes more
 // again. Before 23 processes one of two such servers got nothing for 19 s in two of three
@@ -260,7 +274,7 @@
 func (po *Pool) Reserve(of Offer, now time.Time) {
 	po.Warmup.Sent(of.server.Key(), now)
 	po.Limits.Sent(of.server.Key(), now)
-	po.Pauses.Sent(of.server.Key())
+	po.Pauses.Sent(of.server.Key(), now)
 }
 
 // load returns how long a server has to work for what all processes have in progress
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -311,3 +311,32 @@
 	}
 	require.Equal(t, 2*time.Second, po.Wait(Ask{Service: "svc"}, now))
 }
+
+// A server that asked another process for a pause is used if there is no other.
+func TestAvoidedServersAreUsedIfThereIsNoOther(t *testing.T) {
+	po := pool(3)
+	po.Pauses.Told("s0", 3*time.Second, now)
+	po.Pauses.Told("s1", 3*time.Second, now)
+	for i := range uint64(20) {
+		require.Equal(t, "s2", pick(po, Ask{Service: "svc", Probe: true}, i).ID)
+	}
+	require.NotEqual(t, "s2", pick(po, Ask{Service: "svc", Tried: []string{"s2"}}, 0).ID)
+	require.Zero(t, po.Wait(Ask{Service: "svc", Tried: []string{"s2"}}, now))
+}
+
+// After its pause one first attempt probes a server; requests that were rejected go elsewhere.
+func TestPausedServersAreProbedByFirstAttempts(t *testing.T) {
+	po := pool(2)
+	po.Pauses.Begin("s1", time.Second, now.Add(-time.Second))
+	for range 3 {
+		po.Started("s0", 0, now)
+	}
+	require.Equal(t, "s0", pick(po, Ask{Service: "svc"}, 0).ID)
+	of, ok := po.Pick(Ask{Service: "svc", Probe: true}, 0, now)
+	require.True(t, ok)
+	require.Equal(t, "s1", of.Server().ID)
+	po.Reserve(of, now)
+	require.Equal(t, "s0", pick(po, Ask{Service: "svc", Probe: true}, 0).ID, "one at a time")
+	po.Pauses.Accepted("s1", now)
+	require.Equal(t, "s1", pick(po, Ask{Service: "svc"}, 0).ID)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -83,6 +83,8 @@
 	Limits []backpressure.Notice `cbor:"10,keyasint,omitempty"`
 	// Leaving names the servers that have just announced their shutdown.
 	Leaving []gossip.Notice `cbor:"11,keyasint,omitempty"`
+	// Pauses names the servers that have just asked a gateway for a pause.
+	Pauses []gossip.Notice `cbor:"12,keyasint,omitempty"`
 }
 
 // Loads takes reports.
