fix: agents hold to the pauses and shutdowns that their server reports

The class of both incidents on the product's own way: an agent, the only way to its server, read a rate limit from the heads of answers and nothing else. A server that announced its shutdown (X-Draining) or rejected attempts with Retry-After got whatever entries sent, and orders to load versions.

Now the gate starts nothing during a pause and one attempt after it until the server accepts one, and its load says that it is full; after an announcement it refuses everything new, gives no orders and tells entries with its load. The server's next life has the same agent: once a second it asks for the head of an answer (HEAD /, which starts no work), and the first one without the announcement ends it. Entries clear what an agent reported when it reports otherwise; what the list of boxes says stays as it was.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -91,6 +91,9 @@
 	cases      poison.Cases
 	// blocked holds what entries have blocked, and when one of them last said so.
 	blocked map[poison.Print]time.Time
+	// leavingProbed is when a server that announced its shutdown was last asked whether its next
+	// life has begun.
+	leavingProbed time.Time
 	// nonce is the newest question that confirms the configuration.
 	nonce uint64
 }
@@ -285,6 +288,7 @@
 		ag.mu.Lock()
 		ag.act(ag.gate.Tick(clock.Now()))
 		ag.settleRuns(ctx, clock.Now())
+		ag.probeLeaving(ctx, clock.Now())
 		confirmed := ag.gate.Confirmed()
 		ag.mu.Unlock()
 		if !confirmed {
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/linnetrudder/linnetrudder/internal/config"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/node"
 	"github.com/linnetrudder/linnetrudder/internal/order"
@@ -52,16 +53,25 @@
 	if se == nil || !se.Orders || ag.Node.Stopping() {
 		return false
 	}
-	ag.mu.Lock()
-	ag.reconciler.Want(se.Versions)
-	ac, ok := ag.reconciler.Next(ag.runs, time.Now())
-	ag.mu.Unlock()
+	ac, ok := ag.nextOrder(se)
 	if ok {
 		ag.doOrder(ctx, ac)
 	}
 	return ok
 }
 
+// nextOrder returns what to do next for the server, if anything. One that announced its shutdown gets
+// no orders.
+func (ag *Agent) nextOrder(se *config.Server) (order.Action, bool) {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	ag.reconciler.Want(se.Versions)
+	if ag.gate.ServerLeaves() {
+		return order.Action{}, false
+	}
+	return ag.reconciler.Next(ag.runs, time.Now())
+}
+
 // runs reports whether work of a version is in progress; the lock is held.
 func (ag *Agent) runs(version string) bool {
 	for _, st := range ag.streams {
@@ -145,6 +155,7 @@
 		return eris.Wrap(err, "orders")
 	}
 	defer resp.Body.Close()
+	ag.takeSelfReport(resp)
 	if resp.StatusCode != http.StatusOK {
 		return eris.Errorf("orders: %s", resp.Status)
 	}
--- /dev/null
+++ b/internal/agent/selfreports_test.go
@@ -0,0 +1,208 @@
+package agent
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/linnetrudder/linnetrudder/internal/clock"
+	"github.com/linnetrudder/linnetrudder/internal/config"
+	"github.com/linnetrudder/linnetrudder/internal/gate"
+	"github.com/linnetrudder/linnetrudder/internal/node"
+	"github.com/linnetrudder/linnetrudder/internal/order"
+	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/selector"
+	"github.com/linnetrudder/linnetrudder/internal/settings"
+	"github.com/linnetrudder/linnetrudder/internal/timeline"
+	"github.com/linnetrudder/linnetrudder/internal/wire"
+)
+
+// openGate returns the gate of a server with four slots and one version.
+func openGate(t *testing.T) gate.Gate {
+	t.Helper()
+	doc := &config.Document{
+		Models:   []config.Model{{Name: "m"}},
+		Versions: []config.Version{{Model: "m", Name: "v1", State: config.Serving}},
+		Servers:  []config.Server{{Name: "s", DataCentre: "dc", Versions: []string{"m@v1"}, Slots: 4}},
+		Teams:    []config.Team{{Name: "one"}},
+		Grants: []config.Grant{{
+			Teams: selector.Selector{Equal: map[string]string{"team": "one"}}, Versions: &selector.Selector{},
+		}},
+	}
+	require.NoError(t, doc.Check())
+	ga := gate.Gate{Server: "s", Queue: 4}
+	ga.Reconfigure(config.Compile(1, doc), clock.Now())
+	ga.Confirm(1, clock.Now())
+	return ga
+}
+
+// What happened: a server asked in its answers for 2 requests a second and got whatever entries
+// sent. Cause: the agent, which alone decides what starts there, took its slots from the
+// configuration and read nothing of itself in what the server answered; the same as at gateways
+// on the users' platform. Seen by the count of starts, 200 in 20 s in place of 40. It holds since the
+// agent is the only way to its server and starts attempts at the named rate alone.
+func TestAServerBehindAnAgentGetsWhatItNames(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Rate-Limit", "2")
+	}))
+	defer server.Close()
+	ag := &Agent{
+		HTTP: server.Client(), gate: openGate(t),
+		Node: &node.Node{Ring: &timeline.Ring{Box: "b"}, Settings: settings.Settings{Server: settings.Server{Name: "s", Address: strings.TrimPrefix(server.URL, "http://")}}},
+	}
+	resp, err := server.Client().Get(server.URL)
+	require.NoError(t, err)
+	ag.takeSelfReport(resp)
+	require.NoError(t, resp.Body.Close())
+
+	started, refused := 0, 0
+	began := clock.Now()
+	for i := range 200 {
+		now := began.Add(time.Duration(i) * 100 * time.Millisecond)
+		acs := ag.gate.Tick(now)
+		acs = append(acs, ag.gate.Open(gate.Key{Link: "l", Stream: uint64(i)}, &wire.Attempt{Team: "one", Version: "m@v1", WaitMS: 1000}, now)...)
+		for len(acs) > 0 {
+			ac := acs[0]
+			acs = acs[1:]
+			if ac.Do() == gate.Refuse {
+				refused++
+				require.Equal(t, result.DidNotRun, result.Of(ac.Code()).Run())
+				require.Positive(t, ac.RetryAfter())
+				continue
+			}
+			started++
+			acs = append(acs, ag.gate.Ended(ac.Key(), now.Add(10*time.Millisecond))...)
+		}
+	}
+	require.InDelta(t, 40, started, 2)
+	require.Greater(t, refused, 150)
+
+	now := began.Add(20 * time.Second)
+	require.Error(t, selfReports.Decode(http.StatusOK, http.Header{"X-Rate-Limit": {"two"}}, now).Err)
+	_, acs := ag.gate.Limit(nil, now)
+	for _, ac := range acs {
+		require.Equal(t, gate.Start, ac.Do(), "what waited")
+		require.Empty(t, ag.gate.Ended(ac.Key(), now))
+	}
+	for i := range 4 {
+		acs := ag.gate.Open(gate.Key{Link: "m", Stream: uint64(i)}, &wire.Attempt{Team: "one", Version: "m@v1", WaitMS: 1000}, now)
+		require.Equal(t, gate.Start, acs[0].Do(), "it names none any more")
+	}
+}
+
+// reporting returns an agent before a server that answers as told, and how often the server was asked
+// to work.
+func reporting(t *testing.T, answer func(w http.ResponseWriter)) (*Agent, *atomic.Int64) {
+	t.Helper()
+	worked := &atomic.Int64{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodHead {
+			worked.Add(1)
+		}
+		answer(w)
+	}))
+	t.Cleanup(server.Close)
+	return &Agent{
+		HTTP: server.Client(), gate: openGate(t), streams: map[gate.Key]*stream{},
+		Node: &node.Node{Ring: &timeline.Ring{Box: "b"}, Settings: settings.Settings{
+			Server:   settings.Server{Name: "s", Address: strings.TrimPrefix(server.URL, "http://")},
+			Platform: settings.Platform{TimeoutMS: 1000},
+		}},
+	}, worked
+}
+
+// tryAttempt asks the gate for an attempt and runs it on the server if it starts.
+func (ag *Agent) tryAttempt(t *testing.T, stream uint64, now time.Time) gate.Action {
+	t.Helper()
+	key := gate.Key{Link: "l", Stream: stream}
+	acs := ag.gate.Open(key, &wire.Attempt{Team: "one", Version: "m@v1", WaitMS: 10}, now)
+	require.Len(t, acs, 1)
+	if acs[0].Do() == gate.Start {
+		ru := &run{ag: ag, at: &wire.Attempt{Method: http.MethodPost, Path: "/", Version: "m@v1"}, decided: clock.Now()}
+		_, _ = ru.call(t.Context())
+		ag.gate.Ended(key, now)
+	}
+	return acs[0]
+}
+
+// What happened: a server behind an agent announced its shutdown in its answers and got whatever
+// entries sent until it ended. Cause: the agent took the shutdown from the configuration alone; the
+// same as at gateways. It holds since the agent, which is the only way to its server, refuses everything
+// new from the first such answer on and says so to entries, until the server's next life answers.
+func TestLeavingServerBehindAnAgentGetsNothingNew(t *testing.T) {
+	var leaving atomic.Bool
+	leaving.Store(true)
+	ag, worked := reporting(t, func(w http.ResponseWriter) {
+		if leaving.Load() {
+			w.Header().Set("X-Draining", "1")
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	now := clock.Now()
+	require.Equal(t, gate.Start, ag.tryAttempt(t, 1, now).Do())
+	for i := range uint64(20) {
+		ac := ag.tryAttempt(t, 2+i, now)
+		require.Equal(t, gate.Refuse, ac.Do())
+		require.Equal(t, result.Leaving, ac.Code())
+		require.Equal(t, result.DidNotRun, result.Of(ac.Code()).Run())
+	}
+	require.EqualValues(t, 1, worked.Load())
+	require.True(t, ag.load().Leaving, "entries send it nothing")
+	ag.askLeaving(t.Context())
+	require.True(t, ag.gate.ServerLeaves())
+
+	leaving.Store(false)
+	ag.askLeaving(t.Context())
+	require.False(t, ag.load().Leaving)
+	require.Equal(t, gate.Start, ag.tryAttempt(t, 30, now).Do())
+	require.EqualValues(t, 2, worked.Load())
+}
+
+// What happened: a server behind an agent rejected attempts and asked for a pause, and got whatever
+// entries sent. Cause: as at gateways, the pause was not remembered for the server.
+func TestPausedServerBehindAnAgentGetsNothing(t *testing.T) {
+	var shed atomic.Bool
+	shed.Store(true)
+	ag, worked := reporting(t, func(w http.ResponseWriter) {
+		if shed.Load() {
+			w.Header().Set("Retry-After", "3")
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	now := clock.Now()
+	require.Equal(t, gate.Start, ag.tryAttempt(t, 1, now).Do())
+	for i := range uint64(28) {
+		ac := ag.tryAttempt(t, 2+i, now.Add(time.Duration(i)*100*time.Millisecond))
+		require.Equal(t, gate.Refuse, ac.Do())
+		require.Equal(t, result.Overloaded, ac.Code())
+		require.Positive(t, ac.RetryAfter())
+		require.LessOrEqual(t, ac.RetryAfter(), 3*time.Second)
+	}
+	require.EqualValues(t, 1, worked.Load())
+	require.Equal(t, 4, ag.load().Running, "entries take it for full")
+
+	shed.Store(false)
+	require.Equal(t, gate.Start, ag.tryAttempt(t, 40, now.Add(4*time.Second)).Do())
+	require.EqualValues(t, 2, worked.Load())
+}
+
+// An agent gives a server that announced its shutdown no orders.
+func TestLeavingServerGetsNoOrders(t *testing.T) {
+	ag, _ := reporting(t, func(w http.ResponseWriter) { w.Header().Set("X-Draining", "1") })
+	se := &config.Server{Versions: []string{"m@v1"}}
+	ac, ok := ag.nextOrder(se)
+	require.True(t, ok)
+	require.Equal(t, order.Look, ac.Do())
+	require.NoError(t, ag.callOrders(t.Context(), http.MethodPost, nil, nil))
+	require.True(t, ag.gate.ServerLeaves(), "answers to orders announce it as well")
+	ag.reconciler.Looked(nil, nil, clock.Now())
+	_, ok = ag.nextOrder(se)
+	require.False(t, ok)
+}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -19,15 +19,17 @@
 	name, dataCentre string
 	// up is true while the link to its agent is open.
 	up bool
-	// leaving is true once any source says so; it is cleared only by Up.
+	// leaving is set once the list of boxes says so; it is cleared only by Up.
 	leaving bool
+	// draining is what the agent reported last.
+	draining bool
 	// slots, running and queued are as last reported.
 	slots, running, queued int
 	// sent counts the attempts sent since the last report.
 	sent int
 }
 
-func (se *server) usable() bool { return se.up && !se.leaving }
+func (se *server) usable() bool { return se.up && !se.leaving && !se.draining }
 
 // load returns the attempts for each slot, those on the way included.
 func (se *server) load() float64 {
@@ -88,8 +90,9 @@
 		return
 	}
 	se.running, se.queued, se.slots, se.sent = lo.Running, lo.Queued, lo.Slots, 0
-	if lo.Leaving {
-		bo.Leaving(name)
+	if lo.Leaving != se.draining {
+		se.draining = lo.Leaving
+		bo.rebuild()
 	}
 }
 
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -44,6 +44,18 @@
 	require.False(t, bo.Has("m@v2"))
 }
 
+// An agent may take new work again once its server's next life has begun.
+func TestServersAreUsedAgainAfterDraining(t *testing.T) {
+	bo := board(1)
+	bo.Load("s0", wire.Load{Slots: 4, Leaving: true})
+	require.False(t, bo.Has("m@v1"))
+	bo.Load("s0", wire.Load{Slots: 4})
+	require.True(t, bo.Has("m@v1"))
+	bo.Leaving("s0")
+	bo.Load("s0", wire.Load{Slots: 4})
+	require.False(t, bo.Has("m@v1"), "the list of boxes says that it leaves")
+}
+
 func TestWhatWasTriedIsNotPickedAgain(t *testing.T) {
 	bo := board(6)
 	var tried []string
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -89,6 +89,8 @@
 	confirmed bool
 	// leaving is never unset.
 	leaving bool
+	// serverLeaving is set from the server's announcement of its shutdown until its next life.
+	serverLeaving bool
 	// seen is the time of the newest event.
 	seen time.Time
 	// running holds when each attempt on the server started; there are never
@@ -103,8 +105,10 @@
 	queue []waiting
 	// service is the smoothed time that an attempt holds its slot.
 	service time.Duration
-	// limits knows what the server names as a limit, and when attempts started.
+	// limits knows what the server names as a limit, and when attempts started; pauses whether
+	// it asked for a pause.
 	limits backpressure.Tracker
+	pauses backpressure.Pauses
 }
 
 // Open takes an attempt: it starts, waits or is refused.
@@ -114,7 +118,7 @@
 	if co := ga.judge(at); co != result.OK {
 		return []Action{ga.refuse(wa, co)}
 	}
-	if len(ga.running) < ga.slots() && len(ga.queue) == 0 && ga.limitWait(now) == 0 {
+	if len(ga.queue) == 0 && ga.mayStart(now) {
 		return []Action{ga.start(wa, now)}
 	}
 	if wait := ga.estimate(at); now.Add(wait).After(wa.deadline) {
@@ -186,15 +190,27 @@
 
 // Leaving reports whether the gate takes nothing new.
 func (ga *Gate) Leaving() bool {
-	return ga.leaving || ga.server() != nil && ga.server().Leaving
+	return ga.leaving || ga.serverLeaving || ga.server() != nil && ga.server().Leaving
 }
 
+// ServerLeaving records whether the server announced its shutdown: if so, what waits is refused, and
+// everything after it until the server's next life.
+func (ga *Gate) ServerLeaving(leaving bool, now time.Time) []Action {
+	ga.observe(now)
+	ga.serverLeaving = leaving
+	return ga.sweep(now)
+}
+
+// ServerLeaves reports whether the server announced its shutdown.
+func (ga *Gate) ServerLeaves() bool { return ga.serverLeaving }
+
 // Idle reports whether nothing runs or waits.
 func (ga *Gate) Idle() bool { return len(ga.running) == 0 && len(ga.queue) == 0 }
 
 // Tick refuses at once each attempt whose deadline has passed.
 func (ga *Gate) Tick(now time.Time) []Action {
 	ga.observe(now)
+	ga.pauses.Tick(now)
 	return append(ga.sweep(now), ga.fill(now)...)
 }
 
@@ -274,7 +290,7 @@
 // fill starts attempts while there are free slots.
 func (ga *Gate) fill(now time.Time) []Action {
 	var acs []Action
-	for len(ga.queue) > 0 && len(ga.running) < ga.slots() && ga.limitWait(now) == 0 {
+	for len(ga.queue) > 0 && ga.mayStart(now) {
 		i := ga.pick()
 		wa := ga.queue[i]
 		ga.queue = slices.Delete(ga.queue, i, i+1)
@@ -315,6 +331,7 @@
 	}
 	ga.running[wa.key] = now
 	ga.limits.Sent(ga.Server, now)
+	ga.pauses.Sent(ga.Server, now)
 	ga.charge(wa.attempt.Team)
 	return Action{do: Start, key: wa.key, attempt: wa.attempt, code: result.OK}
 }
