fix: a server's rate limit outlasts its entry

Where the entry lapsed for a moment (another writer's entry, an outage of the key-value service) the server got everything on its return until its next answer, and what it had been sent did not count.

Limits and what was sent under them now end with the server's life, or 10 minutes after it last reported one and is not listed. What was observed of a server (failures, prompts that it holds) still ends with its entry.

--- a/internal/backpressure/backpressure.go
+++ b/internal/backpressure/backpressure.go
@@ -191,8 +191,17 @@
 	delete(tr.news, key)
 }
 
-// Tick drops what does not count any more.
-func (tr *Tracker) Tick(now time.Time) {
+// unlistedKept is how long the limit of a server that is not listed is remembered since the server
+// last reported it: its entry may reappear.
+const unlistedKept = 10 * time.Minute
+
+// Tick drops what does not count any more. listed reports whether a server has an entry.
+func (tr *Tracker) Tick(listed func(key string) bool, now time.Time) {
+	for key := range tr.limits {
+		if now.Sub(tr.heard[key]) >= unlistedKept && !listed(key) {
+			tr.Forget(key)
+		}
+	}
 	for key, us := range tr.uses {
 		if us.Idle(now) {
 			delete(tr.uses, key)
--- a/internal/backpressure/backpressure_test.go
+++ b/internal/backpressure/backpressure_test.go
@@ -141,7 +141,7 @@
 	_, ok = collector.PerSecond("a")
 	require.False(t, ok)
 
-	collector.Tick(now.Add(newsKept))
+	collector.Tick(func(string) bool { return true }, now.Add(newsKept))
 	require.Empty(t, collector.News(ToMember, now.Add(newsKept)))
 	require.Empty(t, collector.heard, "nothing is left of it")
 }
@@ -164,3 +164,20 @@
 	}
 	require.Len(t, tr.News(ToCollector, t0), mostTold)
 }
+
+func TestLimitsOfServersThatAreNotListedEnd(t *testing.T) {
+	var tr Tracker
+	now := time.Unix(1000, 0)
+	rate := 2.0
+	tr.Heard("listed", &rate, now)
+	tr.Heard("gone", &rate, now)
+	listed := func(key string) bool { return key == "listed" }
+	tr.Tick(listed, now.Add(unlistedKept-1))
+	_, ok := tr.PerSecond("gone")
+	require.True(t, ok)
+	tr.Tick(listed, now.Add(unlistedKept))
+	_, ok = tr.PerSecond("gone")
+	require.False(t, ok)
+	_, ok = tr.PerSecond("listed")
+	require.True(t, ok)
+}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 )
 
@@ -150,3 +151,38 @@
 		})
 	}
 }
+
+// What was seen in a review: the entry of a server that named a limit lapsed for a moment (another
+// writer's entry, an outage of the key-value service), and on its return the server got everything
+// that callers sent until its next answer. Cause: what a server had said of itself was forgotten with
+// its entry, although its life went on.
+func TestLimitOutlastsTheEntry(t *testing.T) {
+	for name, lapse := range map[string]func(ga *Gateway, now time.Time){
+		"unusable entry": func(ga *Gateway, _ time.Time) { ga.entryUnusable(UnusableServer{ID: "x1"}) },
+		"no entry":       func(ga *Gateway, now time.Time) { ga.serverGone("x1", now) },
+		"lost in an outage": func(ga *Gateway, now time.Time) {
+			ga.servers.StoreLost()
+			ga.serverGone("x1", now)
+			ga.servers.StoreBack(now)
+			ga.dropMissing(now.Add(time.Minute))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := clock.Now()
+			ga, _ := newServing()
+			rate := 1.0
+			ga.takeLimit("x1", &rate, now)
+			ex := newExchange(ga, "")
+			id, ok := ex.Pick("", []string{"x0", "x2"}, now)
+			require.True(t, ok)
+			require.Equal(t, "x1", id)
+			lapse(ga, now)
+			require.Nil(t, ga.servers.Get("x1"))
+			ga.change(serverChange("x1", "dc1"))
+			_, ok = ex.Pick("", []string{"x0", "x2"}, now)
+			require.False(t, ok, "it has had what it takes for now")
+			_, ok = ex.Pick("", []string{"x0", "x2"}, now.Add(time.Second))
+			require.True(t, ok)
+		})
+	}
+}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -31,7 +31,7 @@
 		ga.noteServer(event.ServerListed, se.ID, se.Service+" "+se.Version+" "+se.Address)
 	case se.Born != old.Born:
 		ga.noteEnded(old.Key(), "it has started again", now)
-		ga.pool.Forget(old.Key())
+		ga.pool.ForgetLife(old.Key())
 		ga.noteServer(event.ServerRestarted, se.ID, se.Service+" "+se.Version+" "+se.Address)
 	case se.Draining && !old.Draining:
 		ga.noteServer(event.ServerDraining, se.ID, se.Service)
@@ -151,7 +151,7 @@
 	for _, key := range ga.pool.Warmup.Tick(now) {
 		ga.noteServer(event.ServerWarm, key, "")
 	}
-	ga.pool.Limits.Tick(now)
+	ga.pool.Tick(now)
 	ga.endPauses(now)
 	ga.leavingNews.Tick(now)
 	ga.pauseNews.Tick(now)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -419,11 +419,22 @@
 // Unreachable notes that a server takes no connection. It reports whether that ejects it.
 func (po *Pool) Unreachable(id string, now time.Time) bool { return po.outliers.Unreachable(id, now) }
 
-// Forget drops a server that is gone.
+// Forget drops what was observed of a server whose entry ended. What the server reported about itself
+// stays: its entry may lapse and reappear within one life.
 func (po *Pool) Forget(id string) {
 	po.outliers.Forget(id)
 	po.holdings.forget(id)
 	po.Warmup.Forget(id)
-	po.Limits.Forget(id)
 	delete(po.heard, id)
 }
+
+// ForgetLife drops everything that is known of a server's life that has ended.
+func (po *Pool) ForgetLife(id string) {
+	po.Forget(id)
+	po.Limits.Forget(id)
+}
+
+// Tick drops what no longer counts.
+func (po *Pool) Tick(now time.Time) {
+	po.Limits.Tick(func(id string) bool { return po.Directory.Life(id) != nil }, now)
+}
