--- a/internal/gateway/selfreports_test.go
+++ b/internal/gateway/selfreports_test.go
@@ -288,3 +288,32 @@
 	}})
 	require.Equal(t, map[string]bool{"x0": true, "x1": true}, servedBy(ga, now))
 }
+
+// Retries, resumed streams and trials of blocked requests spare leaving and paused servers as first
+// attempts do: servers crash meanwhile under requests that all callers send.
+func TestEveryWayOfSendingSparesLeavingAndPausedServers(t *testing.T) {
+	for _, gateways := range []int{2, 4, 8} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sc := newScene(t, gateways)
+				sc.play(0, "", 2*time.Second)
+				announced := time.Now()
+				leaving := []string{"s2", "s7"}
+				for _, id := range leaving {
+					sc.servers.leave(id)
+				}
+				for _, id := range []string{"s4", "s11"} {
+					sc.servers.shed(id, askedPause)
+				}
+				sc.play(0, poisonPath, 6*time.Second)
+				sc.replace(gateways - 1)
+				sc.play(0, poisonPath, 6*time.Second)
+				for _, id := range leaving {
+					late := sc.servers.arrivals(id, announced.Add(leaveWithin))
+					require.LessOrEqual(t, len(late), 1, "%s: only the gateway that started anew may send one", id)
+				}
+				require.LessOrEqual(t, sc.servers.mostInPauses(askedPause), mostInPause)
+			})
+		})
+	}
+}
