refactor: rate limits are propagated by gossip; backpressure in the usual terms

One of the four ways in which facts are passed on to other gateways is gone: limits go through package gossip as pauses and shutdowns do, with the same bounds (three hops, one second, 64 a report). Types, functions and comments of backpressure follow the terms of the field (Report, Receive, Notices, Silent, Interval; reportedLimit, update).

No behaviour changes; tests keep their assertions and follow the names.

--- a/internal/backpressure/backpressure.go
+++ b/internal/backpressure/backpressure.go
@@ -1,145 +1,146 @@
-// Package backpressure keeps to the limits that backend servers in need name in their answers:
-// how many requests a second they take from all gateways together. Gateways tell each other
-// which servers name limits, since each sees its own answers only. It does no I/O and reads no
-// clock.
+// Package backpressure tracks what backend servers accept, from what they report in their answers:
+// rate limits, which all gateways share, and pauses, which a server asks of one process. Gateways
+// tell each other, since each sees its own answers only. It does no I/O and reads no clock.
 package backpressure
 
 import (
 	"math"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/quota"
 )
 
 const (
-	// window is the span over which a server's rate is meant: a prompt takes up to seconds, and
-	// a shorter span would hold less than one request at the usual limits of 1 to 3 a second.
+	// window is the span over which a rate limit is enforced. A shorter span would hold less
+	// than one request at common limits of 1 to 3 per second.
 	window = 4 * time.Second
-	// overage and extra bound what may come within a window, as the users' platform does: so
-	// many times the rate, and so many more. The rate itself is what gateways aim at.
+	// overage and extra bound the arrivals within a window: rate * overage + extra. Gateways
+	// aim at the rate itself.
 	overage = 1.5
 	extra   = 5
-	// leastRate is the rate in requests a second at which a server is asked that names less: it
-	// has to answer something to say that it takes more again.
+	// leastRate is the rate in requests per second at which a server with a lower limit is
+	// still called. Only an answer can raise the limit again.
 	leastRate = 0.1
-	// silentFor is how long a server that names a limit may say nothing before it is asked
-	// first: some of the usual answers of a model.
-	silentFor = 2 * time.Second
-	// sameRate is how far a rate may be from the one before, as a part of it, and still be the
-	// same for the log and for other gateways: a server may reckon it anew for each answer.
+	// silentAfter is how long a limited server may send no answer before it is preferred.
+	silentAfter = 2 * time.Second
+	// sameRate is the relative difference below which a new rate is not logged or propagated:
+	// servers may compute it anew for each answer.
 	sameRate = 0.1
+	// unlistedKept is how long the limit of a server without an entry is kept since the server
+	// last reported it: the entry may reappear.
+	unlistedKept = 10 * time.Minute
 )
 
-// Change is what a word on a server changed of what is known of it.
+// Change says what an update changed.
 type Change string
 
 // The changes.
 const (
 	Unchanged Change = ""
-	// Limited servers name a limit, or one that differs from the one before.
+	// Limited: the server started to report a rate limit, or changed it.
 	Limited Change = "limited"
-	// Unlimited servers named one until now.
+	// Unlimited: the server no longer reports a rate limit.
 	Unlimited Change = "unlimited"
 )
 
-// named is what is known of one server that names a limit.
-type named struct {
-	// perSecond is the rate that it takes from all gateways together, known the one that was
-	// logged and told last.
-	perSecond, known float64
-	// since is when this gateway heard of the limit first, sent what it has sent since.
+// reportedLimit is the last rate limit that a server reported.
+type reportedLimit struct {
+	// perSecond is the rate in requests per second for all gateways together, announced the
+	// one that was logged and propagated last.
+	perSecond, announced float64
+	// since is when this gateway learned of the limit, sent what it has sent since.
 	since time.Time
 	sent  int
 }
 
-// Tracker knows which servers name limits and what was sent to each server, each life of one
-// by its key. The zero value knows of none. It is not safe for concurrent use.
+// Tracker holds the rate limits of backend servers and the requests sent to them, by the key of a
+// server's life. The zero value is empty. It is not safe for concurrent use.
 type Tracker struct {
-	limits map[string]*named
-	// uses holds what was sent to servers, whether they name limits or not: when one does,
-	// what was sent just before counts already. heard is when the newest word on a server was
-	// said that names a limit or has named one.
-	uses  map[string]*quota.Use
-	heard map[string]time.Time
-	// news holds what other gateways are to be told.
-	news map[string]news
+	limits map[string]*reportedLimit
+	// uses holds the requests sent to all servers: those sent just before a limit count as well.
+	uses map[string]*quota.Use
+	// reported is when each server reported its limit, or the end of one.
+	reported map[string]time.Time
+	// spread holds the servers whose limits are propagated.
+	spread gossip.Spread
 }
 
-// Heard takes what a server's answer says: the rate that it names, nil for none.
-func (tr *Tracker) Heard(key string, perSecond *float64, now time.Time) Change {
-	return tr.take(key, perSecond, now, 0, now)
+// Report applies what a server reports in an answer: a rate in requests per second, nil for no limit.
+func (tr *Tracker) Report(key string, perSecond *float64, now time.Time) Change {
+	return tr.apply(key, update{perSecond: perSecond, at: now}, now)
 }
 
-// take takes a word that a server said at a time, and that came here by so many gateways.
-func (tr *Tracker) take(key string, perSecond *float64, at time.Time, hops uint8, now time.Time) Change {
-	if perSecond == nil && tr.limits[key] == nil || at.Before(tr.heard[key]) {
+// update is a limit as a server reported it at a time, and how many gateways it passed since.
+type update struct {
+	perSecond *float64
+	at        time.Time
+	hops      uint8
+}
+
+func (tr *Tracker) apply(key string, up update, now time.Time) Change {
+	if up.perSecond == nil && tr.limits[key] == nil || up.at.Before(tr.reported[key]) {
 		return Unchanged
 	}
-	tr.begin()
-	tr.heard[key] = at
-	change := tr.change(key, perSecond, now)
+	if tr.limits == nil {
+		tr.limits = map[string]*reportedLimit{}
+		tr.reported = map[string]time.Time{}
+	}
+	tr.reported[key] = up.at
+	change := tr.set(key, up.perSecond, now)
 	if change != Unchanged {
-		tr.news[key] = news{since: now, hops: hops}
+		tr.spread.Learn(key, up.hops, now)
 	}
 	return change
 }
 
-func (tr *Tracker) begin() {
-	if tr.limits == nil {
-		tr.limits = map[string]*named{}
-		tr.heard = map[string]time.Time{}
-		tr.news = map[string]news{}
-	}
-}
-
-func (tr *Tracker) change(key string, perSecond *float64, now time.Time) Change {
-	na := tr.limits[key]
+func (tr *Tracker) set(key string, perSecond *float64, now time.Time) Change {
+	li := tr.limits[key]
 	switch {
 	case perSecond == nil:
 		delete(tr.limits, key)
 		return Unlimited
-	case na == nil:
-		tr.limits[key] = &named{perSecond: *perSecond, known: *perSecond, since: now}
+	case li == nil:
+		tr.limits[key] = &reportedLimit{perSecond: *perSecond, announced: *perSecond, since: now}
 		return Limited
 	}
-	na.perSecond = *perSecond
-	if math.Abs(na.perSecond-na.known) <= sameRate*na.known {
+	li.perSecond = *perSecond
+	if math.Abs(li.perSecond-li.announced) <= sameRate*li.announced {
 		return Unchanged
 	}
-	na.known = na.perSecond
+	li.announced = li.perSecond
 	return Limited
 }
 
-// PerSecond returns the rate that a server names, false if it names none.
+// PerSecond returns the rate limit of a server in requests per second, false if it has none.
 func (tr *Tracker) PerSecond(key string) (float64, bool) {
-	if na := tr.limits[key]; na != nil {
-		return na.perSecond, true
+	if li := tr.limits[key]; li != nil {
+		return li.perSecond, true
 	}
 	return 0, false
 }
 
-// Unheard reports whether a server names a limit and neither said nor was asked anything for a
-// while.
-func (tr *Tracker) Unheard(key string, now time.Time) bool {
-	if tr.limits[key] == nil || now.Sub(tr.heard[key]) < silentFor {
+// Silent reports whether a limited server neither answered nor was called for a while.
+func (tr *Tracker) Silent(key string, now time.Time) bool {
+	if tr.limits[key] == nil || now.Sub(tr.reported[key]) < silentAfter {
 		return false
 	}
 	us := tr.uses[key]
-	return us == nil || us.Since(now) >= silentFor
+	return us == nil || us.Since(now) >= silentAfter
 }
 
-// Pause returns the mean time between two requests to a server from everybody together, false
-// if it names no limit.
-func (tr *Tracker) Pause(key string) (time.Duration, bool) {
-	na := tr.limits[key]
-	if na == nil {
+// Interval returns the mean time between two requests to a server from all gateways together, false
+// if the server has no limit.
+func (tr *Tracker) Interval(key string) (time.Duration, bool) {
+	li := tr.limits[key]
+	if li == nil {
 		return 0, false
 	}
-	return time.Duration(float64(time.Second) / max(leastRate, na.perSecond)), true
+	return time.Duration(float64(time.Second) / max(leastRate, li.perSecond)), true
 }
 
-// limit returns what a server may get that names a rate.
-func limit(perSecond float64) quota.Limit {
+// quotaFor returns the quota of a server with a rate limit.
+func quotaFor(perSecond float64) quota.Limit {
 	return quota.Limit{
 		PerSecond: max(leastRate, perSecond), Most: overage*perSecond*window.Seconds() + extra, Window: window, Endless: true,
 	}
@@ -147,18 +148,18 @@
 
 // Wait returns how long a gateway sends nothing to a server, zero if it may send now.
 func (tr *Tracker) Wait(key string, gw quota.Gateway, now time.Time) time.Duration {
-	na := tr.limits[key]
-	if na == nil {
+	li := tr.limits[key]
+	if li == nil {
 		return 0
 	}
 	us := tr.uses[key]
 	if us == nil {
 		us = &quota.Use{}
 	}
-	return limit(na.perSecond).Wait(us, gw, key, now)
+	return quotaFor(li.perSecond).Wait(us, gw, key, now)
 }
 
-// Sent notes that a request is sent to a server.
+// Sent records that a request is sent to a server.
 func (tr *Tracker) Sent(key string, now time.Time) {
 	if tr.uses == nil {
 		tr.uses = map[string]*quota.Use{}
@@ -169,51 +170,42 @@
 		tr.uses[key] = us
 	}
 	us.Add(now)
-	if na := tr.limits[key]; na != nil {
-		na.sent++
+	if li := tr.limits[key]; li != nil {
+		li.sent++
 	}
 }
 
-// Use returns how many requests this gateway has sent to a server since it heard of its limit,
-// and how long that is ago; both are zero if it names none.
+// Use returns how many requests this gateway has sent to a server since it learned of its limit, and
+// how long ago that was; both are zero if the server has none.
 func (tr *Tracker) Use(key string, now time.Time) (sent int, lasts time.Duration) {
-	if na := tr.limits[key]; na != nil {
-		return na.sent, now.Sub(na.since)
+	if li := tr.limits[key]; li != nil {
+		return li.sent, now.Sub(li.since)
 	}
 	return 0, 0
 }
 
-// Forget drops a server that is gone.
+// Forget drops a server whose life has ended.
 func (tr *Tracker) Forget(key string) {
 	delete(tr.limits, key)
 	delete(tr.uses, key)
-	delete(tr.heard, key)
-	delete(tr.news, key)
+	delete(tr.reported, key)
+	tr.spread.Forget(key)
 }
 
-// unlistedKept is how long the limit of a server that is not listed is remembered since the server
-// last reported it: its entry may reappear.
-const unlistedKept = 10 * time.Minute
-
-// Tick drops what does not count any more. listed reports whether a server has an entry.
+// Tick drops expired state. listed reports whether a server has an entry.
 func (tr *Tracker) Tick(listed func(key string) bool, now time.Time) {
-	for key := range tr.limits {
-		if now.Sub(tr.heard[key]) >= unlistedKept && !listed(key) {
-			tr.Forget(key)
-		}
-	}
+	tr.spread.Tick(now)
 	for key, us := range tr.uses {
 		if us.Idle(now) {
 			delete(tr.uses, key)
 		}
 	}
-	for key, ne := range tr.news {
-		if now.Sub(ne.since) < newsKept {
-			continue
-		}
-		delete(tr.news, key)
-		if tr.limits[key] == nil {
-			delete(tr.heard, key)
+	for key, at := range tr.reported {
+		switch {
+		case tr.limits[key] == nil && !tr.spread.Spreads(key):
+			delete(tr.reported, key)
+		case tr.limits[key] != nil && now.Sub(at) >= unlistedKept && !listed(key):
+			tr.Forget(key)
 		}
 	}
 }
--- a/internal/backpressure/backpressure_test.go
+++ b/internal/backpressure/backpressure_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/quota"
 )
 
@@ -17,16 +18,16 @@
 
 func TestALimitHoldsUntilAnAnswerNamesNone(t *testing.T) {
 	var tr Tracker
-	require.Equal(t, Unchanged, tr.Heard("a", nil, t0))
-	require.Equal(t, Limited, tr.Heard("a", rate(2), t0))
-	require.Equal(t, Unchanged, tr.Heard("a", rate(2.1), t0))
-	require.Equal(t, Limited, tr.Heard("a", rate(4), t0))
+	require.Equal(t, Unchanged, tr.Report("a", nil, t0))
+	require.Equal(t, Limited, tr.Report("a", rate(2), t0))
+	require.Equal(t, Unchanged, tr.Report("a", rate(2.1), t0))
+	require.Equal(t, Limited, tr.Report("a", rate(4), t0))
 	perSecond, ok := tr.PerSecond("a")
 	require.True(t, ok)
 	require.InDelta(t, 4, perSecond, 1e-9)
 	_, ok = tr.PerSecond("b")
 	require.False(t, ok)
-	require.Equal(t, Unlimited, tr.Heard("a", nil, t0))
+	require.Equal(t, Unlimited, tr.Report("a", nil, t0))
 	_, ok = tr.PerSecond("a")
 	require.False(t, ok)
 }
@@ -34,7 +35,7 @@
 func TestTheUseOfALimitIsCounted(t *testing.T) {
 	var tr Tracker
 	tr.Sent("a", t0)
-	tr.Heard("a", rate(2), t0)
+	tr.Report("a", rate(2), t0)
 	tr.Sent("a", t0)
 	tr.Sent("a", t0)
 	sent, lasts := tr.Use("a", t0.Add(time.Second))
@@ -60,14 +61,14 @@
 	}
 	now := t0.Add(600 * time.Millisecond)
 	require.Zero(t, tr.Wait("a", four, now))
-	tr.Heard("a", rate(1.6), now)
+	tr.Report("a", rate(1.6), now)
 	require.Greater(t, tr.Wait("a", four, now), 3*time.Second)
 	require.Zero(t, tr.Wait("b", four, now))
 }
 
 func TestTheRateIsKeptTo(t *testing.T) {
 	var tr Tracker
-	tr.Heard("a", rate(2), t0)
+	tr.Report("a", rate(2), t0)
 	sent := 0
 	for now := t0; now.Before(t0.Add(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
 		if tr.Wait("a", alone, now) == 0 {
@@ -85,7 +86,7 @@
 // more again.
 func TestAServerThatTakesNothingIsAskedSeldom(t *testing.T) {
 	var tr Tracker
-	tr.Heard("a", rate(0), t0)
+	tr.Report("a", rate(0), t0)
 	sent := 0
 	for now := t0; now.Before(t0.Add(time.Minute)); now = now.Add(100 * time.Millisecond) {
 		if tr.Wait("a", alone, now) == 0 {
@@ -98,20 +99,20 @@
 
 func TestASilentServerIsAskedFirst(t *testing.T) {
 	var tr Tracker
-	require.False(t, tr.Unheard("a", t0), "it names no limit")
-	tr.Heard("a", rate(2), t0)
-	require.False(t, tr.Unheard("a", t0.Add(time.Second)))
-	require.True(t, tr.Unheard("a", t0.Add(silentFor)))
-	tr.Sent("a", t0.Add(silentFor))
-	require.False(t, tr.Unheard("a", t0.Add(silentFor+time.Second)), "it was just asked")
-	tr.Heard("a", rate(2), t0.Add(silentFor+time.Second))
-	require.False(t, tr.Unheard("a", t0.Add(2*silentFor)))
+	require.False(t, tr.Silent("a", t0), "it names no limit")
+	tr.Report("a", rate(2), t0)
+	require.False(t, tr.Silent("a", t0.Add(time.Second)))
+	require.True(t, tr.Silent("a", t0.Add(silentAfter)))
+	tr.Sent("a", t0.Add(silentAfter))
+	require.False(t, tr.Silent("a", t0.Add(silentAfter+time.Second)), "it was just asked")
+	tr.Report("a", rate(2), t0.Add(silentAfter+time.Second))
+	require.False(t, tr.Silent("a", t0.Add(2*silentAfter)))
 }
 
 // carry passes a tracker's news on to another one.
-func carry(from, to *Tracker, by Peer, now time.Time) (changes int) {
-	for _, no := range from.News(by, now) {
-		if to.Told(no, now) != Unchanged {
+func carry(from, to *Tracker, by gossip.Peer, now time.Time) (changes int) {
+	for _, no := range from.Notices(by, now) {
+		if to.Receive(no, now) != Unchanged {
 			changes++
 		}
 	}
@@ -120,30 +121,30 @@
 
 func TestGatewaysTellEachOther(t *testing.T) {
 	var first, collector, other, last Tracker
-	first.Heard("a", rate(2), t0)
+	first.Report("a", rate(2), t0)
 	now := t0.Add(100 * time.Millisecond)
-	require.Equal(t, 1, carry(&first, &collector, ToCollector, now))
-	require.Equal(t, 1, carry(&collector, &other, BetweenCollectors, now))
-	require.Zero(t, carry(&other, &collector, BetweenCollectors, now), "no word goes round")
-	require.Equal(t, 1, carry(&other, &last, ToMember, now))
-	require.Empty(t, last.News(ToCollector, now))
-	require.Zero(t, carry(&first, &collector, ToCollector, now), "told once more")
+	require.Equal(t, 1, carry(&first, &collector, gossip.ToCollector, now))
+	require.Equal(t, 1, carry(&collector, &other, gossip.BetweenCollectors, now))
+	require.Zero(t, carry(&other, &collector, gossip.BetweenCollectors, now), "no word goes round")
+	require.Equal(t, 1, carry(&other, &last, gossip.ToMember, now))
+	require.Empty(t, last.Notices(gossip.ToCollector, now))
+	require.Zero(t, carry(&first, &collector, gossip.ToCollector, now), "told once more")
 	_, ok := last.PerSecond("a")
 	require.True(t, ok)
 
 	// It ends, and a word from before its end comes late.
-	late := first.News(ToCollector, now)
-	require.Equal(t, Unlimited, first.Heard("a", nil, now.Add(300*time.Millisecond)))
+	late := first.Notices(gossip.ToCollector, now)
+	require.Equal(t, Unlimited, first.Report("a", nil, now.Add(300*time.Millisecond)))
 	now = now.Add(400 * time.Millisecond)
-	require.Equal(t, 1, carry(&first, &collector, ToCollector, now))
-	late[0].Ago = 500 * time.Millisecond
-	require.Equal(t, Unchanged, collector.Told(late[0], now))
+	require.Equal(t, 1, carry(&first, &collector, gossip.ToCollector, now))
+	late[0].Age = 500 * time.Millisecond
+	require.Equal(t, Unchanged, collector.Receive(late[0], now))
 	_, ok = collector.PerSecond("a")
 	require.False(t, ok)
 
-	collector.Tick(func(string) bool { return true }, now.Add(newsKept))
-	require.Empty(t, collector.News(ToMember, now.Add(newsKept)))
-	require.Empty(t, collector.heard, "nothing is left of it")
+	collector.Tick(func(string) bool { return true }, now.Add(gossip.KeepFor))
+	require.Empty(t, collector.Notices(gossip.ToMember, now.Add(gossip.KeepFor)))
+	require.Empty(t, collector.reported, "nothing is left of it")
 }
 
 func TestWhatCanBeNoNoticeChangesNothing(t *testing.T) {
@@ -153,24 +154,24 @@
 		{PerSecond: rate(1)},
 		{Server: "a", PerSecond: rate(-1)},
 		{Server: "a", PerSecond: &nan},
-		{Server: "a", PerSecond: rate(1), Ago: -1},
-		{Server: "a", PerSecond: rate(1), Hops: mostHops},
+		{Server: "a", PerSecond: rate(1), Age: -1},
+		{Server: "a", PerSecond: rate(1), Hops: gossip.MostHops},
 	} {
-		require.Equal(t, Unchanged, tr.Told(no, t0), "%+v", no)
+		require.Equal(t, Unchanged, tr.Receive(no, t0), "%+v", no)
 	}
 	require.Empty(t, tr.limits)
-	for i := range 2 * mostTold {
-		tr.Heard(fmt.Sprint(i), rate(1), t0)
+	for i := range 2 * gossip.MostPerReport {
+		tr.Report(fmt.Sprint(i), rate(1), t0)
 	}
-	require.Len(t, tr.News(ToCollector, t0), mostTold)
+	require.Len(t, tr.Notices(gossip.ToCollector, t0), gossip.MostPerReport)
 }
 
 func TestLimitsOfServersThatAreNotListedEnd(t *testing.T) {
 	var tr Tracker
 	now := time.Unix(1000, 0)
 	rate := 2.0
-	tr.Heard("listed", &rate, now)
-	tr.Heard("gone", &rate, now)
+	tr.Report("listed", &rate, now)
+	tr.Report("gone", &rate, now)
 	listed := func(key string) bool { return key == "listed" }
 	tr.Tick(listed, now.Add(unlistedKept-1))
 	_, ok := tr.PerSecond("gone")
--- a/internal/backpressure/ways_test.go
+++ b/internal/backpressure/ways_test.go
@@ -27,7 +27,7 @@
 func newTaken(server string, gateways int, perSecond float64) *taken {
 	ta := &taken{server: server, trackers: make([]Tracker, gateways)}
 	for i := range ta.trackers {
-		ta.trackers[i].Heard(server, &perSecond, t0)
+		ta.trackers[i].Report(server, &perSecond, t0)
 	}
 	return ta
 }
@@ -138,7 +138,7 @@
 // The table of docs/design/backpressure.md.
 func TestTheBoundHoldsForAllGatewaysTogether(t *testing.T) {
 	for _, perSecond := range []float64{0.2, 1.6, 6} {
-		li := limit(perSecond)
+		li := quotaFor(perSecond)
 		for _, gateways := range []int{1, 4, 13, 23, 103, 300} {
 			rn := rand.New(rand.NewPCG(1, uint64(gateways)))
 			worst := map[string]outcome{}
--- a/internal/gate/limit.go
+++ b/internal/gate/limit.go
@@ -7,11 +7,11 @@
 	"github.com/linnetrudder/linnetrudder/internal/quota"
 )
 
-// Limit takes what an answer of the server says of what it takes, in requests a second from
-// everybody together; nil if it names no limit. Attempts that wait may start then.
+// Limit records the rate limit in requests per second that the server reports, nil for none. Queued
+// attempts may start then.
 func (ga *Gate) Limit(perSecond *float64, now time.Time) (backpressure.Change, []Action) {
 	ga.observe(now)
-	change := ga.limits.Heard(ga.Server, perSecond, now)
+	change := ga.limits.Report(ga.Server, perSecond, now)
 	if change == backpressure.Unchanged {
 		return change, nil
 	}
--- a/internal/gate/order.go
+++ b/internal/gate/order.go
@@ -115,8 +115,8 @@
 // all slots at the smoothed rate, or at the rate that the server names, after its pause.
 func (ga *Gate) wait(place int) time.Duration {
 	wait := ga.pauses.Left(ga.Server, ga.seen) + ga.service*time.Duration(place)/time.Duration(max(1, ga.slots()))
-	if pause, ok := ga.limits.Pause(ga.Server); ok {
-		wait = max(wait, ga.limitWait(ga.seen)+time.Duration(place-1)*pause)
+	if interval, ok := ga.limits.Interval(ga.Server); ok {
+		wait = max(wait, ga.limitWait(ga.seen)+time.Duration(place-1)*interval)
 	}
 	return wait
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -8,24 +8,24 @@
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 )
 
-// takeLimit takes what a server's answer says of its limit, nil for none; the lock is held.
+// takeLimit records the limit that a server's answer reports, nil for none. The lock is held.
 func (ga *Gateway) takeLimit(server string, limit *float64, now time.Time) {
 	sent, lasts := ga.pool.Limits.Use(server, now)
-	ga.noteLimit(ga.pool.Limits.Heard(server, limit, now), server, sent, lasts, "")
+	ga.noteLimit(ga.pool.Limits.Report(server, limit, now), server, sent, lasts, "")
 }
 
-// heardOfLimits takes what another gateway tells of servers that name limits; the lock is held.
-func (ga *Gateway) heardOfLimits(re relay.Report, now time.Time) {
+// takeLimitNotices takes another gateway's notices of rate limits. The lock is held.
+func (ga *Gateway) takeLimitNotices(re relay.Report, now time.Time) {
 	for _, no := range re.Limits {
 		if ga.servers.Life(no.Server) == nil {
 			continue
 		}
 		sent, lasts := ga.pool.Limits.Use(no.Server, now)
-		ga.noteLimit(ga.pool.Limits.Told(no, now), no.Server, sent, lasts, re.Box)
+		ga.noteLimit(ga.pool.Limits.Receive(no, now), no.Server, sent, lasts, re.Box)
 	}
 }
 
-// noteLimit logs a changed limit, and which gateway told of it, "" for the server itself; the
+// noteLimit logs a changed limit and the gateway that propagated it, "" for the server itself. The
 // lock is held.
 func (ga *Gateway) noteLimit(ch backpressure.Change, server string, sent int, lasts time.Duration, by string) {
 	id, le := event.ServerUnlimited, ga.Log.Info()
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/linnetrudder/linnetrudder/internal/backpressure"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/gossip"
@@ -143,12 +142,11 @@
 	re.Work = re.Work.Busiest(loadServers)
 	now := clock.Now()
 	re.Ready = ga.isReady(now)
-	to, peer := backpressure.ToCollector, gossip.ToCollector
+	to := gossip.ToCollector
 	if collector {
-		to, peer = backpressure.BetweenCollectors, gossip.BetweenCollectors
+		to = gossip.BetweenCollectors
 	}
-	re.Limits = ga.pool.Limits.News(to, now)
-	ga.addNotices(&re, peer, now)
+	ga.addNotices(&re, to, now)
 	return ga.blockNews(re, now)
 }
 
@@ -170,7 +168,6 @@
 	ga.takeGroup(answer, now)
 	ga.heardOf(answer, now)
 	ga.heardOfBlocks(answer, now)
-	ga.heardOfLimits(answer, now)
 	ga.takeNotices(answer, now)
 }
 
@@ -219,13 +216,12 @@
 	defer ga.mu.Unlock()
 	ga.heardOf(re, now)
 	ga.heardOfBlocks(re, now)
-	ga.heardOfLimits(re, now)
 	ga.takeNotices(re, now)
 	var work load.Work
 	var gateways int
-	to, peer := backpressure.ToMember, gossip.ToMember
+	to := gossip.ToMember
 	if re.Collector {
-		to, peer = backpressure.BetweenCollectors, gossip.BetweenCollectors
+		to = gossip.BetweenCollectors
 		ga.takeGroup(re, now)
 		work, gateways = ga.loads.Group(ga.pool.Work()), ga.loads.GroupSize()
 	} else {
@@ -236,9 +232,8 @@
 	}
 	answer := relay.Report{
 		Box: ga.Box, Collector: true, Work: work.Busiest(loadServers), Ready: ga.isReady(now), Gateways: gateways,
-		Limits: ga.pool.Limits.News(to, now),
 	}
-	ga.addNotices(&answer, peer, now)
+	ga.addNotices(&answer, to, now)
 	return ga.blockNews(answer, now)
 }
 
--- a/internal/gateway/selfreports.go
+++ b/internal/gateway/selfreports.go
@@ -86,9 +86,9 @@
 	ga.noteServer(event.ServerLeaving, key, detail)
 }
 
-// takeNotices takes another gateway's notices of servers that announced their shutdown or asked for a
-// pause. The lock is held.
+// takeNotices takes another gateway's notices of what servers reported. The lock is held.
 func (ga *Gateway) takeNotices(re relay.Report, now time.Time) {
+	ga.takeLimitNotices(re, now)
 	for _, no := range re.Leaving {
 		if no.Valid() {
 			ga.serverLeaves(no.Server, now.Add(-no.Age), no.Hops+1, "announced to "+re.Box)
@@ -101,9 +101,9 @@
 	}
 }
 
-// addNotices adds to a report what its receiver is told of servers that announced their shutdown or
-// asked for a pause. The lock is held.
+// addNotices adds notices of what servers reported to a report for another gateway. The lock is held.
 func (ga *Gateway) addNotices(re *relay.Report, to gossip.Peer, now time.Time) {
+	re.Limits = ga.pool.Limits.Notices(to, now)
 	for _, fa := range ga.leavingNews.Due(to, now) {
 		if at, ok := ga.servers.LeavingSince(fa.Key()); ok {
 			re.Leaving = append(re.Leaving, gossip.Notice{Server: fa.Key(), Age: max(0, now.Sub(at)), Hops: fa.Hops()})
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -12,8 +12,8 @@
 	// KeepFor is how long a fact is passed on. Reports are sent ten times per second, so
 	// that a few of them may be lost.
 	KeepFor = time.Second
-	// mostPerReport bounds the facts of one kind in one report, at about 25 B each.
-	mostPerReport = 64
+	// MostPerReport bounds the facts of one kind in one report, at about 25 B each.
+	MostPerReport = 64
 	// MostHops is how many gateways a fact may pass. Without a bound it would circulate
 	// forever: each gateway adds the transfer time to its age unnoticed.
 	MostHops = 3
@@ -80,7 +80,7 @@
 func (sp *Spread) Due(to Peer, now time.Time) []Fact {
 	var list []Fact
 	for key, le := range sp.facts {
-		if le.hops <= to.hops() && now.Sub(le.at) < KeepFor && len(list) < mostPerReport {
+		if le.hops <= to.hops() && now.Sub(le.at) < KeepFor && len(list) < MostPerReport {
 			list = append(list, Fact{key: key, hops: le.hops})
 		}
 	}
@@ -93,6 +93,9 @@
 	return ok
 }
 
+// Forget stops passing a fact on.
+func (sp *Spread) Forget(key string) { delete(sp.facts, key) }
+
 // Tick drops the facts that are no longer passed on.
 func (sp *Spread) Tick(now time.Time) {
 	maps.DeleteFunc(sp.facts, func(_ string, le learned) bool { return now.Sub(le.at) >= KeepFor })
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -38,10 +38,10 @@
 func TestReportsAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var sp Spread
-	for i := range 10 * mostPerReport {
+	for i := range 10 * MostPerReport {
 		sp.Learn(fmt.Sprint(i), 0, now)
 	}
-	require.Len(t, sp.Due(ToMember, now), mostPerReport)
+	require.Len(t, sp.Due(ToMember, now), MostPerReport)
 }
 
 func TestMalformedNoticesAreRefused(t *testing.T) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -103,9 +103,9 @@
 	Fleet int
 	// Loads holds the work of the other processes.
 	Loads *load.Table
-	// Warmup knows which servers are cold.
+	// Warmup tracks cold servers.
 	Warmup warmup.Tracker
-	// Limits knows which servers name limits.
+	// Limits tracks the rate limits of servers.
 	Limits backpressure.Tracker
 	// Pauses tracks servers that asked for a pause.
 	Pauses backpressure.Pauses
@@ -154,7 +154,7 @@
 	if ask.Few > 0 && ask.Few < len(list) {
 		list = few(list, ask.Few, ask.FewKey)
 	}
-	if se := po.unheard(list, now); se != nil {
+	if se := po.silent(list, now); se != nil {
 		list = []*directory.Server{se}
 	}
 	if ask.Alone {
@@ -189,14 +189,11 @@
 	return avoid && (!probe || !free)
 }
 
-// unheard returns a server that names a limit and has said nothing for a while, nil if there is
-// none: few processes may ask it, and if these prefer others nobody learns that it takes more
-// again. Before 23 processes one of two such servers got nothing for 19 s in two of three
-// plays, and nothing in the 6 s after its limit's end in the third; in none of three with it
-// (gateway.TestAServerGetsWhatItNames).
-func (po *Pool) unheard(list []*directory.Server, now time.Time) *directory.Server {
+// silent returns a limited server that has not answered for a while, nil if there is none. Few processes
+// may call it, and if these prefer others nobody learns that its limit has ended.
+func (po *Pool) silent(list []*directory.Server, now time.Time) *directory.Server {
 	for _, se := range list {
-		if po.Limits.Unheard(se.Key(), now) {
+		if po.Limits.Silent(se.Key(), now) {
 			return se
 		}
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -302,7 +302,7 @@
 	po.Fleet = 1
 	rate := 0.1
 	for _, se := range po.Directory.Servers("svc") {
-		po.Limits.Heard(se.Key(), &rate, now)
+		po.Limits.Report(se.Key(), &rate, now)
 		po.Limits.Sent(se.Key(), now)
 	}
 	require.Equal(t, longestQuotaWait, po.Wait(Ask{Service: "svc"}, now))
