--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -110,7 +110,7 @@
 
 // cool notes for how long a server is cold; the lock is held.
 func (ga *Gateway) cool(se *directory.Server, left time.Duration, now time.Time) {
-	if ga.pool.Warmup.Heard(se.Key(), left, now) {
+	if ga.pool.Warmup.Cool(se.Key(), left, now) {
 		ga.noteServer(event.ServerCold, se.Key(), strconv.FormatInt(left.Milliseconds(), 10)+" ms")
 	}
 }
--- a/internal/quota/fleet.go
+++ b/internal/quota/fleet.go
@@ -3,27 +3,25 @@
 import "time"
 
 const (
-	// fleetMemory is how long a number of gateways is remembered: while collectors change
-	// or data centres are cut off from each other, fewer are heard of than there are.
+	// fleetMemory is how long a count of gateways is kept: while collectors change or data
+	// centres are partitioned, a gateway sees only some of the others.
 	fleetMemory = 30 * time.Second
-	// settleTime is how long a gateway that has just started does not believe that it has
-	// heard of all others: reports come ten times a second, once their collectors run.
+	// settleTime is how long after its start a gateway may not know of all others yet.
 	settleTime = 3 * time.Second
-	// presumed is how many gateways there are taken to be until then: the most that the
-	// system is built for.
+	// presumed is the number of gateways assumed until then, the largest supported.
 	presumed = 410
 )
 
-// Fleet knows how many gateways there may be. The zero value has not begun. It is not safe
-// for concurrent use.
+// Fleet estimates the number of gateways from above. The zero value has seen none. It is not safe for
+// concurrent use.
 type Fleet struct {
 	began time.Time
-	// present is the most that was heard of since turned, before that of the time before.
+	// present is the largest count since turned, before the largest of the period before.
 	present, before int
 	turned          time.Time
 }
 
-// Observe takes how many gateways are known.
+// Observe records the number of known gateways.
 func (fl *Fleet) Observe(gateways int, now time.Time) {
 	if fl.began.IsZero() {
 		fl.began, fl.turned = now, now
@@ -34,7 +32,7 @@
 	fl.present = max(fl.present, gateways)
 }
 
-// Most returns how many gateways there may be.
+// Most returns the estimate.
 func (fl *Fleet) Most(now time.Time) int {
 	if fl.began.IsZero() || now.Sub(fl.began) < settleTime {
 		return presumed
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -1,6 +1,6 @@
-// Package warmup bounds what backend servers get that are cold: for some seconds after a
-// start they bear a part of their usual load only, and the bound holds for the requests
-// of all gateways together. It does no I/O and reads no clock.
+// Package warmup limits the requests to cold backend servers: for some seconds after a start a server
+// handles only a part of its usual load. The limit applies to all gateways together. It does no I/O
+// and reads no clock.
 package warmup
 
 import (
@@ -9,27 +9,26 @@
 	"github.com/linnetrudder/linnetrudder/internal/quota"
 )
 
-// Window is the span in which the bound on requests to a cold server is.
+// Window is the span over which the limit of a cold server is enforced.
 const Window = time.Second
 
-// server is what is known of one server.
+// server is the state of one cold server.
 type server struct {
 	// until is when it is warm.
 	until time.Time
-	// use is what was sent to it while it was cold.
+	// use holds the requests sent to it while it was cold.
 	use quota.Use
 }
 
-// Tracker knows which servers are cold and what was sent to them. The zero value knows of no
-// cold server. It is not safe for concurrent use.
+// Tracker holds the cold servers and the requests sent to them, by the key of a server's life. The zero
+// value is empty. It is not safe for concurrent use.
 type Tracker struct {
 	servers map[string]*server
 }
 
-// Heard takes that a server is cold for so long. What was heard before is never
-// shortened: it may have been told of a later moment. It reports whether the server was
-// warm until now.
-func (tr *Tracker) Heard(key string, left time.Duration, now time.Time) (cooled bool) {
+// Cool records that a server is cold for a duration. A time reported before is never shortened, since
+// reports may arrive out of order. It reports whether the server was warm.
+func (tr *Tracker) Cool(key string, left time.Duration, now time.Time) (cooled bool) {
 	if left <= 0 {
 		return false
 	}
@@ -48,7 +47,7 @@
 	return cooled
 }
 
-// Left returns how long a server is still cold, zero if it is warm.
+// Left returns how long a server stays cold, zero if it is warm.
 func (tr *Tracker) Left(key string, now time.Time) time.Duration {
 	if se := tr.servers[key]; se != nil {
 		return max(0, se.until.Sub(now))
@@ -65,17 +64,17 @@
 	return min(li.Wait(&se.use, gw, key, now), se.until.Sub(now))
 }
 
-// Sent notes that a request is sent to a server.
+// Sent records that a request is sent to a server.
 func (tr *Tracker) Sent(key string, now time.Time) {
 	if se := tr.servers[key]; se != nil && now.Before(se.until) {
 		se.use.Add(now)
 	}
 }
 
-// Forget drops a server that is gone.
+// Forget drops a server.
 func (tr *Tracker) Forget(key string) { delete(tr.servers, key) }
 
-// Tick drops the servers that are warm and returns them.
+// Tick drops the servers that became warm and returns them.
 func (tr *Tracker) Tick(now time.Time) (warm []string) {
 	for key, se := range tr.servers {
 		if !now.Before(se.until) {
--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -22,8 +22,8 @@
 		require.Zero(t, tr.Wait("a", usual, alone, t0))
 		tr.Sent("a", t0)
 	}
-	require.True(t, tr.Heard("a", time.Second, t0))
-	require.False(t, tr.Wait("a", usual, alone, t0.Add(-1)) == 0 && tr.Heard("a", time.Second, t0))
+	require.True(t, tr.Cool("a", time.Second, t0))
+	require.False(t, tr.Wait("a", usual, alone, t0.Add(-1)) == 0 && tr.Cool("a", time.Second, t0))
 	tr.Sent("a", t0)
 	require.Positive(t, tr.Wait("a", usual, alone, t0.Add(10*time.Millisecond)))
 	require.Zero(t, tr.Wait("a", quota.Limit{}, alone, t0.Add(10*time.Millisecond)), "a service without a bound")
@@ -34,12 +34,12 @@
 
 func TestWhatWasHeardFirstIsNeverShortened(t *testing.T) {
 	var tr Tracker
-	require.True(t, tr.Heard("a", 3*time.Second, t0))
-	require.False(t, tr.Heard("a", time.Second, t0.Add(time.Second)))
+	require.True(t, tr.Cool("a", 3*time.Second, t0))
+	require.False(t, tr.Cool("a", time.Second, t0.Add(time.Second)))
 	require.Equal(t, 2*time.Second, tr.Left("a", t0.Add(time.Second)))
-	require.False(t, tr.Heard("a", 0, t0.Add(time.Second)), "an entry that says nothing of it")
+	require.False(t, tr.Cool("a", 0, t0.Add(time.Second)), "an entry that says nothing of it")
 	require.Equal(t, 2*time.Second, tr.Left("a", t0.Add(time.Second)))
-	require.False(t, tr.Heard("a", 3*time.Second, t0.Add(time.Second)))
+	require.False(t, tr.Cool("a", 3*time.Second, t0.Add(time.Second)))
 	require.Equal(t, 3*time.Second, tr.Left("a", t0.Add(time.Second)))
 	tr.Forget("a")
 	require.Zero(t, tr.Left("a", t0.Add(time.Second)))
