feat: logs and explain tell of answers that were held, of pauses and of shutdowns

A request that ends with the answer held since its escalation logged the attempt that was rejected as its last one. It now logs the attempt whose answer the caller got, and event 212 names both. explain counts the servers that were paused or had announced their shutdown at the box.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -30,6 +30,7 @@
 	RequestUnblocked ID = 209
 	BlockDoubted     ID = 210
 	BlockTried       ID = 211
+	RequestFellBack  ID = 212
 	AttemptAdmitted  ID = 300
 	AttemptQueued    ID = 301
 	AttemptRefused   ID = 302
@@ -125,6 +126,7 @@
 	{RequestUnblocked, "request_unblocked", "copies of a request are sent to backend servers again"},
 	{BlockDoubted, "block_doubted", "another process blocked a request that servers answer here and live on; the block is ended"},
 	{BlockTried, "block_tried", "one copy of a blocked request is sent to a backend server, to see whether it does harm"},
+	{RequestFellBack, "request_fell_back", "a larger model gave no answer, and the answer held since the escalation is delivered"},
 	{AttemptAdmitted, "attempt_admitted", "the agent started an attempt on its backend server"},
 	{AttemptQueued, "attempt_queued", "the agent put an attempt into its queue"},
 	{AttemptRefused, "attempt_refused", "the agent refused an attempt; it did not run"},
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -29,7 +29,7 @@
 
 // deliver gives the caller the answer of an attempt.
 func (ex *exchange) deliver(ctx context.Context, se *sent) {
-	ex.head = clock.Now()
+	ex.head, ex.final = clock.Now(), se
 	if se.answer.Stream {
 		ex.deliverStream(ctx, se)
 		return
@@ -95,6 +95,7 @@
 		if se = ex.resume(ctx, err); se == nil {
 			return
 		}
+		ex.final = se
 	}
 }
 
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/direct"
+	"github.com/linnetrudder/linnetrudder/internal/event"
 )
 
 // rejectionTime is how long an answer is held after an escalation from it: servers reject an attempt
@@ -44,6 +45,15 @@
 	}
 }
 
+// fallBack frees the attempt that was to improve on the held answer, and returns the latter's.
+func (ex *exchange) fallBack(at *sent) *sent {
+	at.drop()
+	held := ex.takeHeld()
+	ex.ga.Log.Info().Int("event", int(event.RequestFellBack)).Str("request", ex.as.ID).Str("server", held.server.ID).
+		Str("model", held.step.Model()).Str("before", at.server.ID).Err(at.err).Msg(event.Name(event.RequestFellBack))
+	return held
+}
+
 // takeHeld returns the held answer.
 func (ex *exchange) takeHeld() *sent {
 	at := ex.held.attempt
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -106,6 +106,8 @@
 	smallest int
 	// held is the answer of before an escalation, nil once it is not needed any more.
 	held *heldAnswer
+	// final is the attempt whose answer the caller gets, nil before there is one.
+	final *sent
 	// delivered is the id of the last event that the caller got.
 	delivered string
 	// head is when the head came of the answer that the caller gets first.
@@ -284,8 +286,7 @@
 			step = ex.outcome(ctx, at)
 		case direct.Deliver:
 			if step.Fallback() {
-				at.drop()
-				at = ex.takeHeld()
+				at = ex.fallBack(at)
 			}
 			ex.deliver(ctx, at)
 			return
@@ -339,7 +340,7 @@
 		Str("session", ex.session).Int("code", int(co)).Uint64("version", ex.table.Version()).Dur("age_ms", ex.age).Dur("ms", took).
 		Int("sends", len(ex.attempts)).Int("runs", ex.request.Runs()).
 		Str("print", ex.print.String())
-	if last := ex.attempts[len(ex.attempts)]; last != nil {
+	if last := ex.last(); last != nil {
 		le = last.describe(le)
 	}
 	if len(ex.request.Models) > 0 {
@@ -347,3 +348,11 @@
 	}
 	le.Str("detail", detail).Msg(event.Name(id))
 }
+
+// last returns the attempt that a request ended with, nil if there was none.
+func (ex *exchange) last() *sent {
+	if ex.final != nil {
+		return ex.final
+	}
+	return ex.attempts[len(ex.attempts)]
+}
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -69,7 +69,8 @@
 	switch id {
 	case event.ProcessStarted, event.ProcessStopping, event.StoreLost, event.StoreRegained, event.StateRead, event.ConfigInForce,
 		event.CentreEvacuated, event.CentreRestored, event.ServerCold, event.ServerWarm,
-		event.ServerLimited, event.ServerUnlimited:
+		event.ServerLimited, event.ServerUnlimited, event.ServerPaused, event.ServerResumed,
+		event.ServerLeaving, event.ServerGone:
 		return true
 	}
 	return false
@@ -113,6 +114,8 @@
 	case event.RequestEscalated:
 		return at + fmt.Sprintf("%s answered after %.0f ms with a confidence of %d; the larger model %s is asked at %s.",
 			li.Before, li.BeforeMS, li.Confidence, li.Model, li.Server)
+	case event.RequestFellBack:
+		return at + fmt.Sprintf("%s gave no answer (%s); the one that %s had given before is delivered.", li.Before, li.Error, li.Server)
 	case event.RequestResumed:
 		return at + fmt.Sprintf("the stream from %s broke off or was silent %.0f ms after its beginning; it goes on at %s after event %q.",
 			li.Before, li.BeforeMS, li.Server, li.LastEvent)
@@ -162,6 +165,8 @@
 	evacuated := st.inForce(end, event.CentreEvacuated, event.CentreRestored, func(li *line) string { return li.Of })
 	cold := st.inForce(end, event.ServerCold, event.ServerWarm, func(li *line) string { return li.Server })
 	limited := st.inForce(end, event.ServerLimited, event.ServerUnlimited, func(li *line) string { return li.Server })
+	paused := st.inForce(end, event.ServerPaused, event.ServerResumed, func(li *line) string { return li.Server })
+	leaving := st.inForce(end, event.ServerLeaving, event.ServerGone, (*line).serverID)
 	var parts []string
 	if len(evacuated) > 0 {
 		parts = append(parts, "nothing was sent to evacuated data centres ("+strings.Join(evacuated, ", ")+")")
@@ -172,12 +177,24 @@
 	if len(limited) > 0 {
 		parts = append(parts, fmt.Sprintf("%d servers named a limit and got this box's part of it", len(limited)))
 	}
+	if len(paused) > 0 {
+		parts = append(parts, fmt.Sprintf("%d servers had asked for a pause and got nothing", len(paused)))
+	}
+	if len(leaving) > 0 {
+		parts = append(parts, fmt.Sprintf("%d servers had announced their shutdown and got nothing", len(leaving)))
+	}
 	if parts == nil {
 		return ""
 	}
 	return "At " + end.Box + " " + strings.Join(parts, ", and ") + "."
 }
 
+// serverID returns the id of a line's server without its birth.
+func (li *line) serverID() string {
+	id, _, _ := strings.Cut(li.Server, "@")
+	return id
+}
+
 // inForce returns the names, in order, of what had begun at a box before a line and not
 // ended. A process that starts knows of nothing.
 func (st *Story) inForce(end *line, begins, ends event.ID, name func(li *line) string) []string {
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -114,6 +114,22 @@
 	require.NotContains(t, tell(t, "r", lines[12:13]), "evacuated")
 }
 
+func TestPausedAndLeavingServersAreTold(t *testing.T) {
+	told := tell(t, "r", []string{
+		`{"box":"a","event":529,"server":"x@1","time":"2026-01-01T00:00:01Z"}`,
+		`{"box":"a","event":529,"server":"y@1","time":"2026-01-01T00:00:01Z"}`,
+		`{"box":"a","event":530,"server":"y@1","time":"2026-01-01T00:00:04Z"}`,
+		`{"box":"a","event":531,"server":"z@1","time":"2026-01-01T00:00:02Z"}`,
+		`{"box":"a","event":531,"server":"w@1","time":"2026-01-01T00:00:02Z"}`,
+		`{"box":"a","event":512,"server":"w","time":"2026-01-01T00:00:03Z"}`,
+		`{"box":"a","event":212,"request":"r","server":"s1","before":"s2","error":"refused: shed","time":"2026-01-01T00:00:05Z"}`,
+		`{"box":"a","event":204,"request":"r","code":100,"time":"2026-01-01T00:00:06Z"}`,
+	})
+	require.Contains(t, told, "1 servers had asked for a pause")
+	require.Contains(t, told, "1 servers had announced their shutdown")
+	require.Contains(t, told, "s2 gave no answer (refused: shed); the one that s1 had given before is delivered")
+}
+
 func TestARequestUnderWhichServersEndedIsToldWithThem(t *testing.T) {
 	lines := []string{
 		`{"box":"a","event":525,"server":"s1","prints":["x1 aa","y1 bb"],"time":"2026-01-01T00:00:01Z"}`,
