--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -25,6 +25,7 @@
 	Servers  int           `help:"Backend servers." default:"6"`
 	Callers  int           `help:"Callers." default:"16"`
 	Poison   bool          `help:"Let one request end the servers that run it."`
+	Reports  bool          `help:"Let servers report their shutdown and pauses in answers."`
 }
 
 func main() {
@@ -58,6 +59,9 @@
 		if ar.Poison {
 			pl = pl.WithPoison()
 		}
+		if ar.Reports {
+			pl = pl.WithReports()
+		}
 		so := &soak.Soak{Bin: ar.Bin, Dir: dir, Callers: ar.Callers}
 		violations, err := so.Run(context.Background(), pl)
 		if err != nil {
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -23,6 +23,8 @@
 	RevokedKey Promise = "revoked-key"
 	// LeavingServer: a server that leaves gets nothing new after the bound.
 	LeavingServer Promise = "leaving-server"
+	// KeptPause: a server that asked a gateway for a pause gets next to nothing from it meanwhile.
+	KeptPause Promise = "kept-pause"
 	// PlannedStop: a planned stop cuts no request in progress.
 	PlannedStop Promise = "planned-stop"
 	// InTime: a request has its final answer by its deadline.
@@ -121,6 +123,8 @@
 		}
 	}
 	list = append(list, re.checkEnds()...)
+	list = append(list, re.checkAnnounced()...)
+	list = append(list, re.checkPauses()...)
 	return append(list, re.checkRecovery()...)
 }
 
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -167,6 +167,11 @@
 	case ServerDrain:
 		py.substitute(fa.Target, se)
 		py.drain(se)
+	case ServerAnnounces:
+		se.strike(fa.Kind, 1)
+		time.Sleep(unlistedShutdown)
+		py.substitute(fa.Target, se)
+		py.drain(se)
 	case ServerReset:
 		se.cable.Reset()
 	case ServerSilent:
@@ -180,6 +185,10 @@
 	}
 }
 
+// unlistedShutdown is how long a server that announces its shutdown has an entry that says nothing of
+// it.
+const unlistedShutdown = 3 * time.Second
+
 // crash ends a server without a word; its entry stays for a while.
 func (py *play) crash(se *server) {
 	py.mu.Lock()
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -51,6 +51,10 @@
 	// ServerReset resets the connections to it, ServerSilent holds up what passes.
 	ServerReset  Kind = "server-reset"
 	ServerSilent Kind = "server-silent"
+	// ServerAnnounces lets a server announce its shutdown in its answers some time before its
+	// entry says so, ServerSheds reject everything and ask for a pause.
+	ServerAnnounces Kind = "server-announces"
+	ServerSheds     Kind = "server-sheds"
 	// Poison lets a caller send one request again and again under which servers end.
 	Poison Kind = "poison"
 	// Configure changes the configuration, Revoke takes a key away.
@@ -110,6 +114,24 @@
 	return pl
 }
 
+// reportFaults is how many faults WithReports adds of each kind.
+const reportFaults = 2
+
+// WithReports adds servers that report their shutdown or a pause in their answers, drawn apart.
+func (pl Plan) WithReports() Plan {
+	rn := rand.New(rand.NewPCG(pl.Seed, pl.Seed+2))
+	pl.Faults = slices.Clone(pl.Faults)
+	for range reportFaults {
+		for _, ki := range []Kind{ServerAnnounces, ServerSheds} {
+			from := warmUp + time.Duration(rn.Int64N(int64(pl.Calm-warmUp)))
+			until := min(pl.Calm, from+time.Duration(rn.Int64N(int64(longestFault))))
+			pl.Faults = append(pl.Faults, Fault{Kind: ki, Target: rn.IntN(pl.Servers), From: from, Until: until})
+		}
+	}
+	slices.SortFunc(pl.Faults, func(a, b Fault) int { return int(a.From - b.From) })
+	return pl
+}
+
 // Draw draws a plan for so many gateways and servers, with faults for a time.
 func Draw(seed uint64, gateways, servers int, trouble time.Duration) Plan {
 	rn := rand.New(rand.NewPCG(seed, seed))
--- a/standin/soak/server.go
+++ b/standin/soak/server.go
@@ -19,12 +19,21 @@
 	server string
 	team   string
 	at     time.Time
+	// announced is set if the answer announced the server's shutdown.
+	announced bool
 }
 
-// ledger holds what ran.
+// ledger holds what ran, and what was rejected with a pause.
 type ledger struct {
 	mu   sync.Mutex
 	runs map[string][]run
+	shed map[string][]run
+}
+
+func (le *ledger) addShed(request string, ru run) {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	le.shed[request] = append(le.shed[request], ru)
 }
 
 func (le *ledger) add(request string, ru run) {
@@ -33,6 +42,12 @@
 	le.runs[request] = append(le.runs[request], ru)
 }
 
+func (le *ledger) shedOf(request string) []run {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	return le.shed[request]
+}
+
 func (le *ledger) of(request string) []run {
 	le.mu.Lock()
 	defer le.mu.Unlock()
@@ -56,6 +71,8 @@
 	liePart = 0.6
 	// slowBy is how much longer a slow server takes.
 	slowBy = 10
+	// askedPause is the pause that a server asks for which rejects everything.
+	askedPause = 1500 * time.Millisecond
 )
 
 // headerPoison marks the request that servers end under.
@@ -148,13 +165,26 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	announced := se.odd(ServerAnnounces, 1)
+	if announced && se.sabotage != HidesReports {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if se.odd(ServerSheds, 1) {
+		se.ran.addShed(id, run{server: se.id, at: time.Now()})
+		w.Header().Set("X-Not-Executed", "shed")
+		if se.sabotage != HidesReports {
+			w.Header().Set("Retry-After", strconv.FormatFloat(askedPause.Seconds(), 'f', -1, 64))
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if !se.enter() {
 		w.Header().Set("X-Not-Executed", "full")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer se.leave()
-	ru := run{server: se.id, team: r.Header.Get("X-Tenant"), at: time.Now()}
+	ru := run{server: se.id, team: r.Header.Get("X-Tenant"), at: time.Now(), announced: announced}
 	se.ran.add(id, ru)
 	if se.sabotage == RunsTwice {
 		se.ran.add(id, ru)
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -34,6 +34,8 @@
 	KillsForStop Sabotage = "kills-for-stop"
 	// VariesPoison makes each copy of a request differ under which servers end.
 	VariesPoison Sabotage = "varies-poison"
+	// HidesReports lets servers keep their shutdown and pauses to themselves.
+	HidesReports Sabotage = "hides-reports"
 	// StaysDown never ends an outage of the key-value service.
 	StaysDown Sabotage = "stays-down"
 )
@@ -93,7 +95,7 @@
 	py := &play{
 		so: so, plan: pl, store: keyvalue.New(), fleet: &fleet.Fleet{Bin: so.Bin, Dir: so.Dir},
 		keys: []string{"key-1", "key-2"}, outages: map[Kind]int{},
-		rec: &record{plan: pl, ran: &ledger{runs: map[string][]run{}}, revoked: map[string]time.Time{}, drained: map[string]time.Time{}},
+		rec: &record{plan: pl, ran: &ledger{runs: map[string][]run{}, shed: map[string][]run{}}, revoked: map[string]time.Time{}, drained: map[string]time.Time{}},
 	}
 	err := py.start()
 	defer py.close()
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -72,6 +72,17 @@
 	}
 }
 
+// Servers that report their shutdown or a pause in their answers, beside all other faults.
+func TestReportingServersAreSpared(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			pl := Draw(seed, 3, 5, 6*time.Second).WithReports()
+			require.Empty(t, playPlan(t, pl, ""), "%v", pl.Faults)
+		})
+	}
+}
+
 // The checks see what they are there for: each promise fails on a part that is
 // broken on purpose.
 func TestEachPromiseIsSeenToBreak(t *testing.T) {
@@ -90,6 +101,8 @@
 		{WithholdsNews, LeavingServer, []Fault{{StoreLoses, 0, second(0.2), second(0.3)}, {ServerDrain, 0, second(4.7), second(4.7)}}, second(5)},
 		{KillsForStop, PlannedStop, []Fault{{Stop, 0, second(1), second(1)}, {Stop, 1, second(2), second(2)}}, second(3)},
 		{VariesPoison, FewEnds, []Fault{{Poison, 0, second(0.5), second(8)}}, second(8)},
+		{HidesReports, LeavingServer, []Fault{{StoreDown, 0, second(0.9), second(5.5)}, {ServerAnnounces, 0, second(1), second(1)}}, second(7)},
+		{HidesReports, KeptPause, []Fault{{ServerSheds, 0, second(1), second(4)}, {ServerSheds, 1, second(1), second(4)}, {ServerSheds, 2, second(1), second(4)}}, second(4)},
 		{StaysDown, Recovery, []Fault{{StoreDown, 0, second(0.5), second(1)}}, second(1)},
 	} {
 		t.Run(string(ca.sabotage)+" "+string(ca.promise), func(t *testing.T) {
