--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -66,7 +66,7 @@
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
 	ag.reconciler.Want(se.Versions)
-	if ag.gate.ServerLeaves() {
+	if ag.gate.ServerLeaving() {
 		return order.Action{}, false
 	}
 	return ag.reconciler.Next(ag.runs, time.Now())
--- a/internal/agent/selfreports.go
+++ b/internal/agent/selfreports.go
@@ -63,17 +63,17 @@
 
 // serverLeaves refuses everything new for a server that announced its shutdown; the lock is held.
 func (ag *Agent) serverLeaves(now time.Time) {
-	if ag.gate.ServerLeaves() {
+	if ag.gate.ServerLeaving() {
 		return
 	}
 	ag.Node.Note(timeline.Entry{Event: event.ServerLeaving})
-	ag.act(ag.gate.ServerLeaving(true, now))
+	ag.act(ag.gate.SetServerLeaving(true, now))
 }
 
 // probeLeaving starts to ask a server that announced its shutdown whether its next life has begun,
 // at most once per leavingProbeEvery. The lock is held.
 func (ag *Agent) probeLeaving(ctx context.Context, now time.Time) {
-	if !ag.gate.ServerLeaves() || now.Sub(ag.leavingProbed) < leavingProbeEvery {
+	if !ag.gate.ServerLeaving() || now.Sub(ag.leavingProbed) < leavingProbeEvery {
 		return
 	}
 	ag.leavingProbed = now
@@ -96,7 +96,7 @@
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
 	ag.Node.Note(timeline.Entry{Event: event.ServerRestarted})
-	ag.act(ag.gate.ServerLeaving(false, clock.Now()))
+	ag.act(ag.gate.SetServerLeaving(false, clock.Now()))
 }
 
 // head asks the server for the head of an answer.
--- a/internal/agent/selfreports_test.go
+++ b/internal/agent/selfreports_test.go
@@ -154,7 +154,7 @@
 	require.EqualValues(t, 1, worked.Load())
 	require.True(t, ag.load().Leaving, "entries send it nothing")
 	ag.askLeaving(t.Context())
-	require.True(t, ag.gate.ServerLeaves())
+	require.True(t, ag.gate.ServerLeaving())
 
 	leaving.Store(false)
 	ag.askLeaving(t.Context())
@@ -201,7 +201,7 @@
 	require.True(t, ok)
 	require.Equal(t, order.Look, ac.Do())
 	require.NoError(t, ag.callOrders(t.Context(), http.MethodPost, nil, nil))
-	require.True(t, ag.gate.ServerLeaves(), "answers to orders announce it as well")
+	require.True(t, ag.gate.ServerLeaving(), "answers to orders announce it as well")
 	ag.reconciler.Looked(nil, nil, clock.Now())
 	_, ok = ag.nextOrder(se)
 	require.False(t, ok)
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -15,8 +15,8 @@
 	// Pick returns the id of a server for a model, "" for a plain service, that
 	// is not among those tried.
 	Pick(model string, tried []string, now time.Time) (string, bool)
-	// Wait returns when a caller should retry if all servers that Pick could choose only
-	// accept nothing for now, zero otherwise.
+	// Wait returns when the caller should retry if every server that Pick could choose accepts
+	// nothing now, zero otherwise.
 	Wait(model string, tried []string, now time.Time) time.Duration
 }
 
@@ -217,7 +217,7 @@
 	return st, true
 }
 
-// Released says that the shell no longer holds the answer of before an escalation.
+// Released says that the shell no longer holds the answer from before the escalation.
 func (re *Request) Released() { re.held = false }
 
 // again makes another attempt after one that gave nothing.
@@ -235,7 +235,7 @@
 }
 
 // retryAfter returns when the caller of a request that ends with a code should retry, zero for the
-// code's own time. The pause that one server asked for says nothing about the others.
+// code's default. The pause that one server asked for says nothing about the others.
 func (re *Request) retryAfter(co result.Code, now time.Time) time.Duration {
 	if co != result.Overloaded {
 		return 0
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -193,16 +193,16 @@
 	return ga.leaving || ga.serverLeaving || ga.server() != nil && ga.server().Leaving
 }
 
-// ServerLeaving records whether the server announced its shutdown: if so, what waits is refused, and
-// everything after it until the server's next life.
-func (ga *Gate) ServerLeaving(leaving bool, now time.Time) []Action {
+// SetServerLeaving records whether the server announced its shutdown. If it did, queued attempts are
+// refused, and new ones until the server's next life.
+func (ga *Gate) SetServerLeaving(leaving bool, now time.Time) []Action {
 	ga.observe(now)
 	ga.serverLeaving = leaving
 	return ga.sweep(now)
 }
 
-// ServerLeaves reports whether the server announced its shutdown.
-func (ga *Gate) ServerLeaves() bool { return ga.serverLeaving }
+// ServerLeaving reports whether the server announced its shutdown.
+func (ga *Gate) ServerLeaving() bool { return ga.serverLeaving }
 
 // Idle reports whether nothing runs or waits.
 func (ga *Gate) Idle() bool { return len(ga.running) == 0 && len(ga.queue) == 0 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -14,6 +14,8 @@
 	KeepFor = time.Second
 	// MostPerReport bounds the facts of one kind in one report, at about 25 B each.
 	MostPerReport = 64
+	// longestNotice bounds how long a notice may hold.
+	longestNotice = time.Hour
 	// MostHops is how many gateways a fact may pass. Without a bound it would circulate
 	// forever: each gateway adds the transfer time to its age unnoticed.
 	MostHops = 3
@@ -116,5 +118,5 @@
 
 // Valid reports whether a notice from another process is well-formed.
 func (no *Notice) Valid() bool {
-	return no.Server != "" && no.Age >= 0 && no.Hops < MostHops && no.Lasts >= 0
+	return no.Server != "" && no.Age >= 0 && no.Hops < MostHops && no.Lasts >= 0 && no.Lasts <= longestNotice
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -46,7 +46,7 @@
 
 func TestMalformedNoticesAreRefused(t *testing.T) {
 	require.True(t, (&Notice{Server: "s", Hops: MostHops - 1}).Valid())
-	for _, no := range []Notice{{}, {Server: "s", Age: -1}, {Server: "s", Hops: MostHops}, {Server: "s", Lasts: -1}} {
+	for _, no := range []Notice{{}, {Server: "s", Age: -1}, {Server: "s", Hops: MostHops}, {Server: "s", Lasts: -1}, {Server: "s", Lasts: longestNotice + 1}} {
 		require.False(t, no.Valid(), "%+v", no)
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -167,9 +167,8 @@
 }
 
 // waitFor returns how long a server gets nothing from this process, zero if it may get something
-// now. quotas is set by limits that all processes share, pause by a pause that the server asked this
-// process for. Every way of sending an attempt has to ask here: a paused server looks idle, so that
-// one that does not would prefer it.
+// now: because of limits that all processes share, and of a pause that it asked this process for.
+// Every way of sending an attempt has to ask here, since a paused server looks idle.
 func (po *Pool) waitFor(se *directory.Server, cold quota.Limit, now time.Time) (quotas, pause time.Duration) {
 	gw := quota.Gateway{Box: po.Box, Fleet: po.Fleet}
 	quotas = max(po.Warmup.Wait(se.Key(), cold, gw, now), po.Limits.Wait(se.Key(), gw, now))
