--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -155,7 +155,7 @@
 		return eris.Wrap(err, "orders")
 	}
 	defer resp.Body.Close()
-	ag.takeSelfReport(resp)
+	ag.applySelfReport(resp)
 	if resp.StatusCode != http.StatusOK {
 		return eris.Errorf("orders: %s", resp.Status)
 	}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -85,7 +85,7 @@
 	}
 	defer resp.Body.Close()
 	ru.answered()
-	ru.ag.takeSelfReport(resp)
+	ru.ag.applySelfReport(resp)
 	switch {
 	case resp.StatusCode == http.StatusTooManyRequests && ru.at.Version != "":
 		return result.NotDispatched, nil
--- a/internal/agent/selfreports.go
+++ b/internal/agent/selfreports.go
@@ -26,8 +26,8 @@
 	leavingProbeTimeout = 500 * time.Millisecond
 )
 
-// takeSelfReport records what the server reports about itself in the head of an answer.
-func (ag *Agent) takeSelfReport(resp *http.Response) {
+// applySelfReport records what the server reports about itself in the head of an answer.
+func (ag *Agent) applySelfReport(resp *http.Response) {
 	re := selfReports.Decode(resp.StatusCode, resp.Header, clock.Day())
 	if re.Err != nil {
 		ag.Node.Note(timeline.Entry{Event: event.ReportUnreadable, Detail: re.Err.Error()})
@@ -36,7 +36,7 @@
 	defer ag.mu.Unlock()
 	now := clock.Now()
 	if re.Limit != nil || re.Err == nil {
-		ag.takeLimit(re.Limit, now)
+		ag.applyLimit(re.Limit, now)
 	}
 	switch {
 	case re.RetryAfter == 0:
@@ -49,8 +49,8 @@
 	}
 }
 
-// takeLimit takes what the server's answer says of its limit, nil for none; the lock is held.
-func (ag *Agent) takeLimit(limit *float64, now time.Time) {
+// applyLimit records the rate limit that the server reports, nil for none. The lock is held.
+func (ag *Agent) applyLimit(limit *float64, now time.Time) {
 	change, acs := ag.gate.Limit(limit, now)
 	switch change {
 	case backpressure.Limited:
--- a/internal/agent/selfreports_test.go
+++ b/internal/agent/selfreports_test.go
@@ -57,7 +57,7 @@
 	}
 	resp, err := server.Client().Get(server.URL)
 	require.NoError(t, err)
-	ag.takeSelfReport(resp)
+	ag.applySelfReport(resp)
 	require.NoError(t, resp.Body.Close())
 
 	started, refused := 0, 0
--- a/internal/backpressure/pause.go
+++ b/internal/backpressure/pause.go
@@ -6,13 +6,13 @@
 	// probeTimeout is how long the request that probes a server after its pause may go without
 	// an answer before another one probes.
 	probeTimeout = 2 * time.Second
-	// recoveryTimeout is how long after its pause a server that accepted nothing is still probed.
+	// recoveryTimeout is how long after its pause a server that accepted nothing is probed.
 	recoveryTimeout = 10 * time.Second
-	// leastNews is how much longer than known a pause must last to be news: processes learn of
+	// leastNews is the least extension of a known pause that is propagated: processes learn of
 	// the same overload one after the other.
 	leastNews = 500 * time.Millisecond
-	// firstBackoff is how long a server is avoided that rejected a request and named no time;
-	// each further rejection in a row doubles it, up to longestBackoff.
+	// firstBackoff is how long a server is avoided after a rejection without a pause. Each further
+	// rejection in a row doubles it, up to longestBackoff.
 	firstBackoff   = 250 * time.Millisecond
 	longestBackoff = 2 * time.Second
 )
@@ -54,8 +54,8 @@
 	return began
 }
 
-// Rejected records that a server rejected a request and named no time. It is avoided for a moment. It
-// reports whether that is long enough for other processes to be told.
+// Rejected records that a server rejected a request without asking for a pause. The server is avoided
+// for a moment. Rejected reports whether that is long enough to be propagated.
 func (pa *Pauses) Rejected(key string, now time.Time) bool {
 	se := pa.server(key)
 	if now.Before(se.avoided) {
@@ -66,8 +66,7 @@
 	return se.backoff >= leastNews
 }
 
-// Told records that a server wants no requests from another process for a duration. It reports
-// whether that is news.
+// Told records that a server asked another process for a pause. It reports whether that is news.
 func (pa *Pauses) Told(key string, left time.Duration, now time.Time) bool {
 	if left-pa.Remaining(key, now) < leastNews {
 		return false
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -76,8 +76,8 @@
 // write their entries again within about two seconds (the users' letter).
 const returnGrace = 2 * time.Second
 
-// leavingKept is the least time for which the shutdown of a server that is no longer listed is
-// remembered: its entry may reappear while it still drains.
+// leavingKept is how long the announcement of an unlisted server is kept: its entry may reappear while
+// it drains.
 const leavingKept = 10 * time.Minute
 
 // Directory is one process's list. The zero value is empty. It is not safe for
@@ -131,9 +131,9 @@
 	di.byService = nil
 }
 
-// Leave records that a server announced its shutdown. It takes nothing new for the rest of its
-// life, whatever its entry says: the entry can't be written while the key-value service is away,
-// and may lapse and reappear. It reports whether that is news.
+// Leave records that a server announced its shutdown. It gets no new requests for the rest of its life,
+// whatever its entry says: the entry can't be written while the key-value service is away, and may
+// lapse and reappear. Leave reports whether that is news.
 func (di *Directory) Leave(key string, at time.Time) bool {
 	if _, known := di.leaving[key]; known {
 		return false
@@ -155,7 +155,7 @@
 // Leaving returns the servers that announced their shutdown, by the key of their life.
 func (di *Directory) Leaving() []string { return slices.Sorted(maps.Keys(di.leaving)) }
 
-// Drains reports whether a server takes nothing new, by its entry or its announcement.
+// Drains reports whether a server gets no new requests, by its entry or its announcement.
 func (di *Directory) Drains(se *Server) bool {
 	_, leaving := di.leaving[se.Key()]
 	return se.Draining || leaving
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -105,8 +105,8 @@
 	queue []waiting
 	// service is the smoothed time that an attempt holds its slot.
 	service time.Duration
-	// limits knows what the server names as a limit, and when attempts started; pauses whether
-	// it asked for a pause.
+	// limits holds the server's rate limit and the times of starts, pauses the pause that it
+	// asked for.
 	limits backpressure.Tracker
 	pauses backpressure.Pauses
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -168,7 +168,7 @@
 		Ask: ex.as, Body: ex.body, Server: se.server, Team: ex.team(), Model: se.step.Model(),
 		Urgency: ex.urgency(se.step), Left: ex.left(clock.Now()), LastEvent: ex.lastEvent(se.step), Fresh: se.step.Last(),
 	})
-	ex.ga.takeSelfReport(se, clock.Now())
+	ex.ga.applySelfReport(se, clock.Now())
 	if se.err != nil || se.answer.Stream {
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,7 +113,7 @@
 	unusable map[string]bool
 	// unreadable bounds the log lines of reports that could not be read.
 	unreadable zerolog.BurstSampler
-	// leavingNews and pauseNews hold the servers whose shutdown or pause is passed on to other
+	// leavingNews and pauseNews hold the servers whose shutdown or pause is propagated to other
 	// gateways.
 	leavingNews, pauseNews gossip.Spread
 	// loads holds what other gateways report of servers' work, loadPlan says to which
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -8,14 +8,14 @@
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 )
 
-// takeLimit records the limit that a server's answer reports, nil for none. The lock is held.
-func (ga *Gateway) takeLimit(server string, limit *float64, now time.Time) {
+// applyLimit records the limit that a server's answer reports, nil for none. The lock is held.
+func (ga *Gateway) applyLimit(server string, limit *float64, now time.Time) {
 	sent, lasts := ga.pool.Limits.Use(server, now)
 	ga.noteLimit(ga.pool.Limits.Report(server, limit, now), server, sent, lasts, "")
 }
 
-// takeLimitNotices takes another gateway's notices of rate limits. The lock is held.
-func (ga *Gateway) takeLimitNotices(re relay.Report, now time.Time) {
+// receiveLimitNotices applies another gateway's notices of rate limits. The lock is held.
+func (ga *Gateway) receiveLimitNotices(re relay.Report, now time.Time) {
 	for _, no := range re.Limits {
 		if ga.servers.Life(no.Server) == nil {
 			continue
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -171,7 +171,7 @@
 			now := clock.Now()
 			ga, _ := newServing()
 			rate := 1.0
-			ga.takeLimit("x1", &rate, now)
+			ga.applyLimit("x1", &rate, now)
 			ex := newExchange(ga, "")
 			id, ok := ex.Pick("", []string{"x0", "x2"}, now)
 			require.True(t, ok)
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -168,7 +168,7 @@
 	ga.takeGroup(answer, now)
 	ga.heardOf(answer, now)
 	ga.heardOfBlocks(answer, now)
-	ga.takeNotices(answer, now)
+	ga.receiveNotices(answer, now)
 }
 
 // takeGroup takes the report of several gateways; the lock is held.
@@ -216,7 +216,7 @@
 	defer ga.mu.Unlock()
 	ga.heardOf(re, now)
 	ga.heardOfBlocks(re, now)
-	ga.takeNotices(re, now)
+	ga.receiveNotices(re, now)
 	var work load.Work
 	var gateways int
 	to := gossip.ToMember
--- a/internal/gateway/selfreports.go
+++ b/internal/gateway/selfreports.go
@@ -27,8 +27,8 @@
 	return selfreport.Report{}, false
 }
 
-// takeSelfReport records what an attempt's server reported about itself.
-func (ga *Gateway) takeSelfReport(se *sent, now time.Time) {
+// applySelfReport records what an attempt's server reported about itself.
+func (ga *Gateway) applySelfReport(se *sent, now time.Time) {
 	re, ok := se.selfReport()
 	if !ok {
 		return
@@ -41,7 +41,7 @@
 	}
 	if se.answer != nil && re.Err == nil || re.Limit != nil {
 		// A rejection without a limit does not end one: it may be older than the limit.
-		ga.takeLimit(key, re.Limit, now)
+		ga.applyLimit(key, re.Limit, now)
 	}
 	switch {
 	case re.RetryAfter > 0:
@@ -75,7 +75,7 @@
 	lo.Warn().Int("event", int(event.ReportUnreadable)).Str("server", key).Err(why).Msg(event.Name(event.ReportUnreadable))
 }
 
-// serverLeaves takes a server out of use that announced its shutdown, and passes that on to other
+// serverLeaves takes a server out of use that announced its shutdown, and propagates that to other
 // gateways. The lock is held.
 func (ga *Gateway) serverLeaves(key string, at time.Time, hops uint8, detail string) {
 	if !ga.servers.Leave(key, at) {
@@ -86,9 +86,9 @@
 	ga.noteServer(event.ServerLeaving, key, detail)
 }
 
-// takeNotices takes another gateway's notices of what servers reported. The lock is held.
-func (ga *Gateway) takeNotices(re relay.Report, now time.Time) {
-	ga.takeLimitNotices(re, now)
+// receiveNotices applies another gateway's notices of what servers reported. The lock is held.
+func (ga *Gateway) receiveNotices(re relay.Report, now time.Time) {
+	ga.receiveLimitNotices(re, now)
 	for _, no := range re.Leaving {
 		if no.Valid() {
 			ga.serverLeaves(no.Server, now.Add(-no.Age), no.Hops+1, "announced to "+re.Box)
--- a/internal/gateway/selfreports_test.go
+++ b/internal/gateway/selfreports_test.go
@@ -288,7 +288,7 @@
 			now := clock.Now()
 			ga, log := newServing()
 			se.server = *ga.servers.Get("x1")
-			ga.takeSelfReport(se, now)
+			ga.applySelfReport(se, now)
 			if name == "another server's" || name == "no answer" || name == "answer of no concern" {
 				require.Len(t, servedBy(ga, now), 3)
 				return
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,4 +1,4 @@
-// Package gossip decides which facts a gateway passes on to other gateways, and for how long.
+// Package gossip decides which facts a gateway propagates to other gateways, and for how long.
 // Facts travel with the reports of load: from a gateway to its collector, between collectors, and
 // from a collector to its gateways. It does no I/O and reads no clock.
 package gossip
@@ -9,7 +9,7 @@
 )
 
 const (
-	// KeepFor is how long a fact is passed on. Reports are sent ten times per second, so
+	// KeepFor is how long a fact is propagated. Reports are sent ten times per second, so
 	// that a few of them may be lost.
 	KeepFor = time.Second
 	// MostPerReport bounds the facts of one kind in one report, at about 25 B each.
@@ -34,8 +34,8 @@
 	ToMember Peer = "to member"
 )
 
-// hops returns how many gateways a fact may have passed that is told to the peer. A collector tells
-// other collectors only what its own group learned.
+// hops returns the most gateways that a fact for the peer may have passed. Collectors exchange only what
+// their own groups learned.
 func (pe Peer) hops() uint8 {
 	switch pe {
 	case ToCollector:
@@ -47,7 +47,7 @@
 	}
 }
 
-// Fact names one fact to pass on.
+// Fact is a fact to propagate.
 type Fact struct {
 	key  string
 	hops uint8
@@ -59,18 +59,18 @@
 // Hops returns how many gateways the fact has passed.
 func (fa Fact) Hops() uint8 { return fa.hops }
 
-// learned is a fact that is being passed on.
+// learned is a fact that is being propagated.
 type learned struct {
 	at   time.Time
 	hops uint8
 }
 
-// Spread holds the facts of one kind that are being passed on. The zero value holds none. It is
-// not safe for concurrent use.
+// Spread holds the facts of one kind that are being propagated. The zero value is empty. It is not
+// safe for concurrent use.
 type Spread struct{ facts map[string]learned }
 
-// Learn begins to pass a fact on that has passed so many gateways, zero for one that was observed
-// here. A fact that is learned again is passed on for KeepFor from then on.
+// Learn begins to propagate a fact that has passed a number of gateways, zero if it was observed here.
+// A fact that is learned again is propagated for another KeepFor.
 func (sp *Spread) Learn(key string, hops uint8, now time.Time) {
 	if sp.facts == nil {
 		sp.facts = map[string]learned{}
@@ -89,21 +89,21 @@
 	return list
 }
 
-// Spreads reports whether a fact is still being passed on.
+// Spreads reports whether a fact is still being propagated.
 func (sp *Spread) Spreads(key string) bool {
 	_, ok := sp.facts[key]
 	return ok
 }
 
-// Forget stops passing a fact on.
+// Forget stops propagating a fact.
 func (sp *Spread) Forget(key string) { delete(sp.facts, key) }
 
-// Tick drops the facts that are no longer passed on.
+// Tick drops the facts that are no longer propagated.
 func (sp *Spread) Tick(now time.Time) {
 	maps.DeleteFunc(sp.facts, func(_ string, le learned) bool { return now.Sub(le.at) >= KeepFor })
 }
 
-// Notice passes on that a server did something once. Its fields are exported because the codec needs
+// Notice propagates one report of a server. Its fields are exported because the codec needs
 // them.
 type Notice struct {
 	// Server is the key of one life of a server.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -29,8 +29,8 @@
 	// remoteCost is the load that a server in another data centre must have
 	// less than one in the own to be preferred, in attempts.
 	remoteCost = 2
-	// longestQuotaWait bounds what callers are told to wait for the own share of a quota:
-	// another process may have a share left.
+	// longestQuotaWait bounds the Retry-After for an exhausted quota share: another process may
+	// have a share left.
 	longestQuotaWait = time.Second
 )
 
@@ -430,7 +430,7 @@
 	po.Limits.Forget(id)
 }
 
-// Tick drops what no longer counts.
+// Tick drops expired state.
 func (po *Pool) Tick(now time.Time) {
 	po.Limits.Tick(func(id string) bool { return po.Directory.Life(id) != nil }, now)
 }
