feat: logs and metrics tell that the key-value service was restored

Cause sought: after an outage three gateways continue at a lower revision and 26 go on from the old one. No line told whether an answer was of a restored service, nor that a gateway asked a watcher for changes after a revision that the watcher has not reached.

No decision reads any of it.

Conclusion: 408 beside 805 means the first hypothesis of the incident (revisions given out again), 805 without 408 the second (a change lost on its way).

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -44,6 +44,7 @@
 	WatchStopped     ID = 405
 	WatcherFailed    ID = 406
 	RelayFailed      ID = 407
+	AskerAhead       ID = 408
 	LinkUp           ID = 500
 	LinkDown         ID = 501
 	LinkRefused      ID = 502
@@ -86,6 +87,8 @@
 	StoreRegained    ID = 802
 	StateRead        ID = 803
 	HistoryGone      ID = 804
+	StoreRestored    ID = 805
+	EraUnreadable    ID = 806
 )
 
 // Row describes one event for people.
@@ -140,6 +143,7 @@
 	{WatchStopped, "watch_stopped", "this process no longer watches the key-value service"},
 	{WatcherFailed, "watcher_failed", "the gateway that watches the key-value service for this one did not serve it"},
 	{RelayFailed, "relay_failed", "changes could not be passed on to other gateways"},
+	{AskerAhead, "asker_ahead", "another gateway asks this one for changes after a revision that is later than any known here"},
 	{LinkUp, "link_up", "a connection between two processes is open"},
 	{LinkDown, "link_down", "a connection between two processes has ended"},
 	{LinkRefused, "link_refused", "a peer did not prove the shared key"},
@@ -182,6 +186,8 @@
 	{StoreRegained, "store_regained", "the key-value service answers again"},
 	{StateRead, "state_read", "everything that is kept was read from the key-value service"},
 	{HistoryGone, "history_gone", "the key-value service has forgotten what a watch would go on from"},
+	{StoreRestored, "store_restored", "the key-value service was restored from an older copy; its revisions are given out again"},
+	{EraUnreadable, "era_unreadable", "an answer of the key-value service names an era that can't be read; the last one is taken to hold"},
 }
 
 var names = func() map[ID]string {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -174,10 +174,24 @@
 	ga.Log.Info().Int("event", int(event.StoreRegained)).Msg(event.Name(event.StoreRegained))
 }
 
+// noteEra logs that the service was restored since its last answer. The lock is held.
+func (ga *Gateway) noteEra(st State) {
+	if st.Era == ga.era {
+		return
+	}
+	if ga.era != 0 {
+		ga.Log.Warn().Int("event", int(event.StoreRestored)).Uint64("era", st.Era).Uint64("before", ga.era).
+			Uint64("revision", st.Revision).Uint64("revision_before", ga.history.Revision()).Msg(event.Name(event.StoreRestored))
+	}
+	ga.era = st.Era
+	storeEra.Set(float64(st.Era))
+}
+
 // takeRead takes what the service told of everything.
 func (ga *Gateway) takeRead(st State, sent time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	ga.noteEra(st)
 	ga.unheard = min(mostUnheard, ga.fresh.Age(clock.Now()))
 	if ga.fresh.Read(sent) {
 		ga.regained()
@@ -218,6 +232,7 @@
 	ba := relay.Batch{To: st.Revision}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	ga.noteEra(st)
 	if ga.serves(now) {
 		ba = ga.encode(st)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,10 @@
 	// unreadableBurst is how many unreadable reports are logged in each unreadablePeriod.
 	unreadableBurst  = 5
 	unreadablePeriod = 10 * time.Second
+	// aheadBurst is how many gateways that ask for changes after a later revision are logged in
+	// each aheadPeriod.
+	aheadBurst  = 5
+	aheadPeriod = time.Second
 	// staleMargin is what is taken off the bound on the configuration's age, but
 	// not more than staleShare of it: a watch may hear nothing for a second
 	// although changes are made, and a clock may run a little slow.
@@ -111,8 +115,11 @@
 	// said to be unusable.
 	fleet    quota.Fleet
 	unusable map[string]bool
-	// unreadable bounds the log lines of reports that could not be read.
-	unreadable zerolog.BurstSampler
+	// unreadable bounds the log lines of reports that could not be read, ahead those of
+	// gateways that ask for changes after a later revision.
+	unreadable, ahead zerolog.BurstSampler
+	// era is that of the newest answer of the key-value service.
+	era uint64
 	// leavingNews and pauseNews hold the servers whose shutdown or pause is propagated to other
 	// gateways.
 	leavingNews, pauseNews gossip.Spread
@@ -190,6 +197,7 @@
 	}
 	ga.unusable = map[string]bool{}
 	ga.unreadable = zerolog.BurstSampler{Burst: unreadableBurst, Period: unreadablePeriod}
+	ga.ahead = zerolog.BurstSampler{Burst: aheadBurst, Period: aheadPeriod}
 	ga.countFleet(clock.Now())
 	ga.retries = map[string]*budget.Window{}
 	ga.rollouts = map[string]*timedRollout{}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 var (
 	storeFailures     = metrics.NewCounter(`linnetrudder_store_failures_total`)
+	storeEra          = metrics.NewGauge(`linnetrudder_store_era`, nil)
 	serverEnds        = metrics.NewCounter(`linnetrudder_server_ends_total`)
 	blocksBegun       = metrics.NewCounter(`linnetrudder_request_blocks_total`)
 	limitsNamed       = metrics.NewCounter(`linnetrudder_server_limits_total`)
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -157,6 +157,7 @@
 	for waiting := true; ; {
 		ga.mu.Lock()
 		ga.asked = clock.Now()
+		ga.noteAhead(rq.After)
 		batches, to, ok := ga.history.Since(rq.After)
 		age, changed, confirmed := ga.fresh.Age(ga.asked), ga.changed, ga.confirmed
 		if !ok {
@@ -179,6 +180,15 @@
 	}
 }
 
+// noteAhead logs that a gateway asks for changes after a revision that is later than any known
+// here. The lock is held.
+func (ga *Gateway) noteAhead(after uint64) {
+	if own := ga.history.Revision(); after > own {
+		lo := ga.Log.Sample(&ga.ahead)
+		lo.Info().Int("event", int(event.AskerAhead)).Uint64("after", after).Uint64("revision", own).Msg(event.Name(event.AskerAhead))
+	}
+}
+
 // encode returns changes as they are passed on; those that can't be encoded are not.
 func (ga *Gateway) encode(st State) relay.Batch {
 	ba := relay.Batch{To: st.Revision}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -171,9 +171,10 @@
 
 // State is everything that is kept in the key-value service.
 type State struct {
-	// Revision is the service's when the state was read.
-	Revision uint64
-	Changes  []Change
+	// Era counts how often the service was restored from an older copy, zero if it does not
+	// say; Revision is the service's when the state was read.
+	Era, Revision uint64
+	Changes       []Change
 }
 
 // Change is one change of what is kept. Exactly one field is set, and only that one is
