--- a/standin/keyvalue/keyvalue.go
+++ b/standin/keyvalue/keyvalue.go
@@ -31,6 +31,8 @@
 	Items  []Item `json:"items"`
 	Events []Item `json:"events"`
 	At     uint64 `json:"timestamp"`
+
+	era uint64
 }
 
 // transaction is what a client asks to be written.
@@ -68,6 +70,8 @@
 	items    map[string]Item
 	events   []Item
 	revision uint64
+	// era counts how often the service was restored from a copy, from one on.
+	era uint64
 	// dropped is the newest revision whose history is gone.
 	dropped uint64
 	// withheld is the revision up to which is told while Withhold holds.
@@ -81,7 +85,57 @@
 
 // New returns an empty service.
 func New() *Store {
-	return &Store{items: map[string]Item{}, leases: map[int64]*time.Timer{}, changed: make(chan struct{})}
+	return &Store{items: map[string]Item{}, leases: map[int64]*time.Timer{}, changed: make(chan struct{}), era: 1}
+}
+
+// Copy is what the service held at some moment.
+type Copy struct {
+	items    map[string]Item
+	events   []Item
+	revision uint64
+	dropped  uint64
+	leases   map[int64]bool
+}
+
+// Copy returns a copy of what the service holds.
+func (st *Store) Copy() Copy {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	leases := map[int64]bool{}
+	for le := range st.leases {
+		leases[le] = true
+	}
+	return Copy{
+		items: maps.Clone(st.items), events: slices.Clone(st.events), revision: st.revision, dropped: st.dropped, leases: leases,
+	}
+}
+
+// Restore goes back to a copy: what was written since is gone, leases too, and revisions are
+// given out again. Watches are broken off.
+func (st *Store) Restore(co Copy) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.items, st.events, st.revision, st.dropped = maps.Clone(co.items), slices.Clone(co.events), co.revision, co.dropped
+	for le, ti := range st.leases {
+		if !co.leases[le] {
+			ti.Stop()
+			delete(st.leases, le)
+		}
+	}
+	for key, it := range st.items {
+		if it.Lease != 0 && st.leases[it.Lease] == nil {
+			delete(st.items, key)
+		}
+	}
+	st.era++
+	st.wake()
+}
+
+// Revision returns the newest revision.
+func (st *Store) Revision() uint64 {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.revision
 }
 
 // Set writes a key as the operator or a backend server does, as JSON.
@@ -180,6 +234,7 @@
 func (st *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	st.mu.Lock()
 	fa := st.faults
+	w.Header().Set("Store-Era", strconv.FormatUint(st.era, 10))
 	st.mu.Unlock()
 	time.Sleep(fa.Delay)
 	if st.fail(fa, w, r) {
@@ -286,6 +341,10 @@
 func (st *Store) since(after uint64) (li list, fa Faults, gone bool, changed chan struct{}) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	li.era = st.era
+	if after > st.revision {
+		return li, st.faults, true, st.changed
+	}
 	li.At = st.revision
 	if st.faults.Withhold {
 		li.At = st.withheld
@@ -301,11 +360,16 @@
 func (st *Store) watch(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("since_revision"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	st.mu.Lock()
+	era := st.era
+	st.mu.Unlock()
 	over := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer over.Stop()
 	for waiting := true; ; {
 		li, fa, gone, changed := st.since(after)
 		switch {
+		case li.era != era:
+			panic(http.ErrAbortHandler) // the service was restored meanwhile
 		case st.fail(fa, w, r):
 			return
 		case gone:
--- a/standin/keyvalue/keyvalue_test.go
+++ b/standin/keyvalue/keyvalue_test.go
@@ -52,3 +52,26 @@
 	require.Equal(t, http.StatusNotFound, post("/api/kv-keep/1", ""))
 	require.Equal(t, http.StatusNotFound, post("/api/kv-txn", write))
 }
+
+func TestRestoreGoesBackToTheCopy(t *testing.T) {
+	st := New()
+	hs := httptest.NewServer(st)
+	defer hs.Close()
+	get := func(path string) *http.Response {
+		resp, err := http.Get(hs.URL + path)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		return resp
+	}
+	st.Set("kept", 1)
+	co := st.Copy()
+	st.Set("lost", 2)
+	require.Equal(t, "1", get("/api/kv-range").Header.Get("Store-Era"))
+	st.Restore(co)
+	require.Equal(t, "2", get("/api/kv-range").Header.Get("Store-Era"))
+	require.Equal(t, []string{"kept"}, st.Keys(""))
+	require.Equal(t, http.StatusGone, get("/api/kv-watch?since_revision=2").StatusCode)
+	st.Set("again", 3)
+	require.Equal(t, uint64(2), st.Revision(), "revisions are given out again")
+	require.Equal(t, http.StatusOK, get("/api/kv-watch?since_revision=2").StatusCode)
+}
