--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -21,7 +21,9 @@
 	ID string
 	// Born is when this life began, in Unix milliseconds by the server's clock; zero if
 	// it did not say.
-	Born    int64 `cbor:",omitempty"`
+	Born int64 `cbor:",omitempty"`
+	// Seq counts the entries that the server has written in this life.
+	Seq     int64 `cbor:",omitempty"`
 	Service string
 	// Address is an IP number and a port; another server may get it later.
 	Address    string
--- a/internal/gateway/common_test.go
+++ b/internal/gateway/common_test.go
@@ -13,8 +13,12 @@
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/revision"
 )
 
+// rev returns a revision of a service that names no era.
+func rev(number uint64) revision.Revision { return revision.Revision{Number: number} }
+
 // commonPlay is one play of a harmless request that all callers ask alike beside a deadly one,
 // both ten times a second, at gateways that have just started.
 type commonPlay struct {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -11,6 +11,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
+	"github.com/linnetrudder/linnetrudder/internal/revision"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
 )
 
@@ -50,27 +51,27 @@
 func (ga *Gateway) follow(ctx context.Context) {
 	defer ga.relayed.Close()
 	for ctx.Err() == nil {
-		revision, err := ga.readState(ctx)
+		at, err := ga.readState(ctx)
 		if err != nil {
 			ga.lost(ctx, err)
 			continue
 		}
-		ga.watch(ctx, revision)
+		ga.watch(ctx, at)
 	}
 }
 
 // watch takes changes as they come, until the history has gone.
-func (ga *Gateway) watch(ctx context.Context, revision uint64) {
+func (ga *Gateway) watch(ctx context.Context, after revision.Revision) {
 	for ctx.Err() == nil {
-		next, err := ga.hear(ctx, revision)
+		next, err := ga.hear(ctx, after)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
-			ga.Log.Warn().Int("event", int(event.HistoryGone)).Uint64("revision", revision).Msg(event.Name(event.HistoryGone))
+			ga.Log.Warn().Int("event", int(event.HistoryGone)).Stringer("revision", after).Msg(event.Name(event.HistoryGone))
 			return
 		case err != nil:
 			ga.lost(ctx, err)
 		default:
-			revision = next
+			after = next
 		}
 	}
 }
@@ -78,17 +79,17 @@
 // hear waits once for changes after a revision, and returns the revision to go on
 // from. A watcher that fails is not asked again for a while; one that has not kept
 // changes that far back is asked again as soon as the service has told them.
-func (ga *Gateway) hear(ctx context.Context, revision uint64) (uint64, error) {
+func (ga *Gateway) hear(ctx context.Context, after revision.Revision) (revision.Revision, error) {
 	wa, ok := ga.watcher(clock.Now())
 	if !ok {
-		return ga.watchService(ctx, revision, ga.watchWait(clock.Now()))
+		return ga.watchService(ctx, after, ga.watchWait(clock.Now()))
 	}
-	next, err := ga.ask(ctx, revision)
+	next, err := ga.ask(ctx, after)
 	if err == nil || ctx.Err() != nil {
 		return next, nil
 	}
 	if errors.Is(err, errUnknown) && ga.mayCatchUp(clock.Now()) {
-		return ga.watchService(ctx, revision, watchLeast)
+		return ga.watchService(ctx, after, watchLeast)
 	}
 	ga.leaveWatcher(wa, err)
 	sleep(ctx, watcherPause)
@@ -96,11 +97,14 @@
 }
 
 // watchService waits once for changes from the key-value service.
-func (ga *Gateway) watchService(ctx context.Context, revision uint64, wait time.Duration) (uint64, error) {
+func (ga *Gateway) watchService(ctx context.Context, after revision.Revision, wait time.Duration) (revision.Revision, error) {
 	sent := clock.Now()
-	st, err := ga.Source.Watch(ctx, revision, wait)
+	st, err := ga.Source.Watch(ctx, after, wait)
 	if err != nil {
-		return revision, err
+		return after, err
+	}
+	if err := ga.continues(st.Revision, after, clock.Now()); err != nil {
+		return after, err
 	}
 	ga.apply(st, sent, wait, clock.Now())
 	if len(st.Changes) > 0 {
@@ -109,6 +113,21 @@
 	return st.Revision, nil
 }
 
+// continues returns nil if changes up to a revision are all that followed another one, and
+// ErrHistoryGone if the service was restored in between: what was written since then may have
+// revisions that have been seen before.
+func (ga *Gateway) continues(to, after revision.Revision, now time.Time) error {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	switch {
+	case !ga.eras.Accept(to.Era, now):
+		return errOlderEra
+	case to.Era != after.Era:
+		return ErrHistoryGone
+	}
+	return nil
+}
+
 // watchWait returns how long a watch waits, so that keys can be accepted all the
 // while: the older the configuration may be, the sooner it must be confirmed.
 func (ga *Gateway) watchWait(now time.Time) time.Duration {
@@ -174,35 +193,38 @@
 	ga.Log.Info().Int("event", int(event.StoreRegained)).Msg(event.Name(event.StoreRegained))
 }
 
-// noteEra logs that the service was restored since its last answer. The lock is held.
-func (ga *Gateway) noteEra(st State) {
-	if st.Era == ga.era {
-		return
-	}
-	if ga.era != 0 {
-		ga.Log.Warn().Int("event", int(event.StoreRestored)).Uint64("era", st.Era).Uint64("before", ga.era).
-			Uint64("revision", st.Revision).Uint64("revision_before", ga.history.Revision()).Msg(event.Name(event.StoreRestored))
-	}
-	ga.era = st.Era
-	storeEra.Set(float64(st.Era))
-}
-
 // takeRead takes what the service told of everything.
-func (ga *Gateway) takeRead(st State, sent time.Time) {
+func (ga *Gateway) takeRead(st State, sent time.Time) error {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.noteEra(st)
+	if !ga.eras.Accept(st.Revision.Era, clock.Now()) {
+		return errOlderEra
+	}
 	ga.unheard = min(mostUnheard, ga.fresh.Age(clock.Now()))
 	if ga.fresh.Read(sent) {
 		ga.regained()
 	}
 	ga.replace(st)
 	ga.unheard = 0
+	return nil
+}
+
+// noteEra logs that the service was restored since this gateway has read the whole state last.
+// The lock is held.
+func (ga *Gateway) noteEra(to revision.Revision) {
+	storeEra.Set(float64(to.Era))
+	before := ga.history.Revision()
+	if !ga.stateRead || to.Era == before.Era {
+		return
+	}
+	ga.Log.Warn().Int("event", int(event.StoreRestored)).Stringer("revision", to).Stringer("before", before).
+		Msg(event.Name(event.StoreRestored))
 }
 
 // replace takes the whole state; the lock is held.
 func (ga *Gateway) replace(st State) {
 	now := clock.Now()
+	ga.noteEra(st.Revision)
 	listed, evacuated, blocked := map[string]bool{}, map[string]bool{}, map[poison.Print]bool{}
 	for _, ch := range st.Changes {
 		switch {
@@ -223,7 +245,7 @@
 	ga.history.Reset(st.Revision)
 	ga.replaceMembers(st)
 	ga.stateRead = true
-	ga.Log.Info().Int("event", int(event.StateRead)).Uint64("revision", st.Revision).
+	ga.Log.Info().Int("event", int(event.StateRead)).Stringer("revision", st.Revision).
 		Int("servers", len(listed)).Msg(event.Name(event.StateRead))
 }
 
@@ -232,7 +254,6 @@
 	ba := relay.Batch{To: st.Revision}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.noteEra(st)
 	if ga.serves(now) {
 		ba = ga.encode(st)
 	}
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -13,6 +13,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/revision"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
 )
 
@@ -40,12 +41,12 @@
 	return nil
 }
 
-func (sc *script) Read(context.Context, func(State) bool) (State, bool, error) {
+func (sc *script) Read(context.Context, uint64, func(State) bool) (State, bool, error) {
 	doc := &routing.Document{Version: 1, Teams: []routing.Team{{Name: "t", Keys: []string{"k"}}}}
-	return State{Revision: 1, Changes: []Change{{Document: doc}}}, true, sc.failed()
+	return State{Revision: rev(1), Changes: []Change{{Document: doc}}}, true, sc.failed()
 }
 
-func (sc *script) Watch(ctx context.Context, after uint64, wait time.Duration) (State, error) {
+func (sc *script) Watch(ctx context.Context, after revision.Revision, wait time.Duration) (State, error) {
 	sleep(ctx, wait)
 	return State{Revision: after}, sc.failed()
 }
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -22,9 +22,11 @@
 	ga := &Gateway{Log: zerolog.Nop(), Box: "a", DataCentre: "dc", Bounds: Bounds{Revoke: 5 * time.Second, RetryWindow: time.Second}}
 	ga.prepare()
 	good := directory.Server{ID: "good", Service: "svc", Address: "1.2.3.4:5", DataCentre: "dc", Version: "v1"}
-	ga.takeRead(State{Revision: 5, Changes: []Change{
+	if err := ga.takeRead(State{Revision: rev(5), Changes: []Change{
 		{Document: &routing.Document{Version: 3, Services: []routing.Service{{Name: "svc"}}}}, {Server: &good},
-	}}, clock.Now())
+	}}, clock.Now()); err != nil {
+		panic(err)
+	}
 	return ga
 }
 
@@ -41,9 +43,9 @@
 		{Leaving: "u"},
 		{Evacuated: "dc2"},
 		{Restored: "dc2"},
-		{Order: &Order{Plan: rollout.Plan{Service: "svc", Version: "v2", Within: time.Second}, Revision: 6}},
-		{Phase: &StoredPhase{Service: "svc", Order: 6, Phase: rollout.Trying, Revision: 7}},
-		{Tallies: []Tally{{Service: "svc", Order: 6, Box: "b", Life: 1}}},
+		{Order: &Order{Plan: rollout.Plan{Service: "svc", Version: "v2", Within: time.Second}, Revision: rev(6)}},
+		{Phase: &StoredPhase{Service: "svc", Order: rev(6), Phase: rollout.Trying, Revision: rev(7)}},
+		{Tallies: []Tally{{Service: "svc", Order: rev(6), Box: "b", Life: 1}}},
 		{Blocked: &bl},
 		{Unblocked: &pr},
 		{Member: &relay.Member{Box: "b", Address: "1.2.3.4:7"}},
@@ -72,7 +74,7 @@
 		ga := knowing()
 		for _, order := range [][][]byte{{first, second}, {second, first}, {first, first}} {
 			for i, data := range order {
-				ba := relay.Batch{To: uint64(6 + i), Data: data}
+				ba := relay.Batch{To: rev(uint64(6 + i)), Data: data}
 				batches, err := decodeBatches([]relay.Batch{ba})
 				if err != nil || names(batches[0], "good") {
 					continue
@@ -102,7 +104,7 @@
 	f.Add([]byte("torn"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		ga := knowing()
-		_, err := ga.takeWhole(relay.Update{Revision: 9, Whole: data}, clock.Now())
+		_, err := ga.takeWhole(relay.Update{Revision: rev(9), Whole: data}, clock.Now())
 		if err != nil {
 			holds(t, ga)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/quota"
 	"github.com/linnetrudder/linnetrudder/internal/rate"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
+	"github.com/linnetrudder/linnetrudder/internal/revision"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
 )
 
@@ -118,8 +119,8 @@
 	// unreadable bounds the log lines of reports that could not be read, ahead those of
 	// gateways that ask for changes after a later revision.
 	unreadable, ahead zerolog.BurstSampler
-	// era is that of the newest answer of the key-value service.
-	era uint64
+	// eras knows the era of the key-value service.
+	eras revision.Guard
 	// leavingNews and pauseNews hold the servers whose shutdown or pause is propagated to other
 	// gateways.
 	leavingNews, pauseNews gossip.Spread
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -263,7 +263,7 @@
 		require.Equal(t, 4, sc.blocked())
 		time.Sleep(10 * time.Second)
 		require.Zero(t, sc.blocked())
-		st, _, err := view{kept: sc.servers.kept}.since(0)
+		st, _, err := view{kept: sc.servers.kept}.since(rev(0))
 		require.NoError(t, err)
 		require.NotNil(t, st.Changes[len(st.Changes)-1].Unblocked, "taken off by a watcher")
 	})
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -11,6 +11,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
+	"github.com/linnetrudder/linnetrudder/internal/revision"
 )
 
 const (
@@ -32,6 +33,8 @@
 var (
 	errOld     = eris.New("what the watcher knows is too old")
 	errUnknown = eris.New("the watcher's history does not reach back")
+	// errOlderEra means that an answer is from before the service was restored.
+	errOlderEra = eris.New("the answer is of an older era")
 )
 
 // watcher returns the gateway to ask for changes, or false if this one watches the
@@ -63,22 +66,26 @@
 
 // ask asks the watcher once for changes after a revision, and returns the revision
 // to go on from.
-func (ga *Gateway) ask(ctx context.Context, revision uint64) (uint64, error) {
+func (ga *Gateway) ask(ctx context.Context, after revision.Revision) (revision.Revision, error) {
 	sent := clock.Now()
-	up, err := ga.relayed.Ask(ctx, relay.Request{After: revision, Wait: ga.askWait()})
+	up, err := ga.relayed.Ask(ctx, relay.Request{After: after, Wait: ga.askWait()})
 	switch {
 	case err != nil:
-		return revision, err
+		return after, err
 	case up.Age > relayAge:
-		return revision, errOld
+		return after, errOld
 	case up.Whole != nil:
-		return ga.takeWhole(up, sent)
-	case up.Unknown:
-		return revision, errUnknown
+		next, err := ga.takeWhole(up, sent)
+		if err != nil {
+			return after, err
+		}
+		return next, nil
+	case up.Unknown, up.Revision.Era != after.Era:
+		return after, errUnknown
 	}
 	batches, err := decodeBatches(up.Batches)
 	if err != nil {
-		return revision, err
+		return after, err
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
@@ -182,10 +189,10 @@
 
 // noteAhead logs that a gateway asks for changes after a revision that is later than any known
 // here. The lock is held.
-func (ga *Gateway) noteAhead(after uint64) {
-	if own := ga.history.Revision(); after > own {
+func (ga *Gateway) noteAhead(after revision.Revision) {
+	if own := ga.history.Revision(); after.After(own) {
 		lo := ga.Log.Sample(&ga.ahead)
-		lo.Info().Int("event", int(event.AskerAhead)).Uint64("after", after).Uint64("revision", own).Msg(event.Name(event.AskerAhead))
+		lo.Info().Int("event", int(event.AskerAhead)).Stringer("after", after).Stringer("revision", own).Msg(event.Name(event.AskerAhead))
 	}
 }
 
--- a/internal/gateway/relayed_test.go
+++ b/internal/gateway/relayed_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/revision"
 	"github.com/linnetrudder/linnetrudder/internal/rollout"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
 )
@@ -28,6 +30,8 @@
 	mu      sync.Mutex
 	changes []Change
 	news    chan struct{}
+	// era counts how often it went back.
+	era uint64
 	// watches counts the watches of each box, cut names those that get no answers.
 	watches map[string]int
 	cut     map[string]bool
@@ -53,6 +57,16 @@
 	ke.news = make(chan struct{})
 }
 
+// restore goes back to the first changes that there were.
+func (ke *keptState) restore(changes int) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	ke.changes = slices.Clone(ke.changes[:changes])
+	ke.era++
+	close(ke.news)
+	ke.news = make(chan struct{})
+}
+
 func (ke *keptState) setCut(box string, cut bool) {
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
@@ -66,18 +80,22 @@
 	return ke.watches["c"]
 }
 
-func (vi view) since(after uint64) (State, chan struct{}, error) {
+func (vi view) since(after revision.Revision) (State, chan struct{}, error) {
 	ke := vi.kept
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
 	if ke.cut[vi.box] {
 		return State{}, nil, result.New(result.StoreDown, "cut")
 	}
-	return State{Revision: uint64(len(ke.changes)), Changes: ke.changes[after:]}, ke.news, nil
+	to := revision.Revision{Era: ke.era, Number: uint64(len(ke.changes))}
+	if after.Number > to.Number {
+		return State{}, nil, ErrHistoryGone
+	}
+	return State{Revision: to, Changes: ke.changes[after.Number:]}, ke.news, nil
 }
 
-func (vi view) Read(_ context.Context, goOn func(State) bool) (State, bool, error) {
-	st, _, err := vi.since(0)
+func (vi view) Read(_ context.Context, _ uint64, goOn func(State) bool) (State, bool, error) {
+	st, _, err := vi.since(revision.Revision{})
 	if err != nil || vi.pageOf == 0 || len(st.Changes) <= vi.pageOf {
 		return st, true, err
 	}
@@ -89,7 +107,7 @@
 	return first, false, nil
 }
 
-func (vi view) Watch(ctx context.Context, after uint64, wait time.Duration) (State, error) {
+func (vi view) Watch(ctx context.Context, after revision.Revision, wait time.Duration) (State, error) {
 	vi.kept.mu.Lock()
 	vi.kept.watches[vi.box]++
 	vi.kept.mu.Unlock()
@@ -117,7 +135,7 @@
 func (view) Tell(context.Context, string, []Tally) error { return nil }
 
 func (vi view) Block(_ context.Context, bl poison.Block) error {
-	_, _, err := vi.since(0)
+	_, _, err := vi.since(revision.Revision{})
 	if err != nil {
 		return err
 	}
@@ -272,7 +290,7 @@
 	require.True(t, re.gateways["c"].isFresh(time.Now()))
 	require.Equal(t, before, re.kept.watchesOfC(), "the service is not asked")
 	require.Equal(t, "t", re.gateways["c"].Table().TeamByKey("k").Name, "all of the configuration came")
-	kept := re.gateways["c"].Updates(t.Context(), relay.Request{After: 1})
+	kept := re.gateways["c"].Updates(t.Context(), relay.Request{After: rev(1)})
 	require.True(t, kept.Unknown, "a gateway that nobody asks keeps no changes")
 }
 
@@ -328,12 +346,12 @@
 		return Change{Member: &relay.Member{Box: box, DataCentre: "dc", Address: "127.0.0.1:1"}}
 	}
 	now := time.Now()
-	ga.takeRead(State{Revision: 5, Changes: []Change{member("a"), member("b")}}, now)
-	ga.apply(State{Revision: 7, Changes: []Change{member("c")}}, now, time.Second, now)
-	up := ga.Updates(t.Context(), relay.Request{After: 5})
+	require.NoError(t, ga.takeRead(State{Revision: rev(5), Changes: []Change{member("a"), member("b")}}, now))
+	ga.apply(State{Revision: rev(7), Changes: []Change{member("c")}}, now, time.Second, now)
+	up := ga.Updates(t.Context(), relay.Request{After: rev(5)})
 	require.True(t, up.Unknown || len(up.Batches) > 0, "revision 7 brought a member")
-	ga.apply(State{Revision: 8, Changes: []Change{member("d")}}, now, time.Second, now)
-	up = ga.Updates(t.Context(), relay.Request{After: 7})
+	ga.apply(State{Revision: rev(8), Changes: []Change{member("d")}}, now, time.Second, now)
+	up = ga.Updates(t.Context(), relay.Request{After: rev(7)})
 	require.False(t, up.Unknown)
 	require.Len(t, up.Batches, 1)
 }
@@ -355,23 +373,23 @@
 	wa := &Gateway{Log: zerolog.Nop(), Box: "a", DataCentre: "dc"}
 	wa.prepare()
 	now := time.Now()
-	phase := StoredPhase{Service: "s", Order: 4, Phase: rollout.Trying, Revision: 5, Version: "v2"}
-	wa.takeRead(State{Revision: 9, Changes: []Change{
+	phase := StoredPhase{Service: "s", Order: rev(4), Phase: rollout.Trying, Revision: rev(5), Version: "v2"}
+	require.NoError(t, wa.takeRead(State{Revision: rev(9), Changes: []Change{
 		{Document: &routing.Document{Version: 3, Teams: []routing.Team{{Name: "t", Keys: []string{"k"}}}}},
 		{Server: &directory.Server{ID: "x", Service: "s", Version: "v2"}},
-		{Order: &Order{Revision: 4, Plan: rollout.Plan{Service: "s", Version: "v2", Within: time.Minute}}},
+		{Order: &Order{Revision: rev(4), Plan: rollout.Plan{Service: "s", Version: "v2", Within: time.Minute}}},
 		{Phase: &phase},
 		{Member: &relay.Member{Box: "a", DataCentre: "dc", Address: "127.0.0.1:1"}},
-	}}, now)
-	up := wa.Updates(t.Context(), relay.Request{After: 2})
+	}}, now))
+	up := wa.Updates(t.Context(), relay.Request{After: rev(2)})
 	require.NotEmpty(t, up.Whole)
 
 	ga := &Gateway{Log: zerolog.Nop(), Box: "b", DataCentre: "dc"}
 	ga.prepare()
-	ga.takeRead(State{Revision: 2, Changes: []Change{{Server: &directory.Server{ID: "gone", Service: "s"}}}}, now)
+	require.NoError(t, ga.takeRead(State{Revision: rev(2), Changes: []Change{{Server: &directory.Server{ID: "gone", Service: "s"}}}}, now))
 	at, err := ga.takeWhole(up, now)
 	require.NoError(t, err)
-	require.Equal(t, uint64(9), at)
+	require.Equal(t, rev(9), at)
 	require.Equal(t, uint64(3), ga.Table().Version())
 	require.NotNil(t, ga.servers.Get("x"))
 	require.Nil(t, ga.servers.Get("gone"))
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -54,7 +54,7 @@
 // ordered takes an operator's order; the lock is held.
 func (ga *Gateway) ordered(or Order) {
 	old := ga.rollouts[or.Plan.Service]
-	if old != nil && old.order.Revision >= or.Revision {
+	if old != nil && old.order.Revision.Number >= or.Revision.Number {
 		return
 	}
 	or.Plan.MostShare, or.Plan.MostExtra = ga.Bounds.CanaryShare, ga.ownExtra()
@@ -99,7 +99,7 @@
 
 // stored takes a phase that was kept by any gateway; the lock is held.
 func (ga *Gateway) stored(ph StoredPhase) {
-	if ga.phases[ph.Service].Revision >= ph.Revision {
+	if ga.phases[ph.Service].Revision.Number >= ph.Revision.Number {
 		return
 	}
 	ga.phases[ph.Service] = ph
@@ -149,7 +149,7 @@
 		ask.Only, ask.Except = ask.Except, ask.Only
 	}
 	if ask.Only && ro.canary.Phase() == rollout.Trying {
-		ask.Few, ask.FewKey = ro.canary.TrialServers(ga.pool.Count(ask)), ro.order.Revision
+		ask.Few, ask.FewKey = ro.canary.TrialServers(ga.pool.Count(ask)), ro.order.Revision.Number
 	}
 	return ask
 }
@@ -214,7 +214,7 @@
 		ph = rollout.Waiting
 	}
 	boxes := slices.Collect(maps.Keys(ga.members))
-	return now.Sub(ro.dueSince) >= rollout.Turn(ga.Box, boxes, ga.size, ro.order.Revision, ph)
+	return now.Sub(ro.dueSince) >= rollout.Turn(ga.Box, boxes, ga.size, ro.order.Revision.Number, ph)
 }
 
 // elapsedEvery is how old what is kept of a trial's age may be. A process that starts in
@@ -272,5 +272,5 @@
 		level = ga.Log.Warn().Err(err)
 	}
 	level.Int("event", int(event.PhaseStored)).Str("service", ph.Service).Str("phase", string(ph.Phase)).
-		Uint64("compared", ph.Revision).Bool("kept", kept).Msg(event.Name(event.PhaseStored))
+		Stringer("compared", ph.Revision).Bool("kept", kept).Msg(event.Name(event.PhaseStored))
 }
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -31,7 +31,7 @@
 	t.Helper()
 	ga := &Gateway{Log: zerolog.Nop(), Bounds: Bounds{CanaryShare: 0.15}}
 	ga.prepare()
-	ga.ordered(Order{Revision: 7, Plan: rollout.Plan{Service: "s", Version: "v2", Within: 20 * time.Second}})
+	ga.ordered(Order{Revision: rev(7), Plan: rollout.Plan{Service: "s", Version: "v2", Within: 20 * time.Second}})
 	return ga, ga.rollouts["s"]
 }
 
@@ -47,16 +47,16 @@
 	ph, due := ga.dueFor(ro, time.Now())
 	require.True(t, due)
 	require.Equal(t, StoredPhase{
-		Service: "s", Order: 7, Phase: rollout.Waiting, Version: "v2", Elapsed: ph.Elapsed,
+		Service: "s", Order: rev(7), Phase: rollout.Waiting, Version: "v2", Elapsed: ph.Elapsed,
 	}, ph)
-	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Waiting, Revision: 9})
+	ga.stored(StoredPhase{Service: "s", Order: rev(7), Phase: rollout.Waiting, Revision: rev(9)})
 	_, due = ga.dueFor(ro, time.Now())
 	require.False(t, due)
 }
 
 func TestABadVersionIsLeftAtOnceAndTheVerdictIsStored(t *testing.T) {
 	ga, ro := rolling(t)
-	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Trying, Revision: 9})
+	ga.stored(StoredPhase{Service: "s", Order: rev(7), Phase: rollout.Trying, Revision: rev(9)})
 	for i := range 20 {
 		ga.observe(directory.Server{ID: fmt.Sprint(i), Service: "s", Version: "v2"}, "r", true)
 	}
@@ -65,7 +65,7 @@
 	ph, due := ga.dueFor(ro, time.Now())
 	require.True(t, due)
 	require.Equal(t, StoredPhase{
-		Service: "s", Order: 7, Phase: rollout.Failed, Revision: 9, Version: "v2", Elapsed: ph.Elapsed,
+		Service: "s", Order: rev(7), Phase: rollout.Failed, Revision: rev(9), Version: "v2", Elapsed: ph.Elapsed,
 	}, ph)
 }
 
@@ -76,7 +76,7 @@
 	for i := range 20 {
 		ga.observe(directory.Server{ID: fmt.Sprint(i), Service: "s", Version: "v2"}, "r", true)
 	}
-	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Complete, Revision: 12})
+	ga.stored(StoredPhase{Service: "s", Order: rev(7), Phase: rollout.Complete, Revision: rev(12)})
 	require.Equal(t, rollout.Complete, ro.canary.Phase())
 	_, due := ga.dueFor(ro, time.Now().Add(time.Minute))
 	require.False(t, due)
@@ -84,11 +84,11 @@
 
 func TestAPhaseOfAnOlderOrderSaysNothing(t *testing.T) {
 	ga, ro := rolling(t)
-	ga.stored(StoredPhase{Service: "s", Order: 3, Phase: rollout.Complete, Revision: 5})
+	ga.stored(StoredPhase{Service: "s", Order: rev(3), Phase: rollout.Complete, Revision: rev(5)})
 	require.Equal(t, rollout.Trying, ro.canary.Phase())
 	ph, due := ga.dueFor(ro, time.Now())
 	require.True(t, due)
-	require.Equal(t, uint64(5), ph.Revision, "the older phase is what the write is compared with")
+	require.Equal(t, rev(5), ph.Revision, "the older phase is what the write is compared with")
 }
 
 func TestASlowVersionIsBad(t *testing.T) {
@@ -117,7 +117,7 @@
 func TestGatewaysFindABadVersionTogether(t *testing.T) {
 	ga, ro := rolling(t)
 	ga.Box = "own"
-	bad := Tally{Service: "s", Order: 7, Box: "other", Outcomes: rollout.Outcomes{
+	bad := Tally{Service: "s", Order: rev(7), Box: "other", Outcomes: rollout.Outcomes{
 		Routes: map[string]rollout.RouteOutcomes{"r": {Tried: 9, Bad: 8, Servers: []string{"a", "b", "c"}}},
 	}}
 	own := bad
@@ -126,7 +126,7 @@
 	settle(ga, ro)
 	require.Equal(t, rollout.Trying, ro.canary.Phase(), "what it told itself is not counted twice")
 	older := bad
-	older.Order = 3
+	older.Order = rev(3)
 	ga.tallied(older)
 	settle(ga, ro)
 	require.Equal(t, rollout.Trying, ro.canary.Phase())
@@ -161,9 +161,9 @@
 func TestAFailedVersionGetsNothingUnderTheNextOrder(t *testing.T) {
 	ga, ro := rolling(t)
 	list(ga, "v1", "v2", "v3")
-	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Failed, Revision: 9, Version: "v2"})
+	ga.stored(StoredPhase{Service: "s", Order: rev(7), Phase: rollout.Failed, Revision: rev(9), Version: "v2"})
 	require.Equal(t, rollout.Failed, ro.canary.Phase())
-	ga.ordered(Order{Revision: 10, Plan: rollout.Plan{Service: "s", Version: "v3", Within: 20 * time.Second}})
+	ga.ordered(Order{Revision: rev(10), Plan: rollout.Plan{Service: "s", Version: "v3", Within: 20 * time.Second}})
 	require.Equal(t, map[string]bool{"v1": true}, versionsPicked(ga), "none of them is old enough to move")
 	ph, due := ga.dueFor(ga.rollouts["s"], time.Now())
 	require.True(t, due)
@@ -171,18 +171,18 @@
 
 	// A process that starts now goes by what is kept, before and after the new phase.
 	for _, kept := range []StoredPhase{
-		{Service: "s", Order: 7, Phase: rollout.Failed, Revision: 9, Version: "v2"},
-		{Service: "s", Order: 10, Phase: rollout.Trying, Revision: 11, Version: "v3", Withdrawn: []string{"v2"}},
+		{Service: "s", Order: rev(7), Phase: rollout.Failed, Revision: rev(9), Version: "v2"},
+		{Service: "s", Order: rev(10), Phase: rollout.Trying, Revision: rev(11), Version: "v3", Withdrawn: []string{"v2"}},
 	} {
 		fresh := &Gateway{Log: zerolog.Nop(), Bounds: ga.Bounds}
 		fresh.prepare()
 		list(fresh, "v1", "v2", "v3")
 		fresh.stored(kept)
-		fresh.ordered(Order{Revision: 10, Plan: rollout.Plan{Service: "s", Version: "v3", Within: 20 * time.Second}})
+		fresh.ordered(Order{Revision: rev(10), Plan: rollout.Plan{Service: "s", Version: "v3", Within: 20 * time.Second}})
 		require.Equal(t, map[string]bool{"v1": true}, versionsPicked(fresh))
 	}
 
-	ga.ordered(Order{Revision: 12, Plan: rollout.Plan{Service: "s", Version: "v2", Within: 20 * time.Second}})
+	ga.ordered(Order{Revision: rev(12), Plan: rollout.Plan{Service: "s", Version: "v2", Within: 20 * time.Second}})
 	require.NotContains(t, ga.rollouts["s"].withdrawn, "v2", "it was ordered again")
 }
 
@@ -223,7 +223,7 @@
 	ph, due := ga.dueFor(ro, ro.canary.Began.Add(10*time.Second))
 	require.True(t, due)
 	require.Equal(t, rollout.Trying, ph.Phase)
-	ph.Revision = 9
+	ph.Revision = rev(9)
 	again := &Gateway{Log: zerolog.Nop(), Bounds: ga.Bounds}
 	again.prepare()
 	again.stored(ph)
@@ -272,7 +272,7 @@
 		third.tallied(ta)
 	}
 	require.Equal(t, 1, by.canary.BadKnown())
-	third.tallied(Tally{Service: "s", Order: 7, Box: "b", Life: leaf.life})
+	third.tallied(Tally{Service: "s", Order: rev(7), Box: "b", Life: leaf.life})
 	third.tallied(te.all()[0])
 	require.Equal(t, 1, by.canary.BadKnown(), "what is older, or came on another way, is not counted again")
 
@@ -329,7 +329,7 @@
 // the time that had passed three times a second.
 func TestWhatCanNotBeStoredIsTriedLessOften(t *testing.T) {
 	ga, ro := rolling(t)
-	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Trying, Revision: 9})
+	ga.stored(StoredPhase{Service: "s", Order: rev(7), Phase: rollout.Trying, Revision: rev(9)})
 	old := ro.canary.Began.Add(4 * elapsedEvery)
 	_, due := ga.dueFor(ro, old)
 	require.True(t, due)
@@ -342,27 +342,27 @@
 		ga.store(t.Context(), ro, StoredPhase{Service: "s"})
 		require.Equal(t, min(want, mostWriteEvery), ro.pause)
 	}
-	ga.stored(StoredPhase{Service: "s", Order: 7, Phase: rollout.Trying, Revision: 10})
+	ga.stored(StoredPhase{Service: "s", Order: rev(7), Phase: rollout.Trying, Revision: rev(10)})
 	require.Equal(t, writeEvery, ro.pause, "news of others")
 }
 
 // An order that came while watches heard nothing may be a second old when it is read.
 func TestAnOrderThatAWholeReadBringsMayBeOlder(t *testing.T) {
-	order := Change{Order: &Order{Revision: 4, Plan: rollout.Plan{Service: "s", Version: "v2", Within: 24 * time.Second}}}
+	order := Change{Order: &Order{Revision: rev(4), Plan: rollout.Plan{Service: "s", Version: "v2", Within: 24 * time.Second}}}
 	for _, tc := range []struct {
 		silent, older time.Duration
 	}{{300 * time.Millisecond, 300 * time.Millisecond}, {5 * time.Second, mostUnheard}} {
 		ga := &Gateway{Log: zerolog.Nop()}
 		ga.prepare()
 		now := time.Now()
-		ga.takeRead(State{Revision: 2}, now.Add(-tc.silent))
-		ga.takeRead(State{Revision: 9, Changes: []Change{order}}, now)
+		require.NoError(t, ga.takeRead(State{Revision: rev(2)}, now.Add(-tc.silent)))
+		require.NoError(t, ga.takeRead(State{Revision: rev(9), Changes: []Change{order}}, now))
 		require.InDelta(t, float64(tc.older), float64(now.Sub(ga.rollouts["s"].canary.Began)), float64(50*time.Millisecond))
 	}
 	ga := &Gateway{Log: zerolog.Nop()}
 	ga.prepare()
 	now := time.Now()
-	ga.takeRead(State{Revision: 2}, now.Add(-time.Second))
-	ga.apply(State{Revision: 9, Changes: []Change{order}}, now, time.Second, now)
+	require.NoError(t, ga.takeRead(State{Revision: rev(2)}, now.Add(-time.Second)))
+	ga.apply(State{Revision: rev(9), Changes: []Change{order}}, now, time.Second, now)
 	require.False(t, ga.rollouts["s"].canary.Began.Before(now), "a watch tells at once")
 }
--- a/internal/gateway/scene_test.go
+++ b/internal/gateway/scene_test.go
@@ -532,7 +532,7 @@
 
 // keptBlocks returns the blocks that the key-value service holds.
 func (sc *scene) keptBlocks() []poison.Print {
-	st, _, err := view{kept: sc.servers.kept}.since(0)
+	st, _, err := view{kept: sc.servers.kept}.since(rev(0))
 	require.NoError(sc.t, err)
 	var kept []poison.Print
 	for _, ch := range st.Changes {
--- a/internal/gateway/schedule_test.go
+++ b/internal/gateway/schedule_test.go
@@ -25,7 +25,7 @@
 	if ph.Revision != ss.kept.Revision {
 		return false
 	}
-	ph.Revision = uint64(len(ss.changes) + 1)
+	ph.Revision = rev(uint64(len(ss.changes) + 1))
 	ss.kept = ph
 	ss.changes = append(ss.changes, Change{Phase: &ph})
 	ss.history = append(ss.history, ph.Phase)
@@ -41,7 +41,7 @@
 }
 
 func newFleet(n int) *fleet {
-	fl := &fleet{order: Order{Revision: 7, Plan: rollout.Plan{Service: "s", Version: "v2", Within: 20 * time.Second}}}
+	fl := &fleet{order: Order{Revision: rev(7), Plan: rollout.Plan{Service: "s", Version: "v2", Within: 20 * time.Second}}}
 	fl.gateways, fl.seen = make([]*Gateway, n), make([]int, n)
 	for i := range n {
 		fl.start(i)
@@ -54,7 +54,7 @@
 	ga := &Gateway{Log: zerolog.Nop(), Box: fmt.Sprint(i), Bounds: Bounds{CanaryShare: 0.15}}
 	ga.prepare()
 	fl.gateways[i], fl.seen[i] = ga, len(fl.store.changes)
-	if fl.store.kept.Revision > 0 {
+	if !fl.store.kept.Revision.IsZero() {
 		ga.stored(fl.store.kept)
 	}
 	ga.ordered(fl.order)
@@ -167,7 +167,7 @@
 		if due {
 			kept := fl.store.store(ph)
 			history = append(history, porcupine.Operation{
-				ClientId: i, Input: phaseOperation{ph.Revision, ph.Phase}, Call: step, Output: kept, Return: step + 2,
+				ClientId: i, Input: phaseOperation{ph.Revision.Number, ph.Phase}, Call: step, Output: kept, Return: step + 2,
 			})
 		}
 		if step%3 == 0 {
@@ -182,12 +182,12 @@
 // The naive writer stores its view whatever is kept.
 func TestANaiveWriterUndoesAFinishedRollout(t *testing.T) {
 	fl := newFleet(2)
-	fl.store.store(StoredPhase{Service: "s", Order: 7, Phase: rollout.Complete})
+	fl.store.store(StoredPhase{Service: "s", Order: rev(7), Phase: rollout.Complete})
 	for n := range 20 {
 		fl.gateways[1].observe(directory.Server{ID: fmt.Sprint(n), Service: "s", Version: "v2"}, "r", true)
 	}
 	settle(fl.gateways[1], fl.rollout(1))
-	naive := StoredPhase{Service: "s", Order: 7, Phase: fl.rollout(1).canary.Phase(), Revision: fl.store.kept.Revision}
+	naive := StoredPhase{Service: "s", Order: rev(7), Phase: fl.rollout(1).canary.Phase(), Revision: fl.store.kept.Revision}
 	require.True(t, fl.store.store(naive))
 	require.Equal(t, rollout.Failed, fl.store.kept.Phase, "the old servers are stopped, and everything goes back to them")
 }
--- a/internal/gateway/selfreports_test.go
+++ b/internal/gateway/selfreports_test.go
@@ -305,7 +305,7 @@
 	wa, _ := newServing(Change{Member: &relay.Member{Box: "a", DataCentre: "dc0", Address: "127.0.0.1:1"}})
 	wa.serverLeaves("x2", now, 0, "")
 	ga, _ := newServing()
-	_, err := ga.takeWhole(wa.Updates(t.Context(), relay.Request{After: 0}), now)
+	_, err := ga.takeWhole(wa.Updates(t.Context(), relay.Request{After: rev(0)}), now)
 	require.NoError(t, err)
 	require.Equal(t, map[string]bool{"x0": true, "x1": true}, servedBy(ga, now))
 }
--- a/internal/gateway/servers_test.go
+++ b/internal/gateway/servers_test.go
@@ -45,7 +45,9 @@
 	ga.prepare()
 	ga.pool.Fleet = 1
 	all := append([]Change{{Document: coldDocument()}, serverChange("x0", "dc0"), serverChange("x1", "dc1"), serverChange("x2", "dc2")}, changes...)
-	ga.takeRead(State{Revision: 1, Changes: all}, time.Now())
+	if err := ga.takeRead(State{Revision: rev(1), Changes: all}, time.Now()); err != nil {
+		panic(err)
+	}
 	return ga, log
 }
 
@@ -109,7 +111,7 @@
 	wa, _ := newServing(Change{Evacuated: "dc1"}, Change{Member: &relay.Member{Box: "a", DataCentre: "dc0", Address: "127.0.0.1:1"}})
 	require.NotContains(t, servedBy(wa, now), "x1", "a gateway that starts during it")
 	ga, _ := newServing(Change{Evacuated: "dc2"})
-	up := wa.Updates(t.Context(), relay.Request{After: 0})
+	up := wa.Updates(t.Context(), relay.Request{After: rev(0)})
 	require.NotEmpty(t, up.Whole)
 	_, err := ga.takeWhole(up, now)
 	require.NoError(t, err)
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -16,6 +16,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/revision"
 	"github.com/linnetrudder/linnetrudder/internal/rollout"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
 	"github.com/linnetrudder/linnetrudder/internal/selfreport"
@@ -171,10 +172,9 @@
 
 // State is everything that is kept in the key-value service.
 type State struct {
-	// Era counts how often the service was restored from an older copy, zero if it does not
-	// say; Revision is the service's when the state was read.
-	Era, Revision uint64
-	Changes       []Change
+	// Revision is the service's when the state was read.
+	Revision revision.Revision
+	Changes  []Change
 }
 
 // Change is one change of what is kept. Exactly one field is set, and only that one is
@@ -221,14 +221,14 @@
 type Order struct {
 	Plan rollout.Plan
 	// Revision tells two orders of the same version apart.
-	Revision uint64
+	Revision revision.Revision
 }
 
 // StoredPhase is the phase of a roll-out as it is kept.
 type StoredPhase struct {
 	Service string
 	// Order is the revision of the order that the phase belongs to.
-	Order uint64
+	Order revision.Revision
 	Phase rollout.Phase
 	// Version is the order's, Withdrawn holds those that get nothing.
 	Version   string
@@ -240,7 +240,7 @@
 	// Elapsed is the time from the order to the write.
 	Elapsed time.Duration
 	// Revision is what the next change is compared with.
-	Revision uint64
+	Revision revision.Revision
 }
 
 // Tally is what one gateway tells the others of the version being rolled out, from its
@@ -248,7 +248,7 @@
 type Tally struct {
 	Service string
 	// Order is the revision of the order that it belongs to.
-	Order uint64
+	Order revision.Revision
 	// Box is the gateway's, Life tells its processes apart that ran one after the other.
 	Box      string
 	Life     uint64
@@ -271,11 +271,12 @@
 type Source interface {
 	// Read reads everything. Where that takes several calls it goes on after the first one
 	// only if goOn says so, given a first part that holds the members; it reports whether the
-	// state is whole.
-	Read(ctx context.Context, goOn func(first State) bool) (st State, whole bool, err error)
+	// state is whole. Answers that name no era are taken to be of the given one.
+	Read(ctx context.Context, era uint64, goOn func(first State) bool) (st State, whole bool, err error)
 	// Watch returns what changed after a revision, or nothing when the wait is
-	// over, and the revision to go on from.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (State, error)
+	// over, and the revision to go on from. If that is of another era, the changes are not all.
+	// An answer that names no era is taken to be of that of the revision.
+	Watch(ctx context.Context, after revision.Revision, wait time.Duration) (State, error)
 	// Store keeps a phase if the stored one still has the revision that it
 	// names. It reports whether it does.
 	Store(ctx context.Context, or Order, ph StoredPhase) (bool, error)
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -10,6 +10,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
+	"github.com/linnetrudder/linnetrudder/internal/revision"
 )
 
 const (
@@ -24,37 +25,47 @@
 
 // readState reads everything, from the service or the rest of it from a watcher, and returns
 // the revision to go on from.
-func (ga *Gateway) readState(ctx context.Context) (uint64, error) {
+func (ga *Gateway) readState(ctx context.Context) (revision.Revision, error) {
 	sent := clock.Now()
 	var from relay.Member
-	st, whole, err := ga.Source.Read(ctx, func(first State) bool {
+	era := ga.era()
+	st, whole, err := ga.Source.Read(ctx, era, func(first State) bool {
 		var ok bool
 		from, ok = ga.watcherAmong(first)
 		return !ok
 	})
 	if err == nil && !whole {
-		revision, ok := ga.readFrom(ctx, from)
+		at, ok := ga.readFrom(ctx, from)
 		if ok {
-			return revision, nil
+			return at, nil
 		}
 		sent = clock.Now()
-		st, _, err = ga.Source.Read(ctx, func(State) bool { return true })
+		st, _, err = ga.Source.Read(ctx, era, func(State) bool { return true })
 	}
 	if err != nil {
-		return 0, err
+		return revision.Revision{}, err
 	}
-	ga.takeRead(st, sent)
-	return st.Revision, nil
+	return st.Revision, ga.takeRead(st, sent)
+}
+
+// era returns the era of the key-value service, zero if it has named none.
+func (ga *Gateway) era() uint64 {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.eras.Era()
 }
 
 // takeWhole takes the whole state from a watcher.
-func (ga *Gateway) takeWhole(up relay.Update, sent time.Time) (uint64, error) {
+func (ga *Gateway) takeWhole(up relay.Update, sent time.Time) (revision.Revision, error) {
 	st := State{Revision: up.Revision}
 	if err := cbor.Unmarshal(up.Whole, &st.Changes); err != nil {
-		return 0, eris.Wrap(err, "decode state")
+		return revision.Revision{}, eris.Wrap(err, "decode state")
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	if !ga.eras.Accept(st.Revision.Era, clock.Now()) {
+		return revision.Revision{}, errOlderEra
+	}
 	ga.replace(st)
 	if ga.fresh.Relayed(sent, up.Age) {
 		ga.regained()
@@ -83,7 +94,7 @@
 
 // readFrom takes the whole state from a watcher, which may have to read it first. It reports
 // false if the watcher does not have it in time.
-func (ga *Gateway) readFrom(ctx context.Context, wa relay.Member) (uint64, bool) {
+func (ga *Gateway) readFrom(ctx context.Context, wa relay.Member) (revision.Revision, bool) {
 	cl := relay.Client{Address: wa.Address, Slack: startSlack, HTTP: ga.RelayHTTP}
 	defer cl.Close()
 	var failed error
@@ -98,15 +109,15 @@
 		case up.Whole == nil:
 			failed = errUnknown
 		default:
-			revision, err := ga.takeWhole(up, sent)
+			at, err := ga.takeWhole(up, sent)
 			if err == nil {
-				return revision, true
+				return at, true
 			}
 			failed = err
 		}
 	}
 	ga.leaveWatcher(wa, failed)
-	return 0, false
+	return revision.Revision{}, false
 }
 
 // wholeState returns everything that a gateway needs to begin from, as changes. Tallies
@@ -170,6 +181,6 @@
 // encodedState is a whole state as it is passed on.
 type encodedState struct {
 	data     []byte
-	revision uint64
+	revision revision.Revision
 	at       time.Time
 }
--- /dev/null
+++ b/internal/grace/grace.go
@@ -0,0 +1,44 @@
+// Package grace keeps what the key-value service no longer holds for a while, since it may have
+// lost it and whoever wrote it may write it again. It does no I/O and reads no clock.
+package grace
+
+import (
+	"slices"
+	"time"
+)
+
+// Set holds names until a deadline each. The zero value is empty. It is not safe for concurrent
+// use.
+type Set struct{ until map[string]time.Time }
+
+// Hold keeps a name until a deadline; one that is held already keeps its own.
+func (se *Set) Hold(name string, until time.Time) {
+	if se.until == nil {
+		se.until = map[string]time.Time{}
+	}
+	if _, ok := se.until[name]; !ok {
+		se.until[name] = until
+	}
+}
+
+// Release forgets a name, as once it was written again.
+func (se *Set) Release(name string) { delete(se.until, name) }
+
+// Has reports whether a name is held.
+func (se *Set) Has(name string) bool {
+	_, ok := se.until[name]
+	return ok
+}
+
+// Expire forgets the names whose deadline is over and returns them in order.
+func (se *Set) Expire(now time.Time) []string {
+	var over []string
+	for name, until := range se.until {
+		if !now.Before(until) {
+			over = append(over, name)
+			delete(se.until, name)
+		}
+	}
+	slices.Sort(over)
+	return over
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,12 +15,13 @@
 	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
+	"github.com/linnetrudder/linnetrudder/internal/revision"
 )
 
 // Request asks for the changes after a revision of the key-value service. The
 // fields are exported because the codec needs them.
 type Request struct {
-	After uint64 `cbor:"1,keyasint"`
+	After revision.Revision `cbor:"1,keyasint"`
 	// Wait is how long the answer may be held until there is a change.
 	Wait time.Duration `cbor:"2,keyasint"`
 }
@@ -28,7 +29,7 @@
 // Update answers a Request. The fields are exported because the codec needs them.
 type Update struct {
 	// Revision is the one to go on from.
-	Revision uint64 `cbor:"1,keyasint"`
+	Revision revision.Revision `cbor:"1,keyasint"`
 	// Age is how long ago the watcher was last sure to know all changes, at the
 	// most.
 	Age time.Duration `cbor:"2,keyasint"`
@@ -45,7 +46,7 @@
 // needs them.
 type Batch struct {
 	// To is the revision that the changes lead to.
-	To uint64 `cbor:"1,keyasint"`
+	To revision.Revision `cbor:"1,keyasint"`
 	// Data holds them as the watcher encoded them.
 	Data []byte `cbor:"2,keyasint"`
 }
@@ -98,23 +99,27 @@
 // the service itself.
 const historyBatches = 64
 
-// History keeps the newest changes. The zero value knows of no revision. It is
+// History keeps the newest changes of one era. The zero value knows of no revision. It is
 // not safe for concurrent use.
 type History struct {
 	batches []Batch
 	// from is the revision before the oldest batch, to that after the newest.
-	from, to uint64
+	from, to revision.Revision
 }
 
 // Reset forgets all changes and begins at a revision.
-func (hi *History) Reset(revision uint64) { hi.batches, hi.from, hi.to = nil, revision, revision }
+func (hi *History) Reset(re revision.Revision) { hi.batches, hi.from, hi.to = nil, re, re }
 
 // Revision returns the newest revision.
-func (hi *History) Revision() uint64 { return hi.to }
+func (hi *History) Revision() revision.Revision { return hi.to }
 
 // Add takes changes; a batch without data means that nothing of interest changed.
 func (hi *History) Add(ba Batch) {
-	if ba.To <= hi.to {
+	if ba.To.Era != hi.to.Era {
+		hi.Reset(ba.To)
+		return
+	}
+	if !ba.To.After(hi.to) {
 		return
 	}
 	hi.to = ba.To
@@ -129,16 +134,19 @@
 }
 
 // Since returns the changes after a revision and the revision to go on from, or
-// false if they are not all known. A batch that the revision lies within is
-// returned whole: changes may be applied again in their order.
-func (hi *History) Since(after uint64) (batches []Batch, to uint64, ok bool) {
-	if hi.to == 0 || after < hi.from {
+// false if they are not all known, as of another era. A batch that the revision lies
+// within is returned whole: changes may be applied again in their order.
+func (hi *History) Since(after revision.Revision) (batches []Batch, to revision.Revision, ok bool) {
+	if hi.to.IsZero() || after.Era != hi.to.Era || hi.from.After(after) {
 		return nil, after, false
 	}
 	for _, ba := range hi.batches {
-		if ba.To > after {
+		if ba.To.After(after) {
 			batches = append(batches, ba)
 		}
 	}
-	return batches, max(after, hi.to), true
+	if hi.to.After(after) {
+		after = hi.to
+	}
+	return batches, after, true
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/linnetrudder/linnetrudder/internal/revision"
 )
 
 var now = time.Unix(1000, 0)
@@ -196,46 +198,65 @@
 	require.False(t, ok, "one that answers no requests")
 }
 
+// rev returns a revision of a service that names no era.
+func rev(number uint64) revision.Revision { return revision.Revision{Number: number} }
+
 // Whatever revisions the batches lead to, and wherever a gateway stands: it gets
 // every change above its revision, or is told that it can't.
 func TestNoChangeIsLeftOut(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		var hi History
 		begin := uint64(rapid.IntRange(1, 50).Draw(rt, "begin"))
-		hi.Reset(begin)
+		hi.Reset(rev(begin))
 		at, all := begin, map[uint64]bool{}
 		for range rapid.IntRange(0, 2*historyBatches).Draw(rt, "batches") {
 			at += uint64(rapid.IntRange(1, 5).Draw(rt, "step"))
 			if rapid.Bool().Draw(rt, "empty") {
-				hi.Add(Batch{To: at})
+				hi.Add(Batch{To: rev(at)})
 				continue
 			}
-			hi.Add(Batch{To: at, Data: []byte{1}})
+			hi.Add(Batch{To: rev(at), Data: []byte{1}})
 			all[at] = true
 		}
 		after := uint64(rapid.IntRange(0, int(at)+3).Draw(rt, "after"))
-		batches, to, ok := hi.Since(after)
+		batches, to, ok := hi.Since(rev(after))
 		if !ok {
 			if after >= begin && len(hi.batches) < historyBatches {
 				rt.Fatalf("revision %d is not known, history from %d", after, begin)
 			}
 			return
 		}
-		if to < after || to < at {
-			rt.Fatalf("goes on from %d after %d of %d", to, after, at)
+		if to.Number < after || to.Number < at {
+			rt.Fatalf("goes on from %s after %d of %d", to, after, at)
 		}
 		got := map[uint64]bool{}
 		for _, ba := range batches {
-			got[ba.To] = true
+			got[ba.To.Number] = true
 		}
-		for revision := range all {
-			if revision > after && !got[revision] {
-				rt.Fatalf("change %d after %d is left out", revision, after)
+		for change := range all {
+			if change > after && !got[change] {
+				rt.Fatalf("change %d after %d is left out", change, after)
 			}
 		}
 	})
 }
 
+func TestChangesOfAnotherEraAreUnknown(t *testing.T) {
+	var hi History
+	hi.Reset(revision.Revision{Era: 2, Number: 75})
+	hi.Add(Batch{To: revision.Revision{Era: 2, Number: 78}, Data: []byte{1}})
+	for _, after := range []revision.Revision{{Era: 1, Number: 77}, {Era: 1, Number: 90}, {Number: 77}, {Era: 3, Number: 76}} {
+		_, _, ok := hi.Since(after)
+		require.False(t, ok, after)
+	}
+	batches, _, ok := hi.Since(revision.Revision{Era: 2, Number: 77})
+	require.True(t, ok)
+	require.Len(t, batches, 1)
+	hi.Add(Batch{To: revision.Revision{Era: 3, Number: 70}, Data: []byte{1}})
+	_, _, ok = hi.Since(revision.Revision{Era: 3, Number: 69})
+	require.False(t, ok, "what came between is not known")
+}
+
 // feed answers with what it is told, after a pause.
 type feed struct {
 	update Update
@@ -248,7 +269,8 @@
 	case <-time.After(fe.pause):
 	}
 	up := fe.update
-	up.Revision += rq.After
+	up.Revision.Number += rq.After.Number
+	up.Revision.Era += rq.After.Era
 	return up
 }
 
@@ -262,11 +284,13 @@
 }
 
 func TestUpdatesComeOverOneConnection(t *testing.T) {
-	cl := dial(t, &feed{update: Update{Revision: 1, Age: time.Second, Batches: []Batch{{To: 2, Data: []byte{1}}}}})
+	cl := dial(t, &feed{update: Update{Revision: rev(1), Age: time.Second, Batches: []Batch{{To: rev(2), Data: []byte{1}}}}})
 	for after := range uint64(3) {
-		up, err := cl.Ask(t.Context(), Request{After: after, Wait: time.Second})
+		asked := revision.Revision{Era: 4, Number: after}
+		up, err := cl.Ask(t.Context(), Request{After: asked, Wait: time.Second})
 		require.NoError(t, err)
-		require.Equal(t, Update{Revision: after + 1, Age: time.Second, Batches: []Batch{{To: 2, Data: []byte{1}}}}, up)
+		want := revision.Revision{Era: 4, Number: after + 1}
+		require.Equal(t, Update{Revision: want, Age: time.Second, Batches: []Batch{{To: rev(2), Data: []byte{1}}}}, up)
 	}
 }
 
