fix: what is known of servers outlasts a restore of the key-value service

What callers would see: requests to servers that leave or have ended, since the copy from which the service was restored lists them as ready; refusals where the copy does not list servers that live.

Change: an entry of a life with a lower sequence number than the newest one known is older and changes nothing, also once the life is no longer listed; the entry of an ended life that a restored service lists is not used for 5 s, in which it lapses or its server writes (event 534); an entry that the copy does not hold is given 2 s to come back, as after an outage.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -94,6 +94,10 @@
 	settled time.Time
 	// leaving holds when servers announced their shutdown, by the key of their life.
 	leaving map[string]time.Time
+	// past holds the lives that are known to leave or to have ended, by their key.
+	past map[string]pastLife
+	// revived holds the entries of ended lives that a restored service lists again.
+	revived map[string]revivedServer
 	// evacuated holds the data centres whose servers are to get nothing.
 	evacuated map[string]bool
 	// byService holds those that may take new work; nil after a change, until it is
@@ -102,7 +106,7 @@
 }
 
 // Put takes a server's entry. It reports whether it did: one of an earlier life than the
-// one that is known came late and says nothing.
+// one that is known, or an earlier one of this life, came late and says nothing.
 func (di *Directory) Put(se Server) bool {
 	if di.servers == nil {
 		di.servers = map[string]*Server{}
@@ -113,7 +117,11 @@
 		return false
 	}
 	delete(di.missing, se.ID)
+	if old != nil && se.Born == old.Born && se.Seq < old.Seq {
+		return false
+	}
 	se.hash, se.key = xxhash.Sum64String(se.ID), se.life()
+	di.noteLife(&se)
 	if old != nil && old.Service == se.Service && old.Draining == se.Draining && old.DataCentre == se.DataCentre {
 		*old = se // a heartbeat: the lists stay as they are
 		return true
@@ -125,6 +133,7 @@
 
 // Drop takes a server out at once.
 func (di *Directory) Drop(id string) {
+	delete(di.revived, id)
 	if di.servers[id] == nil {
 		return
 	}
@@ -202,6 +211,7 @@
 
 // Remove takes the end of a server's entry.
 func (di *Directory) Remove(id string, now time.Time) {
+	delete(di.revived, id)
 	se := di.servers[id]
 	if se == nil {
 		return
@@ -212,9 +222,7 @@
 		}
 		return
 	}
-	delete(di.missing, id)
-	delete(di.servers, id)
-	di.byService = nil
+	di.end(se, now)
 }
 
 // StoreLost notes that the key-value service gives no answers.
@@ -237,12 +245,9 @@
 			continue
 		}
 		dropped = append(dropped, di.servers[id])
-		delete(di.missing, id)
-		delete(di.servers, id)
-	}
-	if dropped != nil {
-		di.byService = nil
+		di.end(di.servers[id], now)
 	}
+	di.forgetLives(now)
 	maps.DeleteFunc(di.leaving, func(key string, at time.Time) bool {
 		return now.Sub(at) >= leavingKept && di.Life(key) == nil
 	})
--- /dev/null
+++ b/internal/directory/restored_test.go
@@ -0,0 +1,72 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestLeavingServerStaysUnusedAfterItsEntryIsRestored(t *testing.T) {
+	var di Directory
+	di.Put(Server{ID: "a", Service: "s", Born: 1, Seq: 3})
+	di.Put(Server{ID: "b", Service: "s", Born: 1, Seq: 3})
+	di.Put(Server{ID: "b", Service: "s", Born: 1, Seq: 4, Draining: true})
+	di.StoreRestored(t0)
+	require.False(t, di.Put(Server{ID: "b", Service: "s", Born: 1, Seq: 2}), "the entry before")
+	require.Equal(t, []string{"a"}, ids(&di))
+
+	di.Remove("b", at(1))
+	require.Nil(t, di.Get("b"), "a server that leaves is not waited for")
+	di.Put(Server{ID: "b", Service: "s", Born: 1, Seq: 3})
+	require.Equal(t, []string{"a"}, ids(&di), "its entry reappears")
+	di.Put(Server{ID: "b", Service: "s", Born: 2, Seq: 1})
+	require.Len(t, ids(&di), 2, "its next life")
+}
+
+func TestServerWhoseEntryWasLostIsUsedUntilItIsWrittenAgain(t *testing.T) {
+	var di Directory
+	di.Put(Server{ID: "a", Service: "s", Seq: 1})
+	di.Put(Server{ID: "b", Service: "s", Seq: 1})
+	di.StoreRestored(t0)
+	di.Remove("a", t0)
+	di.Remove("b", t0)
+	require.Len(t, ids(&di), 2)
+	di.Put(Server{ID: "a", Service: "s", Seq: 2})
+	require.Len(t, di.Tick(at(2)), 1)
+	require.Equal(t, []string{"a"}, ids(&di))
+}
+
+func TestEndedServerIsNotUsedWhileARestoredServiceListsIt(t *testing.T) {
+	var di Directory
+	for _, id := range []string{"ended", "back", "written"} {
+		di.Put(Server{ID: id, Service: "s", Born: 1, Seq: 5})
+		di.Remove(id, t0)
+	}
+	di.StoreRestored(at(1))
+	for _, id := range []string{"ended", "back", "written"} {
+		require.True(t, di.Revive(Server{ID: id, Service: "s", Born: 1, Seq: 4}, at(1)))
+	}
+	require.False(t, di.Revive(Server{ID: "ended", Service: "s", Born: 2, Seq: 1}, at(1)), "its next life")
+	require.False(t, di.Revive(Server{ID: "new", Service: "s"}, at(1)))
+	require.Empty(t, ids(&di))
+	di.Put(Server{ID: "written", Service: "s", Born: 1, Seq: 6})
+	require.Equal(t, []string{"written"}, ids(&di), "it writes")
+	di.Remove("ended", at(3))
+	require.Empty(t, di.Revived(at(1).Add(revivedHold-1)))
+	back := di.Revived(at(1).Add(revivedHold))
+	require.Len(t, back, 1)
+	require.Equal(t, "back", back[0].ID)
+	require.Empty(t, di.Revived(at(100)))
+}
+
+func TestEndedLivesAreForgotten(t *testing.T) {
+	var di Directory
+	di.Put(Server{ID: "a", Service: "s"})
+	di.Remove("a", t0)
+	di.Tick(t0.Add(leavingKept - time.Second))
+	require.True(t, di.Revive(Server{ID: "a", Service: "s"}, t0))
+	di.Tick(t0.Add(leavingKept))
+	require.False(t, di.Revive(Server{ID: "b", Service: "s"}, t0))
+	require.Empty(t, di.past)
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -74,6 +74,7 @@
 	ServerLeaving    ID = 531
 	AttemptUnwanted  ID = 532
 	ReportUnreadable ID = 533
+	ServerRevived    ID = 534
 	BillWritten      ID = 600
 	BillHeld         ID = 601
 	ClaimWon         ID = 602
@@ -173,6 +174,7 @@
 	{ServerLeaving, "server_leaving", "a backend server announced its shutdown in an answer; it gets nothing new"},
 	{AttemptUnwanted, "attempt_unwanted", "an attempt is sent to a backend server that is leaving or asked for a pause"},
 	{ReportUnreadable, "report_unreadable", "what a backend server reports about itself could not be read; what was known stays in force"},
+	{ServerRevived, "server_revived", "a restored key-value service lists a backend server again whose entry had ended; it is not used unless its entry stays"},
 	{BillWritten, "bill_written", "bill records are durable"},
 	{BillHeld, "bill_held", "bill records wait for the key-value service"},
 	{ClaimWon, "claim_won", "a claim is durable"},
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -209,27 +209,34 @@
 	return nil
 }
 
-// noteEra logs that the service was restored since this gateway has read the whole state last.
-// The lock is held.
-func (ga *Gateway) noteEra(to revision.Revision) {
+// restoredSince reports whether the service was restored since this gateway has read the whole
+// state last. The lock is held.
+func (ga *Gateway) restoredSince(to revision.Revision) bool {
 	storeEra.Set(float64(to.Era))
 	before := ga.history.Revision()
 	if !ga.stateRead || to.Era == before.Era {
-		return
+		return false
 	}
 	ga.Log.Warn().Int("event", int(event.StoreRestored)).Stringer("revision", to).Stringer("before", before).
 		Msg(event.Name(event.StoreRestored))
+	return true
 }
 
 // replace takes the whole state; the lock is held.
 func (ga *Gateway) replace(st State) {
 	now := clock.Now()
-	ga.noteEra(st.Revision)
+	restored := ga.restoredSince(st.Revision)
+	if restored {
+		ga.servers.StoreRestored(now)
+	}
 	listed, evacuated, blocked := map[string]bool{}, map[string]bool{}, map[poison.Print]bool{}
 	for _, ch := range st.Changes {
 		switch {
 		case ch.Server != nil:
 			listed[ch.Server.ID] = true
+			if restored && ga.revives(*ch.Server, now) {
+				continue
+			}
 		case ch.Leaving != "":
 			ga.serverLeaves(ch.Leaving, clock.Now(), gossip.MostHops, "announced to a watcher")
 		case ch.Evacuated != "":
@@ -239,7 +246,7 @@
 		}
 		ga.change(ch)
 	}
-	ga.keepServers(listed, now)
+	ga.keepServers(listed, restored, now)
 	ga.keepEvacuated(evacuated, now)
 	ga.liftOthers(blocked)
 	ga.history.Reset(st.Revision)
--- a/internal/gateway/restored_test.go
+++ b/internal/gateway/restored_test.go
@@ -64,3 +64,48 @@
 		}
 	}
 }
+
+// known reports whether a gateway knows a server.
+func (ga *Gateway) known(id string) bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.servers.Get(id) != nil
+}
+
+func TestServersOutlastARestoredStore(t *testing.T) {
+	for _, gateways := range []int{1, 4, 23} {
+		synctest.Test(t, func(t *testing.T) {
+			sc := newScene(t, gateways)
+			ke := sc.servers.kept
+			copied := ke.position()
+			sc.servers.drain("s1")
+			ke.add(Change{Gone: "s2"})
+			sc.servers.start()
+			rewritten := fmt.Sprint("s", poolSize+1)
+			sc.servers.start()
+			lost := fmt.Sprint("s", poolSize+2)
+			time.Sleep(restoredWithin)
+
+			ke.restore(copied)
+			all := func(after string, want map[string]bool) {
+				for i, ga := range sc.gateways {
+					for id, sent := range want {
+						require.Equal(t, sent, ga.sends(id), "%s after the restore: %s at gateway %d of %d", after, id, i, gateways)
+					}
+				}
+			}
+			time.Sleep(200 * time.Millisecond)
+			all("0.2 s", map[string]bool{"s1": false, "s2": false, "s3": true, rewritten: true, lost: true})
+			ke.add(Change{Server: &sc.servers.server(rewritten).listed})
+			sc.servers.drain("s1")
+			time.Sleep(restoredWithin)
+			all("2.2 s", map[string]bool{"s1": false, "s2": false, "s3": true, rewritten: true})
+			ke.add(Change{Gone: "s2"})
+			time.Sleep(2 * restoredWithin)
+			all("6.2 s", map[string]bool{"s1": false, "s2": false, "s3": true, rewritten: true, lost: false})
+			for _, ga := range sc.gateways {
+				require.False(t, ga.known(lost), "whose entry is not written again")
+			}
+		})
+	}
+}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -67,15 +67,30 @@
 	ga.noteServer(event.ServerUnusable, un.ID, un.Reason)
 }
 
-// keepServers removes the servers that a whole state does not list; the lock is held.
-func (ga *Gateway) keepServers(listed map[string]bool, now time.Time) {
+// keepServers removes the servers that a whole state does not list, at once unless a restored
+// service may have lost their entries. The lock is held.
+func (ga *Gateway) keepServers(listed map[string]bool, restored bool, now time.Time) {
 	for _, se := range ga.servers.Listed() {
-		if !listed[se.ID] {
+		switch {
+		case listed[se.ID]:
+		case restored && !ga.servers.Drains(se):
+			ga.servers.Remove(se.ID, now)
+		default:
 			ga.serverGone(se.ID, now)
 		}
 	}
 }
 
+// revives reports whether a restored service lists a server that has ended, which is not used for
+// a while. The lock is held.
+func (ga *Gateway) revives(se directory.Server, now time.Time) bool {
+	if !ga.servers.Revive(se, now) {
+		return false
+	}
+	ga.noteServer(event.ServerRevived, se.ID, se.Service)
+	return true
+}
+
 // evacuate takes a data centre's servers out of use: whatever is sent from now on, a first
 // attempt or a later one, goes elsewhere, and what runs there comes to its end. The lock is
 // held.
@@ -164,10 +179,14 @@
 	ga.pool.Fleet = ga.fleet.Most(now)
 }
 
-// dropMissing drops the servers whose entries did not come back.
+// dropMissing drops the servers whose entries did not come back, and lists those whose entries
+// stayed after a restored service had listed them again.
 func (ga *Gateway) dropMissing(now time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	for _, se := range ga.servers.Revived(now) {
+		ga.putServer(se, now)
+	}
 	for _, se := range ga.servers.Tick(now) {
 		ga.pool.Forget(se.Key())
 		ga.noteServer(event.ServerGone, se.ID, "its entry did not come back")
