fix: memberships, blocks and evacuations are not lost with a restored key-value service

What callers would see after a restore: requests under which servers end are sent again (all blocks that the copy does not hold were lifted), servers of an evacuated data centre get requests until the operator writes again, and for up to 10 s gateways whose member keys are gone are asked by nobody, so that the others call the service.

Change: a block that is in force and not held any more is stored again by the gateway whose turn it is; an evacuation that is not there is kept for 5 s, in which its operator writes it again; gateways join anew at once and stay members meanwhile. What is kept so is not passed on as if the service held it.

--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -142,10 +142,15 @@
 }
 
 // liftOthers ends the blocks that the key-value service held and a whole state does not name
-// any more; the lock is held.
-func (ga *Gateway) liftOthers(named map[poison.Print]bool) {
+// any more. Those that a restored service has lost are stored again. The lock is held.
+func (ga *Gateway) liftOthers(named map[poison.Print]bool, restored bool, now time.Time) {
 	for _, bl := range ga.blocks.Stored() {
-		if !named[bl.Print] {
+		switch {
+		case named[bl.Print]:
+		case restored:
+			ga.blocks.Lost(bl.Print)
+			ga.storing[bl.Print] = ga.turn(now)
+		default:
 			ga.notKept(bl.Print)
 		}
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -237,10 +237,10 @@
 	if restored {
 		ga.losePhases(st)
 	}
-	ga.keepEvacuated(evacuated, now)
-	ga.liftOthers(blocked)
+	ga.keepEvacuated(evacuated, restored, now)
+	ga.liftOthers(blocked, restored, now)
 	ga.history.Reset(st.Revision)
-	ga.replaceMembers(st)
+	ga.replaceMembers(st, restored, now)
 	ga.stateRead = true
 	ga.Log.Info().Int("event", int(event.StateRead)).Stringer("revision", st.Revision).
 		Int("servers", len(listed)).Msg(event.Name(event.StateRead))
@@ -293,8 +293,10 @@
 	case ch.Unusable != nil:
 		ga.entryUnusable(*ch.Unusable)
 	case ch.Evacuated != "":
+		ga.lostCentres.Release(ch.Evacuated)
 		ga.evacuate(ch.Evacuated)
 	case ch.Restored != "":
+		ga.lostCentres.Release(ch.Restored)
 		ga.restore(ch.Restored, clock.Now())
 	case ch.Order != nil:
 		ga.ordered(*ch.Order)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/freshness"
 	"github.com/linnetrudder/linnetrudder/internal/gossip"
+	"github.com/linnetrudder/linnetrudder/internal/grace"
 	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/pace"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
@@ -121,6 +122,13 @@
 	unreadable, ahead zerolog.BurstSampler
 	// eras knows the era of the key-value service.
 	eras revision.Guard
+	// lostCentres and lostMembers hold the evacuated data centres and the members that a restored
+	// service does not name.
+	lostCentres, lostMembers grace.Set
+	// isMember is set once this gateway has joined; rejoin gets a value when a restored service
+	// has lost its membership.
+	isMember bool
+	rejoin   chan struct{}
 	// leavingNews and pauseNews hold the servers whose shutdown or pause is propagated to other
 	// gateways.
 	leavingNews, pauseNews gossip.Spread
@@ -218,6 +226,7 @@
 	ga.lifted = make(chan struct{})
 	ga.confirmed = make(chan struct{})
 	ga.back = make(chan struct{}, 1)
+	ga.rejoin = make(chan struct{}, 1)
 	ga.life = rand.Uint64()
 }
 
@@ -278,6 +287,7 @@
 			ga.noteTick(now)
 			ga.noteSuspended()
 			ga.dropMissing(now)
+			ga.dropLost(now)
 			ga.watchServers(now)
 			ga.expireLoads(now)
 			ga.settleRuns(ctx, now)
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -41,7 +41,23 @@
 			ga.Log.Warn().Int("event", int(event.StoreCallFailed)).Err(err).Msg(event.Name(event.StoreCallFailed))
 			pause = joinAgain
 		}
-		sleep(ctx, pause)
+		if ga.awaitRenewal(ctx, pause) {
+			le = 0
+		}
+	}
+}
+
+// awaitRenewal waits for a time, or until the membership has ended, which it reports.
+func (ga *Gateway) awaitRenewal(ctx context.Context, pause time.Duration) (ended bool) {
+	ti := time.NewTimer(pause)
+	defer ti.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-ti.C:
+		return false
+	case <-ga.rejoin:
+		return true
 	}
 }
 
@@ -75,10 +91,14 @@
 		*le = 0
 	}
 	joined, err := ga.Source.Join(ctx, ga.self(), memberTTL)
-	if err == nil {
-		*le = joined
+	if err != nil {
+		return err
 	}
-	return err
+	*le = joined
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.isMember = true
+	return nil
 }
 
 // self returns this gateway as a member.
@@ -90,6 +110,7 @@
 func (ga *Gateway) joined(me relay.Member) {
 	_, known := ga.members[me.Box]
 	ga.members[me.Box] = me
+	ga.lostMembers.Release(me.Box)
 	if !known {
 		ga.resize()
 		ga.noteMember(event.MemberJoined, me.Box)
@@ -99,9 +120,9 @@
 // memberList returns the members in no order; the lock is held.
 func (ga *Gateway) memberList() []relay.Member { return slices.Collect(maps.Values(ga.members)) }
 
-// replaceMembers drops the members that a whole state does not hold; the lock is
-// held.
-func (ga *Gateway) replaceMembers(st State) {
+// replaceMembers drops the members that a whole state does not hold. Those that a restored service
+// may have lost get time to join again. The lock is held.
+func (ga *Gateway) replaceMembers(st State, restored bool, now time.Time) {
 	listed := map[string]bool{}
 	for _, ch := range st.Changes {
 		if ch.Member != nil {
@@ -109,14 +130,30 @@
 		}
 	}
 	for box := range ga.members {
-		if !listed[box] {
+		switch {
+		case listed[box]:
+		case restored:
+			ga.lostMembers.Hold(box, now.Add(rewriteGrace))
+		case !ga.lostMembers.Has(box):
 			ga.left(box)
 		}
 	}
+	if restored && ga.isMember && !listed[ga.Box] {
+		ga.requestJoin()
+	}
+}
+
+// requestJoin lets this gateway join anew at once; the lock is held.
+func (ga *Gateway) requestJoin() {
+	select {
+	case ga.rejoin <- struct{}{}:
+	default:
+	}
 }
 
 // left notes that a member is gone; the lock is held.
 func (ga *Gateway) left(box string) {
+	ga.lostMembers.Release(box)
 	if _, known := ga.members[box]; known {
 		delete(ga.members, box)
 		ga.resize()
--- a/internal/gateway/restored.go
+++ b/internal/gateway/restored.go
@@ -1,10 +1,16 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/revision"
 )
 
+// rewriteGrace is how long what a restored service has lost stays in force until whoever wrote it
+// has written it again.
+const rewriteGrace = 5 * time.Second
+
 // restoredSince reports whether the service was restored since this gateway has read the whole
 // state last. The lock is held.
 func (ga *Gateway) restoredSince(to revision.Revision) bool {
@@ -34,3 +40,15 @@
 		}
 	}
 }
+
+// dropLost drops what a restored service has lost and nobody has written again.
+func (ga *Gateway) dropLost(now time.Time) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	for _, dataCentre := range ga.lostCentres.Expire(now) {
+		ga.restore(dataCentre, now)
+	}
+	for _, box := range ga.lostMembers.Expire(now) {
+		ga.left(box)
+	}
+}
--- a/internal/gateway/restored_test.go
+++ b/internal/gateway/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -220,3 +221,100 @@
 	other.tallied(tally)
 	require.Equal(t, 1, other.rollouts["s"].canary.BadKnown(), "of an earlier order")
 }
+
+// firstJoin returns how many changes there were before the first gateway joined.
+func (ke *keptState) firstJoin() int {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	return slices.IndexFunc(ke.changes, func(ch Change) bool { return ch.Member != nil })
+}
+
+// joinedSince returns the boxes that have joined since a number of changes.
+func (ke *keptState) joinedSince(changes int) []string {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	var boxes []string
+	for _, ch := range ke.changes[changes:] {
+		if ch.Member != nil && !slices.Contains(boxes, ch.Member.Box) {
+			boxes = append(boxes, ch.Member.Box)
+		}
+	}
+	slices.Sort(boxes)
+	return boxes
+}
+
+func TestMembersJoinAgainAfterAStoreLostTheirKeys(t *testing.T) {
+	for _, gateways := range []int{1, 4, 23, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			sc := newScene(t, gateways)
+			ke := sc.servers.kept
+			time.Sleep(restoredWithin)
+			copied := ke.firstJoin()
+			before := ke.joinedSince(copied)
+			ke.restore(copied)
+			began := time.Now()
+			for range 60 {
+				time.Sleep(100 * time.Millisecond)
+				for i, ga := range sc.gateways {
+					ga.mu.Lock()
+					members := len(ga.members)
+					ga.mu.Unlock()
+					require.GreaterOrEqual(t, members, len(before), "gateway %d of %d", i, gateways)
+				}
+				if time.Since(began) >= restoredWithin {
+					require.Subset(t, ke.joinedSince(copied), before, "%d gateways", gateways)
+				}
+			}
+		})
+	}
+}
+
+func TestLostBlockIsStoredAgain(t *testing.T) {
+	for _, gateways := range []int{1, 4, 23} {
+		synctest.Test(t, func(t *testing.T) {
+			sc := newScene(t, gateways)
+			copied := sc.servers.kept.position()
+			sc.block(poisonPath)
+			time.Sleep(restoredWithin)
+			blocked := sc.blocked()
+			require.Equal(t, gateways, blocked)
+			sc.servers.kept.restore(copied)
+			require.Empty(t, sc.keptBlocks())
+			time.Sleep(2 * restoredWithin)
+			require.Len(t, sc.keptBlocks(), 1, "%d gateways", gateways)
+			require.Equal(t, blocked, sc.blocked())
+		})
+	}
+}
+
+func TestLostEvacuationHoldsUntilItIsWrittenAgain(t *testing.T) {
+	for _, rewritten := range []bool{true, false} {
+		for _, gateways := range []int{1, 4, 23} {
+			synctest.Test(t, func(t *testing.T) {
+				sc := newScene(t, gateways)
+				ke := sc.servers.kept
+				copied := ke.position()
+				ke.add(Change{Evacuated: "dc1"})
+				time.Sleep(restoredWithin)
+				evacuated := func(want bool, when string) {
+					for i, ga := range sc.gateways {
+						require.Equal(t, !want, ga.sends("s1"), "gateway %d of %d %s", i, gateways, when)
+						require.True(t, ga.sends("s2"))
+					}
+				}
+				evacuated(true, "before the restore")
+				ke.restore(copied)
+				time.Sleep(restoredWithin)
+				evacuated(true, "before it is written again")
+				if rewritten {
+					ke.add(Change{Evacuated: "dc1"})
+				}
+				time.Sleep(3 * restoredWithin)
+				evacuated(rewritten, "8 s after the restore")
+				ke.add(Change{Restored: "dc1"})
+				time.Sleep(restoredWithin)
+				evacuated(false, "after its end")
+			})
+		}
+	}
+}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -113,11 +113,15 @@
 	ga.noteCentre(event.CentreRestored, dataCentre)
 }
 
-// keepEvacuated gives the data centres back that a whole state does not name; the lock is
-// held.
-func (ga *Gateway) keepEvacuated(evacuated map[string]bool, now time.Time) {
+// keepEvacuated gives the data centres back that a whole state does not name. Where a restored
+// service may have lost the evacuation, its operator gets time to write it again. The lock is held.
+func (ga *Gateway) keepEvacuated(evacuated map[string]bool, restored bool, now time.Time) {
 	for _, dataCentre := range ga.servers.Evacuated() {
-		if !evacuated[dataCentre] {
+		switch {
+		case evacuated[dataCentre]:
+		case restored:
+			ga.lostCentres.Hold(dataCentre, now.Add(rewriteGrace))
+		case !ga.lostCentres.Has(dataCentre):
 			ga.restore(dataCentre, now)
 		}
 	}
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -121,7 +121,8 @@
 }
 
 // wholeState returns everything that a gateway needs to begin from, as changes. Tallies
-// are left out: each gateway tells its own again. The lock is held.
+// are left out, since each gateway tells its own again, and so is what a restored service has
+// lost, which each gateway keeps for itself. The lock is held.
 func (ga *Gateway) wholeState() []Change {
 	var all []Change
 	if ga.document != nil {
@@ -136,7 +137,9 @@
 		all = append(all, Change{Leaving: key})
 	}
 	for _, dataCentre := range ga.servers.Evacuated() {
-		all = append(all, Change{Evacuated: dataCentre})
+		if !ga.lostCentres.Has(dataCentre) {
+			all = append(all, Change{Evacuated: dataCentre})
+		}
 	}
 	for _, ph := range ga.phases {
 		all = append(all, Change{Phase: &ph})
@@ -148,7 +151,9 @@
 		all = append(all, Change{Blocked: &bl})
 	}
 	for _, me := range ga.members {
-		all = append(all, Change{Member: &me})
+		if !ga.lostMembers.Has(me.Box) {
+			all = append(all, Change{Member: &me})
+		}
 	}
 	return all
 }
--- a/internal/poison/blocks.go
+++ b/internal/poison/blocks.go
@@ -111,6 +111,13 @@
 	return bs.list(func(he *held) bool { return !he.stored || he.unsaved })
 }
 
+// Lost notes that the key-value service does not hold a block any more that is in force still.
+func (bs *Blocks) Lost(pr Print) {
+	if he := bs.held[pr]; he != nil {
+		he.stored = false
+	}
+}
+
 // Stored returns those that it holds.
 func (bs *Blocks) Stored() []Block {
 	return bs.list(func(he *held) bool { return he.stored })
