fix: a server that ends right after a restore is not taken for one whose entry was lost

What callers would see: up to 2 s more of requests to a server whose entry has ended, where a gateway hears of a restore only after it.

Cause: an entry that ends within 2 s of a restore was taken for a lapse, and a whole state did not tell lost entries from ended ones.

Change: only entries that a restored state does not hold get time to come back; an entry that ends afterwards is gone at once. A whole state names the servers that ended in the present era, 30 s back.

--- a/internal/directory/restored.go
+++ b/internal/directory/restored.go
@@ -1,6 +1,9 @@
 package directory
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // revivedHold is how long the entry of an ended life is not used that a restored service lists
 // again. A server that lives goes on writing; the entry of one that has ended lapses.
@@ -8,6 +11,7 @@
 
 // pastLife is what is known of a life that leaves or has ended.
 type pastLife struct {
+	id string
 	// seq is that of the newest entry that says that it leaves, zero if none does.
 	seq int64
 	// ended is when its entry ended, zero while it is listed.
@@ -20,11 +24,17 @@
 	until time.Time
 }
 
-// StoreRestored notes that the service went back to an older copy: entries that are not there may
-// have been lost.
-func (di *Directory) StoreRestored(now time.Time) {
-	di.away = false
-	di.settled = now.Add(returnGrace)
+// Lose takes that a restored service does not hold a server's entry, which it may have lost: the
+// server is used until it had time to write it again. One that leaves is dropped at once.
+func (di *Directory) Lose(id string, now time.Time) {
+	se := di.servers[id]
+	switch _, missing := di.missing[id]; {
+	case se == nil || missing:
+	case di.Drains(se):
+		di.end(se, now)
+	default:
+		di.missing[id] = now.Add(returnGrace)
+	}
 }
 
 // Revive takes an entry that a restored service lists. It reports whether the life has ended: such
@@ -54,17 +64,30 @@
 	return list
 }
 
+// EndedSince returns the ids of the servers whose entries ended after a moment and that are not
+// listed again, in order.
+func (di *Directory) EndedSince(at time.Time) []string {
+	var ids []string
+	for _, pa := range di.past {
+		if pa.ended.After(at) && di.servers[pa.id] == nil {
+			ids = append(ids, pa.id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // noteLife keeps whether a listed life leaves: an older entry of it does not say so.
 func (di *Directory) noteLife(se *Server) {
 	delete(di.revived, se.ID)
 	pa, known := di.past[se.key]
 	switch {
 	case se.Draining:
-		di.setPast(se.key, pastLife{seq: max(pa.seq, se.Seq)})
+		di.setPast(se.key, pastLife{id: se.ID, seq: max(pa.seq, se.Seq)})
 	case !known:
 	case se.Seq < pa.seq:
 		se.Draining = true
-		di.setPast(se.key, pastLife{seq: pa.seq})
+		di.setPast(se.key, pastLife{id: se.ID, seq: pa.seq})
 	default:
 		delete(di.past, se.key)
 	}
@@ -75,9 +98,7 @@
 	delete(di.missing, se.ID)
 	delete(di.servers, se.ID)
 	di.byService = nil
-	pa := di.past[se.Key()]
-	pa.ended = now
-	di.setPast(se.Key(), pa)
+	di.setPast(se.Key(), pastLife{id: se.ID, seq: di.past[se.Key()].seq, ended: now})
 }
 
 func (di *Directory) setPast(key string, pa pastLife) {
--- a/internal/directory/restored_test.go
+++ b/internal/directory/restored_test.go
@@ -12,11 +12,10 @@
 	di.Put(Server{ID: "a", Service: "s", Born: 1, Seq: 3})
 	di.Put(Server{ID: "b", Service: "s", Born: 1, Seq: 3})
 	di.Put(Server{ID: "b", Service: "s", Born: 1, Seq: 4, Draining: true})
-	di.StoreRestored(t0)
 	require.False(t, di.Put(Server{ID: "b", Service: "s", Born: 1, Seq: 2}), "the entry before")
 	require.Equal(t, []string{"a"}, ids(&di))
 
-	di.Remove("b", at(1))
+	di.Lose("b", at(1))
 	require.Nil(t, di.Get("b"), "a server that leaves is not waited for")
 	di.Put(Server{ID: "b", Service: "s", Born: 1, Seq: 3})
 	require.Equal(t, []string{"a"}, ids(&di), "its entry reappears")
@@ -28,13 +27,18 @@
 	var di Directory
 	di.Put(Server{ID: "a", Service: "s", Seq: 1})
 	di.Put(Server{ID: "b", Service: "s", Seq: 1})
-	di.StoreRestored(t0)
-	di.Remove("a", t0)
-	di.Remove("b", t0)
-	require.Len(t, ids(&di), 2)
+	di.Put(Server{ID: "c", Service: "s", Seq: 1})
+	for _, id := range []string{"a", "b", "c", "none"} {
+		di.Lose(id, t0)
+	}
+	require.Len(t, ids(&di), 3)
 	di.Put(Server{ID: "a", Service: "s", Seq: 2})
-	require.Len(t, di.Tick(at(2)), 1)
+	di.Lose("b", at(1.9))
+	require.Empty(t, di.Tick(at(1.9)))
+	require.Len(t, di.Tick(at(2)), 2)
 	require.Equal(t, []string{"a"}, ids(&di))
+	di.Remove("a", at(2.1))
+	require.Empty(t, ids(&di), "an entry that ends after the restore is gone at once")
 }
 
 func TestEndedServerIsNotUsedWhileARestoredServiceListsIt(t *testing.T) {
@@ -43,7 +47,6 @@
 		di.Put(Server{ID: id, Service: "s", Born: 1, Seq: 5})
 		di.Remove(id, t0)
 	}
-	di.StoreRestored(at(1))
 	for _, id := range []string{"ended", "back", "written"} {
 		require.True(t, di.Revive(Server{ID: id, Service: "s", Born: 1, Seq: 4}, at(1)))
 	}
@@ -60,6 +63,17 @@
 	require.Empty(t, di.Revived(at(100)))
 }
 
+func TestEndedServersAreNamedUnlessTheyAreListedAgain(t *testing.T) {
+	var di Directory
+	for i, id := range []string{"d", "c", "b", "a"} {
+		di.Put(Server{ID: id, Service: "s", Born: 1})
+		di.Remove(id, at(float64(i)))
+	}
+	di.Put(Server{ID: "b", Service: "s", Born: 2})
+	require.Equal(t, []string{"a", "c"}, di.EndedSince(t0))
+	require.Empty(t, di.EndedSince(at(3)))
+}
+
 func TestEndedLivesAreForgotten(t *testing.T) {
 	var di Directory
 	di.Put(Server{ID: "a", Service: "s"})
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -212,10 +212,7 @@
 // replace takes the whole state; the lock is held.
 func (ga *Gateway) replace(st State) {
 	now := clock.Now()
-	restored := ga.restoredSince(st.Revision)
-	if restored {
-		ga.servers.StoreRestored(now)
-	}
+	restored := ga.restoredSince(st.Revision, now)
 	listed, evacuated, blocked := map[string]bool{}, map[string]bool{}, map[poison.Print]bool{}
 	for _, ch := range st.Changes {
 		switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,8 +120,9 @@
 	// unreadable bounds the log lines of reports that could not be read, ahead those of
 	// gateways that ask for changes after a later revision.
 	unreadable, ahead zerolog.BurstSampler
-	// eras knows the era of the key-value service.
-	eras revision.Guard
+	// eras knows the era of the key-value service, eraSince is when a state of it was first read.
+	eras     revision.Guard
+	eraSince time.Time
 	// lostCentres and lostMembers hold the evacuated data centres and the members that a restored
 	// service does not name.
 	lostCentres, lostMembers grace.Set
--- a/internal/gateway/relayed_test.go
+++ b/internal/gateway/relayed_test.go
@@ -30,11 +30,14 @@
 	mu      sync.Mutex
 	changes []Change
 	news    chan struct{}
-	// era counts how often it went back.
-	era uint64
+	// era counts how often it went back, if it says so.
+	era    uint64
+	silent bool
 	// watches counts the watches of each box, cut names those that get no answers.
 	watches map[string]int
 	cut     map[string]bool
+	// reads counts the whole reads.
+	reads int
 	// noBlocks is set where it keeps none.
 	noBlocks bool
 }
@@ -62,7 +65,9 @@
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
 	ke.changes = slices.Clone(ke.changes[:changes])
-	ke.era++
+	if !ke.silent {
+		ke.era++
+	}
 	close(ke.news)
 	ke.news = make(chan struct{})
 }
@@ -95,6 +100,9 @@
 }
 
 func (vi view) Read(_ context.Context, _ uint64, goOn func(State) bool) (State, bool, error) {
+	vi.kept.mu.Lock()
+	vi.kept.reads++
+	vi.kept.mu.Unlock()
 	st, _, err := vi.since(revision.Revision{})
 	if err != nil || vi.pageOf == 0 || len(st.Changes) <= vi.pageOf {
 		return st, true, err
--- a/internal/gateway/restored.go
+++ b/internal/gateway/restored.go
@@ -13,10 +13,14 @@
 
 // restoredSince reports whether the service was restored since this gateway has read the whole
 // state last. The lock is held.
-func (ga *Gateway) restoredSince(to revision.Revision) bool {
+func (ga *Gateway) restoredSince(to revision.Revision, now time.Time) bool {
 	storeEra.Set(float64(to.Era))
 	before := ga.history.Revision()
-	if !ga.stateRead || to.Era == before.Era {
+	if ga.stateRead && to.Era == before.Era {
+		return false
+	}
+	ga.eraSince = now
+	if !ga.stateRead {
 		return false
 	}
 	ga.Log.Warn().Int("event", int(event.StoreRestored)).Stringer("revision", to).Stringer("before", before).
@@ -24,6 +28,19 @@
 	return true
 }
 
+// endedTold is how long a whole state names the servers that have ended: for a gateway that comes
+// from an older era, others that are not listed may have been lost.
+const endedTold = 30 * time.Second
+
+// endedFrom returns the moment from which on ended servers are named to others: what ended before
+// the restore may be listed again. The lock is held.
+func (ga *Gateway) endedFrom(now time.Time) time.Time {
+	if from := now.Add(-endedTold); from.After(ga.eraSince) {
+		return from
+	}
+	return ga.eraSince
+}
+
 // losePhases notes the phases that a restored service does not hold, so that they are stored
 // again. The lock is held.
 func (ga *Gateway) losePhases(st State) {
--- a/internal/gateway/restored_test.go
+++ b/internal/gateway/restored_test.go
@@ -318,3 +318,40 @@
 		}
 	}
 }
+
+// calls returns how many whole reads and watches there were.
+func (ke *keptState) calls() (reads, watches int) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	for _, n := range ke.watches {
+		watches += n
+	}
+	return ke.reads, watches
+}
+
+func TestFewGatewaysReadARestoredStore(t *testing.T) {
+	for _, gateways := range []int{23, 300} {
+		for _, outage := range []time.Duration{0, 500 * time.Millisecond, 8 * time.Second} {
+			synctest.Test(t, func(t *testing.T) {
+				sc := newScene(t, gateways)
+				ke := sc.servers.kept
+				copied := ke.position()
+				ke.add(Change{Server: &directory.Server{ID: "lost", Service: "other"}})
+				time.Sleep(restoredWithin)
+				sc.cutAll(outage > 0)
+				time.Sleep(outage)
+				reads, watches := ke.calls()
+				ke.restore(copied)
+				sc.servers.drain("s1")
+				sc.cutAll(false)
+				time.Sleep(restoredWithin)
+				for i, ga := range sc.gateways {
+					require.False(t, ga.sends("s1"), "gateway %d of %d", i, gateways)
+				}
+				readsAfter, watchesAfter := ke.calls()
+				require.LessOrEqual(t, readsAfter-reads, 6, "%d gateways, %s", gateways, outage)
+				require.LessOrEqual(t, watchesAfter-watches, 30)
+			})
+		}
+	}
+}
--- a/internal/gateway/scene_test.go
+++ b/internal/gateway/scene_test.go
@@ -316,17 +316,32 @@
 	accepted chan net.Conn
 	over     chan struct{}
 	once     sync.Once
+
+	mu    sync.Mutex
+	conns []net.Conn
 }
 
 func (li *pipeListener) Accept() (net.Conn, error) {
 	select {
 	case conn := <-li.accepted:
+		li.mu.Lock()
+		defer li.mu.Unlock()
+		li.conns = append(li.conns, conn)
 		return conn, nil
 	case <-li.over:
 		return nil, net.ErrClosed
 	}
 }
 
+// reset breaks off the connections, also those that a server does not know any more.
+func (li *pipeListener) reset() {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	for _, conn := range li.conns {
+		_ = conn.Close()
+	}
+}
+
 func (li *pipeListener) Close() error {
 	li.once.Do(func() { close(li.over) })
 	return nil
@@ -424,6 +439,7 @@
 	sc.stops[n] = sync.OnceFunc(func() {
 		cancel()
 		_ = hs.Close()
+		li.reset()
 		<-done
 		ga.RelayHTTP.CloseIdleConnections()
 	})
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -73,8 +73,8 @@
 	for _, se := range ga.servers.Listed() {
 		switch {
 		case listed[se.ID]:
-		case restored && !ga.servers.Drains(se):
-			ga.servers.Remove(se.ID, now)
+		case restored:
+			ga.servers.Lose(se.ID, now)
 		default:
 			ga.serverGone(se.ID, now)
 		}
