--- a/standin/keyvalue/keyvalue.go
+++ b/standin/keyvalue/keyvalue.go
@@ -62,6 +62,8 @@
 	Withhold bool
 	// Delay puts every answer off.
 	Delay time.Duration
+	// Era is what answers name in place of their era, if it is not empty; "none" for nothing.
+	Era string
 }
 
 // Store is the service. New makes one.
@@ -72,6 +74,8 @@
 	revision uint64
 	// era counts how often the service was restored from a copy, from one on.
 	era uint64
+	// calls counts the calls.
+	calls int
 	// dropped is the newest revision whose history is gone.
 	dropped uint64
 	// withheld is the revision up to which is told while Withhold holds.
@@ -131,6 +135,13 @@
 	st.wake()
 }
 
+// Calls returns how many calls there were.
+func (st *Store) Calls() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.calls
+}
+
 // Revision returns the newest revision.
 func (st *Store) Revision() uint64 {
 	st.mu.Lock()
@@ -234,7 +245,8 @@
 func (st *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	st.mu.Lock()
 	fa := st.faults
-	w.Header().Set("Store-Era", strconv.FormatUint(st.era, 10))
+	st.calls++
+	nameEra(w, fa.Era, st.era)
 	st.mu.Unlock()
 	time.Sleep(fa.Delay)
 	if st.fail(fa, w, r) {
@@ -258,6 +270,17 @@
 	}
 }
 
+// nameEra sets the header that names the era.
+func nameEra(w http.ResponseWriter, text string, era uint64) {
+	switch text {
+	case "":
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+	case "none":
+	default:
+		w.Header().Set("Store-Era", text)
+	}
+}
+
 // fail answers a call while the service fails, or not at all. It reports whether the
 // service does.
 func (st *Store) fail(fa Faults, w http.ResponseWriter, r *http.Request) bool {
