--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -26,6 +26,7 @@
 	Callers  int           `help:"Callers." default:"16"`
 	Poison   bool          `help:"Let one request end the servers that run it."`
 	Reports  bool          `help:"Let servers report their shutdown and pauses in answers."`
+	Restores bool          `help:"Let the key-value service go back to older copies."`
 }
 
 func main() {
@@ -62,6 +63,9 @@
 		if ar.Reports {
 			pl = pl.WithReports()
 		}
+		if ar.Restores {
+			pl = pl.WithRestores()
+		}
 		so := &soak.Soak{Bin: ar.Bin, Dir: dir, Callers: ar.Callers}
 		violations, err := so.Run(context.Background(), pl)
 		if err != nil {
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -69,6 +69,8 @@
 		py.store.Compact()
 	case StoreLapse:
 		py.store.EndLeases()
+	case StoreRestored:
+		py.restore(fa)
 	case Configure:
 		py.configure()
 	case Revoke:
@@ -197,6 +199,7 @@
 	py.substitute(place, se)
 	se.stop()
 	time.Sleep(lapse)
+	se.unlisted.Store(true)
 	py.store.Remove("servers/" + se.id)
 }
 
@@ -226,12 +229,13 @@
 
 // drain lets a server leave as planned: it serves on for a while after it said so.
 func (py *play) drain(se *server) {
-	se.drained = true
+	se.drain()
 	py.store.Set("servers/"+se.id, se.entry())
 	py.mu.Lock()
 	py.rec.drained[se.id] = time.Now()
 	py.mu.Unlock()
 	time.Sleep(2 * drainBound)
+	se.unlisted.Store(true)
 	py.store.Remove("servers/" + se.id)
 	se.stop()
 }
--- /dev/null
+++ b/standin/soak/restore.go
@@ -0,0 +1,50 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+// longestRewrite bounds the time after which what a restored service has lost is written again.
+const longestRewrite = time.Second
+
+// restore lets the key-value service go back to what it holds at the start of a fault, and lets
+// operators and servers write again what they had written since.
+func (py *play) restore(fa Fault) {
+	co, copied := py.store.Copy(), time.Now()
+	py.last(fa)
+	py.store.Restore(co)
+	time.Sleep(rand.N(longestRewrite))
+	py.mu.Lock()
+	defer py.mu.Unlock()
+	py.writeConfiguration()
+	py.rewriteServers()
+	renew(py.rec.revoked, copied)
+	renew(py.rec.drained, copied)
+}
+
+// rewriteServers writes the entries of all servers as they are; the lock is held.
+func (py *play) rewriteServers() {
+	listed := map[string]bool{}
+	for _, se := range py.servers {
+		if !se.unlisted.Load() {
+			listed[se.id] = true
+			py.store.Set("servers/"+se.id, se.entry())
+		}
+	}
+	for _, key := range py.store.Keys("servers/") {
+		if !listed[strings.TrimPrefix(key, "servers/")] {
+			py.store.Remove(key)
+		}
+	}
+}
+
+// renew takes what was written since a copy as written now.
+func renew(written map[string]time.Time, copied time.Time) {
+	for name, at := range written {
+		if at.After(copied) {
+			written[name] = time.Now()
+		}
+	}
+}
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -39,6 +39,9 @@
 	StoreLoses   Kind = "store-loses"
 	StoreForgets Kind = "store-forgets"
 	StoreLapse   Kind = "store-lapse"
+	// StoreRestored lets the service go back to a copy that was made when the fault began; soon
+	// after its end what was lost is written again.
+	StoreRestored Kind = "store-restored"
 	// ServerCrash ends a backend server without a word, ServerDrain as planned.
 	ServerCrash Kind = "server-crash"
 	ServerDrain Kind = "server-drain"
@@ -132,6 +135,22 @@
 	return pl
 }
 
+// restores is how often WithRestores lets the service go back.
+const restores = 3
+
+// WithRestores lets the key-value service go back to a copy some seconds old, drawn apart.
+func (pl Plan) WithRestores() Plan {
+	rn := rand.New(rand.NewPCG(pl.Seed, pl.Seed+3))
+	pl.Faults = slices.Clone(pl.Faults)
+	for range restores {
+		from := warmUp + time.Duration(rn.Int64N(int64(pl.Calm-warmUp)))
+		until := min(pl.Calm, from+time.Duration(rn.Int64N(int64(longestFault))))
+		pl.Faults = append(pl.Faults, Fault{Kind: StoreRestored, From: from, Until: until})
+	}
+	slices.SortFunc(pl.Faults, func(a, b Fault) int { return int(a.From - b.From) })
+	return pl
+}
+
 // Draw draws a plan for so many gateways and servers, with faults for a time.
 func Draw(seed uint64, gateways, servers int, trouble time.Duration) Plan {
 	rn := rand.New(rand.NewPCG(seed, seed))
--- a/standin/soak/server.go
+++ b/standin/soak/server.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/standin/fleet"
@@ -88,10 +89,15 @@
 	// ends ends the server as a crash does.
 	ends func()
 
+	// unlisted is set once its entry has ended.
+	unlisted atomic.Bool
+
 	mu      sync.Mutex
 	faults  map[Kind]int
 	busy    int
 	drained bool
+	// entries counts the entries that it has written.
+	entries int
 }
 
 func startServer(id string, le *ledger, sabotage Sabotage) (*server, error) {
@@ -127,6 +133,13 @@
 	return se.faults[ki] > 0 && rand.Float64() < part
 }
 
+// drain lets its entries say from now on that it leaves.
+func (se *server) drain() {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	se.drained = true
+}
+
 // enter takes a slot, if there is one.
 func (se *server) enter() bool {
 	se.mu.Lock()
@@ -146,13 +159,16 @@
 
 // entry is how the server lists itself.
 func (se *server) entry() map[string]any {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	se.entries++
 	state := "ready"
 	if se.drained {
 		state = "draining"
 	}
 	return map[string]any{
 		"service": "svc", "address": se.cable.Address(), "zone": "z1", "version": "v1",
-		"slots": slots, "state": state, "cold_remaining_ms": 0, "seq": 1,
+		"slots": slots, "state": state, "cold_remaining_ms": 0, "seq": se.entries,
 	}
 }
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -242,6 +242,11 @@
 	py.mu.Lock()
 	defer py.mu.Unlock()
 	py.version++
+	py.writeConfiguration()
+}
+
+// writeConfiguration writes the configuration in force; the lock is held.
+func (py *play) writeConfiguration() {
 	route := func(name, kind string, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "route_type": kind, "timeout_ms": 1200 + py.version,
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -83,6 +83,16 @@
 	}
 }
 
+func TestLeavingServersAreSparedAfterTheStoreIsRestored(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			pl := Draw(seed, 3, 5, 6*time.Second).WithRestores()
+			require.Empty(t, playPlan(t, pl, ""), "%v", pl.Faults)
+		})
+	}
+}
+
 // The checks see what they are there for: each promise fails on a part that is
 // broken on purpose.
 func TestEachPromiseIsSeenToBreak(t *testing.T) {
