--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -330,6 +330,6 @@
 	}
 	ga.table.Store(ta)
 	ga.document = doc
-	ga.Log.Info().Int("event", int(event.ConfigInForce)).Uint64("version", doc.Version).Uint64("before", held).
+	ga.Log.Info().Int("event", int(event.ConfigInForce)).Uint64("version", doc.Version).Uint64("version_before", held).
 		Int("routes", len(doc.Routes)).Int("teams", len(doc.Teams)).Msg(event.Name(event.ConfigInForce))
 }
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,7 +15,9 @@
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/revision"
+	"github.com/linnetrudder/linnetrudder/internal/rollout"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
+	"github.com/linnetrudder/linnetrudder/internal/story"
 )
 
 // script is a source whose watches last as long as they may, until it is cut.
@@ -164,3 +167,15 @@
 		require.Equal(t, pauseLong, time.Since(began), "once")
 	})
 }
+
+func TestLogOfChangesIsReadByExplain(t *testing.T) {
+	ga, log := newServing(Change{Evacuated: "dc9"}, orderAt(inEra(1, 3), "v2"), phaseAt(inEra(1, 4), inEra(1, 3), rollout.Trying))
+	doc := coldDocument()
+	doc.Version += 7
+	ga.change(Change{Document: doc})
+	ga.change(Change{Gone: "x1"})
+	require.NoError(t, ga.takeRead(State{Revision: inEra(2, 1), Changes: []Change{serverChange("x1", "dc1")}}, time.Now()))
+	st := story.Story{Request: "none"}
+	require.NoError(t, st.Read(strings.NewReader(log.String())))
+	require.Zero(t, st.Torn(), log.String())
+}
--- a/internal/story/line.go
+++ b/internal/story/line.go
@@ -44,6 +44,8 @@
 	LastEvent    string  `json:"last_event"`
 	Detail       string  `json:"detail"`
 	Error        string  `json:"error"`
+	// Revision is a position in the key-value service, Before that before a restore.
+	Revision string `json:"revision"`
 	// Print is the request's fingerprint, Prints the ids and fingerprints of those that were
 	// with a server when it ended.
 	Print  string   `json:"print"`
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -15,6 +15,10 @@
 	"github.com/linnetrudder/linnetrudder/internal/result"
 )
 
+// restoredRecently is how long after it a restore of the key-value service may explain what became
+// of a request.
+const restoredRecently = 30 * time.Second
+
 // maxLine bounds a line of a log in bytes; a gateway writes some hundred.
 const maxLine = 1 << 20
 
@@ -70,7 +74,7 @@
 	case event.ProcessStarted, event.ProcessStopping, event.StoreLost, event.StoreRegained, event.StateRead, event.ConfigInForce,
 		event.CentreEvacuated, event.CentreRestored, event.ServerCold, event.ServerWarm,
 		event.ServerLimited, event.ServerUnlimited, event.ServerPaused, event.ServerResumed,
-		event.ServerLeaving, event.ServerGone:
+		event.ServerLeaving, event.ServerGone, event.StoreRestored:
 		return true
 	}
 	return false
@@ -160,7 +164,7 @@
 }
 
 // around says which data centres and servers a box did not use, or not fully, when a request
-// ended there; empty if it used all.
+// ended there, and whether the key-value service had just been restored; empty if neither.
 func (st *Story) around(end *line) string {
 	evacuated := st.inForce(end, event.CentreEvacuated, event.CentreRestored, func(li *line) string { return li.Of })
 	cold := st.inForce(end, event.ServerCold, event.ServerWarm, func(li *line) string { return li.Server })
@@ -183,6 +187,10 @@
 	if len(leaving) > 0 {
 		parts = append(parts, fmt.Sprintf("%d servers had announced their shutdown and got nothing", len(leaving)))
 	}
+	if last := st.lastOf(end, event.StoreRestored); last != nil && end.Time.Sub(last.Time) < restoredRecently {
+		parts = append(parts, fmt.Sprintf("the key-value service had come back from an older copy %s before (revision %s after %s)",
+			since(last, end), last.Revision, last.Before))
+	}
 	if parts == nil {
 		return ""
 	}
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -146,3 +146,13 @@
 	require.Contains(t, told, "blocked at b for 1s")
 	require.Contains(t, told, "Cause: backend servers ended under copies of the request")
 }
+
+func TestRestoredServiceIsNamed(t *testing.T) {
+	lines := []string{
+		`{"box":"a","event":805,"revision":"2/75","before":"1/77","time":"2026-01-01T00:00:01Z"}`,
+		`{"box":"a","event":205,"request":"x","code":401,"time":"2026-01-01T00:00:02.5Z"}`,
+		`{"box":"a","event":205,"request":"y","code":401,"time":"2026-01-01T00:00:40Z"}`,
+	}
+	require.Contains(t, tell(t, "x", lines), "At a the key-value service had come back from an older copy 1.5s before (revision 2/75 after 1/77).")
+	require.NotContains(t, tell(t, "y", lines), "older copy")
+}
