--- a/standin/soak/restore.go
+++ b/standin/soak/restore.go
@@ -1,11 +1,16 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"time"
 )
 
+// lostWrites is how many other keys a restored service loses: revisions that are given out again
+// reach the old ones only some time after the restore.
+const lostWrites = 40
+
 // longestRewrite bounds the time after which what a restored service has lost is written again.
 const longestRewrite = time.Second
 
@@ -13,6 +18,9 @@
 // operators and servers write again what they had written since.
 func (py *play) restore(fa Fault) {
 	co, copied := py.store.Copy(), time.Now()
+	for i := range lostWrites {
+		py.store.Set(fmt.Sprint("other/", i), i)
+	}
 	py.last(fa)
 	py.store.Restore(co)
 	time.Sleep(rand.N(longestRewrite))
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -138,7 +138,8 @@
 // restores is how often WithRestores lets the service go back.
 const restores = 3
 
-// WithRestores lets the key-value service go back to a copy some seconds old, drawn apart.
+// WithRestores lets the key-value service go back to a copy some seconds old, drawn apart. Soon
+// after each of them a server leaves and a key is revoked.
 func (pl Plan) WithRestores() Plan {
 	rn := rand.New(rand.NewPCG(pl.Seed, pl.Seed+3))
 	pl.Faults = slices.Clone(pl.Faults)
@@ -146,6 +147,10 @@
 		from := warmUp + time.Duration(rn.Int64N(int64(pl.Calm-warmUp)))
 		until := min(pl.Calm, from+time.Duration(rn.Int64N(int64(longestFault))))
 		pl.Faults = append(pl.Faults, Fault{Kind: StoreRestored, From: from, Until: until})
+		for _, ki := range []Kind{ServerDrain, Revoke} {
+			at := until + time.Duration(rn.Int64N(int64(longestRewrite)))
+			pl.Faults = append(pl.Faults, Fault{Kind: ki, Target: rn.IntN(pl.Servers), From: at, Until: at})
+		}
 	}
 	slices.SortFunc(pl.Faults, func(a, b Fault) int { return int(a.From - b.From) })
 	return pl
