--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -83,7 +83,8 @@
 	if ro == nil {
 		return nil
 	}
-	return &ro.order
+	before := ro.order
+	return &before
 }
 
 // tellAgain lets the other gateways hear of all outcomes again.
