--- a/internal/gateway/restored.go
+++ b/internal/gateway/restored.go
@@ -28,14 +28,14 @@
 	return true
 }
 
-// endedTold is how long a whole state names the servers that have ended: for a gateway that comes
+// endedReported is how long a whole state names the servers that have ended: for a gateway that comes
 // from an older era, others that are not listed may have been lost.
-const endedTold = 30 * time.Second
+const endedReported = 30 * time.Second
 
 // endedFrom returns the moment from which on ended servers are named to others: what ended before
 // the restore may be listed again. The lock is held.
 func (ga *Gateway) endedFrom(now time.Time) time.Time {
-	if from := now.Add(-endedTold); from.After(ga.eraSince) {
+	if from := now.Add(-endedReported); from.After(ga.eraSince) {
 		return from
 	}
 	return ga.eraSince
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -61,7 +61,7 @@
 	}
 	if old != nil && or.rewrites(old.order) {
 		old.order.Revision = or.Revision
-		old.tellAgain()
+		old.resendOutcomes()
 		return
 	}
 	if old != nil && old.before.rewrittenBy(or) {
@@ -87,8 +87,8 @@
 	return &before
 }
 
-// tellAgain lets the other gateways hear of all outcomes again.
-func (ro *timedRollout) tellAgain() { ro.toldBad, ro.toldTried, ro.toldAt = 0, 0, time.Time{} }
+// resendOutcomes sends all outcomes to the other gateways once more.
+func (ro *timedRollout) resendOutcomes() { ro.toldBad, ro.toldTried, ro.toldAt = 0, 0, time.Time{} }
 
 // ownExtra returns this gateway's part of the requests that a bad version may get
 // besides its share; none where it does not know how many gateways there are. The lock
