fix: entries write the configuration again to a store that lost it

What operators would see on the product's own way: after the key-value service came back from an older copy, the next change is accepted and never comes into force: its revision is one that every process has seen, and is refused as old until as many changes were made as were lost.

Cause: the class of the restored store; the newer configuration was kept and written by nobody.

Change: an entry that watches the store and reads a lower revision than the one in force writes the newest one that it has read, by compare-and-swap, if it extends what is there (Envelope.Extends). A store that holds a change of its own in the meantime is left to the operator.

--- a/internal/config/envelope.go
+++ b/internal/config/envelope.go
@@ -70,6 +70,24 @@
 	return &Envelope{Revision: ch.Revision, Changes: changes[:min(len(changes), keptOperations)], Document: doc}
 }
 
+// Extends reports whether an envelope holds all that an older one does: the older one's newest
+// change is among its changes, or too old to be named.
+func (en *Envelope) Extends(older *Envelope) bool {
+	if en.Revision <= older.Revision {
+		return false
+	}
+	if len(older.Changes) == 0 {
+		return true
+	}
+	newest := older.Changes[0]
+	for _, ch := range en.Changes {
+		if ch.Revision == newest.Revision {
+			return ch.Operation == newest.Operation
+		}
+	}
+	return len(en.Changes) == keptOperations
+}
+
 // Find returns the change with the operation id, if the envelope names it.
 func (en *Envelope) Find(operation string) (Change, bool) {
 	for _, ch := range en.Changes {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,6 +67,9 @@
 	Store          Store
 	Boxes          Lister
 
+	// stored is the newest configuration that was read from the store; only the goroutine that
+	// watches it uses it.
+	stored *config.Envelope
 	// supervisor holds a dialer for each agent.
 	supervisor *suture.Supervisor
 	// streams numbers the attempts of this process.
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -6,6 +6,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/config"
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/kv"
 	"github.com/linnetrudder/linnetrudder/internal/timeline"
 )
 
@@ -65,30 +66,56 @@
 	if index == 0 {
 		sleep(ctx, dutyCheck)
 	}
-	en.install(pair.Value)
+	en.install(ctx, pair)
 	return index, nil
 }
 
 // install takes a stored value into force if it is newer. A value that does
 // not decode is refused and what is in force stays.
-func (en *Entry) install(value []byte) {
-	ev, err := config.DecodeEnvelope(value)
+func (en *Entry) install(ctx context.Context, pair kv.Pair) {
+	ev, err := config.DecodeEnvelope(pair.Value)
 	if err != nil {
 		en.Node.Note(timeline.Entry{Event: event.ConfigRefused, Detail: err.Error()})
 		return
 	}
 	held := en.Node.Snapshot().Revision()
-	if ev.Document == nil || ev.Revision <= held {
-		if ev.Revision < held {
-			en.Node.Note(timeline.Entry{Event: event.ConfigRefused, Detail: "the store holds a lower revision"})
+	if ev.Revision < held {
+		en.Node.Note(timeline.Entry{Event: event.ConfigRefused, Detail: "the store holds a lower revision"})
+		en.writeAgain(ctx, ev, pair.Index)
+		return
+	}
+	if ev.Document == nil {
+		return
+	}
+	if ev.Revision > held {
+		if err := ev.Document.Check(); err != nil {
+			en.Node.Note(timeline.Entry{Event: event.ConfigRefused, Detail: err.Error()})
+			return
 		}
+		en.Node.Install(config.Compile(ev.Revision, ev.Document))
+	}
+	en.stored = ev
+}
+
+// writeAgain writes the newest accepted configuration to a store that went back to an older one, so
+// that the next change follows it. A store that holds a change which is not part of it is left to
+// an operator.
+func (en *Entry) writeAgain(ctx context.Context, older *config.Envelope, index uint64) {
+	if en.stored == nil || !en.stored.Extends(older) {
 		return
 	}
-	if err := ev.Document.Check(); err != nil {
-		en.Node.Note(timeline.Entry{Event: event.ConfigRefused, Detail: err.Error()})
+	value, err := en.stored.Encode()
+	if err != nil {
+		en.Node.Note(timeline.Entry{Event: event.StoreCallFailed, Detail: err.Error()})
 		return
 	}
-	en.Node.Install(config.Compile(ev.Revision, ev.Document))
+	made, err := en.Store.Swap(ctx, config.StoreKey, value, index)
+	switch {
+	case err != nil:
+		en.Node.Note(timeline.Entry{Event: event.StoreCallFailed, Detail: err.Error()})
+	case made:
+		en.Node.Note(timeline.Entry{Event: event.ConfigAccepted, Revision: en.stored.Revision, Detail: "written again to a store that had lost it"})
+	}
 }
 
 func sleep(ctx context.Context, pause time.Duration) {
--- a/standin/e2e/failure_test.go
+++ b/standin/e2e/failure_test.go
@@ -188,6 +188,23 @@
 	require.Equal(t, result.VersionWithdrawn, si.ask(si.entries[0], call{model: "m", session: "none"}).orWithdrawn())
 }
 
+func TestChangeAfterTheStoreLostOneComesIntoForce(t *testing.T) {
+	si := newSite(t, 2, time.Millisecond)
+	si.waitRevision(si.setV2(config.RollingOut), si.fleet.Members()...)
+	copied, err := si.stored()
+	require.NoError(t, err)
+	withdrawn := si.setV2(config.Withdrawn)
+	si.waitRevision(withdrawn, si.fleet.Members()...)
+	require.NoError(t, si.putStore(config.StoreKey, copied))
+	require.NoError(t, fleet.Until(bound, "the newest configuration is written again", func() bool {
+		held, err := si.stored()
+		return err == nil && held.Revision == withdrawn
+	}))
+	next := si.setV2(config.RollingOut)
+	require.Greater(t, next, withdrawn)
+	si.waitRevision(next, si.fleet.Members()...)
+}
+
 // orWithdrawn reads an answer by the other version as the refusal that it
 // stands for: the withdrawn one was not chosen.
 func (ca call) orWithdrawn() result.Code {
--- a/standin/e2e/http_test.go
+++ b/standin/e2e/http_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
+
+	"github.com/linnetrudder/linnetrudder/internal/config"
 )
 
 func (si *site) getJSON(url string, into any) error {
@@ -15,6 +17,15 @@
 	return json.NewDecoder(resp.Body).Decode(into)
 }
 
+// stored returns the configuration that the key-value service holds.
+func (si *site) stored() (*config.Envelope, error) {
+	var pairs []struct{ Value []byte }
+	if err := si.getJSON("http://"+si.fleet.Store+"/v1/kv/"+config.StoreKey, &pairs); err != nil {
+		return nil, err
+	}
+	return config.DecodeEnvelope(pairs[0].Value)
+}
+
 // putStore writes a value as another client of the key-value service would.
 func (si *site) putStore(key string, value any) error {
 	body, err := json.Marshal(value)
