--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -8,29 +8,24 @@
 )
 
 const (
-	// watchers is how many gateways of a data centre watch the key-value service:
-	// one may fail without the others having to.
+	// watchers is how many gateways of a data centre watch the key-value service, so that one
+	// may fail.
 	watchers = 2
-	// fewWatchers is how many watchers of all data centres call the service, each for
-	// itself. Where there are more, only roots of them do, of unlike data centres, and the
-	// others ask these: calls do not grow with the data centres then, and what is known is
-	// a quarter of a second older. With 32 gateways in three data centres 150 to 250 calls
-	// of 810 to 1,200 a day less than with six.
+	// fewWatchers is up to how many watchers of all data centres call the service directly. Of
+	// more only the roots do, each of another data centre, and the other watchers ask a root.
 	fewWatchers = 4
 	roots       = 3
 	// avoidFor is how long a watcher that failed is not asked again.
 	avoidFor = 5 * time.Second
-	// serviceEvery is the least time between two calls of a gateway that does not
-	// watch to a service that does not answer: its watchers call several times a
-	// second and tell it as soon as the service is back.
+	// serviceEvery is the least time between two calls of a gateway that does not watch to a
+	// service that does not answer. Its watchers call more often and report its return.
 	serviceEvery = time.Second
-	// serviceSeldom is that time where enoughOld watchers, which are called by others and
-	// call the service all the while, have said within it that the service does not answer
-	// them either: in 11 s without the service 93 gateways of 103 made 1,400 calls.
+	// serviceSeldom is that time after enoughOld watchers have answered within it that the
+	// service does not answer them either.
 	serviceSeldom = 5 * time.Second
 	enoughOld     = 3
 	// catchUpEvery is the least time between two calls to the service by a gateway whose
-	// watcher does not know its revision: one is enough, unless the watcher fails.
+	// revision its watcher does not know.
 	catchUpEvery = time.Second
 )
 
@@ -43,14 +38,14 @@
 	LinkMbps int
 }
 
-// Plan decides where a gateway hears of changes. Its exported fields are set
+// Plan decides from where a gateway gets changes. Its exported fields are set
 // before use; it is not safe for concurrent use.
 type Plan struct {
 	// Box and DataCentre are the gateway's own.
 	Box, DataCentre string
 
-	// failed holds when each watcher failed last, by box, old when each last said that
-	// what it knows is old.
+	// failed holds when each watcher failed last, by box, old when each last answered that its
+	// state is out of date.
 	failed, old map[string]time.Time
 	// serviceFailed is when the key-value service failed to answer this gateway last.
 	serviceFailed time.Time
@@ -58,12 +53,10 @@
 	caughtUp time.Time
 }
 
-// Watcher returns the member to ask, or false if the gateway is to watch the
-// key-value service itself: since it is one of the watchers that do, or since none of
-// them serves it and the service has not just failed either. After that the watchers of
-// other data centres are asked, which the service may answer, and once none of these serves
-// it either its own again. All gateways that know the same members choose the same
-// watchers, those with the largest links.
+// Watcher returns the member to ask, or false if the gateway watches the key-value service
+// itself, as a root or because all its watchers failed. If the service fails as well, watchers of
+// other data centres are asked, and once these failed its own again. Gateways that know the same
+// members choose the same watchers, those with the largest links.
 func (pl *Plan) Watcher(members []Member, now time.Time) (Member, bool) {
 	own := watchersOf(members, pl.DataCentre)
 	if !pl.among(own) {
@@ -76,8 +69,8 @@
 	return pl.choose(first, nil, now)
 }
 
-// choose returns one of the watchers that has not just failed; once the service has failed
-// as well one of those elsewhere, or any of the first again.
+// choose returns a watcher that has not failed recently; once the service has failed as well, one
+// of another data centre or any of its own.
 func (pl *Plan) choose(own, elsewhere []Member, now time.Time) (Member, bool) {
 	left := pl.leftOf(own, now)
 	if len(left) == 0 && now.Sub(pl.serviceFailed) < pl.servicePause(now) {
@@ -95,7 +88,7 @@
 // Root reports whether this gateway calls the service for other watchers.
 func (pl *Plan) Root(members []Member) bool { return pl.among(rootsOf(members)) }
 
-// leftOf returns the watchers that have not just failed.
+// leftOf returns the watchers that have not failed recently.
 func (pl *Plan) leftOf(list []Member, now time.Time) []Member {
 	return slices.DeleteFunc(slices.Clone(list), func(me Member) bool { return pl.avoided(me.Box, now) })
 }
@@ -114,9 +107,8 @@
 	return serviceEvery
 }
 
-// Needed reports whether a gateway should be among those that may watch: it is one of the
-// watchers, as after a restart, or fewer than these are there with links as large as its
-// own.
+// Needed reports whether a gateway should be a member: it is a watcher already, as after a
+// restart, or there are too few members with links as large as its own.
 func (pl *Plan) Needed(members []Member, linkMbps int) bool {
 	if pl.among(watchersOf(members, pl.DataCentre)) {
 		return true
@@ -137,8 +129,8 @@
 	return len(own) == 0 || pl.among(own)
 }
 
-// Serves reports whether other members may ask this gateway for changes: it is one of
-// the watchers, and not everybody in its data centre is.
+// Serves reports whether other members may ask this gateway for changes: it is a watcher, and
+// its data centre has other members.
 func (pl *Plan) Serves(members []Member) bool {
 	own := 0
 	for _, me := range members {
@@ -149,11 +141,9 @@
 	return own > watchers && pl.among(watchersOf(members, pl.DataCentre))
 }
 
-// Peers returns the members to which this gateway reports its load, and whether it
-// does so as a collector. A gateway reports to its watcher; the watchers are the
-// collectors, and of two of them the one whose box's name comes first reports to the
-// other, which answers with its own. A gateway whose watchers all failed reports to
-// nobody.
+// Peers returns the members to which this gateway reports its load, and whether it does so as a
+// collector. The watchers are the collectors. Of two collectors the one whose box's name sorts
+// first reports to the other, which answers with its own report.
 func (pl *Plan) Peers(members []Member, now time.Time) (peers []Member, collector bool) {
 	if !pl.among(watchersOf(members, pl.DataCentre)) {
 		if wa, ok := pl.Watcher(members, now); ok {
@@ -174,7 +164,7 @@
 	return slices.ContainsFunc(list, func(me Member) bool { return me.Box == pl.Box })
 }
 
-// Old notes that a watcher answered, and that the service does not answer it.
+// Old records that a watcher answered with a state that is out of date.
 func (pl *Plan) Old(box string, now time.Time) {
 	if pl.old == nil {
 		pl.old = map[string]time.Time{}
@@ -183,7 +173,7 @@
 	pl.Failed(box, now)
 }
 
-// Failed notes that a watcher did not serve this gateway.
+// Failed records that a watcher did not answer this gateway.
 func (pl *Plan) Failed(box string, now time.Time) {
 	if pl.failed == nil {
 		pl.failed = map[string]time.Time{}
@@ -191,11 +181,11 @@
 	pl.failed[box] = now
 }
 
-// ServiceFailed notes that the key-value service did not answer this gateway.
+// ServiceFailed records that the key-value service did not answer this gateway.
 func (pl *Plan) ServiceFailed(now time.Time) { pl.serviceFailed = now }
 
-// CatchUp reports whether a gateway whose watcher does not know its revision calls the
-// service once, and takes it that it does.
+// CatchUp reports whether a gateway whose watcher does not know its revision may call the service
+// now, and records the call.
 func (pl *Plan) CatchUp(now time.Time) bool {
 	if now.Sub(pl.caughtUp) < catchUpEvery {
 		return false
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,10 +1,9 @@
-// Package relay spreads what the key-value service says among gateways, so that
-// only some of them call the service. A few in each data centre, the watchers,
-// watch the service; the others ask a watcher for changes, over a WebSocket with
-// messages in CBOR, and go to the service themselves as soon as it fails them. Of many
-// watchers only the roots call the service, and the other watchers ask them. Over
-// the same kind of connection gateways tell each other the load of backend servers,
-// how many they are, and what became of a version on trial.
+// Package relay propagates the state of the key-value service among gateways, so that only some of
+// them call the service. In each data centre a few gateways, the watchers, watch it; the others ask
+// a watcher for changes, over a WebSocket with messages in CBOR, and call the service if their
+// watchers fail. Of many watchers only the roots call the service. Gateways report the load of
+// backend servers, their number and the outcomes of a version on trial over the same kind of
+// connection.
 package relay
 
 import (
@@ -30,19 +29,17 @@
 type Update struct {
 	// Revision is the one to go on from.
 	Revision revision.Revision `cbor:"1,keyasint"`
-	// Age is how long ago the watcher was last sure to know all changes, at the
-	// most.
+	// Age is the longest time since the watcher's state was complete.
 	Age time.Duration `cbor:"2,keyasint"`
 	// Batches holds the changes in order.
 	Batches []Batch `cbor:"3,keyasint,omitempty"`
 	// Unknown is set if the watcher's history does not reach back to the revision.
 	Unknown bool `cbor:"4,keyasint,omitempty"`
-	// Whole holds the whole state as the watcher encoded it, where it keeps one for others
-	// and its history does not reach back.
+	// Whole holds the whole state as the watcher encoded it, if its history does not reach back.
 	Whole []byte `cbor:"5,keyasint,omitempty"`
 }
 
-// Batch is changes that came together. The fields are exported because the codec
+// Batch holds changes that were received together. The fields are exported because the codec
 // needs them.
 type Batch struct {
 	// To is the revision that the changes lead to.
@@ -57,34 +54,32 @@
 	Updates(ctx context.Context, rq Request) Update
 }
 
-// Report tells another gateway of the work in progress on backend servers; the
-// answer to it is one as well. The fields are exported because the codec needs them.
+// Report is sent to another gateway, which answers with its own. The fields are exported because
+// the codec needs them.
 type Report struct {
 	// Box is the sender's.
 	Box string `cbor:"1,keyasint"`
-	// Collector is set if Work is that of all gateways that report to the sender, not
-	// only the sender's own.
+	// Collector is set if Work includes that of all gateways that report to the sender.
 	Collector bool      `cbor:"2,keyasint,omitempty"`
 	Work      load.Work `cbor:"3,keyasint,omitempty"`
 	// Ready is set if the sender serves new callers.
 	Ready bool `cbor:"4,keyasint,omitempty"`
-	// Gateways is how many gateways Work is of.
+	// Gateways is the number of gateways that Work includes.
 	Gateways int `cbor:"5,keyasint,omitempty"`
-	// Tallies is what the sender tells of versions being rolled out, as it encoded it, for
-	// the collector to pass on.
+	// Tallies holds outcomes of versions on trial as the sender encoded them, for the collector to
+	// pass on.
 	Tallies []byte `cbor:"6,keyasint,omitempty"`
-	// Suspicions is what the receiver has not heard yet of requests under which servers
-	// ended, Blocks which of them were blocked just now.
+	// Suspicions holds the suspicions that the receiver does not have yet, Blocks the requests that
+	// were blocked recently.
 	Suspicions []poison.Suspicion `cbor:"7,keyasint,omitempty"`
 	Blocks     []poison.Block     `cbor:"8,keyasint,omitempty"`
-	// Doubts names blocked requests that servers answer elsewhere and live on.
+	// Doubts names blocked requests that servers answered without ending.
 	Doubts []poison.Print `cbor:"9,keyasint,omitempty"`
-	// Limits names the servers that name limits in their answers since a moment ago, or other
-	// ones, or none any more.
+	// Limits names the servers whose rate limit changed recently.
 	Limits []backpressure.Notice `cbor:"10,keyasint,omitempty"`
-	// Leaving names the servers that have just announced their shutdown.
+	// Leaving names the servers that announced their shutdown recently.
 	Leaving []gossip.Notice `cbor:"11,keyasint,omitempty"`
-	// Pauses names the servers that have just asked a gateway for a pause.
+	// Pauses names the servers that recently asked a gateway for a pause.
 	Pauses []gossip.Notice `cbor:"12,keyasint,omitempty"`
 }
 
@@ -94,9 +89,8 @@
 	Reported(re Report) Report
 }
 
-// historyBatches bounds the batches that a watcher keeps. Watchers gather changes
-// for 0.3 s, so that these are 19 s at the least; who is further behind goes to
-// the service itself.
+// historyBatches bounds the batches that a watcher keeps. A gateway that is further behind gets the
+// whole state.
 const historyBatches = 64
 
 // History keeps the newest changes of one era. The zero value knows of no revision. It is
