--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -16,33 +16,28 @@
 )
 
 const (
-	// watchMost is how long one watch waits for a change at the most: each answer
-	// confirms the configuration, and each call is priced.
+	// watchMost is the longest wait of a watch. Each answer confirms the configuration, and each
+	// call has a price.
 	watchMost = 1500 * time.Millisecond
-	// watchRoot is how long one of a root waits at the most: what it knows reaches others by
-	// two hops, and at an age of denyAge they can't say any more that a key is unknown.
+	// watchRoot is that of a root: its state reaches others over two hops, and beyond denyAge they
+	// can't reject unknown keys any more.
 	watchRoot = time.Second
-	// watchLeast is how long one waits at the least: as long as a call is put off
-	// after a failure.
+	// watchLeast is the shortest wait of a watch.
 	watchLeast = pauseLeast
-	// gather is how long changes that follow one another are waited for, so that
-	// they cost one call: far below the bound on applying a configuration.
+	// gather is the pause after changes, so that those that follow come with one call.
 	gather = 300 * time.Millisecond
-	// mostUnheard is how long watches may hear nothing although changes are made: what a
-	// whole read brings after one may be as old. Without it a good version was finished 0.3 s
-	// after its deadline where such a second began just before the order.
-	mostUnheard = time.Second
-	// pauseLeast and pauseMost bound the time between two calls to a service
-	// that gives no answers; pauseLong bounds it where it has given none for longer: the
-	// first gateway that hears from it again says so to the others.
+	// mostUnseen is how long watches may miss changes: an order that a whole read shows for the
+	// first time may be as old.
+	mostUnseen = time.Second
+	// pauseLeast and pauseMost bound the pause between two calls to a service that does not
+	// answer; pauseLong bounds it in a longer outage, since other gateways report its return.
 	pauseLeast = 100 * time.Millisecond
 	pauseMost  = 400 * time.Millisecond
 	pauseLong  = time.Second
-	// pausePart is the part of the time without an answer that a pause may last then: an
-	// outage is noticed to be over a tenth later than it lasted, on average.
+	// pausePart is the longest pause in a longer outage, as a part of its length.
 	pausePart = 0.2
-	// watcherPause is the pause after a watcher did not serve: while the service gives
-	// no answers, watchers say at once that what they know is old.
+	// watcherPause is the pause after a watcher failed. In an outage of the service watchers answer
+	// at once that their state is out of date.
 	watcherPause = pauseLeast
 )
 
@@ -63,7 +58,7 @@
 // watch takes changes as they come, until the history has gone.
 func (ga *Gateway) watch(ctx context.Context, after revision.Revision) {
 	for ctx.Err() == nil {
-		next, err := ga.hear(ctx, after)
+		next, err := ga.receive(ctx, after)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			ga.Log.Warn().Int("event", int(event.HistoryGone)).Stringer("revision", after).Msg(event.Name(event.HistoryGone))
@@ -76,10 +71,10 @@
 	}
 }
 
-// hear waits once for changes after a revision, and returns the revision to go on
-// from. A watcher that fails is not asked again for a while; one that has not kept
-// changes that far back is asked again as soon as the service has told them.
-func (ga *Gateway) hear(ctx context.Context, after revision.Revision) (revision.Revision, error) {
+// receive waits once for changes after a revision, and returns the revision to go on
+// from. A watcher that fails is not asked again for a while; one whose history does not reach back
+// is asked again after a call to the service.
+func (ga *Gateway) receive(ctx context.Context, after revision.Revision) (revision.Revision, error) {
 	wa, ok := ga.watcher(clock.Now())
 	if !ok {
 		return ga.watchService(ctx, after, ga.watchWait(clock.Now()))
@@ -144,7 +139,7 @@
 	return min(most, max(watchLeast, left/2))
 }
 
-// lost notes a failed call and waits for a while.
+// lost records a failed call and waits for a while.
 func (ga *Gateway) lost(ctx context.Context, why error) {
 	if ctx.Err() != nil {
 		return
@@ -161,13 +156,13 @@
 	}
 	most := min(pauseLong, max(pauseMost, time.Duration(pausePart*float64(age))))
 	if began {
-		most = pauseMost // it can serve nobody, and nobody knows of it to tell it
+		most = pauseMost // no other gateway knows this one and could report the service's return
 	}
 	ga.sleepUntilBack(ctx, pauseLeast+rand.N(most-pauseLeast))
 }
 
-// sleepUntilBack waits until another gateway says that the service answers it again, a
-// pause at the most.
+// sleepUntilBack waits for a pause, or until another gateway reports that the service answers
+// again.
 func (ga *Gateway) sleepUntilBack(ctx context.Context, pause time.Duration) {
 	ti := time.NewTimer(pause)
 	defer ti.Stop()
@@ -187,29 +182,29 @@
 	}
 }
 
-// regained notes that the service answers again. The lock is held.
+// regained records that the service answers again. The lock is held.
 func (ga *Gateway) regained() {
 	ga.servers.StoreBack(clock.Now())
 	ga.Log.Info().Int("event", int(event.StoreRegained)).Msg(event.Name(event.StoreRegained))
 }
 
-// takeRead takes what the service told of everything.
+// takeRead applies a whole state that was read from the service.
 func (ga *Gateway) takeRead(st State, sent time.Time) error {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	if !ga.eras.Accept(st.Revision.Era, clock.Now()) {
 		return errOlderEra
 	}
-	ga.unheard = min(mostUnheard, ga.fresh.Age(clock.Now()))
+	ga.unseen = min(mostUnseen, ga.fresh.Age(clock.Now()))
 	if ga.fresh.Read(sent) {
 		ga.regained()
 	}
 	ga.replace(st)
-	ga.unheard = 0
+	ga.unseen = 0
 	return nil
 }
 
-// replace takes the whole state; the lock is held.
+// replace applies a whole state; the lock is held.
 func (ga *Gateway) replace(st State) {
 	now := clock.Now()
 	restored := ga.restoredSince(st.Revision, now)
@@ -243,7 +238,7 @@
 		Int("servers", len(listed)).Msg(event.Name(event.StateRead))
 }
 
-// apply takes what a watch returned that was sent at a time.
+// apply applies the answer to a watch that was sent at a time.
 func (ga *Gateway) apply(st State, sent time.Time, wait time.Duration, now time.Time) {
 	ba := relay.Batch{To: st.Revision}
 	ga.mu.Lock()
@@ -258,10 +253,8 @@
 	ga.noteConfirmed()
 }
 
-// takeBatch takes changes and keeps them, as they are passed on, if other gateways
-// may ask this one. A batch that was not encoded, since nobody could ask until it
-// came or since that failed, is not kept, nor is what was before it: who asks is told
-// that it is unknown. The lock is held.
+// takeBatch applies changes, and keeps them as encoded if other gateways may ask this one. A batch
+// that was not encoded is not kept, nor is the history before it. The lock is held.
 func (ga *Gateway) takeBatch(changes []Change, ba relay.Batch) {
 	for _, ch := range changes {
 		ga.change(ch)
@@ -278,7 +271,7 @@
 	}
 }
 
-// change takes one change; the lock is held.
+// change applies one change; the lock is held.
 func (ga *Gateway) change(ch Change) {
 	switch {
 	case ch.Document != nil:
@@ -316,8 +309,7 @@
 	}
 }
 
-// adopt takes a newer configuration into force; a lower version never is. The
-// lock is held.
+// adopt puts a configuration into force if its version is higher. The lock is held.
 func (ga *Gateway) adopt(doc *routing.Document) {
 	held := ga.table.Load().Version()
 	if doc.Version <= held {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,8 +93,8 @@
 	size    int
 	// whole is the state as it was passed on last.
 	whole encodedState
-	// unheard is how old what is being taken may be although it was not heard of before.
-	unheard time.Duration
+	// unseen is how old changes that are being applied for the first time may be.
+	unseen time.Duration
 	// stateRead is set once the whole state was read.
 	stateRead bool
 	// plan says which of them to ask for changes.
@@ -108,11 +108,11 @@
 	history   relay.History
 	changed   chan struct{}
 	confirmed chan struct{}
-	// toldConfirmed is the moment up to which all changes were known when confirmed was
-	// closed last.
-	toldConfirmed time.Time
-	servers       directory.Directory
-	pool          pool.Pool
+	// announcedConfirmed is the moment up to which the state was complete when confirmed was closed
+	// last.
+	announcedConfirmed time.Time
+	servers            directory.Directory
+	pool               pool.Pool
 	// fleet knows how many gateways there may be, unusable which entries of servers were
 	// said to be unusable.
 	fleet    quota.Fleet
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -13,19 +13,15 @@
 )
 
 const (
-	// renewEvery is the pause between two renewals of the membership, memberTTL how
-	// long a gateway that does not renew is still a member. Members are counted, and a
-	// watcher that fails is noticed by those that ask it, so that late news of one does
-	// no harm; each renewal has a price.
+	// renewEvery is the pause between two renewals of the membership's lease, memberTTL its length.
+	// A watcher that fails is noticed by those that ask it, so that the lease may be long.
 	renewEvery = 10 * time.Second
 	memberTTL  = 25 * time.Second
 	// joinAgain is the pause after a call that failed.
 	joinAgain = time.Second
-	// joinEvery is how often a gateway looks whether it is needed among the members, and
-	// joinSpread the most that it waits before it joins: of many that start at once a few
-	// join, and the others hear of them before their time. Boxes with links larger than
-	// smallLinkMbps, what most boxes of a large site have, wait less: they become the
-	// watchers, and those who asked smaller ones would have to change.
+	// joinEvery is how often a gateway checks whether it is needed as a member, joinSpread the
+	// longest delay before it joins: of many that start together a few join, and the others see
+	// them. Boxes with links of more than smallLinkMbps wait less, since they become the watchers.
 	joinEvery     = 500 * time.Millisecond
 	joinSpread    = 1500 * time.Millisecond
 	smallLinkMbps = 20
@@ -61,7 +57,7 @@
 	}
 }
 
-// awaitNeed waits until this gateway has to be one of those that may watch.
+// awaitNeed waits until this gateway is needed as a member.
 func (ga *Gateway) awaitNeed(ctx context.Context) {
 	wait := time.Duration(rand.Float64() * float64(joinSpread) * min(1, smallLinkMbps/float64(max(1, ga.LinkMbps))))
 	for ctx.Err() == nil {
@@ -73,8 +69,7 @@
 	}
 }
 
-// needed reports whether this gateway has to be one of those that may watch. One that has
-// not read yet who is there can't tell.
+// needed reports whether this gateway is needed as a member, which takes the members to be known.
 func (ga *Gateway) needed() bool {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
@@ -106,7 +101,7 @@
 	return relay.Member{Box: ga.Box, DataCentre: ga.DataCentre, Address: ga.RelayAddress, LinkMbps: ga.LinkMbps}
 }
 
-// joined notes a member; the lock is held.
+// joined records a member; the lock is held.
 func (ga *Gateway) joined(me relay.Member) {
 	_, known := ga.members[me.Box]
 	ga.members[me.Box] = me
@@ -151,7 +146,7 @@
 	}
 }
 
-// left notes that a member is gone; the lock is held.
+// left records that a member is gone; the lock is held.
 func (ga *Gateway) left(box string) {
 	ga.lostMembers.Release(box)
 	if _, known := ga.members[box]; known {
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -15,23 +15,21 @@
 )
 
 const (
-	// relayWait is how long a watcher may hold an answer, relaySlack how much later
-	// it may come: a watcher that is gone without a word is noticed after both, well
-	// within the bound on applying a configuration (2 s on the users' sites).
-	// Watchers that ask others let them hold half of that: what they know may be as old as
-	// that before they serve it.
+	// relayWait is how long a watcher may hold an answer, relaySlack how much later it may come: a
+	// silent watcher is noticed after both. Watchers that ask others use half of relayWait, since
+	// they pass the changes on.
 	relayWait  = 500 * time.Millisecond
 	relaySlack = 400 * time.Millisecond
-	// relayAge is the age of what a watcher knows from which it serves no longer:
-	// more than a whole wait for changes, a pause to gather them and two slow calls.
+	// relayAge is the age beyond which a watcher's state is not used: more than a whole wait for
+	// changes, a pause to gather them and two slow calls.
 	relayAge = 2200 * time.Millisecond
-	// relayLeast is the least bound on the age of the configuration with which
-	// gateways ask watchers: what comes through one may be older by a wait.
+	// relayLeast is the least bound on the age of the configuration with which gateways ask
+	// watchers, whose answers may be older by a wait.
 	relayLeast = relayAge + relayWait
 )
 
 var (
-	errOld     = eris.New("what the watcher knows is too old")
+	errOld     = eris.New("the watcher's state is too old")
 	errUnknown = eris.New("the watcher's history does not reach back")
 	// errOlderEra means that an answer is from before the service was restored.
 	errOlderEra = eris.New("the answer is of an older era")
@@ -99,18 +97,18 @@
 	return up.Revision, nil
 }
 
-// confirmStep is by how much younger what a gateway knows must be for those to be told at
-// once that wait for changes.
+// confirmStep is by how much fresher a gateway's state must be before it answers requests for
+// changes early.
 const confirmStep = 200 * time.Millisecond
 
-// noteConfirmed answers those at once that wait for changes if what this gateway knows has
-// just been confirmed: what they know would be older by up to a wait. The lock is held.
+// noteConfirmed answers requests for changes early once this gateway's state was confirmed, so that
+// the askers' states get fresher too. The lock is held.
 func (ga *Gateway) noteConfirmed() {
 	at := ga.fresh.Confirmed()
-	if at.Sub(ga.toldConfirmed) < confirmStep {
+	if at.Sub(ga.announcedConfirmed) < confirmStep {
 		return
 	}
-	ga.toldConfirmed = at
+	ga.announcedConfirmed = at
 	close(ga.confirmed)
 	ga.confirmed = make(chan struct{})
 }
@@ -125,15 +123,14 @@
 	return relayWait
 }
 
-// mayCatchUp reports whether the service is to be called once since the watcher does
-// not know the revision.
+// mayCatchUp reports whether to call the service once since the watcher does not know the revision.
 func (ga *Gateway) mayCatchUp(now time.Time) bool {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	return ga.plan.CatchUp(now)
 }
 
-// leaveWatcher notes that a watcher did not serve.
+// leaveWatcher records that a watcher failed.
 func (ga *Gateway) leaveWatcher(wa relay.Member, why error) {
 	now := clock.Now()
 	ga.mu.Lock()
@@ -147,12 +144,10 @@
 		Err(why).Msg(event.Name(event.WatcherFailed))
 }
 
-// askedFor is how long a gateway keeps changes for others after one has asked it: some
-// times as long as between two questions of one that goes on.
+// askedFor is how long a gateway keeps changes for others after the last request for them.
 const askedFor = 10 * relayWait
 
-// serves reports whether other gateways may ask this one for changes, or do. The lock is
-// held.
+// serves reports whether this gateway keeps changes for others. The lock is held.
 func (ga *Gateway) serves(now time.Time) bool {
 	return ga.plan.Serves(ga.memberList()) || now.Sub(ga.asked) < askedFor
 }
@@ -196,7 +191,7 @@
 	}
 }
 
-// encode returns changes as they are passed on; those that can't be encoded are not.
+// encode returns changes as they are passed on, without data if they can't be encoded.
 func (ga *Gateway) encode(st State) relay.Batch {
 	ba := relay.Batch{To: st.Revision}
 	if len(st.Changes) == 0 {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -68,7 +68,7 @@
 		return
 	}
 	or.Plan.MostShare, or.Plan.MostExtra = ga.Bounds.CanaryShare, ga.ownExtra()
-	ro := &timedRollout{order: or, before: orderBefore(old), canary: rollout.Canary{Plan: or.Plan, Began: clock.Now().Add(-ga.unheard)}}
+	ro := &timedRollout{order: or, before: orderBefore(old), canary: rollout.Canary{Plan: or.Plan, Began: clock.Now().Add(-ga.unseen)}}
 	ro.withdrawn = ga.withdrawnFor(old, or)
 	ga.rollouts[or.Plan.Service] = ro
 	ga.Log.Info().Int("event", int(event.RolloutOrdered)).Str("service", or.Plan.Service).
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -351,7 +351,7 @@
 	order := Change{Order: &Order{Revision: rev(4), Plan: rollout.Plan{Service: "s", Version: "v2", Within: 24 * time.Second}}}
 	for _, tc := range []struct {
 		silent, older time.Duration
-	}{{300 * time.Millisecond, 300 * time.Millisecond}, {5 * time.Second, mostUnheard}} {
+	}{{300 * time.Millisecond, 300 * time.Millisecond}, {5 * time.Second, mostUnseen}} {
 		ga := &Gateway{Log: zerolog.Nop()}
 		ga.prepare()
 		now := time.Now()
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -14,12 +14,11 @@
 )
 
 const (
-	// startWait is how long a gateway that has read a part of a large state waits for a
-	// watcher to have read all of it, startSlack how long the watcher's answer may take:
-	// it sends the same to all of its data centre.
+	// startWait is how long a gateway that has read a part of a large state waits until a watcher
+	// has read all of it, startSlack how long the watcher's answer may take.
 	startWait  = 2 * time.Second
 	startSlack = 2 * time.Second
-	// startAgain is the pause after a watcher that has not read all yet.
+	// startAgain is the pause after an answer of a watcher that has not read all yet.
 	startAgain = 50 * time.Millisecond
 )
 
@@ -55,7 +54,7 @@
 	return ga.eras.Era()
 }
 
-// takeWhole takes the whole state from a watcher.
+// takeWhole applies a whole state that a watcher sent.
 func (ga *Gateway) takeWhole(up relay.Update, sent time.Time) (revision.Revision, error) {
 	st := State{Revision: up.Revision}
 	if err := cbor.Unmarshal(up.Whole, &st.Changes); err != nil {
@@ -73,10 +72,9 @@
 	return up.Revision, nil
 }
 
-// watcherAmong returns the watcher to ask for a whole state, by the members that a first part
-// of it holds, or false if this gateway reads all of it itself. Where the state of 3,000
-// servers is some megabytes, 300 gateways that start at the same moment would wait for the
-// service's link, not for their own processors.
+// watcherAmong returns the watcher to ask for a whole state, by the members in a first part of it,
+// or false if this gateway reads all of it itself. Many gateways that start together would
+// otherwise saturate the service's link.
 func (ga *Gateway) watcherAmong(first State) (relay.Member, bool) {
 	var members []relay.Member
 	for _, ch := range first.Changes {
@@ -92,7 +90,7 @@
 	return ga.plan.Watcher(members, clock.Now())
 }
 
-// readFrom takes the whole state from a watcher, which may have to read it first. It reports
+// readFrom gets the whole state from a watcher, which may have to read it first. It reports
 // false if the watcher does not have it in time.
 func (ga *Gateway) readFrom(ctx context.Context, wa relay.Member) (revision.Revision, bool) {
 	cl := relay.Client{Address: wa.Address, Slack: startSlack, HTTP: ga.RelayHTTP}
@@ -161,8 +159,8 @@
 	return all
 }
 
-// unknown answers a gateway to whose revision the history does not reach back. The lock is
-// held.
+// unknown answers a request from before the history, with the whole state if this gateway has it.
+// The lock is held.
 func (ga *Gateway) unknown(age time.Duration) relay.Update {
 	up := relay.Update{Revision: ga.history.Revision(), Age: age, Unknown: true}
 	if !ga.stateRead || !ga.plan.Watches(ga.memberList()) {
@@ -181,9 +179,8 @@
 	return up
 }
 
-// wholeKept is how long an encoded whole state is used again: after a restart of all gateways
-// those of a data centre ask for it within some tenths of a second, and to encode 3,000
-// servers takes 2.7 ms each time (measured in a test; a box may have a seventh of a core).
+// wholeKept is how long an encoded whole state is used again: after a restart all gateways of a data
+// centre ask for it within some tenths of a second.
 const wholeKept = 200 * time.Millisecond
 
 // encodedState is a whole state as it is passed on.
