--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -115,7 +115,7 @@
 func (se *sent) impatient() {
 	ga, more := se.ex.ga, se.step.Limit().Sub(se.step.Patience())
 	ga.mu.Lock()
-	alive := ga.pool.Heard(se.server.Key()).After(se.began)
+	alive := ga.pool.LastResponse(se.server.Key()).After(se.began)
 	ga.mu.Unlock()
 	if !alive || more <= 0 {
 		se.giveUp(true)
@@ -141,7 +141,7 @@
 	ga.pool.Read(se.server.Key(), se.offer.Read())
 	delete(ga.waiting, se)
 	if se.err == nil {
-		ga.pool.Hear(se.server.Key(), now)
+		ga.pool.Responded(se.server.Key(), now)
 		ga.runs.Answered(se.run, now)
 	}
 	if se.err != nil && now.Before(se.step.Patience()) {
--- a/internal/gateway/servers_test.go
+++ b/internal/gateway/servers_test.go
@@ -170,14 +170,14 @@
 		ga.pool.Failed(first.Key(), now)
 	}
 	ga.pool.Started(first.Key(), time.Second, now)
-	ga.pool.Hear(first.Key(), now)
+	ga.pool.Responded(first.Key(), now)
 	require.NotContains(t, firstServers(ga, now), "y0", "it was ejected")
 	again := serverChange("y0", "dc0")
 	again.Server.Born, again.Server.Address = 2000, "127.0.0.1:2"
 	ga.change(again)
 	second := *ga.servers.Get("y0")
 	require.Contains(t, firstServers(ga, now), "y0")
-	require.True(t, ga.pool.Heard(second.Key()).IsZero())
+	require.True(t, ga.pool.LastResponse(second.Key()).IsZero())
 	ga.pool.Ended(first.Key())
 	ga.pool.Failed(first.Key(), now)
 	require.Contains(t, firstServers(ga, now), "y0", "late answers of the old life")
--- a/internal/pool/holdings.go
+++ b/internal/pool/holdings.go
@@ -3,29 +3,28 @@
 import "time"
 
 const (
-	// heldFor is how long a server is taken to hold what it has read since it was last
-	// asked for it; it gives way to others' prompts some time.
+	// heldFor is how long after its last use a part of a prompt is assumed to be cached by its server.
 	heldFor = 20 * time.Second
-	// homeChance and strangerChance are the chances that a server holds the start of a
-	// prompt before anything was seen: of the one that ranks first, and of any other.
+	// homeChance and strangerChance are the initial chances that a server holds the start of a
+	// prompt: the one that ranks first, and any other.
 	homeChance     = 0.7
 	strangerChance = 0.0
-	// tellingRead is the least time for a shared part from which an answer tells whether
-	// it was read.
-	tellingRead = 20 * time.Millisecond
+	// leastTellingRead is the least reading time of a shared part from which an answer shows whether
+	// it was cached.
+	leastTellingRead = 20 * time.Millisecond
 	// anyServer stands for all servers.
 	anyServer = ""
 	// chanceStep is the weight of the newest answer in these chances.
 	chanceStep = 0.02
 )
 
-// holdings is what one process knows of what servers have read for it, and how often
-// they hold what others had them read. The zero value knows nothing.
+// holdings tracks which parts of prompts servers have read for this process, and the chances that
+// they hold what they read for others. The zero value is empty.
 type holdings struct {
 	// read holds when each server last read something, by server and hash of the part.
 	read  map[string]map[uint64]time.Time
 	swept time.Time
-	// seen says that chances have been learnt.
+	// seen is set once home and stranger are estimates.
 	seen           bool
 	home, stranger float64
 }
@@ -36,7 +35,7 @@
 	return ok && now.Sub(at) < heldFor
 }
 
-// add notes that a server has read a part.
+// add records that a server has read a part.
 func (ho *holdings) add(server string, part uint64, now time.Time) {
 	if ho.read == nil {
 		ho.read = map[string]map[uint64]time.Time{}
@@ -50,7 +49,7 @@
 	ho.read[server][part] = now
 }
 
-// sweep forgets what was read long ago.
+// sweep drops parts that were read long ago.
 func (ho *holdings) sweep(now time.Time) {
 	ho.swept = now
 	for _, parts := range ho.read {
@@ -65,7 +64,7 @@
 // forget drops a server that is gone.
 func (ho *holdings) forget(server string) { delete(ho.read, server) }
 
-// chance returns how likely a server holds a part of which nothing is known.
+// chance returns the probability that a server holds a part that it did not read for this process.
 func (ho *holdings) chance(home bool) float64 {
 	if !ho.seen {
 		ho.seen, ho.home, ho.stranger = true, homeChance, strangerChance
@@ -76,7 +75,7 @@
 	return ho.stranger
 }
 
-// learn takes whether a server turned out to hold a part of which nothing was known.
+// learn updates that probability.
 func (ho *holdings) learn(home, held bool) {
 	was := ho.chance(home)
 	now := was * (1 - chanceStep)
--- a/internal/pool/prompt.go
+++ b/internal/pool/prompt.go
@@ -9,23 +9,17 @@
 )
 
 const (
-	// candidates is how many servers are weighed for a prompt, of all and again of those
-	// in the own data centre. Reports are some tenths of a second old: if all processes
-	// weighed all servers, they would all send to the same idle one at once. 2, 3 and 5
-	// differ by 0.003 in worth over 36 days.
+	// candidates is how many servers are compared for a prompt, of all and of those in the own data
+	// centre. With all of them, processes that share delayed reports would choose the same idle one.
 	candidates = 3
-	// strangerCost is how many times the shared part of a prompt counts for a server
-	// that does not hold it: besides the time it takes there, it makes others' prompts
-	// give way. 1, 1.5, 2 and 3 give 0.648, 0.658, 0.665 and 0.663 in worth over the
-	// days with trouble of 36 days.
+	// strangerCost is the weight of the shared part for a server that does not hold it: reading it
+	// also evicts other prompts.
 	strangerCost = 2
-	// nearRead is the time in which a shared part is read up to which each data centre
-	// has a server of its own for it: the way there costs more than reading it twice.
+	// nearRead is the reading time up to which a shared part is read once in each data centre.
 	nearRead = 200 * time.Millisecond
-	// wayCost is what each KB of a request counts on its way to another data centre.
-	// None, 3 and 10 ms are worth the same; 10 ms take a tenth from the bytes.
+	// wayCost is the cost of each KB of a request to another data centre.
 	wayCost = 5 * time.Millisecond
-	// headOverhead is what the head of an answer takes besides its prompt.
+	// headOverhead is the time to the head of an answer besides the prompt's.
 	headOverhead = 20 * time.Millisecond
 )
 
@@ -33,8 +27,7 @@
 type Prompt struct {
 	// Model is the model that reads it.
 	Model string
-	// PerToken is how long the model takes for a token as long as that is not known from
-	// its answers.
+	// PerToken is the assumed reading time of a token until answers of the model show it.
 	PerToken time.Duration
 	// Start names the part that other requests share, Whole all of it, which only later
 	// requests of the same session share.
@@ -45,19 +38,19 @@
 	KB float64
 }
 
-// start and whole name what a server may hold: memory belongs to a model.
+// start and whole hash a prompt's parts with its model, to which the cache belongs.
 func (pr Prompt) start() uint64 { return xxhash.Sum64String(pr.Model + "\x00" + pr.Start) }
 
 func (pr Prompt) whole() uint64 { return xxhash.Sum64String(pr.Model + "\x01" + pr.Whole) }
 
-// reading is how long a usual server takes for the parts of a prompt.
+// reading is how long a typical server reads the parts of a prompt.
 type reading struct{ shared, own time.Duration }
 
 func (po *Pool) readingOf(pr Prompt) reading {
 	return reading{shared: po.ReadTime(pr, float64(pr.Shared)), own: po.ReadTime(pr, float64(pr.Own))}
 }
 
-// expected returns how long a server will most likely read a prompt.
+// expected returns the expected reading time of a prompt on a server.
 func (po *Pool) expected(se *directory.Server, pr Prompt, re reading, home bool, now time.Time) time.Duration {
 	took := re.own
 	switch {
@@ -69,10 +62,9 @@
 	return took
 }
 
-// holder returns the server that suits a prompt best: the one that ranks first by
-// rendezvous hashing most likely holds its start, in its own data centre another one
-// may, any other must read it too; each has its load to work off before, and the way to
-// another data centre costs.
+// holder returns the server with the least expected time for a prompt: its backlog, the parts that it
+// has to read, and the way to another data centre. Servers that rank first by rendezvous hashing most
+// likely hold the prompt's start.
 func (po *Pool) holder(list []*directory.Server, pr Prompt, now time.Time) Offer {
 	re, start := po.readingOf(pr), pr.start()
 	var best Offer
@@ -107,15 +99,15 @@
 	return best
 }
 
-// leaders holds the servers that rank first by rendezvous hashing, the first one in
-// front. The zero value holds none.
+// leaders holds the servers that rank first by rendezvous hashing, in order. The zero value holds
+// none.
 type leaders struct {
 	list  [candidates]*directory.Server
 	ranks [candidates]uint64
 	n     int
 }
 
-// add takes a server whose id and key have a hash.
+// add adds a server by the hash of its id and the key.
 func (le *leaders) add(se *directory.Server, hash uint64) {
 	rank := mix(hash)
 	at := le.n
