--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -13,30 +13,24 @@
 )
 
 const (
-	// storeSpread is the most that a gateway waits before it stores a block of its own: of all
-	// that know enough at the same moment a few write.
+	// storeSpread is the longest delay before a gateway stores a block of its own, so that few of
+	// those that made it together write it.
 	storeSpread = 300 * time.Millisecond
-	// storeWatchers is the time after which one that watches the key-value service stores a block
-	// that another gateway told it: by then it would know of that one's write. Where the only
-	// gateway that had counted three ends was lost at once, others waited for storeOthers, and
-	// gateways that started meanwhile sent 6, 7 and 12 copies too many in three of 90 plays.
+	// storeWatchers is the delay after which a watcher stores another gateway's block, in case that
+	// gateway was lost before it wrote.
 	storeWatchers = 500 * time.Millisecond
-	// storeOthers is the least time after which it stores one that another gateway told it,
-	// and still is not known to be kept.
+	// storeOthers is that delay at other gateways.
 	storeOthers = 2 * time.Second
 	// storeAgain is the pause after a write that failed.
 	storeAgain = time.Second
-	// doubtKept is how long a doubt is told to others: reports come ten times a second. It is
-	// remembered for twice as long, since who heard of it later tells it for longer, and a
-	// doubt that is new again to those who told it first would never end.
+	// doubtKept is how long a doubt is propagated. It is remembered for twice as long, so that it
+	// does not circulate.
 	doubtKept = 3 * time.Second
 )
 
-// accuse takes a suspicion; the lock is held. Copies of a request come to any gateway and
-// each sees the ends of its own only, so that suspicions are added up: they go with the
-// reports of load, to the collectors and among them. Where each counted for itself, a request
-// ended 3 servers a gateway; with a write to the key-value service for each suspicion an
-// ended rack of 40 servers would take 800 writes (reckoned: 20 suspects a server).
+// accuse applies a suspicion, this gateway's or another one's. Suspicions are propagated with the
+// reports of load, since each gateway sees only the ends under its own copies of a request. The lock
+// is held.
 func (ga *Gateway) accuse(su poison.Suspicion, now time.Time) {
 	term := ga.cases.Accuse(su, now)
 	if term == 0 || ga.blocks.Left(su.Print, now) > 0 {
@@ -46,9 +40,8 @@
 	ga.takeBlock(poison.NewBlock(su.Print, term, clock.Day()), false, now)
 }
 
-// takeBlock takes a block, an own one, another gateway's or one that the key-value service
-// holds. Attempts that no server has begun yet are given up: a server that still has them in
-// its queue would end of them. The lock is held.
+// takeBlock applies a block, whatever its source. Attempts that no server has begun are cancelled,
+// since they may still be in a server's queue. The lock is held.
 func (ga *Gateway) takeBlock(bl poison.Block, stored bool, now time.Time) {
 	if _, doubted := ga.doubts[bl.Print]; doubted || ga.cases.IsSound(bl.Print) {
 		ga.object(bl.Print, stored, now)
@@ -70,10 +63,8 @@
 	}
 }
 
-// object doubts a block that another gateway made: it is told so with the reports, and what
-// the key-value service holds of it is ended. One that has just started may know no whole
-// answer yet to what all callers ask alike, while servers end under everything that is there:
-// real gateways, killed while the service was away, refused such requests for five minutes.
+// object contradicts another gateway's block: the doubt is propagated and the stored block removed. A
+// gateway that has just started may block a common request because it has seen no answer to it yet.
 // The lock is held.
 func (ga *Gateway) object(pr poison.Print, stored bool, now time.Time) {
 	if _, due := ga.objecting[pr]; !due && stored {
@@ -84,8 +75,8 @@
 	}
 }
 
-// acquit ends a block here, at the others and in the key-value service, since a server has
-// answered the request and lives on. The lock is held.
+// acquit lifts a block everywhere, since a server answered the request and did not end. The lock is
+// held.
 func (ga *Gateway) acquit(pr poison.Print, now time.Time) {
 	if ga.blocks.Left(pr, now) == 0 {
 		return
@@ -98,7 +89,7 @@
 	}
 }
 
-// doubt notes a doubt to tell others of; it reports whether it is new. The lock is held.
+// doubt records a doubt to be propagated. It reports whether it is new. The lock is held.
 func (ga *Gateway) doubt(pr poison.Print, now time.Time) bool {
 	if _, ok := ga.doubts[pr]; ok {
 		return false
@@ -107,8 +98,8 @@
 	return true
 }
 
-// turn returns when this gateway is to write what any of them can: those that watch first.
-// The lock is held.
+// turn returns when this gateway writes a key that any gateway can write; watchers are first. The
+// lock is held.
 func (ga *Gateway) turn(now time.Time) time.Time {
 	if ga.plan.Watches(ga.memberList()) {
 		return now.Add(rand.N(storeSpread))
@@ -116,10 +107,10 @@
 	return othersTurn(now)
 }
 
-// othersTurn returns when a gateway writes what another one should have written by then.
+// othersTurn returns when a gateway writes what another one should have written before.
 func othersTurn(now time.Time) time.Time { return now.Add(storeOthers + rand.N(storeOthers)) }
 
-// unblock ends a block; the lock is held.
+// unblock lifts a block here; the lock is held.
 func (ga *Gateway) unblock(pr poison.Print, why string) {
 	delete(ga.storing, pr)
 	ga.cases.Forget(pr)
@@ -130,7 +121,7 @@
 	}
 }
 
-// notKept ends a block that the key-value service does not hold any more; the lock is held.
+// notKept lifts a block that was removed from the key-value service; the lock is held.
 func (ga *Gateway) notKept(pr poison.Print) {
 	delete(ga.objecting, pr)
 	ga.unblock(pr, "it is not kept any more")
@@ -141,8 +132,8 @@
 		Msg(event.Name(event.RequestUnblocked))
 }
 
-// liftOthers ends the blocks that the key-value service held and a whole state does not name
-// any more. Those that a restored service has lost are stored again. The lock is held.
+// liftOthers lifts the stored blocks that a whole state does not hold any more. Those that a restored
+// service has lost are stored again. The lock is held.
 func (ga *Gateway) liftOthers(named map[poison.Print]bool, restored bool, now time.Time) {
 	for _, bl := range ga.blocks.Stored() {
 		switch {
@@ -156,9 +147,8 @@
 	}
 }
 
-// heardOfBlocks takes what another gateway tells of requests under which servers end; the
-// lock is held.
-func (ga *Gateway) heardOfBlocks(re relay.Report, now time.Time) {
+// receiveBlocks applies another gateway's suspicions, doubts and blocks; the lock is held.
+func (ga *Gateway) receiveBlocks(re relay.Report, now time.Time) {
 	for _, su := range re.Suspicions {
 		ga.accuse(su, now)
 	}
@@ -172,9 +162,8 @@
 	}
 }
 
-// blockNews adds to a report what others may not have heard of requests under which servers
-// end; the lock is held.
-func (ga *Gateway) blockNews(re relay.Report, now time.Time) relay.Report {
+// addBlocks adds recent blocks and doubts to a report; the lock is held.
+func (ga *Gateway) addBlocks(re relay.Report, now time.Time) relay.Report {
 	re.Blocks = ga.blocks.News(now)
 	for pr, since := range ga.doubts {
 		if now.Sub(since) < doubtKept {
@@ -184,8 +173,7 @@
 	return re
 }
 
-// keepBlocks stores the blocks that the key-value service does not hold yet, and ends those
-// whose time is over.
+// keepBlocks stores and removes the blocks that are due, and drops expired ones.
 func (ga *Gateway) keepBlocks(ctx context.Context, now time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -14,9 +14,7 @@
 )
 
 const (
-	// loadEvery is the pause between two reports of load: a prompt takes some tenths of
-	// a second to read, and what was reported long before that is no help. Half of it
-	// made no difference.
+	// loadEvery is the pause between two reports of load, a fraction of a prompt's reading time.
 	loadEvery = 100 * time.Millisecond
 	// loadServers is how many servers a report names at the most, the busiest: at some
 	// 8 B each 8 KB a second, of the 12 that control may take (letter 1).
@@ -147,7 +145,7 @@
 		to = gossip.BetweenCollectors
 	}
 	ga.addNotices(&re, to, now)
-	return ga.blockNews(re, now)
+	return ga.addBlocks(re, now)
 }
 
 // tookReport notes that a collector has this gateway's report.
@@ -167,7 +165,7 @@
 	defer ga.mu.Unlock()
 	ga.takeGroup(answer, now)
 	ga.heardOf(answer, now)
-	ga.heardOfBlocks(answer, now)
+	ga.receiveBlocks(answer, now)
 	ga.receiveNotices(answer, now)
 }
 
@@ -215,7 +213,7 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.heardOf(re, now)
-	ga.heardOfBlocks(re, now)
+	ga.receiveBlocks(re, now)
 	ga.receiveNotices(re, now)
 	var work load.Work
 	var gateways int
@@ -234,7 +232,7 @@
 		Box: ga.Box, Collector: true, Work: work.Busiest(loadServers), Ready: ga.isReady(now), Gateways: gateways,
 	}
 	ga.addNotices(&answer, to, now)
-	return ga.blockNews(answer, now)
+	return ga.addBlocks(answer, now)
 }
 
 // expireLoads drops reports that are too old to help.
--- a/internal/gateway/trials.go
+++ b/internal/gateway/trials.go
@@ -12,13 +12,11 @@
 	"github.com/linnetrudder/linnetrudder/internal/rendezvous"
 )
 
-// freshWaitPart is the part of the target latency for which a request waits whose block has just
-// begun and may turn out to be wrong. Half a second is the time after which an answer in flight
-// speaks for it; who waits longer and is refused all the same is better sent away.
+// freshWaitPart is the part of the target latency for which a request waits while its block is fresh.
 const freshWaitPart = 0.25
 
-// awaitVerdict lets a request wait while its block is fresh, and takes the trial for it if that
-// is this gateway's and due.
+// awaitVerdict delays a request while its block is fresh. The request becomes a trial if one is due and
+// this gateway's.
 func (ex *exchange) awaitVerdict(ctx context.Context) {
 	ga := ex.ga
 	until := ex.as.Received.Add(time.Duration(freshWaitPart * float64(ex.route.Target)))
@@ -45,13 +43,12 @@
 	}
 }
 
-// trialCheck is how often a request that waits looks whether a trial is due.
+// trialCheck is how often a waiting request checks whether a trial is due.
 const trialCheck = 50 * time.Millisecond
 
-// takeTrial reports whether this gateway sends a copy of a blocked request to see whether it
-// does harm, and takes that trial: one gateway does for all, by the members that all know. A
-// trial waits for a server that runs nothing else: beside another suspect it would say nothing.
-// The lock is held.
+// takeTrial reports whether this gateway sends a copy of a blocked request as a trial, and records it.
+// A trial needs a server that runs nothing else, so that its end has one suspect only. The lock is
+// held.
 func (ga *Gateway) takeTrial(ex *exchange, now time.Time) bool {
 	pr := ex.print
 	trial, due := ga.blocks.Trial(pr, now)
@@ -64,17 +61,15 @@
 	return true
 }
 
-// trialTurn is how long a gateway has a trial for itself before the next one may make it: the
-// word that it was made takes up to half of that, and a gateway that is lost or is not asked
-// leaves it to others.
+// trialTurn is the time for which a due trial is reserved for one gateway before the next may make it.
+// It exceeds the time for propagating that it was made.
 const trialTurn = 700 * time.Millisecond
 
-// trialsApart is at how many moments of that time trials begin, by fingerprint: requests that
-// were blocked by the same ends would all be tried at once, and at the same few servers.
+// trialsApart is the number of offsets within trialTurn at which trials begin, by fingerprint, so that
+// requests that were blocked together are not tried together.
 const trialsApart = 4
 
-// triesFor reports whether a trial that has been due for a while is this gateway's. The lock is
-// held.
+// triesFor reports whether it is this gateway's turn to make a trial. The lock is held.
 func (ga *Gateway) triesFor(pr poison.Print, trial int, due time.Duration) bool {
 	boxes := make([]string, 0, len(ga.members))
 	for box := range ga.members {
