--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -178,15 +178,10 @@
 	}
 }
 
-// mostUrgent is the rank of the smallest model's attempts: they are read in some
-// hundredths of a second, while a larger one's take up to seconds and delay all that
-// comes after them. By priority alone: 0.007 less in worth over 36 days.
+// mostUrgent is the rank of the smallest model's attempts, whose prompts are read quickly.
 const mostUrgent = 0
 
-// readRank is the expected time to read a prompt that makes an attempt of a larger model as
-// much less urgent as a rank of its request's priority does. Neither is worth anything to
-// all requests together (0.730 and 0.730, 0.796 and 0.797, 0.822 and 0.820 with and without
-// priority on three sites); the most urgent and the shortest wait least.
+// readRank is the reading time of a larger model's prompt that lowers an attempt's rank by one.
 const readRank = 200 * time.Millisecond
 
 // urgency ranks an attempt at a server of models; plain services take no ranks.
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -16,12 +16,8 @@
 
 const (
 	// stallPart is how many of the route's longest pauses a stream may be silent before it
-	// is continued elsewhere. A server that reads a long prompt beside a stream leaves
-	// pauses of a second and more, and goes on; to leave it reads the prompt anew and
-	// spends a run that a later fault needs. At 0.7, so that the next event could still be
-	// in time, 2.6% of the streams of a fleet of 103 gateways were left, nearly all at
-	// servers that lived; at 2: 0.012 more in worth there and 0.004 with 32 gateways (two
-	// and four paired days).
+	// is continued elsewhere. A server that reads a long prompt beside a stream pauses it for a second
+	// and more, and goes on.
 	stallPart = 2
 	// defaultStall is used where a route names no pause.
 	defaultStall = 2 * time.Second
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -12,9 +12,8 @@
 )
 
 const (
-	// largestPrice is what an answer of the largest model costs, as a part of what a good
-	// one is worth: 0.11 to 0.18 for each kind of request of the users' sheets. The others
-	// cost in proportion to the operators' figures.
+	// largestPrice is the cost of an answer of the largest model as a part of its value. The costs of
+	// the others are in proportion to the operators' figures.
 	largestPrice = 0.15
 	// smallestPerToken is how long the smallest model takes for a token until answers
 	// tell: 5 to 8 us on the users' servers. Larger ones are taken to be slower as they
@@ -140,10 +139,8 @@
 	return 0
 }
 
-// usualRead returns how long the largest model reads a prompt of this one's standing:
-// larger ones are worth more, but small kinds count as much as others in how they are
-// served, so that it is between its own size and that of all. Measured: its own 0.648,
-// between 0.652 in worth. The lock is held.
+// usualRead returns how long the largest model reads a prompt between this one's size and the mean of
+// its route. Larger prompts have more value, but each kind of request counts alike. The lock is held.
 func (ex *exchange) usualRead() time.Duration {
 	ga, models := ex.ga, ex.request.Models
 	own := ownPart*float64(ex.as.PromptTokens) + (1-ownPart)*ga.prompts.means[ex.route.Name]
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -16,9 +16,8 @@
 const (
 	// writeEvery is the least time between two tries to store a phase.
 	writeEvery = 300 * time.Millisecond
-	// mostWriteEvery is that time after some tries that kept nothing: a gateway that is cut
-	// off hears of no phase, and has old revisions to compare with. 36 of them made 600
-	// calls in 12 s.
+	// mostWriteEvery is that time after failed tries: a gateway that gets no changes compares with
+	// old revisions.
 	mostWriteEvery = 1200 * time.Millisecond
 )
 
@@ -239,10 +238,8 @@
 	return now.Sub(ro.dueSince) >= rollout.Turn(ga.Box, boxes, ga.size, ro.order.Revision.Number, ph)
 }
 
-// elapsedEvery is how old what is kept of a trial's age may be. A process that starts in
-// the middle of a roll-out goes on from there, so that one in which all processes die
-// ends as much later than ordered as this and the time that they were gone. A write each
-// costs 0.00002 of what callers are owed in a day of the users' sites.
+// elapsedEvery is how often the elapsed time of a trial is stored. A process that starts in the middle
+// of a roll-out goes on from there.
 const elapsedEvery = 2 * time.Second
 
 // dueFor returns the phase to store: the next one, one that this gateway is in and that
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -18,9 +18,8 @@
 // route sets none either.
 const defaultPatience = 30 * time.Second
 
-// expectedTimes is how many times the expected time to a head counts as usual where
-// attempts are given up. 0, 1, 2 and 4: worth over the days with trouble 0.665, 0.681,
-// 0.686 and 0.678.
+// expectedTimes is how many times the expected time to a head is taken as usual when attempts are given
+// up.
 const expectedTimes = 2
 
 // plainAttempts bounds the runs where a route names no bound.
@@ -54,13 +53,11 @@
 	ex.run(ctx)
 }
 
-// atOnce is when a caller may come back whom another gateway can serve.
+// atOnce is the Retry-After of a caller whom another gateway can serve.
 const atOnce = 50 * time.Millisecond
 
-// sooner returns when a caller may come back: at once where only this gateway can't serve
-// it and another one says that it is ready. On 18 days on which one of three gateways was
-// cut off from the key-value service for a while: 0.704 to 0.715 in worth, with four
-// gateways no difference beyond noise (0.772 and 0.768, 0.816 and 0.813).
+// sooner returns the Retry-After of a refusal: at once if only this gateway can't serve the caller and
+// another one reports that it is ready.
 func (ex *exchange) sooner(co result.Code, after time.Duration) time.Duration {
 	switch co {
 	case result.StaleConfiguration, result.NoConfiguration, result.Leaving:
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -16,9 +16,8 @@
 	longestReturn = 3 * time.Second
 )
 
-// stopPlan says what a gateway that stops still takes. Callers whose platform finds no
-// other gateway are sent to one that stops; where it took none, each of them was lost
-// (39 of 69 requests in two seconds in which all three gateways of a fleet stopped).
+// stopPlan says which requests a stopping gateway still accepts: it may be the only one to which the
+// platform can send callers.
 type stopPlan struct {
 	// leave is when the platform has been told that no new callers are to come, end when
 	// the process ends at the latest.
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -177,9 +177,8 @@
 	Changes  []Change
 }
 
-// Change is one change of what is kept. Exactly one field is set, and only that one is
-// passed on: 3,000 servers take 0.62 MB with all fields, 0.28 MB with theirs alone (encoded in
-// a test).
+// Change is one change in the key-value service. Exactly one field is set, and only that one is
+// encoded.
 type Change struct {
 	// Document is a newer configuration.
 	Document *routing.Document `cbor:",omitempty"`
