feat: usage reports, counted by all gateways and reported by one holder

Ruled out: a key of counts for each gateway (24 or 410 writes a window); counts of a collector's own group only, to the holder and the first in rank (windows off by 177 to 234 of some 1,400 requests when all gateways are stopped in turn); totals fixed 5 s after the window's end (missed when the key-value service was away just then).

The stand-in of the key-value service answers single keys and renews a lease for its own duration.

Orders for the number of servers are not built, since no known configuration names them.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -74,10 +74,13 @@
 	AttemptUnwanted     ID = 532
 	ReportUnreadable    ID = 533
 	ServerRevived       ID = 534
+	DutyHolderChanged   ID = 535
 	BillWritten         ID = 600
 	BillHeld            ID = 601
 	ClaimWon            ID = 602
 	ClaimLost           ID = 603
+	UsageReported       ID = 604
+	DutyCallFailed      ID = 605
 	RolloutStep         ID = 700
 	RolloutReversed     ID = 701
 	RolloutOrdered      ID = 702
@@ -174,10 +177,13 @@
 	{AttemptUnwanted, "attempt_unwanted", "an attempt was sent to a backend server that is leaving or had requested a pause"},
 	{ReportUnreadable, "report_unreadable", "a backend server's report on itself could not be read; its last known values stay in force"},
 	{ServerRevived, "server_revived", "a restored key-value service lists an instance of a backend server that has ended; the instance is not used unless its entry remains"},
+	{DutyHolderChanged, "duty_holder_changed", "another process, or none, holds the duty of reporting usage"},
 	{BillWritten, "bill_written", "bill records were stored durably"},
 	{BillHeld, "bill_held", "bill records are buffered until the key-value service accepts them"},
 	{ClaimWon, "claim_won", "a claim was stored durably"},
 	{ClaimLost, "claim_lost", "the claim had already been made by another claimant"},
+	{UsageReported, "usage_reported", "the platform accepted the report of a window's usage"},
+	{DutyCallFailed, "duty_call_failed", "a call for the duty of reporting usage failed; it is made again"},
 	{RolloutStep, "rollout_step", "a version's share of new requests changed"},
 	{RolloutReversed, "rollout_reversed", "a version was rolled back"},
 	{RolloutOrdered, "rollout_ordered", "an operator's roll-out order was received"},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -156,6 +156,7 @@
 	if se.err != nil {
 		return
 	}
+	se.ex.countUsage()
 	ga.pool.HeadReceived(se.selection, se.prompt, took, now)
 	failed := se.response.Status >= direct.FirstServerError
 	ga.observeOutcome(se.server, se.ex.route.Name, failed)
--- a/internal/gateway/cluster_test.go
+++ b/internal/gateway/cluster_test.go
@@ -368,6 +368,8 @@
 	callers                         sync.WaitGroup
 	// log receives the log of the gateways that are started after it is set.
 	log io.Writer
+	// configure changes each gateway before it starts. It may be nil.
+	configure func(ga *Gateway)
 }
 
 func newTestCluster(t *testing.T, gateways int) *testCluster {
@@ -425,6 +427,9 @@
 		Backend: boxBackend{crashingBackend: sc.servers, box: box}, Bounds: Bounds{MaxConfigAge: 5 * time.Second, RetryRatio: 0.9, RetryWindow: 10 * time.Second},
 		RelayAddress: box + ":1", RelayHTTP: &http.Client{Transport: &http.Transport{DialContext: sc.network.dial}},
 	}
+	if sc.configure != nil {
+		sc.configure(ga)
+	}
 	router := http.NewServeMux()
 	router.Handle(relay.Path, &relay.Server{Feed: ga})
 	router.Handle(relay.LoadPath, &relay.LoadServer{Handler: ga})
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/clock"
+	"github.com/linnetrudder/linnetrudder/internal/duty"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
@@ -210,6 +211,7 @@
 	now := clock.Now()
 	restored := ga.restoredSince(st.Revision, now)
 	listed, evacuated, blocked := map[string]bool{}, map[string]bool{}, map[poison.Fingerprint]bool{}
+	dutyVacant := true
 	for _, ch := range st.Changes {
 		switch {
 		case ch.Server != nil:
@@ -223,9 +225,14 @@
 			evacuated[ch.Evacuated] = true
 		case ch.Blocked != nil:
 			blocked[ch.Blocked.Fingerprint] = true
+		case ch.DutyHolder != nil:
+			dutyVacant = false
 		}
 		ga.applyChange(ch)
 	}
+	if dutyVacant {
+		ga.setDutyHolder(duty.Holder{})
+	}
 	ga.reconcileServers(listed, restored, now)
 	if restored {
 		ga.markPhasesLost(st)
@@ -302,12 +309,24 @@
 		ga.applyBlock(*ch.Blocked, true, clock.Now())
 	case ch.Unblocked != nil:
 		ga.blockRemoved(*ch.Unblocked)
+	case ch.Unreadable != nil:
+		ga.Log.Error().Int("event", int(event.ConfigRefused)).Err(ch.Unreadable).Msg(event.Name(event.ConfigRefused))
+	default:
+		ga.applyMembershipChange(ch)
+	}
+}
+
+// applyMembershipChange applies a change of the members or of their duties. The lock is held.
+func (ga *Gateway) applyMembershipChange(ch Change) {
+	switch {
 	case ch.Member != nil:
 		ga.memberJoined(*ch.Member)
 	case ch.MemberGone != "":
 		ga.memberLeft(ch.MemberGone)
-	case ch.Unreadable != nil:
-		ga.Log.Error().Int("event", int(event.ConfigRefused)).Err(ch.Unreadable).Msg(event.Name(event.ConfigRefused))
+	case ch.DutyHolder != nil:
+		ga.setDutyHolder(*ch.DutyHolder)
+	case ch.DutyVacant:
+		ga.setDutyHolder(duty.Holder{})
 	}
 }
 
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/linnetrudder/linnetrudder/internal/explain"
+	"github.com/linnetrudder/linnetrudder/internal/lease"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
@@ -60,7 +61,7 @@
 	return err == nil, err
 }
 
-func (sc *scriptedStore) Join(context.Context, relay.Member, time.Duration) (Lease, error) {
+func (sc *scriptedStore) Join(context.Context, relay.Member, time.Duration) (lease.ID, error) {
 	err := sc.err()
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
@@ -71,14 +72,14 @@
 	return 1, err
 }
 
-func (sc *scriptedStore) RenewLease(context.Context, Lease) error {
+func (sc *scriptedStore) RenewLease(context.Context, lease.ID) error {
 	if err := sc.err(); err != nil {
 		return err
 	}
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	if sc.leaseExpired {
-		return ErrLeaseExpired
+		return lease.ErrExpired
 	}
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/revision"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
+	"github.com/linnetrudder/linnetrudder/internal/usage"
 )
 
 const (
@@ -71,6 +72,9 @@
 	LinkMbps     int
 	// RelayHTTP opens connections to other gateways for changes and load reports.
 	RelayHTTP *http.Client
+	// Usage counts requests for the platform's billing and reports them. It is nil if the platform
+	// asks for no reports.
+	Usage *usage.Runner
 
 	// loggedSuspended is the total time of suspension at the last log entry. Only the goroutine of tick
 	// uses it.
@@ -196,6 +200,9 @@
 	wg.Go(func() { ga.tick(ctx) })
 	wg.Go(func() { ga.maintainMembership(ctx) })
 	wg.Go(func() { ga.runLoadExchange(ctx) })
+	if ga.Usage != nil {
+		wg.Go(func() { ga.Usage.Run(ctx) })
+	}
 	ga.syncState(ctx)
 	wg.Wait()
 	return ctx.Err()
@@ -231,6 +238,9 @@
 	ga.storeAvailable = make(chan struct{}, 1)
 	ga.rejoin = make(chan struct{}, 1)
 	ga.instanceID = rand.Uint64()
+	if ga.Usage != nil {
+		ga.Usage.Log, ga.Usage.Box, ga.Usage.Process, ga.Usage.Rank = ga.Log, ga.Box, ga.instanceID, ga.collectorRank
+	}
 }
 
 // InProgress returns the number of requests being served.
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -11,6 +11,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
+	"github.com/linnetrudder/linnetrudder/internal/usage"
 )
 
 const (
@@ -78,9 +79,9 @@
 func (ga *Gateway) exchangeLoads(ctx context.Context, to loadPeer) {
 	cl := relay.Client{Address: to.member.Address, Timeout: loadExchangeTimeout, HTTP: ga.RelayHTTP}
 	defer cl.Close()
-	failed, from := false, uint64(0)
+	failed, progress := false, exchangeProgress{}
 	for ctx.Err() == nil {
-		re, next := ga.reportSince(to.asCollector, from)
+		re, next := ga.reportSince(to, progress)
 		reply, err := cl.Exchange(ctx, re)
 		if ctx.Err() != nil {
 			return
@@ -94,7 +95,8 @@
 			sleep(ctx, loadRetryDelay)
 			continue
 		}
-		from = next
+		progress.suspicions = next
+		progress.usage = ga.usageReplied(progress.usage, re, reply)
 		ga.reportAccepted(re, clock.Now())
 		ga.applyReportReply(reply, clock.Now())
 		sleep(ctx, loadReportInterval)
@@ -117,15 +119,24 @@
 	ga.loadPlan.Failed(to.Box, clock.Now())
 }
 
-// reportSince returns this gateway's report with the suspicions from a sequence number on, and the
-// sequence number to continue from in the next report.
-func (ga *Gateway) reportSince(collector bool, from uint64) (relay.Report, uint64) {
-	re := ga.report(collector)
+// exchangeProgress is what another gateway has received so far, and what it has sent.
+type exchangeProgress struct {
+	// suspicions is the sequence number of the next suspicion to send.
+	suspicions uint64
+	usage      usage.Cursor
+}
+
+// reportSince returns this gateway's report to another one with what that has not received yet, and
+// the sequence number of the suspicions in the next report.
+func (ga *Gateway) reportSince(to loadPeer, progress exchangeProgress) (re relay.Report, nextSuspicion uint64) {
+	re = ga.report(to.asCollector)
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	var next uint64
-	re.Suspicions, next = ga.crashDetector.Since(from, clock.Now())
-	return re, next
+	re.Suspicions, nextSuspicion = ga.crashDetector.Since(progress.suspicions, clock.Now())
+	if ga.Usage != nil {
+		re.Usage = ga.Usage.Outgoing(progress.usage, !to.asCollector || ga.needsUsage(to.member.Box, clock.Now()))
+	}
+	return re, nextSuspicion
 }
 
 // report returns this gateway's load report.
@@ -234,6 +245,9 @@
 	reply := relay.Report{
 		Box: ga.Box, Collector: true, Work: work.Busiest(maxLoadServers), Ready: ga.readyLocked(now), Gateways: gateways,
 	}
+	if ga.Usage != nil {
+		reply.Usage = ga.Usage.Receive(re.Usage, !re.Collector, re.Collector && ga.needsUsage(re.Box, now))
+	}
 	ga.addNotices(&reply, to, now)
 	return ga.addBlocks(reply, now)
 }
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/lease"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 )
 
@@ -31,16 +32,16 @@
 
 // maintainMembership makes this gateway a member once it is needed, and renews the membership.
 func (ga *Gateway) maintainMembership(ctx context.Context) {
-	var le Lease
+	var id lease.ID
 	ga.awaitMembershipNeed(ctx)
 	for ctx.Err() == nil {
 		pause := renewInterval
-		if err := ga.renewMembership(ctx, &le); err != nil && ctx.Err() == nil {
+		if err := ga.renewMembership(ctx, &id); err != nil && ctx.Err() == nil {
 			ga.Log.Warn().Int("event", int(event.StoreCallFailed)).Err(err).Msg(event.Name(event.StoreCallFailed))
 			pause = joinRetryPause
 		}
 		if ga.awaitRenewal(ctx, pause) {
-			le = 0
+			id = 0
 		}
 	}
 }
@@ -80,19 +81,19 @@
 }
 
 // renewMembership renews the lease, or joins if there is none.
-func (ga *Gateway) renewMembership(ctx context.Context, le *Lease) error {
-	if *le != 0 {
-		err := ga.Store.RenewLease(ctx, *le)
-		if !errors.Is(err, ErrLeaseExpired) {
+func (ga *Gateway) renewMembership(ctx context.Context, id *lease.ID) error {
+	if *id != 0 {
+		err := ga.Store.RenewLease(ctx, *id)
+		if !errors.Is(err, lease.ErrExpired) {
 			return err
 		}
-		*le = 0
+		*id = 0
 	}
 	joined, err := ga.Store.Join(ctx, ga.self(), memberTTL)
 	if err != nil {
 		return err
 	}
-	*le = joined
+	*id = joined
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.isMember = true
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/lease"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
@@ -131,12 +132,12 @@
 	return st, err
 }
 
-func (vi storeView) Join(_ context.Context, me relay.Member, _ time.Duration) (Lease, error) {
+func (vi storeView) Join(_ context.Context, me relay.Member, _ time.Duration) (lease.ID, error) {
 	vi.store.add(Change{Member: &me})
 	return 1, nil
 }
 
-func (storeView) RenewLease(context.Context, Lease) error { return nil }
+func (storeView) RenewLease(context.Context, lease.ID) error { return nil }
 
 func (storeView) StorePhase(context.Context, Order, StoredPhase) (bool, error) { return true, nil }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -107,6 +107,8 @@
 	finalAttempt *attemptState
 	// deliveredID is the id of the last event that the caller received.
 	deliveredID string
+	// usageCounted is set once the request was counted for the usage report.
+	usageCounted bool
 	// headAt is when the head of the first delivered response arrived.
 	headAt time.Time
 	// configAge is the age of the configuration when the request was admitted.
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -152,6 +152,11 @@
 	for _, bl := range ga.blocks.Stored() {
 		all = append(all, Change{Blocked: &bl})
 	}
+	if ga.Usage != nil {
+		if ho := ga.Usage.Holder(); !ho.IsZero() {
+			all = append(all, Change{DutyHolder: &ho})
+		}
+	}
 	for _, me := range ga.members {
 		if !ga.missingMembers.Contains(me.Box) {
 			all = append(all, Change{Member: &me})
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -13,6 +13,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/duty"
+	"github.com/linnetrudder/linnetrudder/internal/lease"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/result"
@@ -199,6 +201,10 @@
 	// Blocked is a request that must not be sent to servers. Unblocked is one that may be sent again.
 	Blocked   *poison.Block       `cbor:",omitempty"`
 	Unblocked *poison.Fingerprint `cbor:",omitempty"`
+	// DutyHolder is the process that holds the duty of reporting usage. DutyVacant is set if there is
+	// none.
+	DutyHolder *duty.Holder `cbor:",omitempty"`
+	DutyVacant bool         `cbor:",omitempty"`
 	// Member is a gateway that is a member. MemberGone is the box of a gateway whose membership ended.
 	Member     *relay.Member `cbor:",omitempty"`
 	MemberGone string        `cbor:",omitempty"`
@@ -290,12 +296,6 @@
 // ErrHistoryUnavailable means that a watch cannot continue from its revision.
 var ErrHistoryUnavailable = eris.New("the key-value service has no history from the requested revision on")
 
-// Lease identifies a lease of the key-value service.
-type Lease int64
-
-// ErrLeaseExpired means that a lease expired before it was renewed.
-var ErrLeaseExpired = eris.New("the lease has expired")
-
 // Store is the platform's key-value service.
 type Store interface {
 	// Read reads the complete state. If that takes several calls, it calls continueRead with the first
@@ -316,9 +316,9 @@
 	StoreBlock(ctx context.Context, bl poison.Block) error
 	DeleteBlock(ctx context.Context, fp poison.Fingerprint) error
 	// Join makes a gateway a member for as long as the lease is renewed.
-	Join(ctx context.Context, me relay.Member, ttl time.Duration) (Lease, error)
-	// RenewLease renews a lease. It returns ErrLeaseExpired if the lease does not exist any more.
-	RenewLease(ctx context.Context, le Lease) error
+	Join(ctx context.Context, me relay.Member, ttl time.Duration) (lease.ID, error)
+	// RenewLease renews a lease. It returns lease.ErrExpired if the lease does not exist any more.
+	RenewLease(ctx context.Context, id lease.ID) error
 }
 
 // Bounds are the limits that the platform sets for gateways.
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -161,6 +161,23 @@
 	return peers, true
 }
 
+// CollectorRank returns this gateway's position among the collectors of all data centres, negative if
+// it is none.
+func (pl *Plan) CollectorRank(members []Member) int {
+	return slices.IndexFunc(sortByLink(allWatchers(members)), func(me Member) bool { return me.Box == pl.Box })
+}
+
+// FirstOtherCollector returns the box of the collector that ranks first of the others that have not
+// failed recently, empty if there is none.
+func (pl *Plan) FirstOtherCollector(members []Member, now time.Time) string {
+	for _, me := range sortByLink(allWatchers(members)) {
+		if me.Box != pl.Box && !pl.avoided(me.Box, now) {
+			return me.Box
+		}
+	}
+	return ""
+}
+
 // isOneOf reports whether this gateway is in the list.
 func (pl *Plan) isOneOf(list []Member) bool {
 	return slices.ContainsFunc(list, func(me Member) bool { return me.Box == pl.Box })
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/revision"
+	"github.com/linnetrudder/linnetrudder/internal/usage"
 )
 
 // Request asks for the changes after a revision of the key-value service. The fields are exported
@@ -83,6 +84,8 @@
 	Leaving []gossip.Notice `cbor:"11,keyasint,omitempty"`
 	// Pauses lists the servers that recently requested a pause from a gateway.
 	Pauses []gossip.Notice `cbor:"12,keyasint,omitempty"`
+	// Usage holds counts of requests for usage reports.
+	Usage *usage.Message `cbor:"13,keyasint,omitempty"`
 }
 
 // ReportHandler handles reports.
--- a/standin/keyvalue/keyvalue.go
+++ b/standin/keyvalue/keyvalue.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -82,14 +81,20 @@
 	// changed is closed and replaced at each change of items or faults.
 	changed chan struct{}
 	faults  Faults
-	// leases holds the expiry timers of the current leases.
-	leases    map[int64]*time.Timer
+	// leases holds the current leases.
+	leases    map[int64]grantedLease
 	lastLease int64
 }
 
+// grantedLease is a lease with its duration and the timer of its expiry.
+type grantedLease struct {
+	ttl    time.Duration
+	expiry *time.Timer
+}
+
 // New returns an empty service.
 func New() *Store {
-	return &Store{items: map[string]Item{}, leases: map[int64]*time.Timer{}, changed: make(chan struct{}), era: 1}
+	return &Store{items: map[string]Item{}, leases: map[int64]grantedLease{}, changed: make(chan struct{}), era: 1}
 }
 
 // Calls returns the number of requests so far.
@@ -218,6 +223,8 @@
 	switch r.URL.Path {
 	case "/api/kv-lease":
 		st.grantLease(w, r)
+	case "/api/kv-key":
+		st.serveKey(w, r)
 	case "/api/kv-range":
 		st.serveRange(w, r)
 	case "/api/kv-watch":
@@ -269,28 +276,37 @@
 	defer st.mu.Unlock()
 	st.lastLease++
 	le := st.lastLease
-	st.leases[le] = time.AfterFunc(time.Duration(req.TTLMS)*time.Millisecond, func() {
+	ttl := time.Duration(req.TTLMS) * time.Millisecond
+	st.leases[le] = grantedLease{ttl, time.AfterFunc(ttl, func() {
 		st.mu.Lock()
 		defer st.mu.Unlock()
 		st.revokeLease(le)
-	})
+	})}
 	_, _ = fmt.Fprintf(w, `{"lease":%d,"ttl_ms":%d}`, le, req.TTLMS)
 }
 
-// renewedTTL is the time to live of a renewed lease.
-const renewedTTL = 30 * time.Second
-
 func (st *Store) renewLease(w http.ResponseWriter, id string) {
 	le, _ := strconv.ParseInt(id, 10, 64)
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	ti := st.leases[le]
-	if ti == nil {
+	gl, ok := st.leases[le]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	gl.expiry.Reset(gl.ttl)
+	_, _ = fmt.Fprintf(w, `{"ttl_ms":%d}`, gl.ttl.Milliseconds())
+}
+
+func (st *Store) serveKey(w http.ResponseWriter, r *http.Request) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	it, ok := st.items[r.URL.Query().Get("key_file")]
+	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	ti.Reset(renewedTTL)
-	_, _ = io.WriteString(w, `{"ttl_ms":30000}`)
+	_ = json.NewEncoder(w).Encode(it)
 }
 
 func (st *Store) serveRange(w http.ResponseWriter, r *http.Request) {
@@ -376,7 +392,7 @@
 		}
 	}
 	for _, wr := range tx.Writes {
-		if wr.Lease != 0 && st.leases[wr.Lease] == nil {
+		if wr.Lease != 0 && st.leases[wr.Lease].expiry == nil {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
--- a/standin/keyvalue/snapshot.go
+++ b/standin/keyvalue/snapshot.go
@@ -35,14 +35,14 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.items, st.events, st.revision, st.compactedAt = maps.Clone(sn.items), slices.Clone(sn.events), sn.revision, sn.compactedAt
-	for le, ti := range st.leases {
+	for le, gl := range st.leases {
 		if !sn.leases[le] {
-			ti.Stop()
+			gl.expiry.Stop()
 			delete(st.leases, le)
 		}
 	}
 	for key, it := range st.items {
-		if it.Lease != 0 && st.leases[it.Lease] == nil {
+		if it.Lease != 0 && st.leases[it.Lease].expiry == nil {
 			delete(st.items, key)
 		}
 	}
