fix(gateway): after a rejection, prefer servers that have responded recently

Ruled out: propagating the first rejection (a backoff of 0.25 s is over before the others know); a longer first backoff (a server that is full for a moment would be left by all gateways).

Change: an attempt after a rejection goes to servers that responded to this gateway in the last second, a plain one to any of them at random.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -229,6 +229,7 @@
 	switch {
 	case errors.As(se.err, &refusal):
 		se.endNotSent("refused")
+		ex.rejected = true
 		if refusal.Gone {
 			ex.removeReplacedServer(se)
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -107,6 +107,8 @@
 	finalAttempt *attemptState
 	// deliveredID is the id of the last event that the caller received.
 	deliveredID string
+	// rejected is set once a server has rejected an attempt.
+	rejected bool
 	// usageCounted is set once the request was counted for the usage report.
 	usageCounted bool
 	// headAt is when the head of the first delivered response arrived.
@@ -214,7 +216,7 @@
 		Service: ex.service, Tried: tried, Prompt: ex.prompt(model), ColdLimit: ex.ga.coldLimit(ex.service), PreferIdle: ex.trial,
 		// Only a first attempt may probe a server that rejected earlier ones. A request that was
 		// rejected once would be rejected again.
-		Probe: len(ex.attempts) == 0,
+		Probe: len(ex.attempts) == 0, Rejected: ex.rejected,
 	}
 	return ex.ga.restrictVersion(query, ex, now)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -27,6 +27,8 @@
 	// remotePenalty is the number of attempts added to the load of a server in another data
 	// centre.
 	remotePenalty = 2
+	// responsiveWindow is how long after its last response a server is assumed to accept requests.
+	responsiveWindow = time.Second
 	// maxQuotaRetryAfter bounds the Retry-After for an exhausted quota share: another process may
 	// have quota left.
 	maxQuotaRetryAfter = time.Second
@@ -53,6 +55,9 @@
 	PreferIdle bool
 	// Probe allows a server that may still reject all requests although its pause has ended.
 	Probe bool
+	// Rejected is set if a server rejected an earlier attempt of the request. Servers that reject
+	// everything look idle, so that load is no reason to prefer one of them then.
+	Rejected bool
 	// ColdLimit is the rate limit for cold servers.
 	ColdLimit quota.Limit
 }
@@ -160,12 +165,33 @@
 	if qu.PreferIdle {
 		list = po.idle(list)
 	}
-	if qu.Prompt.PrefixID != "" {
+	if qu.Rejected {
+		list = po.responsive(list, now)
+	}
+	switch {
+	case qu.Prompt.PrefixID != "":
 		return po.cheapestForPrompt(list, qu.Prompt, now), true
+	case qu.Rejected:
+		return Selection{server: list[random%uint64(len(list))]}, true
 	}
 	return Selection{server: po.leastLoaded(list, random)}, true
 }
 
+// responsive returns the servers of a list that responded to this process within responsiveWindow, or
+// the whole list if there are none.
+func (po *Pool) responsive(list []*directory.Server, now time.Time) []*directory.Server {
+	var responsive []*directory.Server
+	for _, se := range list {
+		if at, ok := po.responses[se.Key()]; ok && now.Sub(at) < responsiveWindow {
+			responsive = append(responsive, se)
+		}
+	}
+	if len(responsive) == 0 {
+		return list
+	}
+	return responsive
+}
+
 // waitFor returns how long this process has to wait before it may send to a server: because of
 // quotas that all processes share, and because of a pause that the server requested. Every code
 // path that sends an attempt has to check it, since a paused server looks idle.
