--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,11 +51,8 @@
 	// abandons the attempt. serverSilent is set if the timer did so because the server had sent no
 	// response to any attempt since this one began.
 	headDecided, serverSilent atomic.Bool
-	// stalled is set if the stream was abandoned because no events arrived, lagging if it was because it
-	// would not have ended in time.
-	stalled, lagging atomic.Bool
-	// events counts the events of the stream.
-	events atomic.Int64
+	// stalled is set if the stream was abandoned because no events arrived.
+	stalled atomic.Bool
 }
 
 // attemptAnswered is the outcome of an attempt whose complete response arrived.
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -28,8 +28,6 @@
 	before := ex.attempts[se.step.Attempt()-1]
 	why := ""
 	switch {
-	case se.step.Resume() && before.lagging.Load():
-		id, why = event.RequestResumed, errLagging.Error()
 	case se.step.Resume():
 		id = event.RequestResumed
 	case before.err != nil:
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -84,12 +84,10 @@
 			return
 		}
 		se.end("broken")
-		if !se.stalled.Load() && !se.lagging.Load() {
+		if !se.stalled.Load() {
 			ex.ga.connectionLost(ctx, se.server)
 		}
-		if !se.lagging.Load() {
-			ex.ga.recordHealth(ctx, se, false, now)
-		}
+		ex.ga.recordHealth(ctx, se, false, now)
 		if se = ex.resume(ctx, err); se == nil {
 			return
 		}
@@ -97,6 +95,20 @@
 	}
 }
 
+// minStreamEvents is the number of events that a stream must have for its pace to be used.
+const minStreamEvents = 3
+
+// recordStreamPace records the pace of a complete stream for the roll-out of its service. Unlike
+// the time to the head, the pace does not depend on the prompt.
+func (ga *Gateway) recordStreamPace(se *attemptState, events int, took time.Duration, now time.Time) {
+	if events < minStreamEvents {
+		return
+	}
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.observeDuration(se.server, "event "+se.ex.modelKey(se.step.Model()), took/time.Duration(events-1), slowEventFactor, now)
+}
+
 // resume resumes a broken stream at another server. It returns nil if the request has ended instead.
 func (ex *exchange) resume(ctx context.Context, cause error) *attemptState {
 	step := ex.request.Broken(clock.Now())
@@ -124,22 +136,17 @@
 	stall := ex.stallTimeout()
 	stallTimer := time.AfterFunc(stall, func() { ex.onStall(se) })
 	defer stallTimer.Stop()
-	ex.watchPace(se, clock.Now())
 	re := sse.NewReader(se.response.Body)
 	for {
 		ev, err := re.Next()
 		if errors.Is(err, io.EOF) {
 			return events, nil
 		}
-		if err != nil && se.lagging.Load() {
-			return events, errLagging
-		}
 		if err != nil {
 			return events, err
 		}
 		stallTimer.Reset(stall)
 		events++
-		se.events.Add(1)
 		if ex.alreadyDelivered(ev) {
 			continue
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,7 +27,6 @@
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/revision"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
-	"github.com/linnetrudder/linnetrudder/internal/streampace"
 	"github.com/linnetrudder/linnetrudder/internal/usage"
 )
 
@@ -157,8 +156,6 @@
 	// confident each model is than the smallest one.
 	promptSizes promptSizes
 	modelGains  cascade.ConfidenceGains
-	// streamPaces tracks the length and the pace of streams by route.
-	streamPaces map[string]*streampace.Estimator
 	// backlogTrends tracks the backlog of each service.
 	backlogTrends map[string]*latency.Smoother
 	// latencyFloors tracks the time below which only the fastest responses or stream events are, by
@@ -226,7 +223,6 @@
 	ga.phases = map[string]StoredPhase{}
 	ga.demands = map[string]*rate.Meter{}
 	ga.backlogTrends = map[string]*latency.Smoother{}
-	ga.streamPaces = map[string]*streampace.Estimator{}
 	ga.probes = map[string]*probe{}
 	ga.crashDetector = poison.Detector{MinCrashes: poison.MinCrashes}
 	ga.awaitingHead = map[*attemptState]bool{}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -45,9 +45,9 @@
 	Session string
 	// Prompt lists the parts of the prompt that requests can share, in order.
 	Prompt []PromptPart
-	// PromptTokens is the size of the prompt and OutputTokens the maximum size of the output, of which
-	// OutputEstimate is the caller's estimate. Each is zero if unknown.
-	PromptTokens, OutputTokens, OutputEstimate int
+	// PromptTokens is the size of the prompt and OutputTokens the maximum size of the output. Each is
+	// zero if unknown.
+	PromptTokens, OutputTokens int
 	// LastEventID is the id of the last event that the caller received of a stream that it resumes.
 	LastEventID string
 	// ReadBody reads the whole body. Its error carries a result code.
