perf: the first start and the beginning of an outage no longer make all gateways call the store

Change: at the first start of the whole system gateways read the state from one of the machines that the settings name as seeds, and receive changes from it until watchers of their data centre are known; who joins waits longer then, boxes with large links first. A watcher with an outdated state sends its gateways to the watchers of other data centres before they call the service, and several such watchers count as a failure of the service.

--- a/internal/gateway/cluster_test.go
+++ b/internal/gateway/cluster_test.go
@@ -306,6 +306,9 @@
 	if pn.partitioned.Load() {
 		return nil, net.ErrClosed
 	}
+	if li == nil {
+		return nil, net.ErrClosed
+	}
 	near, far := net.Pipe()
 	select {
 	case li.accepted <- far:
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -48,6 +48,9 @@
 // reads again when the history is not available.
 func (ga *Gateway) syncState(ctx context.Context) {
 	defer ga.relayClient.Close()
+	if at, ok := ga.readFromSeed(ctx); ok {
+		ga.watch(ctx, at)
+	}
 	for ctx.Err() == nil {
 		at, err := ga.readState(ctx)
 		if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,9 @@
 	// does not answer such requests. LinkMbps is the capacity of the box's link in Mbit/s.
 	RelayAddress string
 	LinkMbps     int
+	// Seeds holds the relay addresses of gateways from which the others read the state and receive
+	// changes at the first start of the whole system, until members are known. It is empty otherwise.
+	Seeds []string
 	// RelayHTTP opens connections to other gateways for changes and load reports.
 	RelayHTTP *http.Client
 	// Usage counts requests for the platform's billing and reports them. It is nil if the platform
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -28,6 +28,12 @@
 	joinCheckInterval = 500 * time.Millisecond
 	maxJoinDelay      = 1500 * time.Millisecond
 	smallLinkMbps     = 20
+	// maxSeededJoinDelay replaces maxJoinDelay while a seed provides the state: nobody needs the
+	// watchers immediately then, and the first ones must be known before others decide to join.
+	// seededJoinOffset is the shortest delay as a fraction of the longest: a box whose link is ten times
+	// larger than that of another always joins first.
+	maxSeededJoinDelay = 30 * time.Second
+	seededJoinOffset   = 0.1
 )
 
 // maintainMembership makes this gateway a member once it is needed, and renews the membership.
@@ -62,7 +68,7 @@
 
 // awaitMembershipNeed waits until this gateway is needed as a member.
 func (ga *Gateway) awaitMembershipNeed(ctx context.Context) {
-	wait := time.Duration(rand.Float64() * float64(maxJoinDelay) * min(1, smallLinkMbps/float64(max(1, ga.LinkMbps))))
+	wait := ga.joinDelay(rand.Float64())
 	for ctx.Err() == nil {
 		sleep(ctx, wait)
 		if ga.neededAsMember() {
@@ -72,6 +78,15 @@
 	}
 }
 
+// joinDelay returns the delay before a gateway joins. draw is uniform over [0, 1).
+func (ga *Gateway) joinDelay(draw float64) time.Duration {
+	scale := min(1, smallLinkMbps/float64(max(1, ga.LinkMbps)))
+	if len(ga.Seeds) > 0 {
+		return time.Duration((seededJoinOffset + (1-seededJoinOffset)*draw) * scale * float64(maxSeededJoinDelay))
+	}
+	return time.Duration(draw * scale * float64(maxJoinDelay))
+}
+
 // neededAsMember reports whether this gateway is needed as a member. It is false until the members
 // are known.
 func (ga *Gateway) neededAsMember() bool {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -45,6 +45,9 @@
 	ok := false
 	if ga.Bounds.MaxConfigAge == 0 || ga.Bounds.keyAcceptanceAge() >= minRelayBound {
 		wa, ok = ga.relayPlan.Watcher(ga.memberList(), now)
+		if !ok && !ga.relayPlan.HasWatchers(ga.memberList()) {
+			wa, ok = ga.seed(now)
+		}
 	}
 	if wa.Address != ga.relayClient.Address {
 		ga.relayClient.Close()
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -169,7 +170,7 @@
 // cover, with the complete state if this gateway has it. The lock is held.
 func (ga *Gateway) answerUnknownRevision(age time.Duration) relay.Update {
 	up := relay.Update{Revision: ga.history.Revision(), Age: age, Unknown: true}
-	if !ga.stateRead || !ga.relayPlan.IsWatcher(ga.memberList()) {
+	if !ga.stateRead || !ga.relayPlan.IsWatcher(ga.memberList()) && !slices.Contains(ga.Seeds, ga.RelayAddress) {
 		return up
 	}
 	now := clock.Now()
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -49,8 +49,9 @@
 	// failed holds the time of each watcher's last failure, by box; stale holds the time at which
 	// each last answered that its state is out of date.
 	failed, stale map[string]time.Time
-	// serviceFailed is when the key-value service last failed to answer this gateway.
-	serviceFailed time.Time
+	// serviceFailed is when the key-value service last failed to answer this gateway. staleSince is when
+	// a watcher first answered that it does not answer that one either, in the present outage.
+	serviceFailed, staleSince time.Time
 	// lastCatchUp is when AllowCatchUp last allowed a call.
 	lastCatchUp time.Time
 }
@@ -72,15 +73,18 @@
 	return pl.choose(roots, nil, now)
 }
 
-// choose returns one of the preferred watchers that has not failed recently. If there is none and
-// the service has failed recently as well, it returns one of the others, or any preferred one.
+// choose returns one of the preferred watchers that has not failed recently. If there is none, it
+// returns one of the others, if the service has failed recently as well or may have: at the beginning
+// of an outage, all gateways of a data centre would otherwise call the service at the same moment. It
+// returns any preferred one rather than none if the service has failed.
 func (pl *Plan) choose(preferred, others []Member, now time.Time) (Member, bool) {
 	available := pl.available(preferred, now)
-	if len(available) == 0 && now.Sub(pl.serviceFailed) < pl.serviceDelay(now) {
+	failed := pl.serviceFails(now)
+	if len(available) == 0 && (failed || now.Sub(pl.staleSince) < serviceInterval) {
 		available = pl.available(others, now)
-		if len(available) == 0 {
-			available = preferred
-		}
+	}
+	if len(available) == 0 && failed {
+		available = preferred
 	}
 	if len(available) == 0 {
 		return Member{}, false
@@ -88,23 +92,39 @@
 	return available[xxhash.Sum64String(pl.Box)%uint64(len(available))], true
 }
 
+// serviceFails reports whether the service has failed recently, by a call of this gateway or by the
+// answers of several watchers.
+func (pl *Plan) serviceFails(now time.Time) bool {
+	last := pl.serviceFailed
+	if pl.staleWatchers(now) >= minStaleWatchers && pl.staleSince.After(last) {
+		last = pl.staleSince
+	}
+	return now.Sub(last) < pl.serviceDelay(now)
+}
+
+// staleWatchers returns the number of watchers that recently answered with a state that is out of
+// date.
+func (pl *Plan) staleWatchers(now time.Time) int {
+	stale := 0
+	for _, at := range pl.stale {
+		if now.Sub(at) < longServiceInterval {
+			stale++
+		}
+	}
+	return stale
+}
+
 // IsRoot reports whether this gateway calls the service for other watchers.
 func (pl *Plan) IsRoot(members []Member) bool { return pl.isOneOf(rootsOf(members)) }
 
 // available returns the watchers that have not failed recently.
 func (pl *Plan) available(list []Member, now time.Time) []Member {
-	return slices.DeleteFunc(slices.Clone(list), func(me Member) bool { return pl.avoided(me.Box, now) })
+	return slices.DeleteFunc(slices.Clone(list), func(me Member) bool { return pl.Avoided(me.Box, now) })
 }
 
 // serviceDelay returns the minimum time between two calls to a service that fails.
 func (pl *Plan) serviceDelay(now time.Time) time.Duration {
-	stale := 0
-	for _, at := range pl.stale {
-		if now.Sub(at) < longServiceInterval {
-			stale++
-		}
-	}
-	if stale >= minStaleWatchers {
+	if pl.staleWatchers(now) >= minStaleWatchers {
 		return longServiceInterval
 	}
 	return serviceInterval
@@ -125,6 +145,11 @@
 	return others < watchersPerCentre
 }
 
+// HasWatchers reports whether any watcher of this gateway's data centre is known.
+func (pl *Plan) HasWatchers(members []Member) bool {
+	return len(watchersOf(members, pl.DataCentre)) > 0
+}
+
 // IsWatcher reports whether this gateway is one of the watchers of its data centre, or knows none.
 func (pl *Plan) IsWatcher(members []Member) bool {
 	own := watchersOf(members, pl.DataCentre)
@@ -154,7 +179,7 @@
 		return peers, false
 	}
 	for _, wa := range allWatchers(members) {
-		if wa.Box > pl.Box && !pl.avoided(wa.Box, now) {
+		if wa.Box > pl.Box && !pl.Avoided(wa.Box, now) {
 			peers = append(peers, wa)
 		}
 	}
@@ -171,7 +196,7 @@
 // failed recently, empty if there is none.
 func (pl *Plan) FirstOtherCollector(members []Member, now time.Time) string {
 	for _, me := range sortByLink(allWatchers(members)) {
-		if me.Box != pl.Box && !pl.avoided(me.Box, now) {
+		if me.Box != pl.Box && !pl.Avoided(me.Box, now) {
 			return me.Box
 		}
 	}
@@ -185,6 +210,9 @@
 
 // Stale records that a watcher answered with a state that is out of date.
 func (pl *Plan) Stale(box string, now time.Time) {
+	if now.Sub(pl.staleSince) >= 2*longServiceInterval {
+		pl.staleSince = now
+	}
 	if pl.stale == nil {
 		pl.stale = map[string]time.Time{}
 	}
@@ -213,7 +241,8 @@
 	return true
 }
 
-func (pl *Plan) avoided(box string, now time.Time) bool {
+// Avoided reports whether a gateway failed recently.
+func (pl *Plan) Avoided(box string, now time.Time) bool {
 	at, ok := pl.failed[box]
 	return ok && now.Sub(at) < avoidDuration
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -131,6 +131,28 @@
 	require.GreaterOrEqual(t, calls, 2, "the service may answer only this gateway")
 }
 
+// Guards against all gateways of a data centre calling the service at the same moment when both of
+// their watchers' states become out of date: 71 gateways read the whole state at once while the
+// service had only lost its history, and the watchers of other data centres had it again 0.1 s later.
+func TestOutdatedWatchersCauseNoBurstOfCalls(t *testing.T) {
+	all := members(12)
+	calls := 0
+	for i := range 70 {
+		pl := Plan{Box: fmt.Sprint("x", i), DataCentre: "dc0"}
+		for at := now; at.Before(now.Add(2 * time.Second)); at = at.Add(100 * time.Millisecond) {
+			wa, ok := pl.Watcher(all, at)
+			switch {
+			case !ok:
+				calls++
+				pl.ServiceFailed(at)
+			case at.Before(now.Add(300*time.Millisecond)) || wa.DataCentre == "dc0":
+				pl.Stale(wa.Box, at)
+			}
+		}
+	}
+	require.Zero(t, calls)
+}
+
 // Guards against a number of calls that grows with the number of data centres: in a fleet of 103
 // gateways, the ten watchers of five data centres made two thirds of all calls in normal operation.
 func TestOnlyRootsCallTheServiceWithManyDataCentres(t *testing.T) {
