fix(relay): gateways with outdated watchers ask other data centres, and watchers call the service

Change: while its own watchers are avoided, a gateway asks those of other data centres; when none of these has a current state it calls the service, and so do watchers whose roots are outdated, as before.

relay.TestWatchersCallTheServiceWhenAllRootsAreOutdated guards against it.

--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -50,7 +50,7 @@
 	// each last answered that its state is out of date.
 	failed, stale map[string]time.Time
 	// serviceFailed is when the key-value service last failed to answer this gateway. staleSince is when
-	// a watcher first answered that it does not answer that one either, in the present outage.
+	// a watcher first answered in the present outage that its state is out of date.
 	serviceFailed, staleSince time.Time
 	// lastCatchUp is when AllowCatchUp last allowed a call.
 	lastCatchUp time.Time
@@ -74,13 +74,13 @@
 }
 
 // choose returns one of the preferred watchers that has not failed recently. If there is none, it
-// returns one of the others, if the service has failed recently as well or may have: at the beginning
-// of an outage, all gateways of a data centre would otherwise call the service at the same moment. It
-// returns any preferred one rather than none if the service has failed.
+// returns one of the others if the service has failed recently as well, or if the states of watchers
+// have become out of date: all gateways of a data centre would otherwise call the service at the same
+// moment. It returns any preferred one rather than none if the service has failed.
 func (pl *Plan) choose(preferred, others []Member, now time.Time) (Member, bool) {
 	available := pl.available(preferred, now)
-	failed := pl.serviceFails(now)
-	if len(available) == 0 && (failed || now.Sub(pl.staleSince) < serviceInterval) {
+	failed := now.Sub(pl.serviceFailed) < pl.serviceDelay(now)
+	if len(available) == 0 && (failed || now.Sub(pl.staleSince) < avoidDuration) {
 		available = pl.available(others, now)
 	}
 	if len(available) == 0 && failed {
@@ -92,28 +92,6 @@
 	return available[xxhash.Sum64String(pl.Box)%uint64(len(available))], true
 }
 
-// serviceFails reports whether the service has failed recently, by a call of this gateway or by the
-// answers of several watchers.
-func (pl *Plan) serviceFails(now time.Time) bool {
-	last := pl.serviceFailed
-	if pl.staleWatchers(now) >= minStaleWatchers && pl.staleSince.After(last) {
-		last = pl.staleSince
-	}
-	return now.Sub(last) < pl.serviceDelay(now)
-}
-
-// staleWatchers returns the number of watchers that recently answered with a state that is out of
-// date.
-func (pl *Plan) staleWatchers(now time.Time) int {
-	stale := 0
-	for _, at := range pl.stale {
-		if now.Sub(at) < longServiceInterval {
-			stale++
-		}
-	}
-	return stale
-}
-
 // IsRoot reports whether this gateway calls the service for other watchers.
 func (pl *Plan) IsRoot(members []Member) bool { return pl.isOneOf(rootsOf(members)) }
 
@@ -124,7 +102,13 @@
 
 // serviceDelay returns the minimum time between two calls to a service that fails.
 func (pl *Plan) serviceDelay(now time.Time) time.Duration {
-	if pl.staleWatchers(now) >= minStaleWatchers {
+	stale := 0
+	for _, at := range pl.stale {
+		if now.Sub(at) < longServiceInterval {
+			stale++
+		}
+	}
+	if stale >= minStaleWatchers {
 		return longServiceInterval
 	}
 	return serviceInterval
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -153,6 +153,26 @@
 	require.Zero(t, calls)
 }
 
+// Guards against watchers that wait while only the roots are turned away by the service: keys were
+// refused for seconds where the service answered two of three gateways.
+func TestWatchersCallTheServiceWhenAllRootsAreOutdated(t *testing.T) {
+	all := members(12)
+	roots := rootsOf(all)
+	require.Len(t, roots, maxRoots)
+	for _, me := range allWatchers(all) {
+		pl := Plan{Box: me.Box, DataCentre: me.DataCentre}
+		at := now
+		for range maxRoots {
+			if wa, ok := pl.Watcher(all, at); ok {
+				pl.Stale(wa.Box, at)
+			}
+			at = at.Add(100 * time.Millisecond)
+		}
+		_, ok := pl.Watcher(all, at)
+		require.False(t, ok, me.Box)
+	}
+}
+
 // Guards against a number of calls that grows with the number of data centres: in a fleet of 103
 // gateways, the ten watchers of five data centres made two thirds of all calls in normal operation.
 func TestOnlyRootsCallTheServiceWithManyDataCentres(t *testing.T) {
