fix(relay): gateways ask outdated watchers again for 0.2 to 0.4 s, then call the service

Change: a gateway that is no watcher asks its own watchers again for 0.2 to 0.4 s, by its box, at the beginning of an outage; a gateway whose state is outdated watches the service for 0.1 s, so that a call without an answer ends before keys are refused.

The load that two watchers a data centre can pass on is the next limit (docs/design/fleet.md).

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -141,6 +141,9 @@
 	if ga.Bounds.MaxConfigAge == 0 {
 		return longest
 	}
+	if ga.freshness.Age(now) > maxRelayAge {
+		return minWatchWait // a call without an answer must end before keys are refused
+	}
 	left := ga.Bounds.keyAcceptanceAge() - ga.freshness.Age(now)
 	return min(longest, max(minWatchWait, left/2))
 }
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -26,6 +26,10 @@
 	// answered within it that the service does not answer them either.
 	longServiceInterval = 5 * time.Second
 	minStaleWatchers    = 3
+	// minStaleWait and maxStaleWait bound the time for which a gateway asks watchers with an outdated
+	// state again before it calls the service.
+	minStaleWait = 200 * time.Millisecond
+	maxStaleWait = 400 * time.Millisecond
 	// catchUpInterval is the minimum time between two calls to the service by a gateway whose
 	// revision is not in its watcher's history.
 	catchUpInterval = time.Second
@@ -64,6 +68,9 @@
 func (pl *Plan) Watcher(members []Member, now time.Time) (Member, bool) {
 	own := watchersOf(members, pl.DataCentre)
 	if !pl.isOneOf(own) {
+		if len(own) > 0 && pl.waitsForWatchers(now) {
+			return own[xxhash.Sum64String(pl.Box)%uint64(len(own))], true
+		}
 		return pl.choose(own, watchersOutside(members, pl.DataCentre), now)
 	}
 	roots := rootsOf(members)
@@ -73,18 +80,15 @@
 	return pl.choose(roots, nil, now)
 }
 
-// choose returns one of the preferred watchers that has not failed recently. If there is none, it
-// returns one of the others if the service has failed recently as well, or if the states of watchers
-// have become out of date: all gateways of a data centre would otherwise call the service at the same
-// moment. It returns any preferred one rather than none if the service has failed.
+// choose returns one of the preferred watchers that has not failed recently. If there is none and
+// the service has failed recently as well, it returns one of the others, or any preferred one.
 func (pl *Plan) choose(preferred, others []Member, now time.Time) (Member, bool) {
 	available := pl.available(preferred, now)
-	failed := now.Sub(pl.serviceFailed) < pl.serviceDelay(now)
-	if len(available) == 0 && (failed || now.Sub(pl.staleSince) < avoidDuration) {
+	if len(available) == 0 && now.Sub(pl.serviceFailed) < pl.serviceDelay(now) {
 		available = pl.available(others, now)
-	}
-	if len(available) == 0 && failed {
-		available = preferred
+		if len(available) == 0 {
+			available = preferred
+		}
 	}
 	if len(available) == 0 {
 		return Member{}, false
@@ -92,6 +96,15 @@
 	return available[xxhash.Sum64String(pl.Box)%uint64(len(available))], true
 }
 
+// waitsForWatchers reports whether this gateway, which is not a watcher, asks watchers with an
+// outdated state again before it calls the service: the states of all watchers of a data centre become
+// out of date at the same moment, and often only for some tenths of a second. The time differs by box,
+// so that the gateways do not call the service together.
+func (pl *Plan) waitsForWatchers(now time.Time) bool {
+	spread := time.Duration(xxhash.Sum64String(pl.Box) % uint64(maxStaleWait-minStaleWait))
+	return now.Sub(pl.staleSince) < minStaleWait+spread
+}
+
 // IsRoot reports whether this gateway calls the service for other watchers.
 func (pl *Plan) IsRoot(members []Member) bool { return pl.isOneOf(rootsOf(members)) }
 
