--- a/standin/cmd/days/disruption.go
+++ b/standin/cmd/days/disruption.go
@@ -3,7 +3,7 @@
 // valueRange is a range for random values.
 type valueRange struct{ from, to float64 }
 
-// targetKind is the kind of a disruption's target. With an empty one the bench chooses by the day's
+// targetKind is the kind of a disruption's target. With an empty one the simulator chooses by the day's
 // seed.
 type targetKind string
 
@@ -15,7 +15,7 @@
 )
 
 // disruption is a kind of disruption and the ranges of its parameters. Parameters with an empty
-// range get the bench's defaults.
+// range get the simulator's defaults.
 type disruption struct {
 	kind string
 	// planned marks operations by the operators as opposed to faults.
--- a/standin/cmd/days/draw.go
+++ b/standin/cmd/days/draw.go
@@ -93,10 +93,10 @@
 	return de, eris.Wrap(err, "decode deployment")
 }
 
-// kindPattern matches the bench's line for a kind of disruption.
+// kindPattern matches the simulator's line for a kind of disruption.
 var kindPattern = regexp.MustCompile(`(?m)^([a-z_]+):`)
 
-// supportedKinds returns the disruptions whose kinds are in the bench's list.
+// supportedKinds returns the disruptions whose kinds are in the simulator's list.
 func supportedKinds(listed string, all []disruption) []disruption {
 	names := map[string]bool{}
 	for _, found := range kindPattern.FindAllStringSubmatch(listed, -1) {
--- a/standin/cmd/days/losses.go
+++ b/standin/cmd/days/losses.go
@@ -83,7 +83,7 @@
 	second int
 }
 
-// readRequestEnds reads the log lines about ends of requests from the bench's output, in which each
+// readRequestEnds reads the log lines about ends of requests from the simulator's output, in which each
 // log line follows its time in seconds and the name of its box.
 func readRequestEnds(path string) ([]requestEnd, error) {
 	file, err := os.Open(path)
--- a/standin/cmd/days/main.go
+++ b/standin/cmd/days/main.go
@@ -1,4 +1,4 @@
-// Command days runs simulated days of the users' deployments on their bench over several seeds,
+// Command days runs simulated days of the users' deployments on their simulator over several seeds,
 // saves the scores ("worth") and compares two sets of results by day and seed, so that differences
 // below the noise are not mistaken for improvements. It also generates random days of disruptions,
 // reports where credit was lost and plots what was served in time.
--- a/standin/cmd/days/play.go
+++ b/standin/cmd/days/play.go
@@ -19,7 +19,7 @@
 	Site string `json:"site"`
 	Day  string `json:"day"`
 	Seed int    `json:"seed"`
-	// Worth is the bench's score: the share of the possible credit that was earned, less prices. The
+	// Worth is the simulator's score: the share of the possible credit that was earned, less prices. The
 	// other figures are its components before prices.
 	Worth      float64 `json:"worth"`
 	WholeDay   float64 `json:"whole_day"`
@@ -32,7 +32,7 @@
 // key identifies results that can be compared with each other.
 func (dr dayResult) key() string { return fmt.Sprintf("%s %s %d", dr.Site, dr.Day, dr.Seed) }
 
-// playCmd runs days on the bench.
+// playCmd runs days on the simulator.
 type playCmd struct {
 	Bench string   `help:"The users' bench." required:"" type:"existingfile"`
 	Out   string   `help:"File for the results." required:""`
@@ -85,10 +85,10 @@
 	return eris.Wrap(os.WriteFile(cm.Out, body, 0o600), "write results")
 }
 
-// worthPattern matches the bench's line with the worth of a day and its components.
+// worthPattern matches the simulator's line with the worth of a day and its components.
 var worthPattern = regexp.MustCompile(`(?m)^worth ([0-9.]+) = whole day ([0-9.]+).*worst windows ([0-9.]+).*worst class ([0-9.]+)`)
 
-// brokenPattern matches the bench's line with the rules that were broken.
+// brokenPattern matches the simulator's line with the rules that were broken.
 var brokenPattern = regexp.MustCompile(`(?m)^rules broken: (.*)$`)
 
 // playDay runs a day once.
@@ -108,7 +108,7 @@
 	return dr, resultError(parseWorth(string(out), &dr), err, out)
 }
 
-// resultError returns the error of a run without a result. The bench also exits with an error if a
+// resultError returns the error of a run without a result. The simulator also exits with an error if a
 // rule was broken, but such a run has a result.
 func resultError(parse, run error, out []byte) error {
 	if parse == nil {
@@ -117,7 +117,7 @@
 	return eris.Errorf("parse: %v; run: %v; output: %s", parse, run, out)
 }
 
-// parseWorth reads the worth and its components from the bench's output.
+// parseWorth reads the worth and its components from the simulator's output.
 func parseWorth(out string, dr *dayResult) error {
 	found := worthPattern.FindStringSubmatch(out)
 	if found == nil {
--- a/standin/cmd/days/timeline.go
+++ b/standin/cmd/days/timeline.go
@@ -14,7 +14,7 @@
 	"gonum.org/v1/plot/vg"
 )
 
-// timelineCmd plots the requests served in time over the seconds of days, from the bench's reports
+// timelineCmd plots the requests served in time over the seconds of days, from the simulator's reports
 // of single days.
 type timelineCmd struct {
 	Out     string   `help:"File for the plot (svg or png)." required:""`
