test(usage): the calls of all holders are linearizable

The histories of the runner under faults are checked with porcupine against a platform that accepts reports in the order of their fencing numbers, and each window with one set of counts.

--- a/internal/usage/runner_test.go
+++ b/internal/usage/runner_test.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -38,6 +40,53 @@
 	// arrived.
 	accepted map[Window]map[string]int
 	arrivals []arrival
+	// highestFence is the highest fencing number that arrived. Calls with a lower one are rejected.
+	highestFence uint64
+	// history holds the calls of holders as they saw them.
+	history []porcupine.Operation
+}
+
+// reportCall is a holder's call with a report, reportResult its result as the holder saw it.
+type reportCall struct {
+	fence  uint64
+	report Report
+}
+
+type reportResult string
+
+const (
+	resultAccepted reportResult = "accepted"
+	resultRejected reportResult = "rejected"
+	resultUnknown  reportResult = "unknown"
+)
+
+// reportState is the state of a platform that accepts reports in the order of their fencing numbers,
+// and each window with one set of counts.
+type reportState struct {
+	highest uint64
+	counts  map[Window]string
+}
+
+// reportModel accepts the histories of calls that such a platform can have executed one at a time.
+var reportModel = porcupine.Model{
+	Init: func() any { return reportState{counts: map[Window]string{}} },
+	Step: func(state, input, output any) (bool, any) {
+		st, call, result := state.(reportState), input.(reportCall), output.(reportResult)
+		if call.fence < st.highest {
+			return result != resultAccepted, st
+		}
+		next := reportState{highest: call.fence, counts: maps.Clone(st.counts)}
+		counts := fmt.Sprint(call.report.Counts)
+		if before, ok := next.counts[call.report.Window]; ok && before != counts {
+			return false, st
+		}
+		next.counts[call.report.Window] = counts
+		return result != resultRejected, next
+	},
+	Equal: func(a, b any) bool {
+		one, other := a.(reportState), b.(reportState)
+		return one.highest == other.highest && maps.Equal(one.counts, other.counts)
+	},
 }
 
 // arrival is a report that arrived at the platform.
@@ -139,18 +188,33 @@
 }
 
 func (sp *simulatedPlatform) ReportUsage(_ context.Context, ho duty.Holder, re Report) error {
+	sent := time.Now()
 	time.Sleep(4 * time.Millisecond)
 	sp.mu.Lock()
 	defer sp.mu.Unlock()
-	sp.arrivals = append(sp.arrivals, arrival{ho.Process, ho.FencingNumber(), re, time.Since(re.Window.End(length))})
-	result := sp.draw()
-	if result != lostBefore {
+	fence := ho.FencingNumber()
+	sp.arrivals = append(sp.arrivals, arrival{ho.Process, fence, re, time.Since(re.Window.End(length))})
+	result, err := resultAccepted, error(nil)
+	switch lost := sp.draw(); {
+	case lost == lostBefore:
+		result, err = resultUnknown, errNoAnswer
+	case fence < sp.highestFence:
+		result, err = resultRejected, ErrFenced
+	default:
+		sp.highestFence = fence
 		sp.accept(re)
+		if lost == lostAfter {
+			result, err = resultUnknown, errNoAnswer
+		}
 	}
-	if result != done {
-		return errNoAnswer
+	op := porcupine.Operation{
+		ClientId: int(ho.Process), Input: reportCall{fence, re}, Call: sent.UnixNano(), Output: result, Return: time.Now().UnixNano(),
+	}
+	if result == resultUnknown {
+		op.Return = math.MaxInt64 // it may be executed at any time
 	}
-	return nil
+	sp.history = append(sp.history, op)
+	return err
 }
 
 func (sp *simulatedPlatform) accept(re Report) {
@@ -329,6 +393,7 @@
 				si.run(3*delay, func() {})
 				si.stopAll()
 				requireConsistent(t, si.platform.arrivals)
+				require.True(t, porcupine.CheckOperations(reportModel, si.platform.history))
 				for window := last - 2; window <= last; window++ {
 					require.Contains(t, si.platform.accepted, window)
 				}
