--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -145,6 +145,14 @@
 	return end
 }
 
+// HeldFor returns for how long this process has known that it holds the duty, zero if it does not.
+func (el *Election) HeldFor(now time.Time) time.Duration {
+	if !el.isHolder() {
+		return 0
+	}
+	return now.Sub(el.heldSince)
+}
+
 func (el *Election) isHolder() bool { return !el.heldSince.IsZero() }
 
 func (el *Election) fraction(part float64) time.Duration {
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -12,6 +12,9 @@
 	// missing. The rest is for a successor, if the holder fails just then.
 	minSettleFraction = 0.05
 	maxSettleFraction = 0.5
+	// collectTime is how long a process holds the duty before it fixes totals: until then, other
+	// processes may not know it as the holder yet, and their counts may be missing.
+	collectTime = 1500 * time.Millisecond
 	// maxStoredReports bounds the reports in a record. Windows that ended earlier than that many
 	// windows ago are not reported any more.
 	maxStoredReports = 6
@@ -77,8 +80,8 @@
 	record *Record
 }
 
-// Next returns the next step of a holder at a time of day.
-func (re *Reporter) Next(le *Ledger, tenure uint64, at time.Time) Step {
+// Next returns the next step of a holder at a time of day. heldFor is how long it has held the duty.
+func (re *Reporter) Next(le *Ledger, tenure uint64, heldFor time.Duration, at time.Time) Step {
 	if tenure != re.tenure {
 		re.tenure, re.record = tenure, nil
 	}
@@ -91,7 +94,7 @@
 		}
 	}
 	next, ok := re.nextWindow(le)
-	if !ok || !re.settled(le, next, at) {
+	if !ok || heldFor < collectTime || !re.settled(le, next, at) {
 		return Step{Kind: Idle}
 	}
 	return Step{Kind: Fix, Record: re.extend(le, next, at)}
--- a/internal/usage/runner.go
+++ b/internal/usage/runner.go
@@ -198,7 +198,7 @@
 			return
 		}
 		ho, left = ru.election.Holder(), until.Sub(now)
-		step = ru.reporter.Next(&ru.ledger, ho.FencingNumber(), ru.time.Now(now))
+		step = ru.reporter.Next(&ru.ledger, ho.FencingNumber(), ru.election.HeldFor(now), ru.time.Now(now))
 	})
 	ctx, cancel := context.WithTimeout(ctx, min(left, deliveryTimeout))
 	defer cancel()
