fix(duty): a holder that is no longer a candidate resigns

Cause: the duty was acquired by a collector that was none any more when gateways with larger links had joined.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -100,9 +100,12 @@
 }
 
 // Next returns what to do now. rank is this process's position among the candidates, negative if it
-// is none. Only the action that Next returned last may be in progress.
+// is none. A holder that is no longer a candidate resigns, since the others send it nothing any more.
+// Only the action that Next returned last may be in progress.
 func (el *Election) Next(rank int, now time.Time) Action {
 	switch {
+	case el.isHolder() && rank < 0:
+		el.Resign()
 	case el.isHolder():
 		if now.Sub(el.leaseSent) >= el.fraction(renewFraction) && now.Sub(el.lastAttempt) >= retryDelay {
 			return Renew
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -63,6 +63,18 @@
 	require.Equal(t, Acquire, el.Next(0, t0.Add(ttl)))
 }
 
+// Guards against a holder that receives no counts: one that acquired the duty as a collector and is
+// none any more, since gateways with larger links joined.
+func TestHolderThatIsNoCandidateAnyMoreResigns(t *testing.T) {
+	el := Election{Process: 7, TTL: ttl}
+	el.LeaseConfirmed(t0)
+	el.SetHolder(holder(7, 20), t0)
+	require.False(t, el.ActsUntil(t0.Add(time.Second)).IsZero())
+	require.Equal(t, Wait, el.Next(-1, t0.Add(time.Second)))
+	require.True(t, el.ActsUntil(t0.Add(time.Second)).IsZero())
+	require.Equal(t, Wait, el.Next(0, t0.Add(2*time.Second)), "the lease is not renewed")
+}
+
 func TestOlderHolderOfALaggingPeerIsIgnored(t *testing.T) {
 	el := Election{Process: 7, TTL: ttl}
 	el.SetHolder(holder(9, 30), t0)
