fix(usage): keep the lease of an unanswered attempt to acquire the duty

Cause: an attempt that was carried out without an answer puts the key under its own lease; the next attempt finds the duty held, by this process, and its new lease replaced the one that the key has. The holder then renewed a lease without a key.

Change: the lease of an attempt that finds the duty held is not taken over. usage.TestLeaseOfAnUnansweredAttemptIsKept failed before.

--- a/internal/usage/runner.go
+++ b/internal/usage/runner.go
@@ -162,7 +162,7 @@
 func (ru *Runner) acquire(ctx context.Context) error {
 	sent := clock.Now()
 	ho, id, err := ru.Store.AcquireDuty(ctx, duty.Holder{Box: ru.Box, Process: ru.Process}, ru.LeaseTTL)
-	if id != 0 {
+	if id != 0 && !eris.Is(err, ErrDutyLost) { // the holder may be this process, by an attempt without an answer
 		ru.lease = id
 		ru.locked(func(time.Time) { ru.election.LeaseConfirmed(sent) })
 	}
--- a/internal/usage/runner_test.go
+++ b/internal/usage/runner_test.go
@@ -421,3 +421,33 @@
 		counts[ar.report.Window] = maps.Clone(ar.report.Counts)
 	}
 }
+
+// Guards against a holder that renews a lease which its key does not have: the first attempt is carried
+// out without an answer, and the second one finds the duty held.
+func TestLeaseOfAnUnansweredAttemptIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sp := &simulatedPlatform{random: rand.New(rand.NewPCG(1, 1)), accepted: map[Window]map[string]int{}}
+		ru := newRunner(2)
+		ru.Store, ru.Platform, ru.Rank = unansweredFirst{simulatedPlatform: sp, attempts: new(int)}, sp, func() int { return 0 }
+		require.ErrorIs(t, ru.acquire(t.Context()), errNoAnswer)
+		require.ErrorIs(t, ru.acquire(t.Context()), ErrDutyLost)
+		sp.publish(ru)
+		require.Equal(t, sp.leaseID, ru.lease)
+		require.NoError(t, ru.renew(t.Context()))
+	})
+}
+
+// unansweredFirst loses the answer to the first attempt to acquire the duty.
+type unansweredFirst struct {
+	*simulatedPlatform
+	attempts *int
+}
+
+func (uf unansweredFirst) AcquireDuty(ctx context.Context, ho duty.Holder, ttl time.Duration) (duty.Holder, lease.ID, error) {
+	*uf.attempts++
+	ho, id, err := uf.simulatedPlatform.AcquireDuty(ctx, ho, ttl)
+	if *uf.attempts == 1 {
+		return ho, id, errNoAnswer
+	}
+	return ho, id, err
+}
