feat(platform): decode the engine of a service and the caller's length hint

The decisions under load need what a service's engine offers (memory, slots, moves, copies, cache watchers) and how long an answer may become. routing.Service.Engine and gateway.Request.LengthHint hold them; nothing reads them yet.

--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -48,6 +48,9 @@
 	// PromptTokens is the size of the prompt and OutputTokens the maximum size of the output. Each is
 	// zero if unknown.
 	PromptTokens, OutputTokens int
+	// LengthHint is the caller's estimate of the number of output tokens, zero if it gave none. It is
+	// often wrong by a factor of two.
+	LengthHint int
 	// LastEventID is the id of the last event that the caller received of a stream that it resumes.
 	LastEventID string
 	// ReadBody reads the whole body. Its error carries a result code.
--- a/internal/routing/document.go
+++ b/internal/routing/document.go
@@ -75,6 +75,31 @@
 	// requests from all gateways that a cold server can handle; zero for no limit.
 	ColdFor       time.Duration
 	ColdPerSecond float64
+	// Engine describes the model engine of the servers, nil for a plain service.
+	Engine *Engine `cbor:",omitempty"`
+}
+
+// Engine describes the model engine that the servers of a service run. A field is zero if the
+// operators give no value.
+type Engine struct {
+	// Slots is the number of requests that a server runs at once.
+	Slots int
+	// MemoryTokens is the number of tokens that the memory of a server holds, for running requests
+	// and cached prompts together. TokenBytes is the size of a token in memory.
+	MemoryTokens, TokenBytes int
+	// LinkMbps is the capacity in Mbit/s of the link over which servers copy memory to each other.
+	LinkMbps float64
+	// TokensPerEvent is the number of tokens in an event of a stream.
+	TokensPerEvent int
+	// Moves is set if a running request can be moved to another server, Backups if its memory can be
+	// copied to another server while it runs.
+	Moves, Backups bool
+	// HandleTTL is how long a server keeps a copy of a request's memory that nobody uses.
+	HandleTTL time.Duration
+	// CacheWatchers is the number of processes that may watch the cached prompts of a server.
+	CacheWatchers int
+	// MaxPin and MaxHold are the longest times for which memory can be pinned or held.
+	MaxPin, MaxHold time.Duration
 }
 
 // Team is a customer and its API keys.
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,59 @@
+// Package transport opens HTTP connections that fail soon after their peer disappears without closing
+// them.
+package transport
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout is the timeout of a new connection. The longest network path takes a few
+	// milliseconds; a server that drops the SYN packet would answer only after seconds.
+	dialTimeout = 400 * time.Millisecond
+	// ackTimeout is the time after which a connection with unacknowledged data is closed.
+	ackTimeout = 2 * time.Second
+	// idleTimeout is the time after which an idle connection is closed.
+	idleTimeout = 20 * time.Second
+	// maxIdleConnections is the maximum number of idle connections to one address.
+	maxIdleConnections = 32
+	// readBufferSize and writeBufferSize are the sizes of a connection's buffers in bytes. Most
+	// response heads and events are much smaller.
+	readBufferSize  = 2 << 10
+	writeBufferSize = 2 << 10
+)
+
+// New returns an HTTP transport that opens connections with the dialer and does not decompress.
+func New(dialer *net.Dialer) *http.Transport {
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdleConnections,
+		IdleConnTimeout:     idleTimeout,
+		ReadBufferSize:      readBufferSize,
+		WriteBufferSize:     writeBufferSize,
+	}
+}
+
+// NewClient returns an HTTP client with a transport of its own.
+func NewClient() *http.Client { return &http.Client{Transport: New(NewDialer())} }
+
+// NewDialer returns a dialer whose connections fail if their peer disappears without closing them.
+func NewDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout:   dialTimeout,
+		KeepAlive: -1,
+		Control: func(_, _ string, co syscall.RawConn) error {
+			var optErr error
+			err := co.Control(func(fd uintptr) {
+				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+			})
+			return errors.Join(err, optErr)
+		},
+	}
+}
