--- a/standin/fleet/proxy.go
+++ b/standin/fleet/proxy.go
@@ -29,6 +29,8 @@
 	// changed is closed and replaced when the impairment changes.
 	changed chan struct{}
 	conns   map[net.Conn]bool
+	// silenced is closed and replaced when the open connections become silent.
+	silenced chan struct{}
 }
 
 // NewProxy starts a proxy that listens on loopback and forwards to an address.
@@ -37,7 +39,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "proxy")
 	}
-	px := &Proxy{listener: li, target: target, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
+	px := &Proxy{listener: li, target: target, conns: map[net.Conn]bool{}, changed: make(chan struct{}), silenced: make(chan struct{})}
 	go px.serve()
 	return px, nil
 }
@@ -73,6 +75,15 @@
 	}
 }
 
+// SilenceConnections makes the open connections silent for good: data that arrives on them is discarded
+// and they stay open. New connections work.
+func (px *Proxy) SilenceConnections() {
+	px.mu.Lock()
+	defer px.mu.Unlock()
+	close(px.silenced)
+	px.silenced = make(chan struct{})
+}
+
 // waitToForward waits until the impairment allows data to be forwarded. The data comes from the target
 // if response is set.
 func (px *Proxy) waitToForward(response bool) {
@@ -110,34 +121,50 @@
 			return
 		}
 		target, err := net.Dial("tcp", px.target)
-		if err != nil || !px.track(client, target) {
+		if err != nil {
 			_ = client.Close()
 			continue
 		}
-		go px.forward(client, target, true)
-		go px.forward(target, client, false)
+		silenced, ok := px.track(client, target)
+		if !ok {
+			_ = client.Close()
+			continue
+		}
+		go px.forward(client, target, true, silenced)
+		go px.forward(target, client, false, silenced)
 	}
 }
 
-// track registers a pair of connections, so that a partition closes them. If the proxy is partitioned, it
-// closes the connection to the target and returns false.
-func (px *Proxy) track(client, target net.Conn) bool {
+// track registers a pair of connections, so that a partition closes them, and returns the channel that
+// is closed when they become silent. If the proxy is partitioned, it closes the connection to the target
+// and returns false.
+func (px *Proxy) track(client, target net.Conn) (silenced <-chan struct{}, ok bool) {
 	px.mu.Lock()
 	defer px.mu.Unlock()
 	if px.partitioned {
 		_ = target.Close()
-		return false
+		return nil, false
 	}
 	px.conns[client], px.conns[target] = true, true
-	return true
+	return px.silenced, true
 }
 
-// forward copies data in one direction, subject to the impairment, until one side closes.
-func (px *Proxy) forward(to, from net.Conn, response bool) {
+// forward copies data in one direction, subject to the impairment, until one side closes. If the
+// connection is silenced, it discards the data, and the other side stays open.
+func (px *Proxy) forward(to, from net.Conn, response bool, silenced <-chan struct{}) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
 		px.waitToForward(response)
+		select {
+		case <-silenced:
+			if err != nil {
+				_ = from.Close()
+				return
+			}
+			continue
+		default:
+		}
 		if _, werr := to.Write(buf[:n]); err != nil || werr != nil {
 			break
 		}
