feat(gateway): logs name what confirmed a configuration

On-call could not tell through whom a version came: event 401 and the line of a request had neither the source nor, for 401, the age. Of a series of failed calls to the key-value service only the first was logged.

Event 401 has source and age, the lines of requests have source, each further failed call is event 800, the version in force and its age are gauges, and explain names version, age and source.

A line of a request grows by about 20 bytes. No decision changes.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/freshness"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 )
 
@@ -104,6 +105,9 @@
 	if end == nil {
 		return append(sentences, "Cause: unknown; the end of the request is not logged: the process "+ex.records[0].Box+" was killed or its log is truncated."), nil
 	}
+	if end.Source != "" {
+		sentences = append(sentences, end.configuration())
+	}
 	if boxState := ex.boxState(end); boxState != "" {
 		sentences = append(sentences, boxState)
 	}
@@ -130,6 +134,15 @@
 		strings.ReplaceAll(event.Name(rc.Event), "_", " "), rc.DurationMS, rc.Sends, rc.Runs, result.Lookup(rc.Code).Name(), rc.Code)
 }
 
+// configuration describes the configuration that the request was decided by.
+func (rc *record) configuration() string {
+	source := "gateway " + rc.Source
+	if rc.Source == freshness.Service {
+		source = "the key-value service"
+	}
+	return fmt.Sprintf("Decided by configuration version %.0f, at most %.1f s old, last confirmed by %s.", rc.Version, rc.ConfigAgeMS/1000, source)
+}
+
 // previousOutcome describes the outcome of an attempt that was retried.
 func (rc *record) previousOutcome() string {
 	if rc.PreviousStatus != 0 {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -55,6 +55,13 @@
 	require.Contains(t, explanation(t, "x", lines), "had not answered a for 4s: reset by peer")
 }
 
+func TestConfigurationOfRequestIsNamed(t *testing.T) {
+	for source, name := range map[string]string{"service": "the key-value service", "b": "gateway b"} {
+		lines := []string{`{"box":"a","event":204,"request":"x","code":100,"version":1200345,"age_ms":640,"source":"` + source + `","time":"2026-01-01T00:00:05Z"}`}
+		require.Contains(t, explanation(t, "x", lines), "Decided by configuration version 1200345, at most 0.6 s old, last confirmed by "+name+".")
+	}
+}
+
 func TestLogsMayBeReadInAnyOrder(t *testing.T) {
 	lines := logLines(t)
 	want := explanation(t, "94b7ae6032c8591a", lines)
--- a/internal/explain/record.go
+++ b/internal/explain/record.go
@@ -25,6 +25,8 @@
 	// request.
 	ConfigAgeMS float64 `json:"age_ms"`
 	DurationMS  float64 `json:"ms"`
+	// Source is what confirmed the configuration: the key-value service or the box of another gateway.
+	Source string `json:"source"`
 	// Version is a configuration version or a server version, depending on the event.
 	Version any `json:"version"`
 	Sends   int `json:"sends"`
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -29,11 +29,20 @@
 	connected bool
 	// failing is set from a failed call until one succeeds.
 	failing bool
+	// source is the process that confirmed the time, Service or the box of another gateway.
+	source string
 }
 
+// Service is the source of times that the key-value service confirmed to this process.
+const Service = "service"
+
 // Age returns the maximum age of the known state.
 func (tr *Tracker) Age(now time.Time) time.Duration { return now.Sub(tr.confirmed) }
 
+// Source returns which process confirmed the time up to which all changes are known: Service, or the
+// box of another gateway.
+func (tr *Tracker) Source() string { return tr.source }
+
 // ConfirmedAt returns the time up to which all changes are known.
 func (tr *Tracker) ConfirmedAt() time.Time { return tr.confirmed }
 
@@ -47,12 +56,12 @@
 
 // HandleRead processes the answer to a full read that was sent at the given time. It reports
 // whether the connection to the service was lost before.
-func (tr *Tracker) HandleRead(sent time.Time) (regained bool) { return tr.confirm(sent) }
+func (tr *Tracker) HandleRead(sent time.Time) (regained bool) { return tr.confirm(sent, Service) }
 
 // HandleWatch processes the answer to a watch, which is empty if there was no change within the
 // wait. It reports whether the connection to the service was lost before.
 func (tr *Tracker) HandleWatch(sent time.Time, wait time.Duration, empty bool, now time.Time) (regained bool) {
-	return tr.confirm(tr.earliestAnswer(sent, wait, empty, now))
+	return tr.confirm(tr.earliestAnswer(sent, wait, empty, now), Service)
 }
 
 // earliestAnswer returns a lower bound, as late as possible, of the time at which a watch was
@@ -69,11 +78,11 @@
 	return now
 }
 
-// HandleRelay processes the answer of another process to a request that was sent at the given time;
-// age is the maximum age of that process's state. It reports whether the connection to the service
+// HandleRelay processes the answer of another gateway's box to a request that was sent at the given
+// time; age is the maximum age of that gateway's state. It reports whether the connection to the service
 // was lost before.
-func (tr *Tracker) HandleRelay(sent time.Time, age time.Duration) (regained bool) {
-	return tr.confirm(sent.Add(-max(0, age)))
+func (tr *Tracker) HandleRelay(box string, sent time.Time, age time.Duration) (regained bool) {
+	return tr.confirm(sent.Add(-max(0, age)), box)
 }
 
 // HandleFailure records a failed call. It reports whether the connection to the service was lost by
@@ -90,9 +99,9 @@
 // Failing reports whether the last call failed.
 func (tr *Tracker) Failing() bool { return tr.failing }
 
-func (tr *Tracker) confirm(at time.Time) (regained bool) {
+func (tr *Tracker) confirm(at time.Time, source string) (regained bool) {
 	if at.After(tr.confirmed) {
-		tr.confirmed = at
+		tr.confirmed, tr.source = at, source
 	}
 	regained = !tr.connected
 	tr.connected, tr.failing = true, false
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -85,7 +85,7 @@
 	if !ok {
 		return ga.watchService(ctx, after, ga.watchWait(clock.Now()))
 	}
-	next, err := ga.requestUpdates(ctx, after)
+	next, err := ga.requestUpdates(ctx, wa, after)
 	if err == nil || ctx.Err() != nil {
 		return next, nil
 	}
@@ -162,6 +162,8 @@
 	storeFailures.Inc()
 	if wasConnected {
 		ga.Log.Warn().Int("event", int(event.StoreLost)).Dur("age_ms", age).Err(cause).Msg(event.Name(event.StoreLost))
+	} else {
+		ga.Log.Warn().Int("event", int(event.StoreCallFailed)).Dur("age_ms", age).Err(cause).Msg(event.Name(event.StoreCallFailed))
 	}
 	longest := min(maxOutagePause, max(maxRetryPause, time.Duration(outagePauseRatio*float64(age))))
 	if neverRead {
@@ -349,6 +351,8 @@
 	}
 	ga.table.Store(ta)
 	ga.document = doc
+	configVersion.Set(float64(doc.Version))
 	ga.Log.Info().Int("event", int(event.ConfigInForce)).Uint64("version", doc.Version).Uint64("version_before", current).
-		Int("routes", len(doc.Routes)).Int("teams", len(doc.Teams)).Msg(event.Name(event.ConfigInForce))
+		Int("routes", len(doc.Routes)).Int("teams", len(doc.Teams)).
+		Str("source", ga.freshness.Source()).Dur("age_ms", ga.freshness.Age(clock.Now())).Msg(event.Name(event.ConfigInForce))
 }
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -170,6 +171,19 @@
 	})
 }
 
+func TestSourceOfConfigurationIsLogged(t *testing.T) {
+	ga, log := newServingGateway()
+	document := func(version uint64) []Change { return []Change{{Document: &routing.Document{Version: version}}} }
+	now := time.Now()
+	ga.applyWatch(State{Revision: rev(8), Changes: document(11)}, now, time.Second, now)
+	require.Contains(t, log.String(), `"version":11,"version_before":1,"routes":0,"teams":0,"source":"service","age_ms":`)
+	data, err := cbor.Marshal(document(12))
+	require.NoError(t, err)
+	_, err = ga.applySnapshot("w", relay.Update{Revision: rev(9), Snapshot: data}, time.Now())
+	require.NoError(t, err)
+	require.Contains(t, log.String(), `"version":12,"version_before":11,"routes":0,"teams":0,"source":"w","age_ms":`)
+}
+
 func TestLogOfChangesIsParsedByExplain(t *testing.T) {
 	ga, log := newServingGateway(Change{Evacuated: "dc9"}, orderAt(inEra(1, 3), "v2"), phaseAt(inEra(1, 4), inEra(1, 3), rollout.Trying))
 	doc := coldDocument()
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -103,7 +103,7 @@
 	f.Add([]byte("truncated"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		ga := newGatewayWithState()
-		_, err := ga.applySnapshot(relay.Update{Revision: rev(9), Snapshot: data}, clock.Now())
+		_, err := ga.applySnapshot("a", relay.Update{Revision: rev(9), Snapshot: data}, clock.Now())
 		if err != nil {
 			checkInvariants(t, ga)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -264,11 +264,12 @@
 	return !ga.Stopping() && ga.table.Load() != nil && ga.acceptsKeysLocked(now)
 }
 
-// configAge returns an upper bound on the age of the configuration.
-func (ga *Gateway) configAge(now time.Time) time.Duration {
+// configAge returns an upper bound on the age of the configuration, and the box of the gateway or the
+// service that confirmed it.
+func (ga *Gateway) configAge(now time.Time) (age time.Duration, source string) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	return ga.freshness.Age(now)
+	return ga.freshness.Age(now), ga.freshness.Source()
 }
 
 // acceptsKeys reports whether the configuration is recent enough to accept keys.
@@ -317,6 +318,9 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.freshness.Tick(now)
+	if ga.freshness.EverConfirmed() {
+		configAgeSeconds.Set(ga.freshness.Age(now).Seconds())
+	}
 }
 
 // logSuspension logs that the box was suspended since the last tick.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,10 @@
 
 var (
 	storeFailures     = metrics.NewCounter(`linnetrudder_store_failures_total`)
+	// configVersion is the version of the configuration in force, configAgeSeconds the upper bound of its
+	// age.
+	configVersion     = metrics.NewGauge(`linnetrudder_config_version`, nil)
+	configAgeSeconds  = metrics.NewGauge(`linnetrudder_config_age_seconds`, nil)
 	storeEra          = metrics.NewGauge(`linnetrudder_store_era`, nil)
 	serverEnds        = metrics.NewCounter(`linnetrudder_server_ends_total`)
 	requestBlocks     = metrics.NewCounter(`linnetrudder_request_blocks_total`)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -68,7 +68,7 @@
 
 // requestUpdates requests the changes after a revision from the watcher once, and returns the
 // revision to continue from.
-func (ga *Gateway) requestUpdates(ctx context.Context, after revision.Revision) (revision.Revision, error) {
+func (ga *Gateway) requestUpdates(ctx context.Context, wa relay.Member, after revision.Revision) (revision.Revision, error) {
 	sent := clock.Now()
 	up, err := ga.relayClient.Fetch(ctx, relay.Request{After: after, Wait: ga.updateWait()})
 	switch {
@@ -77,7 +77,7 @@
 	case up.Age > maxRelayAge:
 		return after, errWatcherStale
 	case up.Snapshot != nil:
-		next, err := ga.applySnapshot(up, sent)
+		next, err := ga.applySnapshot(wa.Box, up, sent)
 		if err != nil {
 			return after, err
 		}
@@ -91,12 +91,12 @@
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	if ga.freshness.HandleRelay(wa.Box, sent, up.Age) {
+		ga.storeRecovered()
+	}
 	for i, changes := range batches {
 		ga.applyBatch(changes, up.Batches[i])
 	}
-	if ga.freshness.HandleRelay(sent, up.Age) {
-		ga.storeRecovered()
-	}
 	ga.announceConfirmation()
 	return up.Revision, nil
 }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -399,7 +399,7 @@
 	ga := &Gateway{Log: zerolog.Nop(), Box: "b", DataCentre: "dc"}
 	ga.prepare()
 	require.NoError(t, ga.applyReadState(State{Revision: rev(2), Changes: []Change{{Server: &directory.Server{ID: "gone", Service: "s"}}}}, now))
-	at, err := ga.applySnapshot(up, now)
+	at, err := ga.applySnapshot("a", up, now)
 	require.NoError(t, err)
 	require.Equal(t, rev(9), at)
 	require.Equal(t, uint64(3), ga.Table().Version())
@@ -408,7 +408,7 @@
 	require.Equal(t, rollout.Trying, ga.rollouts["s"].canary.Phase())
 	require.Contains(t, ga.members, "a")
 
-	_, err = ga.applySnapshot(relay.Update{Snapshot: []byte{1, 2}}, now)
+	_, err = ga.applySnapshot("a", relay.Update{Snapshot: []byte{1, 2}}, now)
 	require.Error(t, err)
 	require.Equal(t, uint64(3), ga.Table().Version(), "a state that cannot be decoded changes nothing")
 }
--- a/internal/gateway/selfreports_test.go
+++ b/internal/gateway/selfreports_test.go
@@ -307,7 +307,7 @@
 	wa, _ := newServingGateway(Change{Member: &relay.Member{Box: "a", DataCentre: "dc0", Address: "127.0.0.1:1"}})
 	wa.markLeaving("x2", now, 0, "")
 	ga, _ := newServingGateway()
-	_, err := ga.applySnapshot(wa.Updates(t.Context(), relay.Request{After: rev(0)}), now)
+	_, err := ga.applySnapshot("a", wa.Updates(t.Context(), relay.Request{After: rev(0)}), now)
 	require.NoError(t, err)
 	require.Equal(t, map[string]bool{"x0": true, "x1": true}, pickedServers(ga, now))
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -113,15 +113,17 @@
 	usageCounted bool
 	// headAt is when the head of the first delivered response arrived.
 	headAt time.Time
-	// configAge is the age of the configuration when the request was admitted.
-	configAge time.Duration
+	// configAge is the age of the configuration when the request was admitted, configSource what
+	// confirmed it.
+	configAge    time.Duration
+	configSource string
 }
 
 // admit checks what can be checked from the head of the request, before its body is read.
 func (ex *exchange) admit(now time.Time) result.Code {
 	ga := ex.ga
 	ex.table = ga.table.Load()
-	ex.configAge = ga.configAge(now)
+	ex.configAge, ex.configSource = ga.configAge(now)
 	if ex.table == nil {
 		return result.NoConfiguration
 	}
@@ -340,7 +342,8 @@
 	}
 	countRequest(kind, co, took.Seconds())
 	le := ex.ga.Log.Info().Int("event", int(id)).Str("request", ex.rq.ID).Str("route", route).Str("team", ex.team()).
-		Str("session", ex.session).Int("code", int(co)).Uint64("version", ex.table.Version()).Dur("age_ms", ex.configAge).Dur("ms", took).
+		Str("session", ex.session).Int("code", int(co)).Uint64("version", ex.table.Version()).Dur("age_ms", ex.configAge).
+		Str("source", ex.configSource).Dur("ms", took).
 		Int("sends", len(ex.attempts)).Int("runs", ex.request.Runs()).
 		Str("print", ex.fingerprint.String())
 	if last := ex.lastAttempt(); last != nil {
--- a/internal/gateway/servers_test.go
+++ b/internal/gateway/servers_test.go
@@ -113,7 +113,7 @@
 	ga, _ := newServingGateway(Change{Evacuated: "dc2"})
 	up := wa.Updates(t.Context(), relay.Request{After: rev(0)})
 	require.NotEmpty(t, up.Snapshot)
-	_, err := ga.applySnapshot(up, now)
+	_, err := ga.applySnapshot("a", up, now)
 	require.NoError(t, err)
 	require.Equal(t, map[string]bool{"x0": true, "x2": true}, pickedServers(ga, now.Add(time.Minute)))
 }
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -56,8 +56,8 @@
 	return ga.eraGuard.Era()
 }
 
-// applySnapshot applies a complete state sent by a watcher.
-func (ga *Gateway) applySnapshot(up relay.Update, sent time.Time) (revision.Revision, error) {
+// applySnapshot applies a complete state sent by the watcher on a box.
+func (ga *Gateway) applySnapshot(from string, up relay.Update, sent time.Time) (revision.Revision, error) {
 	st := State{Revision: up.Revision}
 	if err := cbor.Unmarshal(up.Snapshot, &st.Changes); err != nil {
 		return revision.Revision{}, eris.Wrap(err, "decode state")
@@ -67,10 +67,10 @@
 	if !ga.eraGuard.Accept(st.Revision.Era, clock.Now()) {
 		return revision.Revision{}, errOlderEra
 	}
-	ga.replaceState(st)
-	if ga.freshness.HandleRelay(sent, up.Age) {
+	if ga.freshness.HandleRelay(from, sent, up.Age) {
 		ga.storeRecovered()
 	}
+	ga.replaceState(st)
 	return up.Revision, nil
 }
 
@@ -109,7 +109,7 @@
 		case up.Snapshot == nil:
 			lastErr = errWatcherHistory
 		default:
-			at, err := ga.applySnapshot(up, sent)
+			at, err := ga.applySnapshot(wa.Box, up, sent)
 			if err == nil {
 				return at, true
 			}
