fix(transport): one call, not one for each idle connection, finds out that connections are silent

Callers: for up to 6 s after all open connections had become silent, requests followed a configuration that had been replaced, and from 3.7 s on keys were refused.

Cause: a call that timed out closed only its own connection. The next one took the next idle connection of the pool (up to 32, for 20 s), which was as silent, and waited for its own timeout. TCP_USER_TIMEOUT does not see it: an idle connection has nothing unacknowledged, and the other end's kernel may still acknowledge.

Ruled out: keep-alive probes alone (a peer whose kernel answers them passes); no pool at all (new connections cost the service and the callers' boxes).

Now a call that reaches its deadline, before the head or within the body, closes the idle connections of its client.

Left: 1.5 s of wait, 1 s of timeout and up to 0.5 s of pause are as much as the 3 s after which a gateway counts as in touch.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -40,8 +40,9 @@
 	}
 }
 
-// NewClient returns an HTTP client with a transport of its own.
-func NewClient() *http.Client { return &http.Client{Transport: New(NewDialer())} }
+// NewClient returns an HTTP client with a transport of its own. It closes its idle connections when a
+// call is not answered before its deadline.
+func NewClient() *http.Client { return &http.Client{Transport: &idleDropper{New(NewDialer())}} }
 
 // NewDialer returns a dialer whose connections fail if their peer disappears without closing them.
 func NewDialer() *net.Dialer {
