fix(gateway): a watch without an answer is repeated within the time in which a gateway counts as connected

Callers: with one silent connection and an empty pool, keys were refused from 3.2 s after the silence (bound 5 s), and a change could come into force 3 s after it, the moment from which a gateway is bound again.

Cause: the wait of 1.5 s, the timeout of 1 s and the pause of up to 0.5 s add up to 3.0 s, and the watch after that waited up to another 0.8 s.

Ruled out: shorter waits (calls: a third more); no pause (an outage's first second would double its calls).

Now the answer to a watch may take 0.5 s beyond its wait, or 1 s after a failed call until one is answered promptly: the service takes up to 0.24 s in bad conditions. A watch asks for its answer at a fixed age of the configuration instead of half the time that is left, so an old configuration is confirmed by the next call. Sum: 1.5 + 0.5 + 0.5 (pause) + 0.1.

TestSilentWatchIsRepeatedBeforeTheGatewayCountsAsConnected: 40 moments of the silence; before: keys refused after 3.2 s; now 2.6 s at the most, which leaves 0.4 s for a lost SYN packet.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -15,6 +15,12 @@
 	// stallThreshold is the time between two ticks from which the process is assumed to have been
 	// stopped. A busy processor delays a tick by less.
 	stallThreshold = 4 * TickInterval
+	// answerTimeout is how long the answer to a call may take beyond the wait that the call asks for.
+	// longAnswerTimeout replaces it after a failed call until an answer arrives within promptAnswer,
+	// since the service may be slow. It answers in 4 ms, up to 60 times slower in bad conditions.
+	answerTimeout     = 500 * time.Millisecond
+	longAnswerTimeout = time.Second
+	promptAnswer      = answerTimeout / 2
 )
 
 // Tracker is the state of one process. The zero value has no confirmed time. It is not safe for
@@ -29,6 +35,8 @@
 	connected bool
 	// failing is set from a failed call until one succeeds.
 	failing bool
+	// slow is set from a failed call until an answer arrives within promptAnswer.
+	slow bool
 	// source is the process that confirmed the time, Service or the box of another gateway.
 	source string
 }
@@ -61,6 +69,9 @@
 // HandleWatch processes the answer to a watch, which is empty if there was no change within the
 // wait. It reports whether the connection to the service was lost before.
 func (tr *Tracker) HandleWatch(sent time.Time, wait time.Duration, empty bool, now time.Time) (regained bool) {
+	if now.Sub(sent) < wait+promptAnswer {
+		tr.slow = false
+	}
 	return tr.confirm(tr.earliestAnswer(sent, wait, empty, now), Service)
 }
 
@@ -89,10 +100,18 @@
 // it.
 func (tr *Tracker) HandleFailure() (lost bool) {
 	lost = tr.connected
-	tr.connected, tr.failing = false, true
+	tr.connected, tr.failing, tr.slow = false, true, true
 	return lost
 }
 
+// AnswerTimeout returns how long the answer to a call may take beyond the wait that the call asks for.
+func (tr *Tracker) AnswerTimeout() time.Duration {
+	if tr.slow {
+		return longAnswerTimeout
+	}
+	return answerTimeout
+}
+
 // EverConfirmed reports whether any time has been confirmed since the start.
 func (tr *Tracker) EverConfirmed() bool { return !tr.confirmed.IsZero() }
 
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -23,6 +23,17 @@
 	require.Equal(t, atMS(4060), tr.earliestAnswer(atMS(4050), time.Second, false, atMS(4060)))
 }
 
+func TestAnswerTimeoutIsLongerUntilTheServiceAnswersPromptly(t *testing.T) {
+	var tr Tracker
+	require.Equal(t, answerTimeout, tr.AnswerTimeout())
+	tr.HandleFailure()
+	require.Equal(t, longAnswerTimeout, tr.AnswerTimeout())
+	tr.HandleWatch(atMS(0), time.Second, true, atMS(1600))
+	require.Equal(t, longAnswerTimeout, tr.AnswerTimeout(), "a slow answer")
+	tr.HandleWatch(atMS(2000), time.Second, true, atMS(3010))
+	require.Equal(t, answerTimeout, tr.AnswerTimeout())
+}
+
 func TestConnectionLostAndRegained(t *testing.T) {
 	var tr Tracker
 	require.True(t, tr.HandleRead(atMS(0)))
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -17,11 +17,11 @@
 )
 
 const (
-	// maxWatchWait is the longest wait of a watch. A shorter wait confirms the configuration more often
-	// but costs more calls.
+	// maxWatchWait is the longest wait of a watch, and the age of the configuration at which a watch asks
+	// for an answer. A shorter wait confirms the configuration more often but costs more calls.
 	maxWatchWait = 1500 * time.Millisecond
-	// rootWatchWait is the longest wait of a watch by a root. Its state reaches other gateways over two
-	// hops, and they can no longer reject unknown keys once it is older than denyAge.
+	// rootWatchWait replaces maxWatchWait for a root. Its state reaches other gateways over two hops, and
+	// they can no longer reject unknown keys once it is older than denyAge.
 	rootWatchWait = time.Second
 	// minWatchWait is the shortest wait of a watch.
 	minWatchWait = minRetryPause
@@ -100,7 +100,9 @@
 // watchService waits once for changes from the key-value service.
 func (ga *Gateway) watchService(ctx context.Context, after revision.Revision, wait time.Duration) (revision.Revision, error) {
 	sent := clock.Now()
-	st, err := ga.Store.Watch(ctx, after, wait)
+	wctx, cancel := context.WithTimeout(ctx, wait+ga.answerTimeout())
+	defer cancel()
+	st, err := ga.Store.Watch(wctx, after, wait)
 	if err != nil {
 		return after, err
 	}
@@ -114,6 +116,13 @@
 	return st.Revision, nil
 }
 
+// answerTimeout returns how long the answer to a watch may take beyond its wait.
+func (ga *Gateway) answerTimeout() time.Duration {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.freshness.AnswerTimeout()
+}
+
 // checkContinuity returns nil if the changes up to a revision are complete since another one, and
 // ErrHistoryUnavailable if the service was restored in between: changes written since the restore
 // may reuse revisions that have already been seen.
@@ -130,7 +139,7 @@
 }
 
 // watchWait returns how long a watch waits. The older the configuration, the sooner it has to be
-// confirmed, so that keys are accepted without interruption.
+// confirmed.
 func (ga *Gateway) watchWait(now time.Time) time.Duration {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
@@ -138,14 +147,11 @@
 	if ga.relayPlan.IsRoot(ga.memberList()) {
 		longest = rootWatchWait
 	}
-	if ga.Bounds.MaxConfigAge == 0 {
-		return longest
-	}
-	if ga.freshness.Age(now) > maxRelayAge {
-		return minWatchWait // a call without an answer must end before keys are refused
+	age := ga.freshness.Age(now)
+	if ga.Bounds.MaxConfigAge != 0 {
+		longest = min(longest, ga.Bounds.keyAcceptanceAge()/2)
 	}
-	left := ga.Bounds.keyAcceptanceAge() - ga.freshness.Age(now)
-	return min(longest, max(minWatchWait, left/2))
+	return max(minWatchWait, longest-age)
 }
 
 // storeFailed records a failed call to the service and pauses.
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -195,3 +196,50 @@
 	require.NoError(t, st.Read(strings.NewReader(log.String())))
 	require.Zero(t, st.MalformedLines(), log.String())
 }
+
+// silentStore is a scriptedStore whose pending calls are never answered once it becomes silent. Calls
+// made since are answered.
+type silentStore struct {
+	*scriptedStore
+	silencedAt atomic.Int64
+}
+
+func (ss *silentStore) Watch(ctx context.Context, after revision.Revision, wait time.Duration) (State, error) {
+	sent := time.Now().UnixNano()
+	sleep(ctx, wait)
+	if sent < ss.silencedAt.Load() {
+		<-ctx.Done()
+		return State{}, ctx.Err()
+	}
+	return State{Revision: after}, nil
+}
+
+// The time until a silent call is repeated must leave room for one lost SYN packet before the gateway
+// counts as connected again, 3 s after the silence.
+func TestSilentWatchIsRepeatedBeforeTheGatewayCountsAsConnected(t *testing.T) {
+	const limit = 3*time.Second - 400*time.Millisecond
+	for step := range 40 {
+		synctest.Test(t, func(t *testing.T) {
+			ss := &silentStore{scriptedStore: &scriptedStore{}}
+			ga := &Gateway{Log: zerolog.Nop(), Store: ss, Bounds: Bounds{MaxConfigAge: 5 * time.Second, RetryWindow: time.Second}}
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() { _ = ga.Run(ctx) }()
+			time.Sleep(5*time.Second + time.Duration(step)*50*time.Millisecond)
+			began := time.Now()
+			ss.silencedAt.Store(began.UnixNano())
+			for ga.freshnessConfirmedAt().Before(began) {
+				time.Sleep(10 * time.Millisecond)
+				require.True(t, ga.acceptsKeys(time.Now()), "keys are refused %s after the silence", time.Since(began))
+			}
+			require.LessOrEqual(t, time.Since(began), limit)
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
+func (ga *Gateway) freshnessConfirmedAt() time.Time {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.freshness.ConfirmedAt()
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,7 +9,7 @@
 )
 
 var (
-	storeFailures     = metrics.NewCounter(`linnetrudder_store_failures_total`)
+	storeFailures = metrics.NewCounter(`linnetrudder_store_failures_total`)
 	// configVersion is the version of the configuration in force, configAgeSeconds the upper bound of its
 	// age.
 	configVersion     = metrics.NewGauge(`linnetrudder_config_version`, nil)
