fix(freshness): a delayed answer with changes confirms only the time of its call

Callers: a key that had been taken away could be accepted longer than its bound. An answer with changes was taken as given at the moment at which it arrived, unless this process had been stopped. A lost packet that is sent again delays it as well, by up to the wait and the timeout of the call (2 s), more than the 1.3 s that the bound on keys keeps in reserve.

Now such an answer confirms the time at which the call was sent. The next call follows sooner, by the age of the configuration. The check for stalls of the process is not needed any more.

freshness.TestDelayedWatchAnswerConfirmsOnlyTheTimeOfTheCall; the assertion of TestWatchAnswerReadAfterStall that an answer without a stall confirms its arrival is replaced by the stricter bound.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -10,11 +10,6 @@
 import "time"
 
 const (
-	// TickInterval is the interval at which Tick must be called.
-	TickInterval = 100 * time.Millisecond
-	// stallThreshold is the time between two ticks from which the process is assumed to have been
-	// stopped. A busy processor delays a tick by less.
-	stallThreshold = 4 * TickInterval
 	// answerTimeout is how long the answer to a call may take beyond the wait that the call asks for.
 	// longAnswerTimeout replaces it after a failed call until an answer arrives within promptAnswer,
 	// since the service may be slow. It answers in 4 ms, up to 60 times slower in bad conditions.
@@ -28,9 +23,6 @@
 type Tracker struct {
 	// confirmed is the time up to which all changes are known. It never decreases.
 	confirmed time.Time
-	// lastTick is the time of the last tick, lastStall that of the last tick that came more than
-	// stallThreshold after the one before.
-	lastTick, lastStall time.Time
 	// connected is set while calls to the service succeed.
 	connected bool
 	// failing is set from a failed call until one succeeds.
@@ -54,14 +46,6 @@
 // ConfirmedAt returns the time up to which all changes are known.
 func (tr *Tracker) ConfirmedAt() time.Time { return tr.confirmed }
 
-// Tick records that the process is running.
-func (tr *Tracker) Tick(now time.Time) {
-	if !tr.lastTick.IsZero() && now.Sub(tr.lastTick) > stallThreshold {
-		tr.lastStall = now
-	}
-	tr.lastTick = now
-}
-
 // HandleRead processes the answer to a full read that was sent at the given time. It reports
 // whether the connection to the service was lost before.
 func (tr *Tracker) HandleRead(sent time.Time) (regained bool) { return tr.confirm(sent, Service) }
@@ -72,21 +56,17 @@
 	if now.Sub(sent) < wait+promptAnswer {
 		tr.slow = false
 	}
-	return tr.confirm(tr.earliestAnswer(sent, wait, empty, now), Service)
+	return tr.confirm(earliestAnswer(sent, wait, empty, now), Service)
 }
 
 // earliestAnswer returns a lower bound, as late as possible, of the time at which a watch was
-// answered. An empty answer is given at the end of the wait. Any other answer is taken as given
-// now, unless this process was stopped meanwhile: then the answer may have been received long
-// before it was read, and the bound is the time at which the watch was sent.
-func (tr *Tracker) earliestAnswer(sent time.Time, wait time.Duration, empty bool, now time.Time) time.Time {
+// answered. An empty answer is given at the end of the wait. Any other answer may have been given at
+// once and delayed since, by the network or because this process was stopped.
+func earliestAnswer(sent time.Time, wait time.Duration, empty bool, now time.Time) time.Time {
 	if empty && now.Sub(sent) >= wait {
 		return sent.Add(wait)
 	}
-	if now.Sub(tr.lastTick) > stallThreshold || tr.lastStall.After(sent) {
-		return sent
-	}
-	return now
+	return sent
 }
 
 // HandleRelay processes the answer of another gateway's box to a request that was sent at the given
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -12,15 +12,17 @@
 func atMS(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 func TestWatchAnswerReadAfterStall(t *testing.T) {
+	sent, wake := atMS(0), atMS(4000)
+	require.Equal(t, sent, earliestAnswer(sent, 5*time.Second, false, wake))
+	require.Equal(t, atMS(1000), earliestAnswer(sent, time.Second, true, wake), "an empty answer is given at the end of the wait")
+	require.Equal(t, sent, earliestAnswer(sent, time.Second, true, atMS(900)), "empty, but given early")
+}
+
+// A packet that is lost and sent again delays an answer without a stall of this process.
+func TestDelayedWatchAnswerConfirmsOnlyTheTimeOfTheCall(t *testing.T) {
 	var tr Tracker
-	sent := atMS(0)
-	tr.Tick(atMS(100))
-	wake := atMS(4000)
-	require.Equal(t, sent, tr.earliestAnswer(sent, 5*time.Second, false, wake), "before the first tick after the stall")
-	tr.Tick(wake)
-	require.Equal(t, sent, tr.earliestAnswer(sent, 5*time.Second, false, wake), "after the first tick")
-	require.Equal(t, atMS(1000), tr.earliestAnswer(sent, time.Second, true, wake), "an empty answer is given at the end of the wait")
-	require.Equal(t, atMS(4060), tr.earliestAnswer(atMS(4050), time.Second, false, atMS(4060)))
+	tr.HandleWatch(atMS(0), 1500*time.Millisecond, false, atMS(1900))
+	require.Equal(t, atMS(0), tr.ConfirmedAt())
 }
 
 func TestAnswerTimeoutIsLongerUntilTheServiceAnswersPromptly(t *testing.T) {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -25,7 +25,8 @@
 	rootWatchWait = time.Second
 	// minWatchWait is the shortest wait of a watch.
 	minWatchWait = minRetryPause
-	// changeBatchPause is the pause after changes, so that the changes that follow arrive in one call.
+	// changeBatchPause is the longest pause after changes, so that the changes that follow arrive in one
+	// call.
 	changeBatchPause = 300 * time.Millisecond
 	// maxMissedChangeAge is how long watches may miss changes. An order that a complete read returns for
 	// the first time may be that old.
@@ -111,7 +112,7 @@
 	}
 	ga.applyWatch(st, sent, wait, clock.Now())
 	if len(st.Changes) > 0 {
-		sleep(ctx, changeBatchPause)
+		sleep(ctx, min(changeBatchPause, ga.watchWait(clock.Now())-minWatchWait))
 	}
 	return st.Revision, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,8 @@
 	// slightly slow.
 	staleMargin = 1300 * time.Millisecond
 	staleShare  = 3
+	// tickInterval is the interval of the gateway's periodic work.
+	tickInterval = 100 * time.Millisecond
 	// denyAge is the age of the configuration up to which requests are rejected for an unknown route or
 	// key. An older configuration may lack routes and keys that have been added since.
 	denyAge = 2500 * time.Millisecond
@@ -293,7 +295,7 @@
 }
 
 func (ga *Gateway) tick(ctx context.Context) {
-	ti := time.NewTicker(freshness.TickInterval)
+	ti := time.NewTicker(tickInterval)
 	defer ti.Stop()
 	for {
 		select {
@@ -301,7 +303,7 @@
 			return
 		case <-ti.C:
 			now := clock.Now()
-			ga.recordTick(now)
+			ga.recordConfigAge(now)
 			ga.logSuspension()
 			ga.dropMissing(now)
 			ga.expireLost(now)
@@ -314,10 +316,9 @@
 	}
 }
 
-func (ga *Gateway) recordTick(now time.Time) {
+func (ga *Gateway) recordConfigAge(now time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.freshness.Tick(now)
 	if ga.freshness.EverConfirmed() {
 		configAgeSeconds.Set(ga.freshness.Age(now).Seconds())
 	}
