fix(relay): the age up to which a watcher's state is used follows from the bound on configurations

Cause: the sum of waits was longer than the bound, and nothing derived one from the other. Four gateways all call the service, so it takes added ones.

Now the age is the bound less the time to recover from elsewhere; a watcher answers at the moment at which its state becomes too old; the first request to a watcher does not wait, so one that is gone costs 0.4 s instead of 0.9 s; the other watcher is asked before an outdated one again; the answer says how long it waited, so a follower's state is up to 0.5 s less old. Unknown routes and keys are denied only by a configuration not older than the bound.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -70,10 +70,10 @@
 }
 
 // HandleRelay processes the answer of another gateway's box to a request that was sent at the given
-// time; age is the maximum age of that gateway's state. It reports whether the connection to the service
-// was lost before.
+// time. age is the maximum age that the other gateway's state had when it received the request, negative
+// if that state was confirmed later. It reports whether the connection to the service was lost before.
 func (tr *Tracker) HandleRelay(box string, sent time.Time, age time.Duration) (regained bool) {
-	return tr.confirm(sent.Add(-max(0, age)), box)
+	return tr.confirm(sent.Add(-age), box)
 }
 
 // HandleFailure records a failed call. It reports whether the connection to the service was lost by
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -21,7 +21,7 @@
 	// for an answer. A shorter wait confirms the configuration more often but costs more calls.
 	maxWatchWait = 1500 * time.Millisecond
 	// rootWatchWait replaces maxWatchWait for a root. Its state reaches other gateways over two hops, and
-	// they can no longer reject unknown keys once it is older than denyAge.
+	// they can no longer reject unknown keys once it is older than longestDenyAge.
 	rootWatchWait = time.Second
 	// minWatchWait is the shortest wait of a watch.
 	minWatchWait = minRetryPause
@@ -146,7 +146,7 @@
 	defer ga.mu.Unlock()
 	longest := maxWatchWait
 	if ga.relayPlan.IsRoot(ga.memberList()) {
-		longest = rootWatchWait
+		longest = min(rootWatchWait, ga.Bounds.maxRelayAge()-rootSlack)
 	}
 	age := ga.freshness.Age(now)
 	if ga.Bounds.MaxConfigAge != 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,9 +54,9 @@
 	staleShare  = 3
 	// tickInterval is the interval of the gateway's periodic work.
 	tickInterval = 100 * time.Millisecond
-	// denyAge is the age of the configuration up to which requests are rejected for an unknown route or
-	// key. An older configuration may lack routes and keys that have been added since.
-	denyAge = 2500 * time.Millisecond
+	// longestDenyAge is the age of the configuration up to which requests are rejected at the most for an
+	// unknown route or key. An older configuration may lack routes and keys that have been added since.
+	longestDenyAge = 2500 * time.Millisecond
 )
 
 // Gateway serves requests. Its exported fields must be set before Run and Serve.
@@ -274,6 +274,17 @@
 	return ga.freshness.Age(now), ga.freshness.Source()
 }
 
+// denyAge returns the age of the configuration up to which requests are rejected for an unknown route or
+// key.
+func (ga *Gateway) denyAge() time.Duration {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if ga.Bounds.MaxPropagation == 0 {
+		return longestDenyAge
+	}
+	return min(longestDenyAge, ga.Bounds.MaxPropagation)
+}
+
 // acceptsKeys reports whether the configuration is recent enough to accept keys.
 func (ga *Gateway) acceptsKeys(now time.Time) bool {
 	ga.mu.Lock()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -21,14 +21,36 @@
 	// relayWait, since they pass the changes on.
 	relayWait  = 500 * time.Millisecond
 	relaySlack = 400 * time.Millisecond
-	// maxRelayAge is the age up to which a watcher's state is used. It is longer than a full wait for
-	// changes, changeBatchPause and two slow calls together.
-	maxRelayAge = 2200 * time.Millisecond
-	// minRelayBound is the lowest key acceptance age with which gateways request changes from watchers,
-	// whose responses may be older by one wait.
-	minRelayBound = maxRelayAge + relayWait
+	// longestRelayAge is the age up to which a watcher's state is used at the most.
+	longestRelayAge = 2200 * time.Millisecond
+	// relayRecovery is the time from the moment at which a watcher's state is out of date until its
+	// followers have the changes from elsewhere: the other watcher does not answer at once
+	// (watcherRetryPause, relaySlack), and the service is called after a pause.
+	relayRecovery = 2*watcherRetryPause + relaySlack + minWatchWait + 200*time.Millisecond
+	// minRelayAge is the lowest age for which gateways request changes from watchers: a root's wait and
+	// two slow calls.
+	minRelayAge = 1100 * time.Millisecond
+	// rootSlack is how much less than the age up to which its state is used a root waits.
+	rootSlack = 400 * time.Millisecond
 )
 
+// maxRelayAge returns the age up to which a watcher's state is used.
+func (bo Bounds) maxRelayAge() time.Duration {
+	if bo.MaxPropagation == 0 {
+		return longestRelayAge
+	}
+	return min(longestRelayAge, bo.MaxPropagation-relayRecovery)
+}
+
+// allowsRelay reports whether gateways may request changes from watchers. The responses may be older by
+// one wait.
+func (bo Bounds) allowsRelay() bool {
+	if bo.MaxConfigAge != 0 && bo.keyAcceptanceAge() < bo.maxRelayAge()+relayWait {
+		return false
+	}
+	return bo.maxRelayAge() >= minRelayAge
+}
+
 var (
 	errWatcherStale   = eris.New("the watcher's state is out of date")
 	errWatcherHistory = eris.New("the watcher has no history from the requested revision on")
@@ -43,7 +65,7 @@
 	defer ga.mu.Unlock()
 	var wa relay.Member
 	ok := false
-	if ga.Bounds.MaxConfigAge == 0 || ga.Bounds.keyAcceptanceAge() >= minRelayBound {
+	if ga.Bounds.allowsRelay() {
 		wa, ok = ga.relayPlan.Watcher(ga.memberList(), now)
 		if !ok && !ga.relayPlan.HasWatchers(ga.memberList()) {
 			wa, ok = ga.seed(now)
@@ -74,7 +96,7 @@
 	switch {
 	case err != nil:
 		return after, err
-	case up.Age > maxRelayAge:
+	case up.Age > ga.maxRelayAge():
 		return after, errWatcherStale
 	case up.Snapshot != nil:
 		next, err := ga.applySnapshot(wa.Box, up, sent)
@@ -91,7 +113,7 @@
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	if ga.freshness.HandleRelay(wa.Box, sent, up.Age) {
+	if ga.freshness.HandleRelay(wa.Box, sent, up.AgeAtRequest(clock.Since(sent))) {
 		ga.storeRecovered()
 	}
 	for i, changes := range batches {
@@ -117,8 +139,19 @@
 	ga.confirmed = make(chan struct{})
 }
 
-// updateWait returns how long the watcher may wait for changes.
+// maxRelayAge returns the age up to which a watcher's state is used.
+func (ga *Gateway) maxRelayAge() time.Duration {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.Bounds.maxRelayAge()
+}
+
+// updateWait returns how long the watcher may wait for changes. The first request to a watcher does not
+// wait, so that one that does not respond is detected sooner.
 func (ga *Gateway) updateWait() time.Duration {
+	if !ga.relayClient.Connected() {
+		return 0
+	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	if ga.servesUpdates(clock.Now()) {
@@ -158,7 +191,8 @@
 
 // Updates answers another gateway's request for changes.
 func (ga *Gateway) Updates(ctx context.Context, rq relay.Request) relay.Update {
-	timeout := time.NewTimer(rq.Wait)
+	received := clock.Now()
+	timeout := time.NewTimer(min(rq.Wait, max(0, ga.currentFor(received))))
 	defer timeout.Stop()
 	for waiting := true; ; {
 		ga.mu.Lock()
@@ -170,9 +204,10 @@
 			defer ga.mu.Unlock()
 			return ga.answerUnknownRevision(age)
 		}
+		outdated := age > ga.Bounds.maxRelayAge()
 		ga.mu.Unlock()
-		if len(batches) > 0 || age > maxRelayAge || !waiting {
-			return relay.Update{Revision: to, Age: age, Batches: batches}
+		if len(batches) > 0 || outdated || !waiting {
+			return relay.Update{Revision: to, Age: age, Waited: clock.Since(received), Batches: batches}
 		}
 		select {
 		case <-changed:
@@ -186,6 +221,14 @@
 	}
 }
 
+// currentFor returns how long this gateway's state remains recent enough for others unless it is
+// confirmed again. A watcher that is cut off responds then, so that the others do not wait any longer.
+func (ga *Gateway) currentFor(now time.Time) time.Duration {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.Bounds.maxRelayAge() - ga.freshness.Age(now) + time.Millisecond
+}
+
 // logAhead logs a request for changes after a revision that is later than the latest one of this
 // gateway. The lock is held.
 func (ga *Gateway) logAhead(after revision.Revision) {
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -349,6 +350,49 @@
 	}
 }
 
+func TestAgeOfRelayedStateLeavesTimeToRecoverWithinTheBound(t *testing.T) {
+	for _, tc := range []struct {
+		bound, age time.Duration
+		relay      bool
+	}{
+		{0, longestRelayAge, true},
+		{time.Second, 100 * time.Millisecond, false},
+		{2 * time.Second, 1100 * time.Millisecond, true},
+		{3 * time.Second, 2100 * time.Millisecond, true},
+		{5 * time.Second, longestRelayAge, true},
+	} {
+		bo := Bounds{MaxPropagation: tc.bound, MaxConfigAge: 5 * time.Second}
+		require.Equal(t, tc.age, bo.maxRelayAge(), tc.bound)
+		require.Equal(t, tc.relay, bo.allowsRelay(), tc.bound)
+	}
+}
+
+// Guards against followers that wait for a watcher whose state has become too old meanwhile.
+func TestWatcherRespondsWhenItsStateBecomesOutdated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga := &Gateway{Log: zerolog.Nop(), Box: "a", DataCentre: "dc", Bounds: Bounds{MaxPropagation: 2 * time.Second}}
+		ga.prepare()
+		began := time.Now()
+		require.NoError(t, ga.applyReadState(State{Revision: rev(5)}, began))
+		time.Sleep(time.Second)
+		up := ga.Updates(t.Context(), relay.Request{After: rev(5), Wait: relayWait})
+		require.Greater(t, up.Age, ga.Bounds.maxRelayAge())
+		require.Less(t, time.Since(began), ga.Bounds.maxRelayAge()+10*time.Millisecond)
+		require.Equal(t, up.Age-up.Waited, time.Second)
+	})
+}
+
+func TestUnknownRouteIsDeniedOnlyWithinTheBound(t *testing.T) {
+	ga, _ := newServingGateway()
+	for bound, want := range map[time.Duration]time.Duration{0: longestDenyAge, 2 * time.Second: 2 * time.Second, 3 * time.Second: longestDenyAge} {
+		ga.SetBounds(Bounds{MaxPropagation: bound})
+		for age, co := range map[time.Duration]result.Code{want: result.UnknownPath, want + 1: result.StaleConfiguration} {
+			ex := &exchange{ga: ga, configAge: age}
+			require.Equal(t, co, ex.notFound(result.UnknownPath), "%s, %s", bound, age)
+		}
+	}
+}
+
 // A gateway that starts to serve updates with a batch that it did not encode has no history of that
 // batch, and must report so to a gateway that requests it.
 func TestHistoryHasNoGapWhenAGatewayStartsServingUpdates(t *testing.T) {
--- a/internal/gateway/seeds.go
+++ b/internal/gateway/seeds.go
@@ -30,7 +30,7 @@
 func (ga *Gateway) readFromSeed(ctx context.Context) (revision.Revision, bool) {
 	ga.mu.Lock()
 	se, ok := ga.seed(clock.Now())
-	ok = ok && (ga.Bounds.MaxConfigAge == 0 || ga.Bounds.keyAcceptanceAge() >= minRelayBound)
+	ok = ok && ga.Bounds.allowsRelay()
 	ga.mu.Unlock()
 	if !ok {
 		return revision.Revision{}, false
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -156,7 +156,7 @@
 // notFound returns the code for a route or key that the configuration does not have. With an old
 // configuration the code is StaleConfiguration, since the route or key may have been added since.
 func (ex *exchange) notFound(co result.Code) result.Code {
-	if ex.configAge > denyAge {
+	if ex.configAge > ex.ga.denyAge() {
 		return result.StaleConfiguration
 	}
 	return co
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -67,7 +67,7 @@
 	if !ga.eraGuard.Accept(st.Revision.Era, clock.Now()) {
 		return revision.Revision{}, errOlderEra
 	}
-	if ga.freshness.HandleRelay(from, sent, up.Age) {
+	if ga.freshness.HandleRelay(from, sent, up.AgeAtRequest(clock.Since(sent))) {
 		ga.storeRecovered()
 	}
 	ga.replaceState(st)
@@ -86,7 +86,7 @@
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	if ga.Bounds.MaxConfigAge != 0 && ga.Bounds.keyAcceptanceAge() < minRelayBound {
+	if !ga.Bounds.allowsRelay() {
 		return relay.Member{}, false
 	}
 	return ga.relayPlan.Watcher(members, clock.Now())
@@ -104,7 +104,7 @@
 		switch {
 		case err != nil:
 			lastErr = err
-		case up.Age > maxRelayAge:
+		case up.Age > ga.maxRelayAge():
 			lastErr = errWatcherStale
 		case up.Snapshot == nil:
 			lastErr = errWatcherHistory
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -329,6 +329,9 @@
 	// MaxConfigAge is the maximum age of the configuration at which a key may be accepted, zero for no
 	// maximum. It bounds the time until a revoked key is rejected.
 	MaxConfigAge time.Duration
+	// MaxPropagation is the time from the acknowledgement of a configuration within which requests must
+	// follow it, zero for no bound.
+	MaxPropagation time.Duration
 	// RetryRatio and RetryWindow bound the attempts beyond the first of all gateways together.
 	RetryRatio  float64
 	RetryWindow time.Duration
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -53,6 +53,8 @@
 	// failed holds the time of each watcher's last failure, by box; stale holds the time at which
 	// each last answered that its state is out of date.
 	failed, stale map[string]time.Time
+	// asked is the watcher that Watcher returned last, empty once it has failed.
+	asked string
 	// serviceFailed is when the key-value service last failed to answer this gateway. staleSince is when
 	// a watcher first answered in the present outage that its state is out of date.
 	serviceFailed, staleSince time.Time
@@ -65,11 +67,23 @@
 // failed. If the service fails as well, a gateway that is not a watcher asks the watchers of other
 // data centres, and if these fail too, those of its own data centre again. Gateways that know the
 // same members select the same watchers, those with the largest links.
+//
+// A watcher that is not reported as failed or stale before the next call counts as having answered.
 func (pl *Plan) Watcher(members []Member, now time.Time) (Member, bool) {
+	delete(pl.failed, pl.asked)
+	delete(pl.stale, pl.asked)
+	wa, ok := pl.selectWatcher(members, now)
+	pl.asked = wa.Box
+	return wa, ok
+}
+
+func (pl *Plan) selectWatcher(members []Member, now time.Time) (Member, bool) {
 	own := watchersOf(members, pl.DataCentre)
 	if !pl.isOneOf(own) {
-		if len(own) > 0 && pl.waitsForWatchers(now) {
-			return own[xxhash.Sum64String(pl.Box)%uint64(len(own))], true
+		if len(pl.available(own, now)) == 0 && pl.waitsForWatchers(now) {
+			if outdated := pl.outdated(own, now); len(outdated) > 0 {
+				return pl.pick(outdated), true
+			}
 		}
 		return pl.choose(own, watchersOutside(members, pl.DataCentre), now)
 	}
@@ -93,7 +107,12 @@
 	if len(available) == 0 {
 		return Member{}, false
 	}
-	return available[xxhash.Sum64String(pl.Box)%uint64(len(available))], true
+	return pl.pick(available), true
+}
+
+// pick returns one of the members, another one for other gateways.
+func (pl *Plan) pick(list []Member) Member {
+	return list[xxhash.Sum64String(pl.Box)%uint64(len(list))]
 }
 
 // waitsForWatchers reports whether this gateway, which is not a watcher, asks watchers with an
@@ -113,6 +132,14 @@
 	return slices.DeleteFunc(slices.Clone(list), func(me Member) bool { return pl.Avoided(me.Box, now) })
 }
 
+// outdated returns the watchers that recently answered that their state is out of date.
+func (pl *Plan) outdated(list []Member, now time.Time) []Member {
+	return slices.DeleteFunc(slices.Clone(list), func(me Member) bool {
+		at, ok := pl.stale[me.Box]
+		return !ok || now.Sub(at) >= maxStaleWait
+	})
+}
+
 // serviceDelay returns the minimum time between two calls to a service that fails.
 func (pl *Plan) serviceDelay(now time.Time) time.Duration {
 	stale := 0
@@ -222,6 +249,9 @@
 	if pl.failed == nil {
 		pl.failed = map[string]time.Time{}
 	}
+	if pl.asked == box {
+		pl.asked = ""
+	}
 	pl.failed[box] = now
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,8 +30,10 @@
 type Update struct {
 	// Revision is the one to continue from.
 	Revision revision.Revision `cbor:"1,keyasint"`
-	// Age is an upper bound of the time since the watcher's state was complete.
-	Age time.Duration `cbor:"2,keyasint"`
+	// Age is an upper bound of the time since the watcher's state was complete, Waited the time since
+	// the watcher received the request.
+	Age    time.Duration `cbor:"2,keyasint"`
+	Waited time.Duration `cbor:"6,keyasint,omitempty"`
 	// Batches holds the changes in order.
 	Batches []Batch `cbor:"3,keyasint,omitempty"`
 	// Unknown is set if the watcher's history does not reach back to the revision.
@@ -41,6 +43,12 @@
 	Snapshot []byte `cbor:"5,keyasint,omitempty"`
 }
 
+// AgeAtRequest returns an upper bound of the age that the watcher's state had when it received the
+// request, negative if the state was confirmed later. elapsed is the time since the request was sent.
+func (up *Update) AgeAtRequest(elapsed time.Duration) time.Duration {
+	return max(0, up.Age) - max(0, min(up.Waited, elapsed))
+}
+
 // Batch holds changes that were received together. The fields are exported because the codec
 // needs them.
 type Batch struct {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -162,6 +162,55 @@
 	}
 }
 
+// Guards against the wait for an outdated watcher that ends only after another one, which does not answer,
+// was asked as well.
+func TestOtherWatcherIsAskedBeforeAnOutdatedOneAgain(t *testing.T) {
+	all := members(12)
+	pl := Plan{Box: "b09", DataCentre: "dc0"}
+	first, _ := pl.Watcher(all, now)
+	pl.Stale(first.Box, now)
+	at := now.Add(100 * time.Millisecond)
+	second, ok := pl.Watcher(all, at)
+	require.True(t, ok)
+	require.NotEqual(t, first.Box, second.Box)
+	at = at.Add(50 * time.Millisecond)
+	pl.Failed(second.Box, at)
+	again, ok := pl.Watcher(all, at)
+	require.True(t, ok)
+	require.Equal(t, first.Box, again.Box, "not the one that does not answer")
+	pl.Stale(again.Box, at)
+	_, ok = pl.Watcher(all, now.Add(maxStaleWait))
+	require.False(t, ok, "the service is called")
+}
+
+func TestWatcherThatAnswersAgainIsNotAvoided(t *testing.T) {
+	all := members(12)
+	pl := Plan{Box: "b09", DataCentre: "dc0"}
+	for at := now; at.Before(now.Add(minStaleWait)); at = at.Add(50 * time.Millisecond) {
+		wa, _ := pl.Watcher(all, at)
+		pl.Stale(wa.Box, at)
+	}
+	answered, ok := pl.Watcher(all, now.Add(minStaleWait-1))
+	require.True(t, ok)
+	wa, ok := pl.Watcher(all, now.Add(maxStaleWait+1))
+	require.True(t, ok)
+	require.Equal(t, answered.Box, wa.Box)
+}
+
+// A gateway does not rely on how long another one claims to have waited.
+func TestAgeAtRequestIsBoundedByElapsedTime(t *testing.T) {
+	for _, tc := range []struct{ age, waited, elapsed, want time.Duration }{
+		{700, 500, 510, 200},
+		{5, 300, 310, -295},
+		{5, 900, 310, -305},
+		{-50, 0, 10, 0},
+		{700, -20, 10, 700},
+	} {
+		up := Update{Age: tc.age, Waited: tc.waited}
+		require.Equal(t, tc.want, up.AgeAtRequest(tc.elapsed), tc)
+	}
+}
+
 // Guards against watchers that wait while only the roots are turned away by the service: keys were
 // refused for seconds where the service answered two of three gateways.
 func TestWatchersCallTheServiceWhenAllRootsAreOutdated(t *testing.T) {
--- a/internal/relay/socket.go
+++ b/internal/relay/socket.go
@@ -150,6 +150,9 @@
 	return nil
 }
 
+// Connected reports whether the connection is open.
+func (cl *Client) Connected() bool { return cl.conn != nil }
+
 // Close closes the connection, if there is one.
 func (cl *Client) Close() {
 	if cl.conn != nil {
