feat(gateway): a gateway that the service turns away follows another one

Cause: the plan had another source for gateways that follow watchers, none for those that are the watchers.

Ruled out: asking in place of the next call (an outage's end would be noticed later); following at once (in an outage the others' states look recent for a second, and nobody would call the service).

A gateway that others ask confirms its state more often. Gateways that are all turned away see each other's states grow old.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -44,6 +44,7 @@
 	WatcherFailed       ID = 406
 	RelayFailed         ID = 407
 	AskerAhead          ID = 408
+	FallbackAsked       ID = 409
 	LinkUp              ID = 500
 	LinkDown            ID = 501
 	LinkRefused         ID = 502
@@ -147,6 +148,7 @@
 	{WatcherFailed, "watcher_failed", "the gateway that watches the key-value service for this one did not deliver changes"},
 	{RelayFailed, "relay_failed", "changes could not be relayed to other gateways"},
 	{AskerAhead, "asker_ahead", "another gateway requested changes after a revision later than the latest one known here"},
+	{FallbackAsked, "fallback_asked", "the key-value service does not answer this process, which requests changes from another gateway"},
 	{LinkUp, "link_up", "a connection between two processes was opened"},
 	{LinkDown, "link_down", "a connection between two processes was closed"},
 	{LinkRefused, "link_refused", "a peer failed authentication with the shared key"},
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -23,10 +23,11 @@
 type Tracker struct {
 	// confirmed is the time up to which all changes are known. It never decreases.
 	confirmed time.Time
-	// connected is set while calls to the service succeed.
+	// connected is set while the service answers this process, or another gateway that it asks.
 	connected bool
-	// failing is set from a failed call until one succeeds.
-	failing bool
+	// failing is set from a failed call until a later time is confirmed. failedAt is when it failed.
+	failing  bool
+	failedAt time.Time
 	// slow is set from a failed call until an answer arrives within promptAnswer.
 	slow bool
 	// source is the process that confirmed the time, Service or the box of another gateway.
@@ -78,9 +79,9 @@
 
 // HandleFailure records a failed call. It reports whether the connection to the service was lost by
 // it.
-func (tr *Tracker) HandleFailure() (lost bool) {
+func (tr *Tracker) HandleFailure(now time.Time) (lost bool) {
 	lost = tr.connected
-	tr.connected, tr.failing, tr.slow = false, true, true
+	tr.connected, tr.failing, tr.failedAt, tr.slow = false, true, now, true
 	return lost
 }
 
@@ -95,13 +96,16 @@
 // EverConfirmed reports whether any time has been confirmed since the start.
 func (tr *Tracker) EverConfirmed() bool { return !tr.confirmed.IsZero() }
 
-// Failing reports whether the last call failed.
+// Failing reports whether no time since the last failed call is confirmed.
 func (tr *Tracker) Failing() bool { return tr.failing }
 
 func (tr *Tracker) confirm(at time.Time, source string) (regained bool) {
 	if at.After(tr.confirmed) {
 		tr.confirmed, tr.source = at, source
 	}
+	if at.Before(tr.failedAt) {
+		return false
+	}
 	regained = !tr.connected
 	tr.connected, tr.failing = true, false
 	return regained
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -20,8 +20,8 @@
 	// maxWatchWait is the longest wait of a watch, and the age of the configuration at which a watch asks
 	// for an answer. A shorter wait confirms the configuration more often but costs more calls.
 	maxWatchWait = 1500 * time.Millisecond
-	// rootWatchWait replaces maxWatchWait for a root. Its state reaches other gateways over two hops, and
-	// they can no longer reject unknown keys once it is older than longestDenyAge.
+	// rootWatchWait replaces maxWatchWait for a gateway that others ask. Its state may reach them over two
+	// hops, and they can no longer reject unknown keys once it is older than longestDenyAge.
 	rootWatchWait = time.Second
 	// minWatchWait is the shortest wait of a watch.
 	minWatchWait = minRetryPause
@@ -49,16 +49,18 @@
 // reads again when the history is not available.
 func (ga *Gateway) syncState(ctx context.Context) {
 	defer ga.relayClient.Close()
+	defer ga.fallbackClient.Close()
 	if at, ok := ga.readFromSeed(ctx); ok {
 		ga.watch(ctx, at)
 	}
 	for ctx.Err() == nil {
 		at, err := ga.readState(ctx)
 		if err != nil {
-			ga.storeFailed(ctx, err)
-			continue
+			at = ga.storeFailed(ctx, revision.Revision{}, err)
+		}
+		if !at.IsZero() {
+			ga.watch(ctx, at)
 		}
-		ga.watch(ctx, at)
 	}
 }
 
@@ -71,7 +73,7 @@
 			ga.Log.Warn().Int("event", int(event.HistoryGone)).Stringer("revision", after).Msg(event.Name(event.HistoryGone))
 			return
 		case err != nil:
-			ga.storeFailed(ctx, err)
+			after = ga.storeFailed(ctx, after, err)
 		default:
 			after = next
 		}
@@ -86,7 +88,7 @@
 	if !ok {
 		return ga.watchService(ctx, after, ga.watchWait(clock.Now()))
 	}
-	next, err := ga.requestUpdates(ctx, wa, after)
+	next, err := ga.requestUpdates(ctx, ga.updateSource(wa), after)
 	if err == nil || ctx.Err() != nil {
 		return next, nil
 	}
@@ -145,7 +147,7 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	longest := maxWatchWait
-	if ga.relayPlan.IsRoot(ga.memberList()) {
+	if ga.relayPlan.IsRoot(ga.memberList()) || ga.servesUpdates(now) {
 		longest = min(rootWatchWait, ga.Bounds.maxRelayAge()-rootSlack)
 	}
 	age := ga.freshness.Age(now)
@@ -155,13 +157,15 @@
 	return max(minWatchWait, longest-age)
 }
 
-// storeFailed records a failed call to the service and pauses.
-func (ga *Gateway) storeFailed(ctx context.Context, cause error) {
+// storeFailed records a failed call to the service and pauses. Meanwhile it requests the changes after a
+// revision from another gateway if there is one that the service answers, and returns the revision to
+// continue from.
+func (ga *Gateway) storeFailed(ctx context.Context, after revision.Revision, cause error) revision.Revision {
 	if ctx.Err() != nil {
-		return
+		return after
 	}
 	ga.mu.Lock()
-	wasConnected := ga.freshness.HandleFailure()
+	wasConnected := ga.freshness.HandleFailure(clock.Now())
 	ga.relayPlan.ServiceFailed(clock.Now())
 	ga.servers.StoreUnavailable()
 	age, neverRead := ga.freshness.Age(clock.Now()), !ga.freshness.EverConfirmed()
@@ -176,7 +180,12 @@
 	if neverRead {
 		longest = maxRetryPause // no other gateway knows of this one yet and could report to it
 	}
-	ga.awaitStore(ctx, minRetryPause+rand.N(longest-minRetryPause))
+	pause := minRetryPause + rand.N(longest-minRetryPause)
+	next, ok := ga.followFallback(ctx, after, pause)
+	if !ok {
+		ga.awaitStore(ctx, pause)
+	}
+	return next
 }
 
 // awaitStore waits for a pause, or until another gateway reports that the service answers again.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,8 +84,9 @@
 	// loggedSuspended is the total time of suspension at the last log entry. Only the goroutine of tick
 	// uses it.
 	loggedSuspended time.Duration
-	// relayClient requests changes from the watcher. Only the goroutine of syncState uses it.
-	relayClient relay.Client
+	// relayClient requests changes from the watcher, fallbackClient from another gateway while the service
+	// does not answer this one. Only the goroutine of syncState uses them.
+	relayClient, fallbackClient relay.Client
 	// table is the configuration in force, nil before the first one.
 	table atomic.Pointer[routing.Table]
 	// stop is set when a planned stop begins.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -88,18 +88,28 @@
 	ga.Log.Info().Int("event", int(id)).Str("watcher", wa.Box).Int("members", len(ga.members)).Msg(event.Name(id))
 }
 
-// requestUpdates requests the changes after a revision from the watcher once, and returns the
-// revision to continue from.
-func (ga *Gateway) requestUpdates(ctx context.Context, wa relay.Member, after revision.Revision) (revision.Revision, error) {
+// updateSource is a gateway to request changes from.
+type updateSource struct {
+	box    string
+	client *relay.Client
+	// wait is how long it may wait for changes, maxAge the age up to which its state is used.
+	wait, maxAge time.Duration
+}
+
+// requestUpdates requests the changes after a revision once and returns the revision to continue from.
+func (ga *Gateway) requestUpdates(ctx context.Context, us updateSource, after revision.Revision) (revision.Revision, error) {
+	if !us.client.Connected() {
+		us.wait = 0 // a gateway that does not respond is detected sooner
+	}
 	sent := clock.Now()
-	up, err := ga.relayClient.Fetch(ctx, relay.Request{After: after, Wait: ga.updateWait()})
+	up, err := us.client.Fetch(ctx, relay.Request{After: after, Wait: us.wait})
 	switch {
 	case err != nil:
 		return after, err
-	case up.Age > ga.maxRelayAge():
+	case up.Age > us.maxAge:
 		return after, errWatcherStale
 	case up.Snapshot != nil:
-		next, err := ga.applySnapshot(wa.Box, up, sent)
+		next, err := ga.applySnapshot(us.box, up, sent)
 		if err != nil {
 			return after, err
 		}
@@ -113,7 +123,7 @@
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	if ga.freshness.HandleRelay(wa.Box, sent, up.AgeAtRequest(clock.Since(sent))) {
+	if ga.freshness.HandleRelay(us.box, sent, up.AgeAtRequest(clock.Since(sent))) {
 		ga.storeRecovered()
 	}
 	for i, changes := range batches {
@@ -146,18 +156,15 @@
 	return ga.Bounds.maxRelayAge()
 }
 
-// updateWait returns how long the watcher may wait for changes. The first request to a watcher does not
-// wait, so that one that does not respond is detected sooner.
-func (ga *Gateway) updateWait() time.Duration {
-	if !ga.relayClient.Connected() {
-		return 0
-	}
+// updateSource returns the watcher as a source of changes.
+func (ga *Gateway) updateSource(wa relay.Member) updateSource {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	us := updateSource{box: wa.Box, client: &ga.relayClient, wait: relayWait, maxAge: ga.Bounds.maxRelayAge()}
 	if ga.servesUpdates(clock.Now()) {
-		return relayWait / 2
+		us.wait = relayWait / 2
 	}
-	return relayWait
+	return us
 }
 
 // mayCatchUp reports whether to call the service once because the watcher does not have the revision.
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -115,6 +115,24 @@
 	return list[xxhash.Sum64String(pl.Box)%uint64(len(list))]
 }
 
+// Fallback returns another gateway to request changes from while the key-value service does not answer
+// this one, which calls the service as a root, or as a watcher where there are no roots. The service may
+// turn only this gateway away.
+func (pl *Plan) Fallback(members []Member, now time.Time) (Member, bool) {
+	callers := rootsOf(members)
+	if len(callers) == 0 {
+		callers = allWatchers(members)
+	}
+	if !pl.isOneOf(callers) {
+		return Member{}, false
+	}
+	others := slices.DeleteFunc(pl.available(callers, now), func(me Member) bool { return me.Box == pl.Box })
+	if len(others) == 0 {
+		return Member{}, false
+	}
+	return pl.pick(others), true
+}
+
 // waitsForWatchers reports whether this gateway, which is not a watcher, asks watchers with an
 // outdated state again before it calls the service: the states of all watchers of a data centre become
 // out of date at the same moment, and often only for some tenths of a second. The time differs by box,
