fix(transport): idle connections to backend servers are closed when several servers are silent on reused ones

Callers: after all open connections had become silent, each idle connection to a backend server lost one request that may not be repeated, and delayed one that may.

The wait for a response is the caller's deadline for a request that may not be repeated.

Now an attempt on a reused connection without a response after four times the usual time (150 ms at least) is noted, unless the server has responded to another request since. Two such servers within a second close all idle connections, at most once in 5 s. The attempt itself goes on.

platform.TestRequestsAreLostOnlyUntilSilentServerConnectionsAreNoticed, 4 servers, 50 requests a second: 48 of 200 requests that may not be repeated lost before, the last one sent 1.0 s after the silence; 13 now, 0.25 s. Of those that may, 20 and 0.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -169,7 +169,8 @@
 	ex := se.ex
 	se.response, se.err = ex.ga.Backend.Call(ctx, &Attempt{
 		Request: ex.rq, Body: ex.body, Server: se.server, Team: ex.team(), Model: se.step.Model(),
-		QueuePriority: ex.queuePriority(se.step), Timeout: ex.serverTimeout(clock.Now()), LastEventID: ex.lastEventID(se.step), NewConnection: se.step.FinalRun(),
+		QueuePriority: ex.queuePriority(se.step), Timeout: ex.serverTimeout(clock.Now()), Patience: ex.patience(se.step.Model()),
+		LastEventID: ex.lastEventID(se.step), NewConnection: se.step.FinalRun(),
 	})
 	ex.ga.applySelfReport(se, clock.Now())
 	if se.err != nil || se.response.Stream {
@@ -214,6 +215,23 @@
 	return max(time.Millisecond, ex.request.Deadline.Sub(now))
 }
 
+const (
+	// patienceFactor is the multiple of the usual time to the response head after which a server counts
+	// as silent, minPatience the shortest such time.
+	patienceFactor = 4
+	minPatience    = 150 * time.Millisecond
+)
+
+// patience returns the time after which a server without a response counts as silent, zero if the usual
+// time is not known.
+func (ex *exchange) patience(model string) time.Duration {
+	usual := ex.Usual(model)
+	if usual == 0 {
+		return 0
+	}
+	return max(minPatience, patienceFactor*usual)
+}
+
 func (ex *exchange) lastEventID(step direct.Step) string {
 	if step.Resume() && ex.deliveredID != "" {
 		return ex.deliveredID
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -91,6 +91,9 @@
 	QueuePriority int
 	// Timeout is how long the server may work on the attempt.
 	Timeout time.Duration
+	// Patience is the time after which a server without a response counts as silent, which is noted for
+	// its idle connections. It does not end the attempt. It is zero if the usual time is not known.
+	Patience time.Duration
 	// LastEventID is the event after which a stream continues. It is empty to start from the beginning.
 	LastEventID string
 	// NewConnection forbids reuse of an idle connection. An idle connection may lead to a server that
