fix(settings): a watch of an entry ends within the time in which a change has to be in force

Operators: after all connections of a data centre's entries had become silent, a change was not in force there for up to 31 s; the target is 7 s.

A watch waits for 5 s by default instead of 30 s, and with the timeout of 1 s and the pause of 0.5 s the sum is 6.5 s. Entries and agents use the client that closes its idle connections after a call without an answer.

entry.TestSilentWatchIsRepeatedWithinThePropagationTarget failed before (31.5 s against 7 s).

--- a/cmd/linnetrudder/daemon.go
+++ b/cmd/linnetrudder/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/node"
 	"github.com/linnetrudder/linnetrudder/internal/settings"
 	"github.com/linnetrudder/linnetrudder/internal/timeline"
+	"github.com/linnetrudder/linnetrudder/internal/transport"
 )
 
 // daemon is the common part of the entry and agent roles: validated settings, open listeners, the log
@@ -58,7 +59,7 @@
 		},
 		listener: li,
 		admin:    ad,
-		http:     &http.Client{},
+		http:     transport.NewClient(),
 		ctx:      ctx,
 		stop:     stop,
 	}, nil
--- a/internal/entry/store_test.go
+++ b/internal/entry/store_test.go
@@ -11,6 +11,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/config"
 	"github.com/linnetrudder/linnetrudder/internal/kv"
 	"github.com/linnetrudder/linnetrudder/internal/node"
+	"github.com/linnetrudder/linnetrudder/internal/settings"
 	"github.com/linnetrudder/linnetrudder/internal/timeline"
 )
 
@@ -94,3 +95,10 @@
 	require.NoError(t, err)
 	require.Equal(t, uint64(10), store.pair.Index)
 }
+
+// A watch on a connection that has become silent must be repeated before a change has to be in force.
+func TestSilentWatchIsRepeatedWithinThePropagationTarget(t *testing.T) {
+	const target = 7 * time.Second
+	pl := settings.Default().Platform
+	require.Less(t, pl.WatchTimeout()+pl.Timeout()+watchPollInterval, target)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -96,7 +96,7 @@
 		Platform: Platform{
 			CallsPerSecond: 5,
 			TimeoutMS:      1000,
-			WatchMS:        30_000,
+			WatchMS:        5000,
 			BoxesMS:        1000,
 		},
 		Limits: Limits{
