--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -243,3 +243,17 @@
 	defer ga.mu.Unlock()
 	return ga.freshness.ConfirmedAt()
 }
+
+func TestCorrectedConfigurationReplacesARefusedOne(t *testing.T) {
+	ga, log := newServingGateway()
+	refused := routing.Document{Version: 11, Routes: []routing.Route{{Name: "r", Prefix: "no slash"}}}
+	ga.applyChange(Change{Document: &refused})
+	require.Contains(t, log.String(), "config_refused")
+	require.EqualValues(t, 1, ga.Table().Version())
+	for _, version := range []uint64{11, 12} {
+		ga.applyChange(Change{Document: &routing.Document{Version: version}})
+		require.Equal(t, version, ga.Table().Version())
+	}
+	ga.applyChange(Change{Document: &routing.Document{Version: 11}})
+	require.EqualValues(t, 12, ga.Table().Version(), "never back")
+}
--- a/internal/transport/idle.go
+++ b/internal/transport/idle.go
@@ -39,7 +39,7 @@
 // watchedBody is a response body whose read errors are reported to an idleDropper.
 type watchedBody struct {
 	io.ReadCloser
-	ctx     context.Context //nolint:containedctx // the request's
+	ctx     context.Context
 	dropper *idleDropper
 }
 
