--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -27,6 +27,7 @@
 	Poison   bool          `help:"Include a request that crashes the servers that run it."`
 	Reports  bool          `help:"Include servers that report their shutdown or a pause in responses."`
 	Restores bool          `help:"Include restores of the key-value service from older copies."`
+	Silences bool          `help:"Include open connections that become silent for good."`
 }
 
 func main() {
@@ -66,6 +67,9 @@
 		if ar.Restores {
 			pl = pl.WithRestores()
 		}
+		if ar.Silences {
+			pl = pl.WithSilences()
+		}
 		so := &soak.Runner{Bin: ar.Bin, Dir: dir, Callers: ar.Callers}
 		violations, err := so.Run(context.Background(), pl)
 		if err != nil {
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -77,11 +77,24 @@
 		sr.revokeKey()
 	case Poison:
 		sr.sendPoison(fa)
+	case ConnectionsSilent:
+		sr.silenceConnections()
 	default:
 		sr.injectServerFault(fa)
 	}
 }
 
+func (sr *soakRun) silenceConnections() {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	for _, gw := range sr.gateways {
+		gw.storeProxy.SilenceConnections()
+	}
+	for _, se := range sr.servers {
+		se.proxy.SilenceConnections()
+	}
+}
+
 // waitForEnd waits for the end of a fault, which has passed already if the fault had to wait for another
 // one on the same gateway.
 func (sr *soakRun) waitForEnd(fa Fault) { time.Sleep(time.Until(sr.history.start.Add(fa.End))) }
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -43,6 +43,9 @@
 	// StoreRestore restores the service, at the end of the fault, from a snapshot that was made at
 	// its start; the lost entries are written again at most maxRewriteDelay later.
 	StoreRestore FaultKind = "store-restored"
+	// ConnectionsSilent makes the open connections of all gateways to the key-value service and to backend
+	// servers silent for good; new ones work.
+	ConnectionsSilent FaultKind = "connections-silent"
 	// ServerCrash stops a backend server without notice, ServerDrain drains it first.
 	ServerCrash FaultKind = "server-crash"
 	ServerDrain FaultKind = "server-drain"
@@ -162,6 +165,26 @@
 	return pl
 }
 
+// silenceCount is how many silences WithSilences adds.
+const silenceCount = 3
+
+// WithSilences adds moments at which open connections become silent, each followed by a change of the
+// configuration and the revocation of a key. It has a random source of its own, so that the other faults
+// of the seed remain the same.
+func (pl Plan) WithSilences() Plan {
+	rn := rand.New(rand.NewPCG(pl.Seed, pl.Seed+4))
+	pl.Faults = slices.Clone(pl.Faults)
+	for range silenceCount {
+		at := warmUp + time.Duration(rn.Int64N(int64(pl.FaultsEnd-warmUp)))
+		for _, ki := range []FaultKind{ConnectionsSilent, ConfigChange, KeyRevocation} {
+			pl.Faults = append(pl.Faults, Fault{Kind: ki, Start: at, End: at})
+			at += requestInterval
+		}
+	}
+	slices.SortFunc(pl.Faults, func(a, b Fault) int { return int(a.Start - b.Start) })
+	return pl
+}
+
 // GeneratePlan generates the plan of a seed for a number of gateways and servers, with faults that
 // start within faultTime after the warm-up.
 func GeneratePlan(seed uint64, gateways, servers int, faultTime time.Duration) Plan {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -93,6 +93,16 @@
 	}
 }
 
+func TestGuaranteesHoldWhenConnectionsBecomeSilent(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			pl := GeneratePlan(seed, 3, 5, 6*time.Second).WithSilences()
+			require.Empty(t, runPlan(t, pl, ""), "%v", pl.Faults)
+		})
+	}
+}
+
 // Each check must detect a defect that violates its guarantee.
 func TestChecksDetectEachDefect(t *testing.T) {
 	seconds := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
