fix(duty): a resigned duty is not taken up again after a whole read

Callers: none; operators: after a holder of the usage duty had resigned, a whole read that still named it made it renew its lease without acting, so that no other process could report.

Cause: SetHolder took any entry that names this process for a duty to perform. Now an election remembers the entry that it resigned from; a later one of the same process is a new duty.

duty.TestResignedDutyIsNotTakenUpAgainAfterAWholeRead failed before (the lease is renewed).

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -70,6 +70,8 @@
 	vacantSince time.Time
 	// heldSince is when this process learned that it holds the duty, zero if it does not.
 	heldSince time.Time
+	// resigned is the holder from which this process resigned last. It is never taken up again.
+	resigned Holder
 	// leaseSent is when the last successful call to create or renew the lease was sent. The service
 	// counts the lease's duration from a later time.
 	leaseSent time.Time
@@ -89,6 +91,8 @@
 	switch {
 	case ho.IsZero():
 		el.vacantSince, el.heldSince = now, time.Time{}
+	case ho == el.resigned:
+		el.vacantSince, el.heldSince = time.Time{}, time.Time{}
 	case ho.Process == el.Process:
 		el.vacantSince = time.Time{}
 		if el.heldSince.IsZero() {
@@ -136,7 +140,7 @@
 
 // Resign makes this process stop acting, for instance because its fencing number was rejected. It
 // renews the lease no longer, so that the duty becomes vacant.
-func (el *Election) Resign() { el.heldSince, el.leaseSent = time.Time{}, time.Time{} }
+func (el *Election) Resign() { el.resigned, el.heldSince, el.leaseSent = el.holder, time.Time{}, time.Time{} }
 
 // ActsUntil returns the time until which this process may make calls as the holder, the zero time if
 // it may not make any now.
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -75,6 +75,21 @@
 	require.Equal(t, Wait, el.Next(0, t0.Add(2*time.Second)), "the lease is not renewed")
 }
 
+// Guards against a process that keeps the lease of a duty that it does not perform.
+func TestResignedDutyIsNotTakenUpAgainAfterAWholeRead(t *testing.T) {
+	el := Election{Process: 7, TTL: ttl}
+	el.LeaseConfirmed(t0)
+	el.SetHolder(holder(7, 20), t0)
+	el.Resign()
+	el.SetHolder(holder(7, 20), t0.Add(time.Second))
+	require.Equal(t, Wait, el.Next(0, t0.Add(ttl)), "the lease is not renewed")
+	el.SetHolder(Holder{}, t0.Add(ttl))
+	require.Equal(t, Acquire, el.Next(0, t0.Add(ttl+time.Second)))
+	el.LeaseConfirmed(t0.Add(ttl + time.Second))
+	el.SetHolder(holder(7, 30), t0.Add(ttl+time.Second))
+	require.False(t, el.ActsUntil(t0.Add(ttl+3*time.Second)).IsZero(), "acquired anew")
+}
+
 func TestOlderHolderOfALaggingPeerIsIgnored(t *testing.T) {
 	el := Election{Process: 7, TTL: ttl}
 	el.SetHolder(holder(9, 30), t0)
