refactor: one Sleep that ends with the context, in internal/clock

It stood three times (gateway, usage, entry). The detector of silent peers takes the time from internal/clock as well, as the rest of the gateway.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -6,6 +6,7 @@
 package clock
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +42,17 @@
 // Until returns the time until a point in time.
 func Until(at time.Time) time.Duration { return at.Sub(Now()) }
 
+// Sleep waits for a duration or until the context ends. The time for which the machine is suspended
+// meanwhile does not count.
+func Sleep(ctx context.Context, duration time.Duration) {
+	ti := time.NewTimer(duration)
+	defer ti.Stop()
+	select {
+	case <-ctx.Done():
+	case <-ti.C:
+	}
+}
+
 // Suspended returns the detected time for which the machine was suspended since the process
 // started.
 func Suspended() time.Duration { return time.Duration(processClock.suspended.Load()) }
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -1,6 +1,7 @@
 package clock
 
 import (
+	"context"
 	"errors"
 	"os"
 	"path/filepath"
@@ -132,3 +133,12 @@
 		}
 	}
 }
+
+func TestSleepEndsWithTheContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	began := time.Now()
+	Sleep(ctx, time.Minute)
+	Sleep(t.Context(), -time.Second)
+	require.Less(t, time.Since(began), 10*time.Second)
+}
--- a/internal/entry/blocks.go
+++ b/internal/entry/blocks.go
@@ -86,7 +86,7 @@
 		}
 		en.storeBlocks(ctx)
 		en.expireBlocks(now)
-		sleep(ctx, blocksInterval)
+		clock.Sleep(ctx, blocksInterval)
 	}
 	return ctx.Err()
 }
--- a/internal/entry/feedback.go
+++ b/internal/entry/feedback.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/choice"
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/config"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/node"
@@ -155,7 +156,7 @@
 			lastRead = now.Add(-rand.N(readInterval / 4))
 			en.readFeedback(ctx)
 		}
-		sleep(ctx, time.Second)
+		clock.Sleep(ctx, time.Second)
 	}
 	return ctx.Err()
 }
--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/change"
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/config"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/rollout"
@@ -20,7 +21,7 @@
 // them succeed, and the next one continues from what it stored.
 func (en *Entry) runRollouts(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, rolloutInterval)
+		clock.Sleep(ctx, rolloutInterval)
 		sn := en.Node.Snapshot()
 		if sn == nil || len(sn.Document().Rollouts) == 0 || !en.isLeader() {
 			continue
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/config"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/kv"
@@ -25,14 +26,14 @@
 			en.logWatching(watcher)
 		}
 		if !watching {
-			sleep(ctx, watchPollInterval)
+			clock.Sleep(ctx, watchPollInterval)
 			continue
 		}
 		next, err := en.watchOnce(ctx, index)
 		if err != nil {
 			en.Node.Record(timeline.Entry{Event: event.StoreCallFailed, Detail: err.Error()})
 			index = 0
-			sleep(ctx, watchPollInterval)
+			clock.Sleep(ctx, watchPollInterval)
 			continue
 		}
 		index = next
@@ -65,7 +66,7 @@
 		index = 0
 	}
 	if index == 0 {
-		sleep(ctx, watchPollInterval)
+		clock.Sleep(ctx, watchPollInterval)
 	}
 	en.install(ctx, pair)
 	return index, nil
@@ -118,10 +119,3 @@
 		en.Node.Record(timeline.Entry{Event: event.ConfigAccepted, Revision: en.storedConfig.Revision, Detail: "written again to a store that had lost it"})
 	}
 }
-
-func sleep(ctx context.Context, duration time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(duration):
-	}
-}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -96,7 +96,7 @@
 		return ga.watchService(ctx, after, minWatchWait)
 	}
 	ga.watcherFailed(wa, err)
-	sleep(ctx, watcherRetryPause)
+	clock.Sleep(ctx, watcherRetryPause)
 	return next, nil
 }
 
@@ -114,7 +114,7 @@
 	}
 	ga.applyWatch(st, sent, wait, clock.Now())
 	if len(st.Changes) > 0 {
-		sleep(ctx, min(changeBatchPause, ga.watchWait(clock.Now())-minWatchWait))
+		clock.Sleep(ctx, min(changeBatchPause, ga.watchWait(clock.Now())-minWatchWait))
 	}
 	return st.Revision, nil
 }
@@ -199,15 +199,6 @@
 	}
 }
 
-func sleep(ctx context.Context, pause time.Duration) {
-	ti := time.NewTimer(pause)
-	defer ti.Stop()
-	select {
-	case <-ctx.Done():
-	case <-ti.C:
-	}
-}
-
 // storeRecovered records that the service answers again. The lock is held.
 func (ga *Gateway) storeRecovered() {
 	ga.servers.StoreAvailable(clock.Now())
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/explain"
 	"github.com/linnetrudder/linnetrudder/internal/lease"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
@@ -54,7 +55,7 @@
 }
 
 func (sc *scriptedStore) Watch(ctx context.Context, after revision.Revision, wait time.Duration) (State, error) {
-	sleep(ctx, wait)
+	clock.Sleep(ctx, wait)
 	return State{Revision: after}, sc.err()
 }
 
@@ -206,7 +207,7 @@
 
 func (ss *silentStore) Watch(ctx context.Context, after revision.Revision, wait time.Duration) (State, error) {
 	sent := time.Now().UnixNano()
-	sleep(ctx, wait)
+	clock.Sleep(ctx, wait)
 	if sent < ss.silencedAt.Load() {
 		<-ctx.Done()
 		return State{}, ctx.Err()
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -59,7 +59,7 @@
 				wg.Go(func() { ga.exchangeLoads(pctx, pe) })
 			}
 		}
-		sleep(ctx, loadPeersInterval)
+		clock.Sleep(ctx, loadPeersInterval)
 	}
 }
 
@@ -92,14 +92,14 @@
 		}
 		if err != nil {
 			ga.markPeerFailed(to.member)
-			sleep(ctx, loadRetryDelay)
+			clock.Sleep(ctx, loadRetryDelay)
 			continue
 		}
 		progress.suspicions = next
 		progress.usage = ga.usageReplied(progress.usage, re, reply)
 		ga.reportAccepted(re, clock.Now())
 		ga.applyReportReply(reply, clock.Now())
-		sleep(ctx, loadReportInterval)
+		clock.Sleep(ctx, loadReportInterval)
 	}
 }
 
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/lease"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
@@ -70,7 +71,7 @@
 func (ga *Gateway) awaitMembershipNeed(ctx context.Context) {
 	wait := ga.joinDelay(rand.Float64())
 	for ctx.Err() == nil {
-		sleep(ctx, wait)
+		clock.Sleep(ctx, wait)
 		if ga.neededAsMember() {
 			return
 		}
--- a/internal/gateway/propagation_test.go
+++ b/internal/gateway/propagation_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/revision"
 )
@@ -83,7 +84,7 @@
 			return nil, err
 		}
 		if cu.has(&cu.fromGateways, from, host) {
-			sleep(ctx, 400*time.Millisecond)
+			clock.Sleep(ctx, 400*time.Millisecond)
 			return nil, errDialTimeout
 		}
 		conn, err := network.dial(ctx, "tcp", address)
@@ -104,7 +105,7 @@
 
 func (cs cutStore) Read(ctx context.Context, era uint64, continueRead func(State) bool) (State, bool, error) {
 	if cs.isCut() {
-		sleep(ctx, time.Second)
+		clock.Sleep(ctx, time.Second)
 		return State{}, false, errDialTimeout
 	}
 	return cs.storeView.Read(ctx, era, continueRead)
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -98,7 +98,7 @@
 	cl := relay.Client{Address: wa.Address, Timeout: snapshotSlack, HTTP: ga.RelayHTTP}
 	defer cl.Close()
 	var lastErr error
-	for end := clock.Now().Add(snapshotWait); ctx.Err() == nil && clock.Now().Before(end); sleep(ctx, snapshotRetryPause) {
+	for end := clock.Now().Add(snapshotWait); ctx.Err() == nil && clock.Now().Before(end); clock.Sleep(ctx, snapshotRetryPause) {
 		sent := clock.Now()
 		up, err := cl.Fetch(ctx, relay.Request{})
 		switch {
--- a/internal/gateway/storefallback.go
+++ b/internal/gateway/storefallback.go
@@ -41,7 +41,7 @@
 			left = fallbackDuration
 		}
 		left -= clock.Since(failed)
-		sleep(ctx, min(left, minFallbackInterval-clock.Since(sent)))
+		clock.Sleep(ctx, min(left, minFallbackInterval-clock.Since(sent)))
 	}
 	return after, true
 }
--- a/internal/transport/silence.go
+++ b/internal/transport/silence.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 )
 
 const (
@@ -92,10 +94,10 @@
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) },
 	})
-	sent := time.Now()
+	sent := clock.Now()
 	timer := time.AfterFunc(patience, func() {
 		if reused.Load() {
-			po.handleSilence(req.URL.Host, sent, time.Now())
+			po.handleSilence(req.URL.Host, sent, clock.Now())
 		}
 	})
 	defer timer.Stop()
@@ -103,7 +105,7 @@
 	if err == nil {
 		po.mu.Lock()
 		defer po.mu.Unlock()
-		po.detector.handleResponse(req.URL.Host, time.Now())
+		po.detector.handleResponse(req.URL.Host, clock.Now())
 	}
 	return resp, err //nolint:wrapcheck // as returned by the transport
 }
--- a/internal/usage/runner.go
+++ b/internal/usage/runner.go
@@ -97,7 +97,7 @@
 			ru.Log.Warn().Int("event", int(event.DutyCallFailed)).Err(err).Msg(event.Name(event.DutyCallFailed))
 			pause = retryInterval
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 }
 
@@ -249,12 +249,3 @@
 	ru.Log.Info().Int("event", int(event.UsageReported)).Uint64("window", uint64(re.Window)).Int("teams", len(re.Counts)).Int("requests", total).
 		Uint64("fence", ho.FencingNumber()).Dur("after_ms", ru.time.Now(now).Sub(re.Window.End(ru.Length))).Msg(event.Name(event.UsageReported))
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	ti := time.NewTimer(pause)
-	defer ti.Stop()
-	select {
-	case <-ctx.Done():
-	case <-ti.C:
-	}
-}
