--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -140,7 +140,9 @@
 
 // Resign makes this process stop acting, for instance because its fencing number was rejected. It
 // renews the lease no longer, so that the duty becomes vacant.
-func (el *Election) Resign() { el.resigned, el.heldSince, el.leaseSent = el.holder, time.Time{}, time.Time{} }
+func (el *Election) Resign() {
+	el.resigned, el.heldSince, el.leaseSent = el.holder, time.Time{}, time.Time{}
+}
 
 // ActsUntil returns the time until which this process may make calls as the holder, the zero time if
 // it may not make any now.
