fix(gateway): the time that a watcher waited is of the same moment as the age of its state

Found on the read of this change: a process that is stopped between the two readings would report a wait that includes the stop, and its follower would take its state for that much younger, so that it accepts a key longer than its bound allows.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -203,10 +203,11 @@
 	defer timeout.Stop()
 	for waiting := true; ; {
 		ga.mu.Lock()
-		ga.lastUpdateRequest = clock.Now()
+		now := clock.Now()
+		ga.lastUpdateRequest = now
 		ga.logAhead(rq.After)
 		batches, to, ok := ga.history.Since(rq.After)
-		age, changed, confirmed := ga.freshness.Age(ga.lastUpdateRequest), ga.changed, ga.confirmed
+		age, changed, confirmed := ga.freshness.Age(now), ga.changed, ga.confirmed
 		if !ok {
 			defer ga.mu.Unlock()
 			return ga.answerUnknownRevision(age)
@@ -214,7 +215,8 @@
 		outdated := age > ga.Bounds.maxRelayAge()
 		ga.mu.Unlock()
 		if len(batches) > 0 || outdated || !waiting {
-			return relay.Update{Revision: to, Age: age, Waited: clock.Since(received), Batches: batches}
+			// Age and Waited are of the same moment: the process may be stopped before it responds.
+			return relay.Update{Revision: to, Age: age, Waited: now.Sub(received), Batches: batches}
 		}
 		select {
 		case <-changed:
