feat(gateway): logs name the parts of prompts, and who blocked a request until when

The record of the incident can't tell which part of a prompt the suspects of the crashes have in common: no line names parts, and team and route are shared with sound requests.

No decision changes.

--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -24,7 +24,12 @@
 func (ru *run) recordSent() {
 	ru.ag.mu.Lock()
 	defer ru.ag.mu.Unlock()
-	ru.sent = ru.ag.dispatched.Sent(ru.ag.serverName(), ru.at.Fingerprint, ru.at.Request, clock.Now())
+	ru.sent = ru.ag.dispatched.Sent(ru.ag.serverName(), ru.subject(), clock.Now())
+}
+
+// subject returns the request as the detection of crashes sees it.
+func (ru *run) subject() poison.Subject {
+	return poison.Subject{Fingerprint: ru.at.Fingerprint, RequestID: ru.at.Request, Team: ru.at.Team}
 }
 
 // recordAnswered records that the server started to answer the attempt.
@@ -87,7 +92,7 @@
 	instance := ag.serverName() + "@" + strconv.FormatInt(clock.WallTime().UnixMilli(), 36)
 	var list []poison.Suspicion
 	for _, ru := range suspects {
-		if !ru.Fingerprint().IsZero() && !ag.detector.IsHarmless(ru.Fingerprint()) {
+		if fp := ru.Subject().Fingerprint; !fp.IsZero() && !ag.detector.IsHarmless(fp) {
 			list = append(list, ru.Suspicion(instance, at, now))
 		}
 	}
--- a/internal/entry/blocks.go
+++ b/internal/entry/blocks.go
@@ -44,7 +44,9 @@
 		duration := en.detector.Record(su, now)
 		en.mu.Unlock()
 		if duration > 0 {
-			en.addBlock(poison.NewBlock(su.Fingerprint, duration, clock.WallTime()), false, now)
+			bl := poison.NewBlock(su.Fingerprint, duration, clock.WallTime())
+			bl.Box, bl.Crashes = en.Node.Settings.Box, poison.MinCrashes
+			en.addBlock(bl, false, now)
 		}
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -89,7 +89,7 @@
 	se.selection, se.prompt = ex.selection, ex.prompt(step.Model())
 	ga.pool.Started(se.server.Key(), se.selection.PrefillTime(), now)
 	ga.recordAttempt(se.server, ex.route.Name, now)
-	se.run = ga.runs.Sent(se.server.Key(), ex.fingerprint, ex.rq.ID, now)
+	se.run = ga.runs.Sent(se.server.Key(), ex.subject, now)
 	ga.awaitingHead[se] = true
 	ga.logUnwantedAttempt(se, now)
 	ga.mu.Unlock()
--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -38,7 +38,9 @@
 		return
 	}
 	ga.storeBlockAt[su.Fingerprint] = now.Add(rand.N(blockWriteJitter))
-	ga.applyBlock(poison.NewBlock(su.Fingerprint, term, clock.WallTime()), false, now)
+	bl := poison.NewBlock(su.Fingerprint, term, clock.WallTime())
+	bl.Box, bl.Crashes = ga.Box, ga.crashDetector.CrashedServers(su.Fingerprint)
+	ga.applyBlock(bl, false, now)
 }
 
 // applyBlock applies a block, whatever its source. Attempts that no server has responded to yet are
@@ -55,15 +57,22 @@
 		ga.storeBlockAt[bl.Fingerprint] = ga.blockWriteTime(now.Add(watcherWriteDelay))
 	}
 	requestBlocks.Inc()
-	ga.Log.Warn().Int("event", int(event.RequestBlocked)).Str("print", bl.Fingerprint.String()).Int("servers", ga.crashDetector.CrashedServers(bl.Fingerprint)).
-		Dur("for_ms", ga.blocks.Remaining(bl.Fingerprint, now)).Bool("stored", stored).Msg(event.Name(event.RequestBlocked))
+	ga.logBlocked(bl, stored, now)
 	for se := range ga.awaitingHead {
-		if se.ex.fingerprint == bl.Fingerprint {
+		if se.ex.subject.Fingerprint == bl.Fingerprint {
 			se.abandon(false)
 		}
 	}
 }
 
+// logBlocked logs what is blocked, on what evidence, by whom and until when. The lock is held.
+func (ga *Gateway) logBlocked(bl poison.Block, stored bool, now time.Time) {
+	ga.Log.Warn().Int("event", int(event.RequestBlocked)).Str("print", bl.Fingerprint.String()).Str("by", bl.Box).
+		Int("servers", max(bl.Crashes, ga.crashDetector.CrashedServers(bl.Fingerprint))).
+		Dur("for_ms", ga.blocks.Remaining(bl.Fingerprint, now)).Time("until", bl.Until().UTC()).Bool("stored", stored).
+		Msg(event.Name(event.RequestBlocked))
+}
+
 // contestBlock disputes a block that another gateway created: it propagates a doubt and schedules
 // the removal of the block if it is stored. A gateway that has just started may block a common
 // request because it has seen no response to it yet. The lock is held.
--- a/internal/gateway/cluster_test.go
+++ b/internal/gateway/cluster_test.go
@@ -38,6 +38,8 @@
 	noResponse bool
 	// machineFails is set if boxes fail together with their servers and then refuse no connections.
 	machineFails bool
+	// isDeadly reports whether a request with a prompt crashes its server. It may be nil.
+	isDeadly func(rq *Request) bool
 
 	mu      sync.Mutex
 	servers map[string]*fakeServer
@@ -178,11 +180,15 @@
 	if pause, ok := cr.rejection(at, box); ok {
 		return nil, &RefusedError{Reason: "shed", Report: selfreport.Report{RetryAfter: max(0, pause), Leaving: cr.isLeaving(se)}}
 	}
-	poison := strings.HasSuffix(at.Request.Path, "/poison")
+	path := at.Request.Path
+	poison := strings.HasSuffix(path, "/poison")
+	if cr.isDeadly != nil && cr.isDeadly(at.Request) {
+		poison, path = true, deadlyPartRecord
+	}
 	if poison {
 		cr.mu.Lock()
 		cr.sent = append(cr.sent, time.Now())
-		pr := cr.recordOf(at.Request.Path)
+		pr := cr.recordOf(path)
 		pr.sent = append(pr.sent, time.Now())
 		cr.mu.Unlock()
 	}
@@ -192,7 +198,7 @@
 	events := 10
 	if poison {
 		events = 0
-		time.AfterFunc(cr.crashDelay, func() { cr.crashByPoison(at.Request.Path, se) })
+		time.AfterFunc(cr.crashDelay, func() { cr.crashByPoison(path, se) })
 		if cr.noResponse || at.Model == "" {
 			return nil, se.work(ctx, time.Hour)
 		}
@@ -460,21 +466,30 @@
 	})
 }
 
+// newRequest returns a request of a caller without a key.
+func newRequest(path, id string) *Request {
+	return &Request{
+		ID: id, Host: "h", Path: path, Target: path, Method: http.MethodPost, Received: time.Now(),
+		Timeout: 8 * time.Second, AnyModel: true, PromptTokens: 1000,
+		ReadBody: func() ([]byte, error) { return []byte(path), nil },
+	}
+}
+
+// serve passes a request to a gateway and returns its response.
+func (sc *testCluster) serve(gateway int, rq *Request) *recordingResponder {
+	ca := &recordingResponder{}
+	sc.mu.Lock()
+	ga := sc.gateways[gateway]
+	sc.mu.Unlock()
+	ga.Serve(sc.t.Context(), rq, ca)
+	ca.took, ca.answered = time.Since(rq.Received), ca.code == 0
+	return ca
+}
+
 // send sends a request to a gateway and records its response.
 func (sc *testCluster) send(gateway int, path, id string) {
 	sc.callers.Go(func() {
-		began := time.Now()
-		ca := &recordingResponder{}
-		rq := &Request{
-			ID: id, Host: "h", Path: path, Target: path, Method: http.MethodPost, Received: began,
-			Timeout: 8 * time.Second, AnyModel: true, PromptTokens: 1000,
-			ReadBody: func() ([]byte, error) { return []byte(path), nil },
-		}
-		sc.mu.Lock()
-		ga := sc.gateways[gateway]
-		sc.mu.Unlock()
-		ga.Serve(sc.t.Context(), rq, ca)
-		ca.took, ca.answered = time.Since(began), ca.code == 0
+		ca := sc.serve(gateway, newRequest(path, id))
 		sc.mu.Lock()
 		defer sc.mu.Unlock()
 		if strings.HasSuffix(path, "/poison") {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/clock"
@@ -100,7 +104,7 @@
 		ga.applySuspicion(ru.Suspicion(key, at, now), now)
 	}
 	ga.Log.Info().Int("event", int(event.ServerEnded)).Str("server", key).Int("suspects", len(suspects)).
-		Strs("prints", suspectNames(suspects)).Str("detail", reason).Msg(event.Name(event.ServerEnded))
+		Strs("prints", suspectNames(suspects)).Strs("parts", suspectParts(suspects)).Str("detail", reason).Msg(event.Name(event.ServerEnded))
 }
 
 // suspectNames returns the request ids and fingerprints of the first maxLoggedSuspects suspects for
@@ -108,7 +112,27 @@
 func suspectNames(suspects []*poison.Run) []string {
 	names := make([]string, 0, maxLoggedSuspects)
 	for _, ru := range suspects[:min(maxLoggedSuspects, len(suspects))] {
-		names = append(names, ru.RequestID()+" "+ru.Fingerprint().String())
+		names = append(names, ru.Subject().RequestID+" "+ru.Subject().Fingerprint.String())
+	}
+	return names
+}
+
+// suspectParts returns the parts in the prompts of the suspects for the log, as "part team count",
+// those that most suspects share first, at most maxLoggedSuspects.
+func suspectParts(suspects []*poison.Run) []string {
+	type sharedPart struct{ id, team string }
+	counts := map[sharedPart]int{}
+	for _, ru := range suspects {
+		for _, id := range ru.Subject().Parts {
+			counts[sharedPart{id, ru.Subject().Team}]++
+		}
+	}
+	list := slices.SortedFunc(maps.Keys(counts), func(a, b sharedPart) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a.id, b.id), cmp.Compare(a.team, b.team))
+	})
+	names := make([]string, 0, maxLoggedSuspects)
+	for _, pa := range list[:min(maxLoggedSuspects, len(list))] {
+		names = append(names, fmt.Sprintf("%s %s %d", pa.id, pa.team, counts[pa]))
 	}
 	return names
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -44,7 +44,7 @@
 		return
 	}
 	ex.body = body
-	ex.fingerprint = poison.FingerprintOf(poison.Request{
+	ex.subject.Fingerprint = poison.FingerprintOf(poison.Request{
 		Team: ex.team(), Method: rq.Method, Host: rq.Host, Target: rq.Target, Body: body,
 	})
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(ex.request.Deadline))
@@ -86,11 +86,11 @@
 	sessionless bool
 	draw        float64
 	body        []byte
-	// fingerprint identifies equal requests. It is known once the body has been read. trial is set if
-	// the request is sent once although it is blocked.
-	fingerprint poison.Fingerprint
-	trial       bool
-	request     direct.Request
+	// subject is the request as the detection of crashes sees it. Its fingerprint is known once the body
+	// has been read. trial is set if the request is sent once although it is blocked.
+	subject poison.Subject
+	trial   bool
+	request direct.Request
 	// attempts holds the attempts by number.
 	attempts map[int]*attemptState
 	// firstVersion is the version of the server that received the first attempt, empty before that.
@@ -172,6 +172,7 @@
 		ex.session = rq.Prompt[len(rq.Prompt)-1].ID
 	}
 	ex.sessionless = ex.session == ""
+	ex.subject = poison.Subject{RequestID: rq.ID, Team: ex.team(), Service: ex.service, Parts: poison.SharedParts(rq.partIDs())}
 	limit := ro.Timeout
 	if limit == 0 {
 		limit = defaultTimeout
@@ -250,7 +251,7 @@
 	}
 	ex.ga.mu.Lock()
 	defer ex.ga.mu.Unlock()
-	return ex.ga.blocks.RetryAfter(ex.fingerprint, now)
+	return ex.ga.blocks.RetryAfter(ex.subject.Fingerprint, now)
 }
 
 // Usual returns the usual time to the head of a model's response, or a multiple of the time
@@ -345,7 +346,10 @@
 		Str("session", ex.session).Int("code", int(co)).Uint64("version", ex.table.Version()).Dur("age_ms", ex.configAge).
 		Str("source", ex.configSource).Dur("ms", took).
 		Int("sends", len(ex.attempts)).Int("runs", ex.request.Runs()).
-		Str("print", ex.fingerprint.String())
+		Str("print", ex.subject.Fingerprint.String())
+	if len(ex.subject.Parts) > 0 {
+		le = le.Strs("parts", ex.subject.Parts)
+	}
 	if last := ex.lastAttempt(); last != nil {
 		le = last.addLogFields(le)
 	}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -72,6 +72,15 @@
 	return id, tokens
 }
 
+// partIDs returns the ids of the parts of the prompt.
+func (rq *Request) partIDs() []string {
+	ids := make([]string, len(rq.Prompt))
+	for i, pa := range rq.Prompt {
+		ids[i] = pa.ID
+	}
+	return ids
+}
+
 // PromptPart is one part of a prompt.
 type PromptPart struct {
 	ID     string
--- a/internal/poison/blocks.go
+++ b/internal/poison/blocks.go
@@ -32,6 +32,10 @@
 	UntilMS int64 `cbor:"2,keyasint" json:"until_ms"`
 	// LastTrial is the number of the latest trial that was made, zero before the first.
 	LastTrial int `cbor:"3,keyasint,omitempty" json:"tried,omitempty"`
+	// Box is the box of the process that made the block, Crashes the number of server crashes that it
+	// counted then. They are for operators.
+	Box     string `cbor:"4,keyasint,omitempty" json:"by,omitempty"`
+	Crashes int    `cbor:"5,keyasint,omitempty" json:"servers,omitempty"`
 }
 
 // NewBlock returns a block that begins at a wall-clock time.
@@ -39,10 +43,13 @@
 	return Block{Fingerprint: fp, UntilMS: wallTime.Add(duration).UnixMilli()}
 }
 
+// Until returns the end of the block in wall-clock time.
+func (bl Block) Until() time.Time { return time.UnixMilli(bl.UntilMS) }
+
 // Remaining returns how long a block lasts from a wall-clock time on. It is at most
 // RepeatBlockDuration, so that a wrong clock can't prolong a block beyond the longest one.
 func (bl Block) Remaining(wallTime time.Time) time.Duration {
-	return min(RepeatBlockDuration, time.UnixMilli(bl.UntilMS).Sub(wallTime))
+	return min(RepeatBlockDuration, bl.Until().Sub(wallTime))
 }
 
 // activeBlock is a block that is in force.
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -24,9 +24,8 @@
 
 // Run is the execution of one request on one server.
 type Run struct {
-	fingerprint Fingerprint
-	requestID   string
-	server      string
+	subject Subject
+	server  string
 	// sent is when the request was sent, first when the first part of its response arrived,
 	// finished when it ended or was cancelled; each is zero before.
 	sent, first, finished time.Time
@@ -35,11 +34,8 @@
 	complete, unsent bool
 }
 
-// Fingerprint returns the request's fingerprint.
-func (ru *Run) Fingerprint() Fingerprint { return ru.fingerprint }
-
-// RequestID returns the caller's id of the request.
-func (ru *Run) RequestID() string { return ru.requestID }
+// Subject returns the request.
+func (ru *Run) Subject() Subject { return ru.subject }
 
 // MarkUnsent records that the server never began the request.
 func (ru *Run) MarkUnsent() { ru.unsent = true }
@@ -70,8 +66,8 @@
 }
 
 // Sent records that a request is sent to a server process.
-func (rs *Runs) Sent(server string, fp Fingerprint, requestID string, now time.Time) *Run {
-	ru := &Run{fingerprint: fp, requestID: requestID, server: server, sent: now}
+func (rs *Runs) Sent(server string, su Subject, now time.Time) *Run {
+	ru := &Run{subject: su, server: server, sent: now}
 	sr := rs.server(server)
 	sr.runs = append(sr.runs, ru)
 	return ru
@@ -79,7 +75,7 @@
 
 // Suspicion returns the suspicion against the request after its server process crashed.
 func (ru *Run) Suspicion(server string, crashed, now time.Time) Suspicion {
-	return Suspicion{Fingerprint: ru.fingerprint, Server: server, SinceCrash: now.Sub(crashed), RequestAge: max(0, crashed.Sub(ru.sent))}
+	return Suspicion{Fingerprint: ru.subject.Fingerprint, Server: server, SinceCrash: now.Sub(crashed), RequestAge: max(0, crashed.Sub(ru.sent))}
 }
 
 // Answered records that a part of a response arrived.
@@ -127,7 +123,7 @@
 	var list []string
 	for server, sr := range rs.servers {
 		if slices.ContainsFunc(sr.runs, func(ru *Run) bool {
-			return ru.complete && now.Sub(ru.finished) >= survivalTime && sr.lastAlive.Sub(ru.finished) < survivalTime && suspected(ru.fingerprint)
+			return ru.complete && now.Sub(ru.finished) >= survivalTime && sr.lastAlive.Sub(ru.finished) < survivalTime && suspected(ru.subject.Fingerprint)
 		}) {
 			list = append(list, server)
 		}
@@ -196,7 +192,7 @@
 			survived := !ru.finished.IsZero() && sr.lastAlive.Sub(ru.finished) >= survivalTime
 			switch {
 			case survived && ru.complete:
-				harmless = append(harmless, ru.fingerprint)
+				harmless = append(harmless, ru.subject.Fingerprint)
 			case !survived && (ru.finished.IsZero() || now.Sub(ru.finished) < runRetention):
 				remaining = append(remaining, ru)
 			}
--- a/internal/poison/runs_test.go
+++ b/internal/poison/runs_test.go
@@ -18,7 +18,7 @@
 	var ids []string
 	runs, _ := rs.Crashed(server, now)
 	for _, ru := range runs {
-		ids = append(ids, ru.RequestID())
+		ids = append(ids, ru.Subject().RequestID)
 	}
 	return ids
 }
@@ -48,14 +48,14 @@
 
 func TestRunsBegunShortlyBeforeTheCrashAreSuspected(t *testing.T) {
 	var rs Runs
-	old := rs.Sent("s", fingerprint("old"), "old", after(0))
+	old := rs.Sent("s", Subject{Fingerprint: fingerprint("old"), RequestID: "old"}, after(0))
 	rs.Answered(old, after(100))
-	rs.Sent("s", fingerprint("queued"), "queued", after(2000))
-	running := rs.Sent("s", fingerprint("running"), "running", after(2000))
+	rs.Sent("s", Subject{Fingerprint: fingerprint("queued"), RequestID: "queued"}, after(2000))
+	running := rs.Sent("s", Subject{Fingerprint: fingerprint("running"), RequestID: "running"}, after(2000))
 	rs.Answered(running, after(2100))
-	late := rs.Sent("s", fingerprint("late"), "late", after(2505))
+	late := rs.Sent("s", Subject{Fingerprint: fingerprint("late"), RequestID: "late"}, after(2505))
 	late.Finish(false, after(2506))
-	rs.Sent("other", fingerprint("elsewhere"), "elsewhere", after(2400))
+	rs.Sent("other", Subject{Fingerprint: fingerprint("elsewhere"), RequestID: "elsewhere"}, after(2400))
 	rs.Disconnected("s", after(2500))
 	rs.Disconnected("s", after(2501))
 	require.Equal(t, []string{"queued", "running"}, crashSuspects(&rs, "s", after(2510)))
@@ -67,12 +67,12 @@
 // is open there any more.
 func TestRunCancelledShortlyBeforeTheCrashIsSuspected(t *testing.T) {
 	var rs Runs
-	cancelled := rs.Sent("s", fingerprint("cancelled"), "cancelled", after(0))
+	cancelled := rs.Sent("s", Subject{Fingerprint: fingerprint("cancelled"), RequestID: "cancelled"}, after(0))
 	rs.Answered(cancelled, after(200))
 	cancelled.Finish(false, after(201))
-	early := rs.Sent("s", fingerprint("early"), "early", after(0))
+	early := rs.Sent("s", Subject{Fingerprint: fingerprint("early"), RequestID: "early"}, after(0))
 	early.Finish(false, after(10))
-	unsent := rs.Sent("s", fingerprint("unsent"), "unsent", after(590))
+	unsent := rs.Sent("s", Subject{Fingerprint: fingerprint("unsent"), RequestID: "unsent"}, after(590))
 	unsent.MarkUnsent()
 	unsent.Finish(false, after(595))
 	rs.Disconnected("s", after(600))
@@ -83,7 +83,7 @@
 func TestRunThatLeftEarlyEnoughIsNotSuspected(t *testing.T) {
 	var rs Runs
 	for _, server := range []string{"a", "b"} {
-		ru := rs.Sent(server, fingerprint("retried"), "retried", after(0))
+		ru := rs.Sent(server, Subject{Fingerprint: fingerprint("retried"), RequestID: "retried"}, after(0))
 		rs.Answered(ru, after(100))
 		ru.Finish(false, after(110))
 		rs.Disconnected(server, after(700))
@@ -93,7 +93,7 @@
 
 func TestCrashDetectedLateSuspectsEarlierRuns(t *testing.T) {
 	var rs Runs
-	ru := rs.Sent("s", fingerprint("cancelled"), "cancelled", after(0))
+	ru := rs.Sent("s", Subject{Fingerprint: fingerprint("cancelled"), RequestID: "cancelled"}, after(0))
 	rs.Answered(ru, after(200))
 	ru.Finish(true, after(300))
 	require.Empty(t, rs.Prune(after(3000)))
@@ -102,8 +102,8 @@
 
 func TestFinishedRunsArePruned(t *testing.T) {
 	var rs Runs
-	rs.Sent("s", fingerprint("complete"), "complete", after(0)).Finish(true, after(100))
-	rs.Sent("s", fingerprint("runs"), "runs", after(0))
+	rs.Sent("s", Subject{Fingerprint: fingerprint("complete"), RequestID: "complete"}, after(0)).Finish(true, after(100))
+	rs.Sent("s", Subject{Fingerprint: fingerprint("runs"), RequestID: "runs"}, after(0))
 	require.Empty(t, rs.Prune(after(100+int(runRetention.Milliseconds())-1)))
 	require.Empty(t, rs.Prune(after(100+int(runRetention.Milliseconds()))), "its server has answered nothing since")
 	require.Equal(t, []string{"runs"}, crashSuspects(&rs, "s", after(9000)))
@@ -111,12 +111,12 @@
 
 func TestServerThatAnswersLaterHasSurvived(t *testing.T) {
 	var rs Runs
-	rs.Sent("s", fingerprint("complete"), "complete", after(0)).Finish(true, after(100))
-	rs.Sent("s", fingerprint("cancelled"), "cancelled", after(0)).Finish(false, after(100))
-	later := rs.Sent("s", fingerprint("later"), "later", after(400))
+	rs.Sent("s", Subject{Fingerprint: fingerprint("complete"), RequestID: "complete"}, after(0)).Finish(true, after(100))
+	rs.Sent("s", Subject{Fingerprint: fingerprint("cancelled"), RequestID: "cancelled"}, after(0)).Finish(false, after(100))
+	later := rs.Sent("s", Subject{Fingerprint: fingerprint("later"), RequestID: "later"}, after(400))
 	rs.Answered(later, after(590))
 	require.Empty(t, rs.Prune(after(595)))
-	rs.Answered(rs.Sent("s", fingerprint("last"), "last", after(500)), after(600))
+	rs.Answered(rs.Sent("s", Subject{Fingerprint: fingerprint("last"), RequestID: "last"}, after(500)), after(600))
 	require.Equal(t, []Fingerprint{fingerprint("complete")}, rs.Prune(after(600)))
 	require.Equal(t, []string{"later", "last"}, crashSuspects(&rs, "s", after(610)))
 }
@@ -129,7 +129,7 @@
 	require.False(t, rs.IsDisconnected("s", after(0).Add(runRetention)), "expired")
 	rs.Alive("s", t0)
 	require.False(t, rs.IsDisconnected("s", after(0)))
-	ru := rs.Sent("s", fingerprint("a"), "a", after(3000))
+	ru := rs.Sent("s", Subject{Fingerprint: fingerprint("a"), RequestID: "a"}, after(3000))
 	rs.Answered(ru, after(3100))
 	require.Equal(t, []string{"a"}, crashSuspects(&rs, "s", after(3200)), "the earlier disconnect is not the crash")
 	rs.Alive("unknown", t0)
--- a/internal/poison/trial_test.go
+++ b/internal/poison/trial_test.go
@@ -105,9 +105,9 @@
 	var rs Runs
 	fp := fingerprint("p")
 	suspected := func(other Fingerprint) bool { return other == fp }
-	rs.Sent("s", fp, "r", after(0)).Finish(true, after(100))
-	rs.Sent("other", fingerprint("q"), "q", after(0)).Finish(true, after(100))
-	rs.Sent("cancelled", fp, "d", after(0)).Finish(false, after(100))
+	rs.Sent("s", Subject{Fingerprint: fp, RequestID: "r"}, after(0)).Finish(true, after(100))
+	rs.Sent("other", Subject{Fingerprint: fingerprint("q"), RequestID: "q"}, after(0)).Finish(true, after(100))
+	rs.Sent("cancelled", Subject{Fingerprint: fp, RequestID: "d"}, after(0)).Finish(false, after(100))
 	require.Empty(t, rs.Unconfirmed(suspected, after(599)))
 	require.Equal(t, []string{"s"}, rs.Unconfirmed(suspected, after(600)))
 	rs.Alive("s", after(610))
