--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -269,3 +269,14 @@
 		require.Regexp(t, `"by":"b[01]","servers":[0-9],"for_ms":[0-9.]+,"until":"2000-01-01T00:05`, log.String())
 	})
 }
+
+// Guards against requests of which no two are alike crashing servers by one part of their prompts.
+func TestPartThatCrashesServersIsBlocked(t *testing.T) {
+	for _, pl := range partLoads() {
+		out := pl.run(t)
+		t.Logf("%s: %+v", pl, out)
+		if !out.meetsTarget() {
+			t.Errorf("%s: %+v", pl, out)
+		}
+	}
+}
