fix(gateway): a part of a prompt that crashes servers is blocked, whatever else its requests hold

Cause: crashes were counted for copies of a whole request only. Of requests that all differ each began at zero and cost three servers.

Change: suspicions carry the parts of the prompt but the last, the team and the service. poison.PartDetector adds them up at the collectors, which now all get all suspicions; a crash that one gateway notices is reported to the others, so that runs dropped before it are suspected. A part is convicted on three servers at two times under two different requests, unless servers survived responses with it that began later; what one part explains does not count against others. Clears are asked for when a part is suspected, and confirmed by a connection. Blocks are for one team, or for all if two teams' requests crash servers independently. Requests with suspected parts wait for the verdict. A block ends with one trial instead of a new series of crashes.

Ruled out: blocking by the rarest or deepest part (sound requests share parts, whose clears decide); counting for each gateway alone (at 23 gateways each sees a fraction); holding every suspected part back (nothing could be cleared).

--- a/internal/agent/blocked.go
+++ b/internal/agent/blocked.go
@@ -44,7 +44,7 @@
 func (ag *Agent) updateRuns(ctx context.Context, now time.Time) {
 	maps.DeleteFunc(ag.blocked, func(_ poison.Fingerprint, reported time.Time) bool { return now.Sub(reported) >= blockedTTL })
 	ag.detector.Update(&ag.dispatched, now)
-	isBlocked := func(fp poison.Fingerprint) bool { return !ag.blocked[fp].IsZero() }
+	isBlocked := func(su poison.Subject) bool { return !ag.blocked[su.Fingerprint].IsZero() }
 	if len(ag.dispatched.Unconfirmed(isBlocked, now)) > 0 {
 		go ag.checkServerAlive(ctx)
 	}
--- a/internal/entry/blocks.go
+++ b/internal/entry/blocks.go
@@ -55,7 +55,7 @@
 func (en *Entry) liftHarmless(fingerprints []poison.Fingerprint, now time.Time) {
 	for _, fp := range fingerprints {
 		en.mu.Lock()
-		lifted := en.blocks.Lift(fp)
+		_, lifted := en.blocks.Lift(fp)
 		if lifted {
 			en.detector.MarkHarmless(fp, now)
 			en.liftsUnstored = true
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -265,6 +265,8 @@
 		se.end("lost")
 		if !se.abandoned {
 			ex.ga.connectionLost(ctx, se.server)
+			ex.awaitVerdictBeforeRetry(ctx)
+			now = clock.Now()
 		}
 		if se.serverSilent.Load() || !se.abandoned {
 			ex.ga.recordHealth(ctx, se, false, now)
--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -33,16 +33,23 @@
 // the load reports, since a gateway only notices crashes of servers that were running its own copies
 // of a request. The lock is held.
 func (ga *Gateway) applySuspicion(su poison.Suspicion, now time.Time) {
+	if !ga.crashDetector.IsHarmless(su.Fingerprint) && ga.partDetector.Record(su, now) {
+		close(ga.suspicionAdded)
+		ga.suspicionAdded = make(chan struct{})
+	}
 	term := ga.crashDetector.Record(su, now)
 	if term == 0 || ga.blocks.Remaining(su.Fingerprint, now) > 0 {
 		return
 	}
-	ga.storeBlockAt[su.Fingerprint] = now.Add(rand.N(blockWriteJitter))
+	ga.storeBlockAt[su.Fingerprint] = blockStoreTime(now)
 	bl := poison.NewBlock(su.Fingerprint, term, clock.WallTime())
 	bl.Box, bl.Crashes = ga.Box, ga.crashDetector.CrashedServers(su.Fingerprint)
 	ga.applyBlock(bl, false, now)
 }
 
+// blockStoreTime returns when a gateway stores a block that it has made.
+func blockStoreTime(now time.Time) time.Time { return now.Add(rand.N(blockWriteJitter)) }
+
 // applyBlock applies a block, whatever its source. Attempts that no server has responded to yet are
 // cancelled, since they may still be in a server's queue. The lock is held.
 func (ga *Gateway) applyBlock(bl poison.Block, stored bool, now time.Time) {
@@ -50,16 +57,23 @@
 		ga.contestBlock(bl.Fingerprint, stored, now)
 		return
 	}
+	if bl.Part != nil && ga.decidesParts(now) && ga.partDetector.Disproves(*bl.Part) {
+		ga.contestBlock(bl.Fingerprint, stored, now)
+		return
+	}
 	if !ga.blocks.Add(bl, bl.Remaining(clock.WallTime()), stored, now) {
 		return
 	}
+	if bl.Part != nil {
+		ga.partDetector.Convicted(*bl.Part, now)
+	}
 	if _, own := ga.storeBlockAt[bl.Fingerprint]; !own && !stored {
 		ga.storeBlockAt[bl.Fingerprint] = ga.blockWriteTime(now.Add(watcherWriteDelay))
 	}
 	requestBlocks.Inc()
 	ga.logBlocked(bl, stored, now)
 	for se := range ga.awaitingHead {
-		if se.ex.subject.Fingerprint == bl.Fingerprint {
+		if bl.Matches(se.ex.subject) {
 			se.abandon(false)
 		}
 	}
@@ -67,8 +81,12 @@
 
 // logBlocked logs what is blocked, on what evidence, by whom and until when. The lock is held.
 func (ga *Gateway) logBlocked(bl poison.Block, stored bool, now time.Time) {
-	ga.Log.Warn().Int("event", int(event.RequestBlocked)).Str("print", bl.Fingerprint.String()).Str("by", bl.Box).
-		Int("servers", max(bl.Crashes, ga.crashDetector.CrashedServers(bl.Fingerprint))).
+	le := ga.Log.Warn().Int("event", int(event.RequestBlocked)).Str("print", bl.Fingerprint.String()).Str("by", bl.Box)
+	if bl.Part != nil {
+		le = le.Str("part", bl.Part.ID).Str("team", bl.Part.Team).Bool("all_teams", bl.Part.AllTeams).
+			Str("service", bl.Part.Service).Int("requests", bl.Requests).Strs("rivals", bl.Rivals)
+	}
+	le.Int("servers", max(bl.Crashes, ga.crashDetector.CrashedServers(bl.Fingerprint))).
 		Dur("for_ms", ga.blocks.Remaining(bl.Fingerprint, now)).Time("until", bl.Until().UTC()).Bool("stored", stored).
 		Msg(event.Name(event.RequestBlocked))
 }
@@ -126,7 +144,10 @@
 func (ga *Gateway) unblock(fp poison.Fingerprint, reason string) {
 	delete(ga.storeBlockAt, fp)
 	ga.crashDetector.Forget(fp)
-	if ga.blocks.Lift(fp) {
+	if bl, ok := ga.blocks.Lift(fp); ok {
+		if bl.Part != nil {
+			ga.partDetector.Exonerate(*bl.Part, clock.Now())
+		}
 		close(ga.blockLifted)
 		ga.blockLifted = make(chan struct{})
 		ga.logUnblocked(fp, reason)
@@ -161,9 +182,11 @@
 
 // receiveBlocks applies another gateway's suspicions, doubts and blocks. The lock is held.
 func (ga *Gateway) receiveBlocks(re relay.Report, now time.Time) {
+	ga.receivePartEvidence(re, now)
 	for _, su := range re.Suspicions {
 		ga.applySuspicion(su, now)
 	}
+	ga.decideParts(now)
 	for _, fp := range re.Doubts {
 		if ga.addDoubt(fp, now) {
 			ga.unblock(fp, "another gateway received a complete response to the request")
@@ -177,6 +200,8 @@
 // addBlocks returns a report with the recent blocks and doubts added. The lock is held.
 func (ga *Gateway) addBlocks(re relay.Report, now time.Time) relay.Report {
 	re.Blocks = ga.blocks.Recent(now)
+	re.Suspects = ga.partDetector.Suspects(now)
+	re.Clears = ga.partDetector.Clears(ga.suspectedParts(now), now)
 	for fp, since := range ga.doubts {
 		if now.Sub(since) < doubtTTL {
 			re.Doubts = append(re.Doubts, fp)
--- a/internal/gateway/cluster_test.go
+++ b/internal/gateway/cluster_test.go
@@ -92,6 +92,9 @@
 
 // crashByPoison crashes the server that ran a poison request and records the crash.
 func (cr *crashingBackend) crashByPoison(path string, se *fakeServer) {
+	if path == deadlyPartRecord && se.hasExited() {
+		return // another request crashed it before
+	}
 	cr.mu.Lock()
 	pr := cr.recordOf(path)
 	pr.crashes = append(pr.crashes, time.Now())
@@ -99,6 +102,16 @@
 	cr.crash(se)
 }
 
+// hasExited reports whether the process has ended.
+func (se *fakeServer) hasExited() bool {
+	select {
+	case <-se.exited:
+		return true
+	default:
+		return false
+	}
+}
+
 type fakeServer struct {
 	listed directory.Server
 	// exited is closed when the process has ended.
@@ -109,6 +122,8 @@
 	// poisonPath and plainPoisonPath are the paths of requests that crash their servers.
 	poisonPath      = "/menu/poison"
 	plainPoisonPath = "/cards/poison"
+	// keyedTeams is the number of teams.
+	keyedTeams = 8
 	// serverCount is the number of servers at any time, apart from restarts.
 	serverCount = 18
 	// readTime is the time to read a prompt, eventPause the pause before each event of a stream.
@@ -391,11 +406,18 @@
 func newTestClusterWith(t *testing.T, gateways int, change func(sc *testCluster)) *testCluster {
 	t.Helper()
 	store := &fakeStore{changed: make(chan struct{}), watches: map[string]int{}, disconnected: map[string]bool{}}
-	store.add(Change{Document: &routing.Document{Version: 1, Services: []routing.Service{{Name: "llm"}}, Routes: []routing.Route{{
+	menu := routing.Route{
 		Name: "menu", Host: "h", Prefix: "/menu/", Kind: routing.Streaming, Resumable: true, Public: true,
 		Timeout: 8 * time.Second, Target: 2 * time.Second, Gap: time.Second, Attempts: 3, Models: []string{"small", "large"},
 		Split: []routing.Share{{Service: "llm", Weight: 1}},
-	}, {
+	}
+	keyed := menu
+	keyed.Name, keyed.Prefix, keyed.Public = "keyed", "/keyed/", false
+	var teams []routing.Team
+	for i := range keyedTeams {
+		teams = append(teams, routing.Team{Name: fmt.Sprint("team-", i), Keys: []string{fmt.Sprint("key-", i)}})
+	}
+	store.add(Change{Document: &routing.Document{Version: 1, Services: []routing.Service{{Name: "llm"}}, Teams: teams, Routes: []routing.Route{menu, keyed, {
 		Name: "cards", Host: "h", Prefix: "/cards/", Kind: routing.Unsafe, Public: true, Timeout: time.Second,
 		Target: 150 * time.Millisecond, Attempts: 1, Split: []routing.Share{{Service: "llm", Weight: 1}},
 	}}}})
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -86,6 +86,7 @@
 		se.end("broken")
 		if !se.stalled.Load() {
 			ex.ga.connectionLost(ctx, se.server)
+			ex.awaitVerdictBeforeRetry(ctx)
 		}
 		ex.ga.recordHealth(ctx, se, false, now)
 		if se = ex.resume(ctx, err); se == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -179,9 +179,21 @@
 	// each server instance whether it still accepts connections.
 	runs   poison.Runs
 	probes map[string]*probe
+	// unexplainedEnds holds the servers to probe whose entries ended without an announcement.
+	unexplainedEnds []directory.Server
 	// crashDetector holds the suspicions against requests, blocks the requests that must not be sent.
 	crashDetector poison.Detector
 	blocks        poison.Blocks
+	// partDetector holds the evidence against parts of prompts. remoteSuspects holds the parts that other
+	// gateways suspect.
+	partDetector   poison.PartDetector
+	remoteSuspects map[poison.Part]remoteSuspect
+	// crashGossip holds the server processes whose crash is propagated to other gateways, crashes when
+	// they crashed.
+	crashGossip gossip.FactSet
+	crashes     map[string]crash
+	// suspicionAdded is closed and replaced when a suspicion is added.
+	suspicionAdded chan struct{}
 	// blockLifted is closed and replaced when a block is lifted.
 	blockLifted chan struct{}
 	// awaitingHead holds the attempts whose response head has not arrived. storeBlockAt holds when to
@@ -239,7 +251,10 @@
 	ga.relayPlan = relay.Plan{Box: ga.Box, DataCentre: ga.DataCentre}
 	ga.loadPlan = ga.relayPlan
 	ga.changed = make(chan struct{})
+	ga.remoteSuspects = map[poison.Part]remoteSuspect{}
+	ga.crashes = map[string]crash{}
 	ga.blockLifted = make(chan struct{})
+	ga.suspicionAdded = make(chan struct{})
 	ga.confirmed = make(chan struct{})
 	ga.storeAvailable = make(chan struct{}, 1)
 	ga.rejoin = make(chan struct{}, 1)
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -10,6 +10,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/load"
+	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/usage"
 )
@@ -18,6 +19,8 @@
 	// loadReportInterval is the pause between two load reports, a fraction of the time that a
 	// server takes to read a prompt.
 	loadReportInterval = 100 * time.Millisecond
+	// minReportInterval is the pause before a report that can't wait.
+	minReportInterval = 10 * time.Millisecond
 	// maxLoadServers bounds the servers in a report, which are the busiest ones. At some 8 B each
 	// they take 8 KB/s of the 12 KB/s that the users' requirements allow for control traffic.
 	maxLoadServers = 100
@@ -95,11 +98,26 @@
 			clock.Sleep(ctx, loadRetryDelay)
 			continue
 		}
-		progress.suspicions = next
+		progress.suspicions, progress.received = next, reply.NextSuspicion
 		progress.usage = ga.usageReplied(progress.usage, re, reply)
 		ga.reportAccepted(re, clock.Now())
 		ga.applyReportReply(reply, clock.Now())
-		clock.Sleep(ctx, loadReportInterval)
+		ga.awaitNextReport(ctx)
+	}
+}
+
+// awaitNextReport waits until the next report is due. Suspicions are reported at once.
+func (ga *Gateway) awaitNextReport(ctx context.Context) {
+	ga.mu.Lock()
+	suspicionAdded := ga.suspicionAdded
+	ga.mu.Unlock()
+	clock.Sleep(ctx, minReportInterval)
+	ti := time.NewTimer(loadReportInterval - minReportInterval)
+	defer ti.Stop()
+	select {
+	case <-suspicionAdded:
+	case <-ti.C:
+	case <-ctx.Done():
 	}
 }
 
@@ -121,9 +139,10 @@
 
 // exchangeProgress is what another gateway has received so far, and what it has sent.
 type exchangeProgress struct {
-	// suspicions is the sequence number of the next suspicion to send.
-	suspicions uint64
-	usage      usage.Cursor
+	// suspicions is the sequence number of the next suspicion to send, received that of the next one to
+	// receive.
+	suspicions, received uint64
+	usage                usage.Cursor
 }
 
 // reportSince returns this gateway's report to another one with what that has not received yet, and
@@ -133,6 +152,7 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	re.Suspicions, nextSuspicion = ga.crashDetector.Since(progress.suspicions, clock.Now())
+	re.WantedSuspicion = progress.received
 	if ga.Usage != nil {
 		re.Usage = ga.Usage.Outgoing(progress.usage, !to.asCollector || ga.needsUsage(to.member.Box, clock.Now()))
 	}
@@ -232,7 +252,10 @@
 	var work load.Work
 	var gateways int
 	to := gossip.ToMember
+	var suspicions []poison.Suspicion
+	var nextSuspicion uint64
 	if re.Collector {
+		suspicions, nextSuspicion = ga.crashDetector.Since(re.WantedSuspicion, now)
 		to = gossip.BetweenCollectors
 		ga.applyGroupReport(re, now)
 		work, gateways = ga.loads.GroupSum(ga.pool.Work()), ga.loads.GroupSize()
@@ -244,6 +267,7 @@
 	}
 	reply := relay.Report{
 		Box: ga.Box, Collector: true, Work: work.Busiest(maxLoadServers), Ready: ga.readyLocked(now), Gateways: gateways,
+		Suspicions: suspicions, NextSuspicion: nextSuspicion,
 	}
 	if ga.Usage != nil {
 		reply.Usage = ga.Usage.Receive(re.Usage, !re.Collector, re.Collector && ga.needsUsage(re.Box, now))
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -45,13 +46,15 @@
 	storeless bool
 	// turnsAfter is the time after deadlyFrom for which the part is harmless.
 	turnsAfter time.Duration
+	// twin is set if another part, which sound requests have as well, is in each deadly request.
+	twin bool
 	// teams is the number of teams that send the part, zero for callers without a key.
 	teams int
 }
 
 func (pl partLoad) String() string {
-	return fmt.Sprintf("%d gateways, every %s at %d, crash after %s, replaced every %s, storeless %t, turns after %s, %d teams",
-		pl.gateways, pl.interval, pl.position, pl.crashDelay, pl.replaceEvery, pl.storeless, pl.turnsAfter, pl.teams)
+	return fmt.Sprintf("%d gateways, every %s at %d, crash after %s, replaced every %s, storeless %t, turns after %s, %d teams, twin %t",
+		pl.gateways, pl.interval, pl.position, pl.crashDelay, pl.replaceEvery, pl.storeless, pl.turnsAfter, pl.teams, pl.twin)
 }
 
 const (
@@ -157,7 +160,10 @@
 
 // sendDeadly sends a request with the deadly part.
 func (pp *partPlay) sendDeadly(n int) {
-	parts := []string{commonPart, fmt.Sprint("subject-", n%7), deadlyPart, fmt.Sprint("own-deadly-", n)}
+	parts := []string{commonPart, fmt.Sprint("subject-", n/4%7), deadlyPart, fmt.Sprint("own-deadly-", n)}
+	if pp.pl.twin {
+		parts[1] = "subject-4"
+	}
 	switch pp.pl.position {
 	case 0:
 		parts[0], parts[1], parts[2] = deadlyPart, commonPart, parts[1]
@@ -182,7 +188,7 @@
 	}
 	if pp.pl.teams > 0 {
 		rq.Path, rq.Target = fmt.Sprint("/keyed/", n), fmt.Sprint("/keyed/", n)
-		rq.Key = fmt.Sprint("key-", n%pp.pl.teams)
+		rq.Key = fmt.Sprint("key-", n/4%pp.pl.teams)
 	}
 	return rq
 }
@@ -270,9 +276,10 @@
 	})
 }
 
-// Guards against requests of which no two are alike crashing servers by one part of their prompts.
-func TestPartThatCrashesServersIsBlocked(t *testing.T) {
-	for _, pl := range partLoads() {
+// checkPartLoads plays loads, each of which must meet the target.
+func checkPartLoads(t *testing.T, loads []partLoad) {
+	t.Helper()
+	for _, pl := range loads {
 		out := pl.run(t)
 		t.Logf("%s: %+v", pl, out)
 		if !out.meetsTarget() {
@@ -280,3 +287,54 @@
 		}
 	}
 }
+
+// Guards against requests of which no two are alike crashing servers by one part of their prompts.
+func TestPartThatCrashesServersIsBlocked(t *testing.T) {
+	checkPartLoads(t, partLoads())
+}
+
+// partLoadVariants returns loads with further faults, or with evidence that is hard to interpret.
+func partLoadVariants() []partLoad {
+	var list []partLoad
+	for _, base := range partLoads() {
+		if base.position != 1 {
+			continue
+		}
+		for _, change := range []func(pl *partLoad){
+			func(pl *partLoad) { pl.replaceEvery = 800 * time.Millisecond },
+			func(pl *partLoad) { pl.replaceEvery = 5 * time.Second },
+			func(pl *partLoad) { pl.storeless = true },
+			func(pl *partLoad) { pl.turnsAfter = 10 * time.Second },
+			func(pl *partLoad) { pl.teams = 4 },
+			func(pl *partLoad) { pl.teams, pl.replaceEvery = 4, 2*time.Second },
+			func(pl *partLoad) { pl.twin = true },
+			func(pl *partLoad) { pl.twin, pl.replaceEvery = true, 2*time.Second },
+		} {
+			pl := base
+			change(&pl)
+			list = append(list, pl)
+		}
+	}
+	return list
+}
+
+// Guards against the part not being found, or another one being blocked, while gateways are replaced or
+// the key-value service is away, if the part was harmless before, if several teams send it, or if another
+// part is in all of the requests too. LINNETRUDDER_ALL_PLAYS=N plays all loads N times, otherwise each
+// third one is played.
+func TestPartIsBlockedUnderFurtherFaults(t *testing.T) {
+	loads, times := partLoadVariants(), 1
+	if text := os.Getenv("LINNETRUDDER_ALL_PLAYS"); text != "" {
+		_, err := fmt.Sscan(text, &times)
+		require.NoError(t, err)
+	} else {
+		var some []partLoad
+		for i := 0; i < len(loads); i += 3 {
+			some = append(some, loads[i])
+		}
+		loads = some
+	}
+	for range times {
+		checkPartLoads(t, loads)
+	}
+}
--- a/internal/gateway/selfreports.go
+++ b/internal/gateway/selfreports.go
@@ -94,6 +94,7 @@
 			ga.markLeaving(no.Server, now.Add(-no.Age), no.Hops+1, "announced to gateway "+re.Box)
 		}
 	}
+	ga.receiveCrashes(re, now)
 	for _, no := range re.Pauses {
 		if no.Valid() && ga.servers.ByKey(no.Server) != nil && ga.pool.Pauses.RecordRemote(no.Server, no.Duration-no.Age, now) {
 			ga.pauseGossip.Add(no.Server, no.Hops+1, now)
@@ -105,6 +106,7 @@
 // held.
 func (ga *Gateway) addNotices(re *relay.Report, to gossip.Direction, now time.Time) {
 	re.Limits = ga.pool.Limits.Notices(to, now)
+	re.Crashes = ga.crashNotices(to, now)
 	for _, fa := range ga.leavingGossip.Due(to, now) {
 		if at, ok := ga.servers.LeavingSince(fa.Key()); ok {
 			re.Leaving = append(re.Leaving, gossip.Notice{Server: fa.Key(), Age: max(0, now.Sub(at)), Hops: fa.Hops()})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,6 +49,7 @@
 	})
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(ex.request.Deadline))
 	defer cancel()
+	ex.awaitVerdict(ctx, rq.Received.Add(time.Duration(holdFraction*float64(ex.route.Target))))
 	ex.awaitTrial(ctx)
 	ex.run(ctx)
 }
@@ -90,6 +91,8 @@
 	// has been read. trial is set if the request is sent once although it is blocked.
 	subject poison.Subject
 	trial   bool
+	// hold is what was last decided about the request's suspected parts.
+	hold    poison.Hold
 	request direct.Request
 	// attempts holds the attempts by number.
 	attempts map[int]*attemptState
@@ -251,7 +254,13 @@
 	}
 	ex.ga.mu.Lock()
 	defer ex.ga.mu.Unlock()
-	return ex.ga.blocks.RetryAfter(ex.subject.Fingerprint, now)
+	if left := ex.ga.blocks.RetryAfter(ex.ga.blocks.Find(ex.subject, now), now); left > 0 {
+		return left
+	}
+	if ex.hold == poison.HoldUntilDecided {
+		return undecidedRetryAfter
+	}
+	return 0
 }
 
 // Usual returns the usual time to the head of a model's response, or a multiple of the time
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -42,9 +42,13 @@
 // removeServer removes a server whose entry ended. The lock is held.
 func (ga *Gateway) removeServer(id string, now time.Time) {
 	key := ga.serverKey(id)
-	if se := ga.servers.Get(id); se != nil && !ga.servers.IsDraining(se) && ga.runs.IsDisconnected(key, now) {
-		// If the box has failed together with the server, nothing refuses a connection.
-		ga.applyServerCrash(key, "a connection was lost and the server's entry ended", now)
+	if se := ga.servers.Get(id); se != nil && !ga.servers.IsDraining(se) {
+		if ga.runs.IsDisconnected(key, now) {
+			// If the box has failed together with the server, nothing refuses a connection.
+			ga.applyServerCrash(key, "a connection was lost and the server's entry ended", now)
+		} else if ga.runs.HasIncomplete(key) {
+			ga.unexplainedEnds = append(ga.unexplainedEnds, *se)
+		}
 	}
 	ga.servers.Remove(id, now)
 	if ga.servers.Get(id) == nil {
@@ -173,6 +177,7 @@
 	ga.expirePauses(now)
 	ga.leavingGossip.Tick(now)
 	ga.pauseGossip.Tick(now)
+	ga.expireCrashes(now)
 	ga.updateFleet(now)
 }
 
--- a/internal/gateway/trials.go
+++ b/internal/gateway/trials.go
@@ -26,7 +26,7 @@
 		ga.mu.Lock()
 		lifted := ga.blockLifted
 		ex.trial = ga.startTrial(ex, now)
-		wait := min(ga.blocks.FreshFor(ex.subject.Fingerprint, now), until.Sub(now))
+		wait := min(ga.blocks.FreshFor(ga.blocks.Find(ex.subject, now), now), until.Sub(now))
 		ga.mu.Unlock()
 		if ex.trial || wait <= 0 {
 			return
@@ -51,9 +51,13 @@
 // the trial. A trial needs a server that runs nothing else, so that the request is the only suspect
 // if the server crashes. The lock is held.
 func (ga *Gateway) startTrial(ex *exchange, now time.Time) bool {
-	fp := ex.subject.Fingerprint
+	fp := ga.blocks.Find(ex.subject, now)
+	bl, blocked := ga.blocks.Get(fp)
 	trial, due := ga.blocks.DueTrial(fp, now)
-	if trial == 0 || !ga.isTrialTurn(fp, trial, due) || !ga.pool.HasIdle(ex.poolQuery("", nil, now), now) {
+	if !blocked || trial == 0 || !bl.IsTrialFor(ex.subject) || !ga.isTrialTurn(fp, trial, due) {
+		return false
+	}
+	if !ga.pool.HasIdle(ex.poolQuery("", nil, now), now) {
 		return false
 	}
 	ga.blocks.RecordTrial(fp, trial, now)
--- a/internal/poison/blocks.go
+++ b/internal/poison/blocks.go
@@ -19,6 +19,9 @@
 	// Reports are sent ten times a second; gateways that start later read the block from the
 	// key-value service.
 	blockReportDuration = 3 * time.Second
+	// minRenewal is the least time by which a block is extended. Processes that make the same block at
+	// the same time differ by less.
+	minRenewal = time.Minute
 	// maxBlocks bounds the active blocks. Each was caused by the crashes of three servers.
 	maxBlocks = 1024
 )
@@ -36,6 +39,13 @@
 	// counted then. They are for operators.
 	Box     string `cbor:"4,keyasint,omitempty" json:"by,omitempty"`
 	Crashes int    `cbor:"5,keyasint,omitempty" json:"servers,omitempty"`
+	// Part is the part of prompts that is blocked, whose fingerprint the block has, nil if a request is.
+	// Requests is the number of different requests with the part that were on the crashed servers.
+	Part     *Part `cbor:"6,keyasint,omitempty" json:"part,omitempty"`
+	Requests int   `cbor:"7,keyasint,omitempty" json:"requests,omitempty"`
+	// Rivals holds the ids of parts with the same evidence. A trial without them shows whether the blocked
+	// one crashes servers.
+	Rivals []string `cbor:"8,keyasint,omitempty" json:"rivals,omitempty"`
 }
 
 // NewBlock returns a block that begins at a wall-clock time.
@@ -55,27 +65,33 @@
 // activeBlock is a block that is in force.
 type activeBlock struct {
 	block Block
-	// until is the end of the block by this process's monotonic clock, updated the time at which
-	// the block or its latest trial became known.
-	until, updated time.Time
+	// until is the end of the block by this process's monotonic clock. known is the time at which the
+	// block became known, updated that at which its latest change did.
+	until, known, updated time.Time
 	// stored is set once the key-value service is known to hold the block, outdated if it holds it
 	// without the latest trial.
 	stored, outdated bool
 }
 
 // Blocks holds the blocks in force. The zero value holds none. It is not safe for concurrent use.
-type Blocks struct{ active map[Fingerprint]*activeBlock }
+type Blocks struct {
+	active map[Fingerprint]*activeBlock
+	// parts holds the fingerprints of the blocked parts.
+	parts map[Part]Fingerprint
+}
 
 // Add adds a block with a remaining duration, or merges it into the one in force; stored is set if
-// the key-value service holds it. It reports whether the block is new.
+// the key-value service holds it. It reports whether the block is new or renewed.
 func (bs *Blocks) Add(bl Block, remaining time.Duration, stored bool, now time.Time) bool {
 	if ab := bs.active[bl.Fingerprint]; ab != nil {
 		ab.stored = ab.stored || stored
 		ab.recordTrial(bl.LastTrial, now)
-		if stored && bl.LastTrial == ab.block.LastTrial {
+		ab.block.Crashes = max(ab.block.Crashes, bl.Crashes)
+		renewed := ab.renew(bl, remaining, now)
+		if stored && bl.LastTrial == ab.block.LastTrial && bl.UntilMS == ab.block.UntilMS {
 			ab.outdated = false
 		}
-		return false
+		return renewed
 	}
 	if remaining <= 0 || len(bs.active) >= maxBlocks {
 		return false
@@ -83,15 +99,95 @@
 	if bs.active == nil {
 		bs.active = map[Fingerprint]*activeBlock{}
 	}
-	bs.active[bl.Fingerprint] = &activeBlock{block: bl, until: now.Add(remaining), updated: now, stored: stored}
+	bs.active[bl.Fingerprint] = &activeBlock{block: bl, until: now.Add(remaining), known: now, updated: now, stored: stored}
+	if bl.Part != nil {
+		if bs.parts == nil {
+			bs.parts = map[Part]Fingerprint{}
+		}
+		bs.parts[*bl.Part] = bl.Fingerprint
+	}
+	return true
+}
+
+// renew extends the block of a part if another one lasts longer.
+func (ab *activeBlock) renew(bl Block, remaining time.Duration, now time.Time) bool {
+	if bl.Part == nil || bl.UntilMS-ab.block.UntilMS < minRenewal.Milliseconds() {
+		return false
+	}
+	ab.block = bl
+	ab.until, ab.updated, ab.outdated = now.Add(remaining), now, true
 	return true
 }
 
-// Lift ends a block. It reports whether there was one.
-func (bs *Blocks) Lift(fp Fingerprint) bool {
-	_, ok := bs.active[fp]
-	delete(bs.active, fp)
-	return ok
+// RecordCrashes records how many servers crashed under a blocked part. It is propagated, and stored
+// once the evidence is strong, so that no other process makes a trial.
+func (bs *Blocks) RecordCrashes(fp Fingerprint, crashes int, now time.Time) {
+	if ab := bs.active[fp]; ab != nil && crashes > ab.block.Crashes {
+		ab.outdated = ab.outdated || ab.block.Crashes < strongEvidence && crashes >= strongEvidence
+		ab.block.Crashes, ab.updated = crashes, now
+	}
+}
+
+// Lift ends a block. It returns the block if there was one.
+func (bs *Blocks) Lift(fp Fingerprint) (Block, bool) {
+	ab := bs.active[fp]
+	if ab == nil {
+		return Block{}, false
+	}
+	bs.remove(ab)
+	return ab.block, true
+}
+
+func (bs *Blocks) remove(ab *activeBlock) {
+	delete(bs.active, ab.block.Fingerprint)
+	if ab.block.Part != nil {
+		delete(bs.parts, *ab.block.Part)
+	}
+}
+
+// Get returns the block with a fingerprint if there is one.
+func (bs *Blocks) Get(fp Fingerprint) (Block, bool) {
+	if ab := bs.active[fp]; ab != nil {
+		return ab.block, true
+	}
+	return Block{}, false
+}
+
+// Find returns the fingerprint of the block that applies to a request, that of the request or of a
+// part, the one that lasts longest. Without a block it returns the request's.
+func (bs *Blocks) Find(su Subject, now time.Time) Fingerprint {
+	found := su.Fingerprint
+	if len(bs.parts) == 0 {
+		return found
+	}
+	for _, pa := range su.PartList() {
+		for _, key := range [...]Part{pa, pa.forAllTeams()} {
+			if fp, ok := bs.parts[key]; ok && bs.Remaining(fp, now) > bs.Remaining(found, now) {
+				found = fp
+			}
+		}
+	}
+	return found
+}
+
+// KnownBefore reports whether a block was known before a time, so that a response that began then is
+// that of a trial.
+func (bs *Blocks) KnownBefore(fp Fingerprint, at time.Time) bool {
+	ab := bs.active[fp]
+	return ab != nil && ab.known.Before(at)
+}
+
+// IsTrialFor reports whether a request is suited for a trial of the block.
+func (bl Block) IsTrialFor(su Subject) bool {
+	return bl.Matches(su) && !slices.ContainsFunc(bl.Rivals, func(id string) bool { return slices.Contains(su.Parts, id) })
+}
+
+// Matches reports whether a block applies to a request.
+func (bl Block) Matches(su Subject) bool {
+	if bl.Part != nil {
+		return su.Has(*bl.Part)
+	}
+	return bl.Fingerprint == su.Fingerprint
 }
 
 // Remaining returns how long a request is still blocked, zero if it is not.
@@ -109,6 +205,9 @@
 	return list[:min(len(list), maxPerMessage)]
 }
 
+// Parts returns the blocked parts.
+func (bs *Blocks) Parts() []Part { return slices.Collect(maps.Keys(bs.parts)) }
+
 // IsStored reports whether the key-value service holds a block.
 func (bs *Blocks) IsStored(fp Fingerprint) bool {
 	ab := bs.active[fp]
@@ -155,7 +254,7 @@
 		if ab.until.After(now) {
 			continue
 		}
-		delete(bs.active, fp)
+		bs.remove(ab)
 		if ab.stored {
 			expired = append(expired, fp)
 		}
--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -47,6 +47,12 @@
 	// request had been sent to it.
 	SinceCrash time.Duration `cbor:"3,keyasint"`
 	RequestAge time.Duration `cbor:"4,keyasint"`
+	// ResponseAge is how long before the crash the response had begun, zero if it had not.
+	ResponseAge time.Duration `cbor:"5,keyasint,omitempty"`
+	// Team, Service and Parts are those of the request.
+	Team    string   `cbor:"6,keyasint,omitempty"`
+	Service string   `cbor:"7,keyasint,omitempty"`
+	Parts   []string `cbor:"8,keyasint,omitempty"`
 }
 
 // Detector counts the servers that crashed under each request, from the suspicions of all gateways.
@@ -167,14 +173,14 @@
 }
 
 // Update prunes finished runs and expired state, and marks the requests as harmless that servers
-// answered completely and survived. It returns these.
-func (de *Detector) Update(rs *Runs, now time.Time) []Fingerprint {
-	harmless := rs.Prune(now)
-	for _, fp := range harmless {
-		de.MarkHarmless(fp, now)
+// answered completely and survived. It returns the runs that Prune does.
+func (de *Detector) Update(rs *Runs, now time.Time) (harmless, cleared []*Run) {
+	harmless, cleared = rs.Prune(now)
+	for _, ru := range harmless {
+		de.MarkHarmless(ru.subject.Fingerprint, now)
 	}
 	de.Expire(now)
-	return harmless
+	return harmless, cleared
 }
 
 // Forget drops the evidence against a request.
--- a/internal/poison/detector_test.go
+++ b/internal/poison/detector_test.go
@@ -155,7 +155,7 @@
 	require.Equal(t, []Block{bl}, bs.Stored())
 	require.Empty(t, bs.Recent(t0.Add(blockReportDuration)))
 	require.Equal(t, []Fingerprint{bl.Fingerprint}, bs.Expire(t0.Add(RepeatBlockDuration)))
-	require.False(t, bs.Lift(bl.Fingerprint))
+	require.False(t, lifted(&bs, bl.Fingerprint))
 }
 
 // A box whose clock is wrong does not block a request for longer than RepeatBlockDuration, and a
@@ -226,3 +226,9 @@
 	require.NoError(t, err)
 	require.Equal(t, []Block{second}, list)
 }
+
+// lifted lifts a block and reports whether there was one.
+func lifted(bs *Blocks, fp Fingerprint) bool {
+	_, ok := bs.Lift(fp)
+	return ok
+}
--- a/internal/poison/fingerprint.go
+++ b/internal/poison/fingerprint.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 
 	"github.com/rotisserie/eris"
 )
@@ -32,13 +33,25 @@
 // blocking one caller's request must not block what others send.
 func FingerprintOf(re Request) Fingerprint {
 	ha := sha256.New()
-	for _, field := range []string{re.Team, re.Method, re.Host, re.Target} {
+	writeFields(ha, re.Team, re.Method, re.Host, re.Target)
+	ha.Write(re.Body)
+	return Fingerprint(ha.Sum(nil)[:len(Fingerprint{})])
+}
+
+// hashFields returns the fingerprint of a list of fields.
+func hashFields(fields ...string) Fingerprint {
+	ha := sha256.New()
+	writeFields(ha, fields...)
+	return Fingerprint(ha.Sum(nil)[:len(Fingerprint{})])
+}
+
+// writeFields writes each field with its length, so that lists of fields differ if any field does.
+func writeFields(ha hash.Hash, fields ...string) {
+	for _, field := range fields {
 		var size [binary.MaxVarintLen64]byte
 		ha.Write(binary.AppendUvarint(size[:0], uint64(len(field))))
 		ha.Write([]byte(field))
 	}
-	ha.Write(re.Body)
-	return Fingerprint(ha.Sum(nil)[:len(Fingerprint{})])
 }
 
 // IsZero reports whether the fingerprint is not known yet.
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -14,6 +14,9 @@
 	// disconnectValidity is how long the time of a lost connection is taken as the time of a crash
 	// that is detected later.
 	disconnectValidity = time.Second
+	// responseSurvivalTime is how long after the beginning of a response its server must still accept a
+	// connection to show that the request does not crash it, although the response is not complete yet.
+	responseSurvivalTime = 2 * suspectWindow
 	// survivalTime is how long after the end of a request its server must still respond to any
 	// request, or accept a connection, to show that the request did not crash it.
 	survivalTime = suspectWindow
@@ -32,11 +35,16 @@
 	// complete is set if the complete response arrived, unsent if the request never reached the
 	// server or the server reported that it did not run.
 	complete, unsent bool
+	// cleared is set once the run was returned by Prune although it had not finished.
+	cleared bool
 }
 
 // Subject returns the request.
 func (ru *Run) Subject() Subject { return ru.subject }
 
+// ResponseBegan returns when the first part of the response arrived, zero before that.
+func (ru *Run) ResponseBegan() time.Time { return ru.first }
+
 // MarkUnsent records that the server never began the request.
 func (ru *Run) MarkUnsent() { ru.unsent = true }
 
@@ -75,7 +83,17 @@
 
 // Suspicion returns the suspicion against the request after its server process crashed.
 func (ru *Run) Suspicion(server string, crashed, now time.Time) Suspicion {
-	return Suspicion{Fingerprint: ru.subject.Fingerprint, Server: server, SinceCrash: now.Sub(crashed), RequestAge: max(0, crashed.Sub(ru.sent))}
+	sn := Suspicion{
+		Fingerprint: ru.subject.Fingerprint, Server: server, SinceCrash: now.Sub(crashed), RequestAge: max(0, crashed.Sub(ru.sent)),
+		Team: ru.subject.Team, Service: ru.subject.Service,
+	}
+	if !ru.complete {
+		sn.Parts = ru.subject.Parts // a part that crashes servers leaves no complete response
+	}
+	if !ru.first.IsZero() {
+		sn.ResponseAge = max(0, crashed.Sub(ru.first))
+	}
+	return sn
 }
 
 // Answered records that a part of a response arrived.
@@ -114,23 +132,32 @@
 	}
 }
 
-// Unconfirmed returns the server processes that completed a suspected request and were not seen
-// alive long enough after it to show that they survived it. The caller probes them: where all
+// Unconfirmed returns the server processes that completed a suspected request and were not seen alive
+// long enough after it to show that they survived it. The caller probes them: where all
 // traffic consists of suspected requests, nothing else would show these to be harmless. Without the
 // probes, a harmless request was refused until the block's end in 15 of 30 test runs without a
 // network.
-func (rs *Runs) Unconfirmed(suspected func(fp Fingerprint) bool, now time.Time) []string {
+func (rs *Runs) Unconfirmed(suspected func(su Subject) bool, now time.Time) []string {
 	var list []string
 	for server, sr := range rs.servers {
-		if slices.ContainsFunc(sr.runs, func(ru *Run) bool {
-			return ru.complete && now.Sub(ru.finished) >= survivalTime && sr.lastAlive.Sub(ru.finished) < survivalTime && suspected(ru.subject.Fingerprint)
-		}) {
+		if slices.ContainsFunc(sr.runs, func(ru *Run) bool { return sr.isUnconfirmed(ru, now) && suspected(ru.subject) }) {
 			list = append(list, server)
 		}
 	}
 	return list
 }
 
+// isUnconfirmed reports whether a server may have survived a run, but was not seen alive since.
+func (sr *serverRuns) isUnconfirmed(ru *Run, now time.Time) bool {
+	if ru.isInResponse() {
+		return now.Sub(ru.first) >= responseSurvivalTime && sr.lastAlive.Sub(ru.first) < responseSurvivalTime
+	}
+	return ru.complete && now.Sub(ru.finished) >= survivalTime && sr.lastAlive.Sub(ru.finished) < survivalTime
+}
+
+// isInResponse reports whether a part of the response has arrived and the run has not finished.
+func (ru *Run) isInResponse() bool { return ru.finished.IsZero() && !ru.first.IsZero() }
+
 // IsDisconnected reports whether a server recently closed a connection unexpectedly and has not
 // been found alive since.
 func (rs *Runs) IsDisconnected(server string, now time.Time) bool {
@@ -138,6 +165,25 @@
 	return sr != nil && !sr.disconnected.IsZero() && now.Sub(sr.disconnected) < runRetention
 }
 
+// CountWith returns the number of tracked runs of requests with a part.
+func (rs *Runs) CountWith(pa Part) int {
+	n := 0
+	for _, sr := range rs.servers {
+		for _, ru := range sr.runs {
+			if ru.subject.Has(pa) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// HasIncomplete reports whether a run that has no complete response is recorded for a server.
+func (rs *Runs) HasIncomplete(server string) bool {
+	sr := rs.servers[server]
+	return sr != nil && slices.ContainsFunc(sr.runs, func(ru *Run) bool { return !ru.complete && !ru.unsent })
+}
+
 // HasServer reports whether any recent run or lost connection of a server is recorded.
 func (rs *Runs) HasServer(server string) bool { return rs.servers[server] != nil }
 
@@ -183,18 +229,25 @@
 }
 
 // Prune removes the runs that finished long ago or that their server is known to have survived. It
-// returns the fingerprints of those survived ones that were answered completely.
-func (rs *Runs) Prune(now time.Time) []Fingerprint {
-	var harmless []Fingerprint
+// returns the survived ones that were answered completely, and as cleared those that show that no part
+// of their prompts crashes servers: runs whose server survived their response so far, and complete ones
+// whose server is not known to have crashed within runRetention, since by then it would be.
+func (rs *Runs) Prune(now time.Time) (harmless, cleared []*Run) {
 	for server, sr := range rs.servers {
 		remaining := sr.runs[:0]
 		for _, ru := range sr.runs {
 			survived := !ru.finished.IsZero() && sr.lastAlive.Sub(ru.finished) >= survivalTime
 			switch {
 			case survived && ru.complete:
-				harmless = append(harmless, ru.subject.Fingerprint)
+				harmless = append(harmless, ru)
 			case !survived && (ru.finished.IsZero() || now.Sub(ru.finished) < runRetention):
 				remaining = append(remaining, ru)
+			case ru.complete:
+				cleared = append(cleared, ru)
+			}
+			if ru.isInResponse() && !ru.cleared && sr.lastAlive.Sub(ru.first) >= responseSurvivalTime {
+				ru.cleared = true
+				cleared = append(cleared, ru)
 			}
 		}
 		clear(sr.runs[len(remaining):])
@@ -203,5 +256,5 @@
 			delete(rs.servers, server)
 		}
 	}
-	return harmless
+	return harmless, cleared
 }
--- a/internal/poison/runs_test.go
+++ b/internal/poison/runs_test.go
@@ -15,14 +15,24 @@
 
 // crashSuspects returns the ids of the requests that are suspected of a server's crash.
 func crashSuspects(rs *Runs, server string, now time.Time) []string {
-	var ids []string
 	runs, _ := rs.Crashed(server, now)
+	return requestIDs(runs)
+}
+
+func requestIDs(runs []*Run) []string {
+	var ids []string
 	for _, ru := range runs {
 		ids = append(ids, ru.Subject().RequestID)
 	}
 	return ids
 }
 
+// pruned prunes runs and returns the ids of the requests that servers survived.
+func pruned(rs *Runs, now time.Time) []string {
+	harmless, _ := rs.Prune(now)
+	return requestIDs(harmless)
+}
+
 func TestCopiesHaveTheSameFingerprint(t *testing.T) {
 	re := Request{Team: "t", Method: "POST", Host: "h", Target: "/a?b", Body: []byte("c")}
 	fp := FingerprintOf(re)
@@ -96,7 +106,7 @@
 	ru := rs.Sent("s", Subject{Fingerprint: fingerprint("cancelled"), RequestID: "cancelled"}, after(0))
 	rs.Answered(ru, after(200))
 	ru.Finish(true, after(300))
-	require.Empty(t, rs.Prune(after(3000)))
+	require.Empty(t, pruned(&rs, after(3000)))
 	require.Equal(t, []string{"cancelled"}, crashSuspects(&rs, "s", after(3100)))
 }
 
@@ -104,8 +114,8 @@
 	var rs Runs
 	rs.Sent("s", Subject{Fingerprint: fingerprint("complete"), RequestID: "complete"}, after(0)).Finish(true, after(100))
 	rs.Sent("s", Subject{Fingerprint: fingerprint("runs"), RequestID: "runs"}, after(0))
-	require.Empty(t, rs.Prune(after(100+int(runRetention.Milliseconds())-1)))
-	require.Empty(t, rs.Prune(after(100+int(runRetention.Milliseconds()))), "its server has answered nothing since")
+	require.Empty(t, pruned(&rs, after(100+int(runRetention.Milliseconds())-1)))
+	require.Empty(t, pruned(&rs, after(100+int(runRetention.Milliseconds()))), "its server has answered nothing since")
 	require.Equal(t, []string{"runs"}, crashSuspects(&rs, "s", after(9000)))
 }
 
@@ -115,9 +125,9 @@
 	rs.Sent("s", Subject{Fingerprint: fingerprint("cancelled"), RequestID: "cancelled"}, after(0)).Finish(false, after(100))
 	later := rs.Sent("s", Subject{Fingerprint: fingerprint("later"), RequestID: "later"}, after(400))
 	rs.Answered(later, after(590))
-	require.Empty(t, rs.Prune(after(595)))
+	require.Empty(t, pruned(&rs, after(595)))
 	rs.Answered(rs.Sent("s", Subject{Fingerprint: fingerprint("last"), RequestID: "last"}, after(500)), after(600))
-	require.Equal(t, []Fingerprint{fingerprint("complete")}, rs.Prune(after(600)))
+	require.Equal(t, []string{"complete"}, pruned(&rs, after(600)))
 	require.Equal(t, []string{"later", "last"}, crashSuspects(&rs, "s", after(610)))
 }
 
--- a/internal/poison/subject.go
+++ b/internal/poison/subject.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 )
 
 const (
@@ -35,8 +36,7 @@
 	}
 	ids = ids[:len(ids)-1]
 	if len(ids) > maxParts {
-		first, last := ids[:maxParts/2], ids[len(ids)-maxParts/2:]
-		ids = append(first[:len(first):len(first)], last...)
+		ids = slices.Concat(ids[:maxParts/2], ids[len(ids)-maxParts/2:])
 	}
 	parts := make([]string, len(ids))
 	for i, id := range ids {
--- a/internal/poison/trial.go
+++ b/internal/poison/trial.go
@@ -12,13 +12,41 @@
 	trialDelay = 2 * time.Second
 )
 
-// trials are the intervals, from the beginning of a block on, in each of which one copy of the
-// request is sent to a server. If the server responds and does not crash, the block is lifted.
-var trials = []struct{ from, until time.Duration }{
+// window is an interval of a block's age in which one trial is made.
+type window struct{ from, until time.Duration }
+
+// requestTrials are the intervals in each of which one copy of a blocked request is sent to a server. If
+// the server responds and does not crash, the block is lifted.
+var requestTrials = []window{
 	{600 * time.Millisecond, 3 * time.Second},
 	{10 * time.Second, time.Minute},
 }
 
+// partTrials are the intervals for one request with a blocked part. The first ones are for parts on weak
+// evidence and for those with rivals, and begin when crashes by requests that were in progress are known. The last one is for all,
+// so that a part that still crashes servers costs one of them and not as many as before it was found.
+var partTrials = []window{
+	{time.Second, 3 * time.Second},
+	{10 * time.Second, time.Minute},
+	{FirstBlockDuration - 30*time.Second, FirstBlockDuration},
+}
+
+// strongEvidence is the number of crashes from which on a part gets only the last trial.
+const strongEvidence = 4
+
+// trials returns the intervals in which trials are made.
+func (ab *activeBlock) trials() []window {
+	if ab.block.Part == nil {
+		return requestTrials
+	}
+	return partTrials
+}
+
+// hasTrial reports whether the trial with an index is made.
+func (ab *activeBlock) hasTrial(i int) bool {
+	return ab.block.Part == nil || ab.block.Crashes < strongEvidence || len(ab.block.Rivals) > 0 || i == len(partTrials)-1
+}
+
 // age returns how long ago a block of FirstBlockDuration began. For a longer block it is negative
 // most of the time, so that no trials are due then.
 func (ab *activeBlock) age(now time.Time) time.Duration {
@@ -28,7 +56,7 @@
 // FreshFor returns how long a block stays fresh, zero if it is not or if there is none.
 func (bs *Blocks) FreshFor(fp Fingerprint, now time.Time) time.Duration {
 	ab := bs.active[fp]
-	if ab == nil || ab.age(now) < 0 {
+	if ab == nil || ab.age(now) < 0 || !ab.hasTrial(0) {
 		return 0
 	}
 	return max(0, FreshDuration-ab.age(now))
@@ -42,8 +70,8 @@
 		return 0, 0
 	}
 	age := ab.age(now)
-	for i, tr := range trials {
-		if i >= ab.block.LastTrial && age >= tr.from && age < tr.until {
+	for i, tr := range ab.trials() {
+		if ab.hasTrial(i) && i >= ab.block.LastTrial && age >= tr.from && age < tr.until {
 			return i + 1, age - tr.from
 		}
 	}
@@ -73,10 +101,11 @@
 	if remaining == 0 {
 		return 0
 	}
-	age := bs.active[fp].age(now)
-	for _, tr := range trials {
+	ab := bs.active[fp]
+	age := ab.age(now)
+	for i, tr := range ab.trials() {
 		delay := max(tr.from, age) + resultDelay - age
-		if age >= 0 && age < tr.from+trialDelay && delay < remaining {
+		if ab.hasTrial(i) && age >= 0 && age < tr.from+trialDelay && delay < remaining {
 			return delay
 		}
 	}
--- a/internal/poison/trial_test.go
+++ b/internal/poison/trial_test.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// At whatever times trials are made, a block gets at most len(trials) of them, and Retry-After
+// At whatever times trials are made, a block gets at most len(requestTrials) of them, and Retry-After
 // never exceeds the block's end.
 func TestTrialsAreBounded(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -96,7 +96,7 @@
 				made++
 			}
 		}
-		require.LessOrEqual(rt, made, len(trials))
+		require.LessOrEqual(rt, made, len(requestTrials))
 	})
 }
 
@@ -104,7 +104,7 @@
 func TestServersOfSuspectedRequestsAreProbed(t *testing.T) {
 	var rs Runs
 	fp := fingerprint("p")
-	suspected := func(other Fingerprint) bool { return other == fp }
+	suspected := func(su Subject) bool { return su.Fingerprint == fp }
 	rs.Sent("s", Subject{Fingerprint: fp, RequestID: "r"}, after(0)).Finish(true, after(100))
 	rs.Sent("other", Subject{Fingerprint: fingerprint("q"), RequestID: "q"}, after(0)).Finish(true, after(100))
 	rs.Sent("cancelled", Subject{Fingerprint: fp, RequestID: "d"}, after(0)).Finish(false, after(100))
@@ -112,5 +112,5 @@
 	require.Equal(t, []string{"s"}, rs.Unconfirmed(suspected, after(600)))
 	rs.Alive("s", after(610))
 	require.Empty(t, rs.Unconfirmed(suspected, after(620)))
-	require.Equal(t, []Fingerprint{fp}, rs.Prune(after(620)))
+	require.Equal(t, []string{"r"}, pruned(&rs, after(620)))
 }
