fix(entry): a message that crashes engines is blocked, whatever else its requests hold

The parts of a prompt are its messages but the last, by their content. Attempts carry them to agents, whose suspicions name them. Agents report, at once, the suspected messages with which their server survived responses; entries decide as gateways do. Old agents and entries skip the new fields of heartbeats.

No trials here: a block lasts its term.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,8 +91,11 @@
 	// the server answered completely and survived.
 	dispatched poison.Runs
 	detector   poison.Detector
-	// blocked holds the requests that entries block, with the time of the latest report.
-	blocked map[poison.Fingerprint]time.Time
+	// blocked holds the requests that entries block, suspectParts the parts that they suspect, with the
+	// time of the latest report. clears holds the parts with which the server survived responses.
+	blocked      map[poison.Fingerprint]time.Time
+	suspectParts map[poison.Part]time.Time
+	clears       poison.PartDetector
 	// lastRestartProbe is when a server that announced its shutdown was last probed for a restart.
 	lastRestartProbe time.Time
 	// nonce identifies the latest revision request whose answer can confirm the configuration; zero
@@ -207,7 +212,10 @@
 			lo.Versions = append(lo.Versions, *ou)
 		}
 	}
-	return &wire.Frame{Kind: wire.Heartbeat, Revision: ag.gate.Revision(), Load: &lo, Fingerprints: ag.harmlessBlocked()}
+	return &wire.Frame{
+		Kind: wire.Heartbeat, Revision: ag.gate.Revision(), Load: &lo, Fingerprints: ag.harmlessBlocked(),
+		Clears: ag.clears.Clears(slices.Collect(maps.Keys(ag.suspectParts)), clock.Now()),
+	}
 }
 
 // load returns the current load. The caller holds ag.mu.
@@ -227,6 +235,10 @@
 	case wire.Heartbeat:
 		ag.confirmBills(fr.Bills)
 		ag.recordBlocked(fr.Fingerprints, clock.Now())
+		ag.recordSuspects(fr.Suspects, clock.Now())
+		if len(fr.Suspects) > 0 {
+			li.Send(ag.Heartbeat(li))
+		}
 	case wire.Open:
 		ag.openStream(li, fr)
 	case wire.Cancel:
@@ -289,10 +301,13 @@
 		ag.Node.Tick(now)
 		ag.mu.Lock()
 		ag.apply(ag.gate.Tick(clock.Now()))
-		ag.updateRuns(ctx, clock.Now())
+		clearsAdded := ag.updateRuns(ctx, clock.Now())
 		ag.startRestartProbe(ctx, clock.Now())
 		confirmed := ag.gate.Confirmed()
 		ag.mu.Unlock()
+		if clearsAdded {
+			ag.sendHeartbeats()
+		}
 		if !confirmed {
 			ag.requestRevisions()
 		}
@@ -306,6 +321,13 @@
 	}
 }
 
+// sendHeartbeats sends a heartbeat to all connected entries before the next one is due.
+func (ag *Agent) sendHeartbeats() {
+	for _, li := range ag.Node.Links() {
+		li.Send(ag.Heartbeat(li))
+	}
+}
+
 // drain refuses new work, waits for running attempts to finish and sends the remaining bill lines,
 // for at most the stop timeout of the settings.
 func (ag *Agent) drain() {
@@ -314,9 +336,7 @@
 	ag.outbox.MakeAllDue(time.Now())
 	ag.apply(ag.gate.Leave(clock.Now()))
 	ag.mu.Unlock()
-	for _, li := range ag.Node.Links() {
-		li.Send(ag.Heartbeat(li))
-	}
+	ag.sendHeartbeats()
 	until := time.Now().Add(ag.Node.Settings.Limits.StopTimeout())
 	for !ag.drained() && time.Now().Before(until) {
 		time.Sleep(drainPollInterval)
--- a/internal/agent/blocked.go
+++ b/internal/agent/blocked.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/clock"
@@ -39,15 +40,60 @@
 	return harmless
 }
 
-// updateRuns marks the requests as harmless that the server answered completely and survived. If that
-// is unknown for a blocked request, it checks whether the server is up. The caller holds ag.mu.
-func (ag *Agent) updateRuns(ctx context.Context, now time.Time) {
-	maps.DeleteFunc(ag.blocked, func(_ poison.Fingerprint, reported time.Time) bool { return now.Sub(reported) >= blockedTTL })
-	ag.detector.Update(&ag.dispatched, now)
-	isBlocked := func(su poison.Subject) bool { return !ag.blocked[su.Fingerprint].IsZero() }
-	if len(ag.dispatched.Unconfirmed(isBlocked, now)) > 0 {
+// recordSuspects records the parts of prompts that an entry suspects.
+func (ag *Agent) recordSuspects(suspects []poison.Suspect, now time.Time) {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	if ag.suspectParts == nil {
+		ag.suspectParts = map[poison.Part]time.Time{}
+	}
+	for _, sp := range suspects[:min(len(suspects), poison.MaxSuspects)] {
+		ag.suspectParts[sp.Part] = now
+	}
+}
+
+// updateRuns marks the requests and parts as harmless that the server survived. If that is unknown for
+// a blocked request or a suspected part, it checks whether the server is up. It reports whether a
+// suspected part was found harmless. The caller holds ag.mu.
+func (ag *Agent) updateRuns(ctx context.Context, now time.Time) (clearsAdded bool) {
+	expired := func(reported time.Time) bool { return now.Sub(reported) >= blockedTTL }
+	maps.DeleteFunc(ag.blocked, func(_ poison.Fingerprint, reported time.Time) bool { return expired(reported) })
+	maps.DeleteFunc(ag.suspectParts, func(_ poison.Part, reported time.Time) bool { return expired(reported) })
+	harmless, cleared := ag.detector.Update(&ag.dispatched, now)
+	for _, ru := range slices.Concat(harmless, cleared) {
+		clearsAdded = ag.clearParts(ru, now) || clearsAdded
+	}
+	ag.clears.Expire(now)
+	if len(ag.dispatched.Unconfirmed(ag.isSuspected, now)) > 0 {
 		go ag.checkServerAlive(ctx)
 	}
+	return clearsAdded
+}
+
+// clearParts records that the server survived a response to a request with its parts. It reports whether
+// one of these is suspected. The caller holds ag.mu.
+func (ag *Agent) clearParts(ru *poison.Run, now time.Time) bool {
+	if ru.ResponseBegan().IsZero() {
+		return false
+	}
+	for _, pa := range ru.Subject().PartList() {
+		ag.clears.Clear(pa, ru.ResponseBegan(), now)
+	}
+	return ag.hasSuspectPart(ru.Subject())
+}
+
+// isSuspected reports whether a request is blocked or has a suspected part. The caller holds ag.mu.
+func (ag *Agent) isSuspected(su poison.Subject) bool {
+	return !ag.blocked[su.Fingerprint].IsZero() || ag.hasSuspectPart(su)
+}
+
+func (ag *Agent) hasSuspectPart(su poison.Subject) bool {
+	for pa := range ag.suspectParts {
+		if su.Has(pa) {
+			return true
+		}
+	}
+	return false
 }
 
 // checkServerAlive records that the server is up if it accepts a connection.
--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -29,7 +29,7 @@
 
 // subject returns the request as the detection of crashes sees it.
 func (ru *run) subject() poison.Subject {
-	return poison.Subject{Fingerprint: ru.at.Fingerprint, RequestID: ru.at.Request, Team: ru.at.Team}
+	return poison.Subject{Fingerprint: ru.at.Fingerprint, RequestID: ru.at.Request, Team: ru.at.Team, Parts: ru.at.Parts}
 }
 
 // recordAnswered records that the server started to answer the attempt.
--- a/internal/entry/blocks.go
+++ b/internal/entry/blocks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -16,24 +17,26 @@
 	blocksKey = "linnetrudder/blocks"
 	// blocksInterval is the time between two checks for blocks that have to be stored.
 	blocksInterval = time.Second
+	// liftRetention is how long a lifted block is remembered, so that it is not read from the store again.
+	liftRetention = time.Minute
 )
 
 // blocklist implements route.Blocklist for one request.
 type blocklist struct {
-	en          *Entry
-	fingerprint poison.Fingerprint
+	en      *Entry
+	subject poison.Subject
 }
 
 // Blocked returns how long the request remains blocked, zero if it is not.
 func (bl blocklist) Blocked(now time.Time) time.Duration {
-	return bl.en.blockRemaining(bl.fingerprint, now)
+	return bl.en.blockRemaining(bl.subject, now)
 }
 
 // blockRemaining returns how long a request remains blocked, zero if it is not.
-func (en *Entry) blockRemaining(fp poison.Fingerprint, now time.Time) time.Duration {
+func (en *Entry) blockRemaining(su poison.Subject, now time.Time) time.Duration {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	return en.blocks.Remaining(fp, now)
+	return en.blocks.Remaining(en.blocks.Find(su, now), now)
 }
 
 // recordSuspicions records which requests an agent suspects of having crashed its server. Agents
@@ -42,6 +45,7 @@
 	for _, su := range list {
 		en.mu.Lock()
 		duration := en.detector.Record(su, now)
+		en.parts.Record(su, now)
 		en.mu.Unlock()
 		if duration > 0 {
 			bl := poison.NewBlock(su.Fingerprint, duration, clock.WallTime())
@@ -49,6 +53,8 @@
 			en.addBlock(bl, false, now)
 		}
 	}
+	en.askForClears()
+	en.decideParts(now)
 }
 
 // liftHarmless lifts the blocks of requests that a server answered completely without crashing.
@@ -58,7 +64,7 @@
 		_, lifted := en.blocks.Lift(fp)
 		if lifted {
 			en.detector.MarkHarmless(fp, now)
-			en.liftsUnstored = true
+			en.lifted[fp], en.liftsUnstored = now, true
 		}
 		en.mu.Unlock()
 		if lifted {
@@ -70,10 +76,16 @@
 // addBlock adds a block unless the request was recently found harmless.
 func (en *Entry) addBlock(bl poison.Block, stored bool, now time.Time) {
 	en.mu.Lock()
-	added := !en.detector.IsHarmless(bl.Fingerprint) && en.blocks.Add(bl, bl.Remaining(clock.WallTime()), stored, now)
+	if !stored {
+		delete(en.lifted, bl.Fingerprint)
+	}
+	added := en.lifted[bl.Fingerprint].IsZero() && !en.detector.IsHarmless(bl.Fingerprint) && en.blocks.Add(bl, bl.Remaining(clock.WallTime()), stored, now)
+	if added && bl.Part != nil {
+		en.parts.Convicted(*bl.Part, now)
+	}
 	en.mu.Unlock()
 	if added {
-		en.Node.Record(timeline.Entry{Event: event.RequestBlocked, Detail: bl.Fingerprint.String()})
+		en.Node.Record(timeline.Entry{Event: event.RequestBlocked, Detail: blockDetail(bl)})
 	}
 }
 
@@ -122,7 +134,7 @@
 		return
 	}
 	edit := func(value []byte) ([]byte, error) {
-		return poison.MergeBlocks(value, list, en.isHarmless, clock.WallTime())
+		return poison.MergeBlocks(value, list, en.isLifted, clock.WallTime())
 	}
 	if !en.updateDocument(ctx, blocksKey, edit) {
 		en.Node.Record(timeline.Entry{Event: event.StoreCallFailed, Detail: "blocks could not be stored"})
@@ -136,17 +148,20 @@
 	}
 }
 
-// isHarmless reports whether a server recently answered a request completely without crashing.
-func (en *Entry) isHarmless(fp poison.Fingerprint) bool {
+// isLifted reports whether a block was lifted recently, or a server recently answered its request
+// completely without crashing.
+func (en *Entry) isLifted(fp poison.Fingerprint) bool {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	return en.detector.IsHarmless(fp)
+	return !en.lifted[fp].IsZero() || en.detector.IsHarmless(fp)
 }
 
 func (en *Entry) expireBlocks(now time.Time) {
 	en.mu.Lock()
 	expired := en.blocks.Expire(now)
 	en.detector.Expire(now)
+	en.parts.Expire(now)
+	maps.DeleteFunc(en.lifted, func(_ poison.Fingerprint, at time.Time) bool { return now.Sub(at) >= liftRetention })
 	en.mu.Unlock()
 	for _, fp := range expired {
 		en.Node.Record(timeline.Entry{Event: event.RequestUnblocked, Detail: fp.String()})
--- a/internal/entry/caller_request.go
+++ b/internal/entry/caller_request.go
@@ -50,8 +50,8 @@
 	method      string
 	path        string
 	contentType string
-	// fingerprint is identical for all copies of the request.
-	fingerprint poison.Fingerprint
+	// subject is the request as the detection of crashes sees it.
+	subject poison.Subject
 	// body is the body of a call to a plain service; fields are the top-level fields of a chat
 	// request's body.
 	body   []byte
@@ -66,7 +66,7 @@
 		Request: cr.id, Number: ac.Attempt(), Step: ac.Step(), Team: cr.team, Kind: cr.kind,
 		Priority: cr.priority, WaitMS: max(0, time.Until(cr.deadline).Milliseconds()),
 		AtMostOnce: cr.atMostOnce, Method: cr.method, Path: cr.path, Type: cr.contentType, HideUsage: cr.hideUsage,
-		Fingerprint: cr.fingerprint,
+		Fingerprint: cr.subject.Fingerprint, Parts: cr.subject.Parts,
 	}
 	if cr.service != "" {
 		at.Service = cr.service
@@ -115,6 +115,7 @@
 	{"body", (*Entry).readBody},
 	{"fingerprint", (*Entry).checkBlocklist},
 	{"chat", (*Entry).readChat},
+	{"parts", (*Entry).checkParts},
 	{"kind", (*Entry).applyKind},
 }
 
@@ -196,10 +197,19 @@
 func (en *Entry) checkBlocklist(r *http.Request, cr *callerRequest) error {
 	// The host is not part of the fingerprint: each entry has a name or address of its own, and
 	// requests are not routed by host.
-	cr.fingerprint = poison.FingerprintOf(poison.Request{
+	cr.subject = poison.Subject{RequestID: cr.id, Team: cr.team, Fingerprint: poison.FingerprintOf(poison.Request{
 		Team: cr.team, Method: r.Method, Target: r.URL.RequestURI(), Body: cr.body,
-	})
-	if en.blockRemaining(cr.fingerprint, clock.Now()) > 0 {
+	})}
+	if en.blockRemaining(cr.subject, clock.Now()) > 0 {
+		return result.New(result.RequestBlocked, "")
+	}
+	return nil
+}
+
+// checkParts refuses a request with a blocked message, and delays one with messages that are suspected
+// of a crash.
+func (en *Entry) checkParts(r *http.Request, cr *callerRequest) error {
+	if !en.awaitVerdict(r.Context(), cr.subject) {
 		return result.New(result.RequestBlocked, "")
 	}
 	return nil
@@ -230,6 +240,7 @@
 	if err := json.Unmarshal(cr.body, &cr.fields); err != nil {
 		return result.New(result.BadRequest, err.Error())
 	}
+	cr.subject.Parts = messageIDs(form.Messages)
 	cr.body = nil
 	cr.model = form.Model
 	cr.path = "/v1/chat/completions"
@@ -237,6 +248,15 @@
 	return nil
 }
 
+// messageIDs identifies the messages of a prompt that other requests may share by their content.
+func messageIDs(messages []json.RawMessage) []string {
+	ids := make([]string, len(messages))
+	for i, me := range messages {
+		ids[i] = poison.PartID(me)
+	}
+	return poison.SharedParts(ids)
+}
+
 func (en *Entry) applyKind(_ *http.Request, cr *callerRequest) error {
 	ki := en.Node.Snapshot().Kind(cr.kind)
 	cr.priority = ki.Priority
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -123,7 +123,7 @@
 		route: &route.Request{
 			Steps: steps, Repeatable: !cr.atMostOnce, Deadline: cr.deadline,
 			Picker: attemptPolicy{en: en}, RetryBudget: attemptPolicy{en: en, team: cr.team}, Evaluator: evaluator{en: en, request: cr},
-			Blocklist: blocklist{en: en, fingerprint: cr.fingerprint},
+			Blocklist: blocklist{en: en, subject: cr.subject},
 		},
 	}
 	co := ex.serve(r)
@@ -143,7 +143,7 @@
 		Event: event.RequestRefused, Request: cr.id, Team: cr.team, Detail: result.Lookup(er.Code()).Name(),
 	})
 	w.Header().Set(headerRequest, cr.id)
-	node.WriteErrorBody(w, node.NewErrorBody(er, cr.id, en.blockRemaining(cr.fingerprint, clock.Now())))
+	node.WriteErrorBody(w, node.NewErrorBody(er, cr.id, en.retryAfterBlock(cr.subject, clock.Now())))
 }
 
 // modelList is the response body of /v1/models.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -112,7 +112,11 @@
 	// must not be sent.
 	detector poison.Detector
 	blocks   poison.Blocks
-	// liftsUnstored is set if a block was lifted and the store may still hold it.
+	// parts holds the evidence against parts of prompts.
+	parts poison.PartDetector
+	// lifted holds when blocks were lifted that the store may still hold. liftsUnstored is set until they
+	// have been removed from it.
+	lifted        map[poison.Fingerprint]time.Time
 	liftsUnstored bool
 	// inProgress is the number of callers' requests in progress.
 	inProgress int
@@ -130,6 +134,7 @@
 	en.supervisor.Add(node.Service{Name: "watch", Run: en.watchStore})
 	en.supervisor.Add(node.Service{Name: "learnt", Run: en.syncFeedback})
 	en.supervisor.Add(node.Service{Name: "blocks", Run: en.syncBlocks})
+	en.supervisor.Add(node.Service{Name: "verdicts", Run: en.decide})
 	en.supervisor.Add(node.Service{Name: "rollouts", Run: en.runRollouts})
 	en.supervisor.Add(node.Service{Name: "ticks", Run: en.tick})
 	ended := en.supervisor.ServeBackground(work)
@@ -159,6 +164,7 @@
 	en.feedback = newFeedback()
 	en.claimWaiters = map[string][]chan wire.ClaimLine{}
 	en.detector = poison.Detector{MinCrashes: poison.MinCrashes}
+	en.lifted = map[poison.Fingerprint]time.Time{}
 	en.Node.OnAdopt = en.applyConfig
 }
 
@@ -190,7 +196,7 @@
 	fr := &wire.Frame{Kind: wire.Heartbeat, Revision: en.Node.Snapshot().Revision(), Bills: en.takeBillAcks(li.Peer.Box())}
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	fr.Fingerprints = en.blocks.Fingerprints()
+	fr.Fingerprints, fr.Suspects = en.blocks.Fingerprints(), en.parts.Suspects(clock.Now())
 	return fr
 }
 
@@ -210,6 +216,9 @@
 	if len(fr.Fingerprints) > 0 {
 		en.liftHarmless(fr.Fingerprints, clock.Now())
 	}
+	if len(fr.Clears) > 0 {
+		en.recordClears(fr.Clears, clock.Now())
+	}
 	switch fr.Kind {
 	case wire.Admission, wire.Head, wire.Data, wire.End:
 		en.handleAttemptFrame(li, fr)
--- a/internal/poison/subject.go
+++ b/internal/poison/subject.go
@@ -45,11 +45,16 @@
 	return parts
 }
 
+// PartID returns the id of a part of a prompt by its content.
+func PartID(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:maxPartIDBytes/2])
+}
+
 // shortenPartID bounds the size of a part's id, which the caller chooses.
 func shortenPartID(id string) string {
 	if len(id) <= maxPartIDBytes {
 		return id
 	}
-	sum := sha256.Sum256([]byte(id))
-	return hex.EncodeToString(sum[:maxPartIDBytes/2])
+	return PartID([]byte(id))
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -92,6 +92,10 @@
 	// Fingerprints identifies requests: in an entry's heartbeat, those that it blocks; in an agent's
 	// heartbeat, those among them that its server answered completely and survived.
 	Fingerprints []poison.Fingerprint `cbor:"20,keyasint,omitempty"`
+	// Suspects holds, in an entry's heartbeat, the parts of prompts that it suspects; Clears, in an
+	// agent's, those among them with which its server survived responses.
+	Suspects []poison.Suspect `cbor:"21,keyasint,omitempty"`
+	Clears   []poison.Clear   `cbor:"22,keyasint,omitempty"`
 }
 
 // Attempt holds what an agent needs to admit and run one attempt.
@@ -122,6 +126,8 @@
 	// Fingerprint is the fingerprint of the caller's request. It does not depend on the version that
 	// the attempt uses.
 	Fingerprint poison.Fingerprint `cbor:"17,keyasint,omitempty"`
+	// Parts holds the ids of the parts of the prompt that other requests may share.
+	Parts []string `cbor:"18,keyasint,omitempty"`
 }
 
 // Load is the load of a backend server, as its agent reports it.
--- a/standin/e2e/poison_test.go
+++ b/standin/e2e/poison_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"fmt"
 	"net/http"
 	"syscall"
 	"testing"
@@ -120,3 +121,46 @@
 		}
 	}
 }
+
+// Requests of which no two are alike have one message that crashes every engine. Those without it share
+// the other messages and are served.
+func TestMessageThatCrashesEnginesIsBlocked(t *testing.T) {
+	sy := newSystem(t, 6, 3*time.Millisecond)
+	sound := func(n int) call {
+		return call{stream: true, kind: "long-deadline", before: []string{"common", fmt.Sprint("subject ", n%5)}, content: fmt.Sprint("sound ", n)}
+	}
+	stop := sy.startLoad(4, sound)
+	defer stop()
+	sy.waitAnswers(2)
+	time.Sleep(2 * time.Second) // by then the agents have seen their engines survive the common messages
+	ids := map[string]bool{}
+	sent := 0
+	send := func() call {
+		sent++
+		ca := sy.send(sy.entries[sent%len(sy.entries)], call{
+			stream: true, before: []string{"common", engine.PoisonPart, fmt.Sprint("subject ", sent%5)}, content: fmt.Sprint("deadly ", sent),
+		})
+		ids[ca.id] = true
+		return ca
+	}
+	refusedInARow := 0
+	require.NoError(t, fleet.WaitUntil(waitTimeout, "both entries to block the message", func() bool {
+		if send().code == result.RequestBlocked {
+			refusedInARow++
+		} else {
+			refusedInARow = 0
+		}
+		return refusedInARow >= 4
+	}))
+	runs := sy.countRuns(ids)
+	require.LessOrEqual(t, runs, 12)
+	for range 10 {
+		require.Equal(t, result.RequestBlocked, send().code)
+	}
+	require.Equal(t, runs, sy.countRuns(ids))
+	for n := range 10 {
+		ca := sy.send(sy.entries[n%len(sy.entries)], sound(1000+n))
+		require.True(t, ca.complete, "%+v", ca)
+	}
+	require.NoError(t, fleet.WaitUntil(waitTimeout, "the block to be stored", func() bool { return sy.keyExists(blocksKey) }))
+}
--- a/standin/e2e/system_test.go
+++ b/standin/e2e/system_test.go
@@ -158,6 +158,8 @@
 type call struct {
 	kind, session, idempotencyKey, model, content string
 	stream                                        bool
+	// before holds the contents of the messages before the last.
+	before []string
 
 	id, version string
 	status      int
@@ -176,7 +178,11 @@
 	if ca.content == "" {
 		ca.content = "x"
 	}
-	body := fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[{"role":"user","content":%q}]}`, ca.model, ca.stream, ca.content)
+	var messages strings.Builder
+	for _, content := range ca.before {
+		fmt.Fprintf(&messages, `{"role":"user","content":%q},`, content)
+	}
+	body := fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[%s{"role":"user","content":%q}]}`, ca.model, ca.stream, messages.String(), ca.content)
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+en.Address+"/v1/chat/completions", strings.NewReader(body))
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -23,7 +23,8 @@
 	CheckFencing bool
 	// Confidence is reported with each response.
 	Confidence float64
-	// Crash stops the engine without notice. It is called, if set, by requests with PoisonContent.
+	// Crash stops the engine without notice. It is called, if set, by requests with PoisonContent, and by
+	// those with PoisonPart in a message before the last.
 	Crash func()
 
 	mu sync.Mutex
@@ -44,8 +45,12 @@
 	acceptedFences []uint64
 }
 
-// PoisonContent is the content of a message that crashes an engine.
-const PoisonContent = "poison"
+const (
+	// PoisonContent is the content of a single message that crashes an engine.
+	PoisonContent = "poison"
+	// PoisonPart is the content of a message that crashes an engine whatever the other messages hold.
+	PoisonPart = "poison part"
+)
 
 // crashDelay is the time from the start of a poison request to the crash.
 const crashDelay = 120 * time.Millisecond
@@ -58,6 +63,19 @@
 	} `json:"messages"`
 }
 
+// isPoison reports whether a request crashes the engine.
+func (ch *chatRequest) isPoison() bool {
+	if len(ch.Messages) == 0 {
+		return false
+	}
+	for _, me := range ch.Messages[:len(ch.Messages)-1] {
+		if me.Content == PoisonPart {
+			return true
+		}
+	}
+	return ch.Messages[0].Content == PoisonContent
+}
+
 // Runs returns how often the request with an id started.
 func (en *Engine) Runs(id string) int {
 	en.mu.Lock()
@@ -181,7 +199,7 @@
 	}
 	failing := en.begin(r.Header.Get("X-Request-Id"), ch.Model)
 	defer en.end()
-	if en.Crash != nil && len(ch.Messages) > 0 && ch.Messages[0].Content == PoisonContent {
+	if en.Crash != nil && ch.isPoison() {
 		en.wait(r, crashDelay)
 		en.Crash()
 		return
