--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -25,6 +25,7 @@
 	Servers  int           `help:"Number of backend servers." default:"6"`
 	Callers  int           `help:"Number of concurrent callers." default:"16"`
 	Poison   bool          `help:"Include a request that crashes the servers that run it."`
+	Part     bool          `help:"Include requests with a part of their prompts that crashes the servers that run them."`
 	Reports  bool          `help:"Include servers that report their shutdown or a pause in responses."`
 	Restores bool          `help:"Include restores of the key-value service from older copies."`
 	Silences bool          `help:"Include open connections that become silent for good."`
@@ -61,6 +62,9 @@
 		if ar.Poison {
 			pl = pl.WithPoison()
 		}
+		if ar.Part {
+			pl = pl.WithPoisonPart()
+		}
 		if ar.Reports {
 			pl = pl.WithReports()
 		}
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -59,6 +59,8 @@
 	incomplete bool
 	// poison is set for copies of the poison request, which crashes the servers that execute it.
 	poison bool
+	// prompt lists the parts of the prompt, empty for none.
+	prompt string
 }
 
 const (
@@ -81,6 +83,8 @@
 	// it, and blockWithin how long after the last of these the block must be in force.
 	maxPoisonCrashes = 3
 	blockWithin      = 3 * time.Second
+	// maxPartCrashes is the same for requests with the poison part.
+	maxPartCrashes = 5
 )
 
 // history holds the observations of a run.
@@ -91,6 +95,8 @@
 	executions *executionLog
 	// poisoned holds the outcomes of the poison request.
 	poisoned []outcome
+	// poisonedParts holds the outcomes of the requests with the poison part.
+	poisonedParts []outcome
 	// revokedAt and drainedAt hold when keys were revoked and servers started draining.
 	revokedAt, drainedAt map[string]time.Time
 }
@@ -124,22 +130,23 @@
 			add(GracefulShutdown, ou, "%s", detail)
 		}
 	}
-	list = append(list, hi.checkPoison()...)
+	list = append(list, hi.checkPoison(hi.poisoned, maxPoisonCrashes)...)
+	list = append(list, hi.checkPoison(hi.poisonedParts, maxPartCrashes)...)
 	list = append(list, hi.checkAnnouncedShutdowns()...)
 	list = append(list, hi.checkPauses()...)
 	return append(list, hi.checkRecovery()...)
 }
 
-// checkPoison counts the servers that the poison request crashed through undisturbed gateways after it
-// had to be blocked.
-func (hi *history) checkPoison() []Violation {
+// checkPoison counts the servers that poison requests crashed through undisturbed gateways after they had
+// to be blocked, which is when a number of servers had crashed.
+func (hi *history) checkPoison(poisoned []outcome, allowed int) []Violation {
 	var crashes []execution
 	late := 0
 	var last outcome
-	for _, ou := range hi.poisoned {
+	for _, ou := range poisoned {
 		for _, ex := range hi.executions.executionsOf(ou.id) {
 			crashes = append(crashes, ex)
-			if len(crashes) > maxPoisonCrashes && ex.at.Sub(crashes[maxPoisonCrashes-1].at) > blockWithin && hi.undisturbed(ou.gateway, ou.sent, ex.at) {
+			if len(crashes) > allowed && ex.at.Sub(crashes[allowed-1].at) > blockWithin && hi.undisturbed(ou.gateway, ou.sent, ex.at) {
 				late++
 				last = ou
 			}
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -33,6 +33,9 @@
 	if ou.poison {
 		req.Header.Set(headerPoison, "1")
 	}
+	if ou.prompt != "" {
+		req.Header.Set(headerPrompt, ou.prompt)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		ou.incomplete = true
@@ -77,6 +80,8 @@
 		sr.revokeKey()
 	case Poison:
 		sr.sendPoison(fa)
+	case PoisonPart:
+		sr.sendPoisonPart(fa)
 	case ConnectionsSilent:
 		sr.silenceConnections()
 	default:
@@ -239,6 +244,23 @@
 	}
 }
 
+// sendPoisonPart sends different requests with the poison part to the gateways in turn, until the end of
+// the fault.
+func (sr *soakRun) sendPoisonPart(fa Fault) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 4 * requestDeadline}
+	for n := 0; time.Until(sr.history.start.Add(fa.End)) > 0; n++ {
+		ou := outcome{
+			id: fmt.Sprint(poisonIDPrefix, "part-", n), gateway: n % len(sr.gateways), path: fmt.Sprint("/stream/poison-", n),
+			key: sr.pickKey(n + 1), prompt: fmt.Sprintf("common:100,%s:200,own-%d:50", poisonPart, n),
+		}
+		sr.sendRequest(client, &ou)
+		sr.mu.Lock()
+		sr.history.poisonedParts = append(sr.history.poisonedParts, ou)
+		sr.mu.Unlock()
+		time.Sleep(poisonInterval)
+	}
+}
+
 // poisonIDPrefix is the prefix of the ids of the poison request's copies.
 const poisonIDPrefix = "poison-"
 
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -65,6 +65,9 @@
 	ServerShedsLoad         FaultKind = "server-sheds"
 	// Poison makes a client send copies of a request that crashes the servers that execute it.
 	Poison FaultKind = "poison"
+	// PoisonPart makes a client send requests of which no two are alike, with one part of their prompts
+	// that crashes the servers that begin a response to it.
+	PoisonPart FaultKind = "poison-part"
 	// ConfigChange publishes a new version of the configuration, KeyRevocation revokes an API key.
 	ConfigChange  FaultKind = "configure"
 	KeyRevocation FaultKind = "revoke"
@@ -124,6 +127,21 @@
 	return pl
 }
 
+// WithPoisonPart adds requests with a part of their prompts that crashes servers. It has a random source
+// of its own, so that the other faults of the seed remain the same.
+func (pl Plan) WithPoisonPart() Plan {
+	rn := rand.New(rand.NewPCG(pl.Seed, pl.Seed+5))
+	from := warmUp + time.Duration(rn.Int64N(int64(pl.FaultsEnd-warmUp)/2))
+	pl.Faults = append(slices.Clone(pl.Faults), Fault{Kind: PoisonPart, Start: from, End: pl.End})
+	slices.SortFunc(pl.Faults, func(a, b Fault) int { return int(a.Start - b.Start) })
+	return pl
+}
+
+// hasPoisonPart reports whether the plan has requests with a part that crashes servers.
+func (pl Plan) hasPoisonPart() bool {
+	return slices.ContainsFunc(pl.Faults, func(fa Fault) bool { return fa.Kind == PoisonPart })
+}
+
 // reportFaultsPerKind is how many faults of each kind WithReports adds.
 const reportFaultsPerKind = 2
 
--- a/standin/soak/server.go
+++ b/standin/soak/server.go
@@ -78,8 +78,20 @@
 	retryAfter = 1500 * time.Millisecond
 )
 
-// headerPoison marks the request that crashes servers.
-const headerPoison = "X-Soak-Poison"
+const (
+	// headerPoison marks the request that crashes servers.
+	headerPoison = "X-Soak-Poison"
+	// headerPrompt lists the parts of a prompt, of which poisonPart crashes servers unless it is the last.
+	headerPrompt = "X-Prefix-Hash"
+	poisonPart   = "deadly"
+	// partCrashDelay is the time from the first event of the response to the crash.
+	partCrashDelay = 80 * time.Millisecond
+)
+
+// hasPoisonPart reports whether a request has the part that crashes servers.
+func hasPoisonPart(r *http.Request) bool {
+	return strings.Contains(r.Header.Get(headerPrompt), ","+poisonPart+":")
+}
 
 // server is one instance of a simulated backend server.
 type server struct {
@@ -225,6 +237,16 @@
 		<-r.Context().Done()
 		return
 	}
+	if hasPoisonPart(r) {
+		w.Header().Set("X-Server-Signature", "signed by "+se.id)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, eventBody(id, 1))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(partCrashDelay)
+		se.crash()
+		<-r.Context().Done()
+		return
+	}
 	switch {
 	case se.defect == FalseNotExecuted && rand.Float64() < falseRejectionFraction:
 		w.Header().Set("X-Not-Executed", "full")
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -297,6 +297,9 @@
 			id: fmt.Sprintf("r-%d-%d", caller, n), gateway: (caller + n/5) % len(sr.gateways),
 			path: []string{"/safe/x", "/unsafe/x", "/stream/x"}[n%3], key: sr.pickKey(caller + n),
 		}
+		if sr.plan.hasPoisonPart() {
+			ou.prompt = fmt.Sprintf("common:100,subject-%d:100,own-%d:50", n%7, n)
+		}
 		sr.sendRequest(client, &ou)
 		sr.mu.Lock()
 		sr.history.outcomes = append(sr.history.outcomes, ou)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -103,6 +103,18 @@
 	}
 }
 
+// Requests of which no two are alike have a part that crashes servers, while gateways are killed,
+// suspended and partitioned from the key-value service, and servers crash for other reasons.
+func TestPoisonPartIsContained(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			pl := GeneratePlan(seed, 4, 8, 6*time.Second).WithPoisonPart()
+			require.Empty(t, runPlan(t, pl, ""), "%v", pl.Faults)
+		})
+	}
+}
+
 // Each check must detect a defect that violates its guarantee.
 func TestChecksDetectEachDefect(t *testing.T) {
 	seconds := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
