fix(gateway): shares of limits follow demand

Cause: a gateway's share of a limit is one part of the number of gateways, whatever comes to each.

Change: each gateway owns a unit of every shared quota. One with little demand lends a part of it, along the load reports, to the gateway it reports to, which grants it to those with more (package lending). Warm-up uses the same units; retry budgets follow a gateway's own requests already.

Ruled out: shares by reported demand without leases (two gateways that hear different things exceed the limit).

--- a/internal/backpressure/backpressure.go
+++ b/internal/backpressure/backpressure.go
@@ -117,6 +117,9 @@
 	return Limited
 }
 
+// Any reports whether any server has a rate limit.
+func (tr *Tracker) Any() bool { return len(tr.limits) > 0 }
+
 // PerSecond returns the rate limit of a server in requests per second, false if it has none.
 func (tr *Tracker) PerSecond(key string) (float64, bool) {
 	if li := tr.limits[key]; li != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/grace"
 	"github.com/linnetrudder/linnetrudder/internal/latency"
+	"github.com/linnetrudder/linnetrudder/internal/lending"
 	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
@@ -148,6 +149,12 @@
 	// one reports to.
 	loads    load.Table
 	loadPlan relay.Plan
+	// requests measures the rate of requests that arrive at this gateway.
+	requests rate.Meter
+	// lending moves units of quotas between gateways. lender is the box of the gateway that this one lends
+	// to and borrows from, empty if there is none.
+	lending lending.Book
+	lender  string
 	// lastReportCollected is when a collector last took this gateway's report. instanceID distinguishes
 	// this process from earlier ones on the same box.
 	lastReportCollected time.Time
@@ -230,8 +237,9 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.pool = pool.Pool{
-		Box: ga.Box, DataCentre: ga.DataCentre, Directory: &ga.servers, Loads: &ga.loads,
+		Box: ga.Box, DataCentre: ga.DataCentre, Directory: &ga.servers, Loads: &ga.loads, Units: ga.lending.Units,
 	}
+	ga.requests = rate.Meter{TimeConstant: demandTimeConstant}
 	ga.unusable = map[string]bool{}
 	ga.unreadableLog = zerolog.BurstSampler{Burst: unreadableBurst, Period: unreadablePeriod}
 	ga.aheadLog = zerolog.BurstSampler{Burst: aheadBurst, Period: aheadPeriod}
@@ -259,6 +267,7 @@
 	ga.storeAvailable = make(chan struct{}, 1)
 	ga.rejoin = make(chan struct{}, 1)
 	ga.instanceID = rand.Uint64()
+	ga.lending = lending.Book{Process: ga.instanceID, Started: clock.Now()}
 	if ga.Usage != nil {
 		ga.Usage.Log, ga.Usage.Box, ga.Usage.Process, ga.Usage.Rank = ga.Log, ga.Box, ga.instanceID, ga.collectorRank
 	}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -75,6 +75,7 @@
 	for i, me := range members {
 		peers[i] = loadPeer{me, collector}
 	}
+	ga.chooseLender(peers)
 	return peers
 }
 
@@ -84,6 +85,7 @@
 	defer cl.Close()
 	failed, progress := false, exchangeProgress{}
 	for ctx.Err() == nil {
+		sent := clock.Now()
 		re, next := ga.reportSince(to, progress)
 		reply, err := cl.Exchange(ctx, re)
 		if ctx.Err() != nil {
@@ -101,7 +103,7 @@
 		progress.suspicions, progress.received = next, reply.NextSuspicion
 		progress.usage = ga.usageReplied(progress.usage, re, reply)
 		ga.reportAccepted(re, clock.Now())
-		ga.applyReportReply(reply, clock.Now())
+		ga.applyReportReply(reply, sent, clock.Now())
 		ga.awaitNextReport(ctx)
 	}
 }
@@ -153,6 +155,7 @@
 	defer ga.mu.Unlock()
 	re.Suspicions, nextSuspicion = ga.crashDetector.Since(progress.suspicions, clock.Now())
 	re.WantedSuspicion = progress.received
+	re.Offer = ga.loanOffer(to.member.Box, clock.Now())
 	if ga.Usage != nil {
 		re.Usage = ga.Usage.Outgoing(progress.usage, !to.asCollector || ga.needsUsage(to.member.Box, clock.Now()))
 	}
@@ -172,6 +175,10 @@
 	}
 	re.Work = re.Work.Busiest(maxLoadServers)
 	now := clock.Now()
+	re.Demand = ga.requestRate(now)
+	if collector {
+		re.Demand = ga.loads.GroupDemand(re.Demand)
+	}
 	re.Ready = ga.readyLocked(now)
 	to := gossip.ToCollector
 	if collector {
@@ -192,10 +199,13 @@
 	ga.clearReported()
 }
 
-// applyReportReply applies the reply to a report.
-func (ga *Gateway) applyReportReply(reply relay.Report, now time.Time) {
+// applyReportReply applies the reply to a report that was sent at a time.
+func (ga *Gateway) applyReportReply(reply relay.Report, sent, now time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	if reply.Loan != nil {
+		ga.lending.HandleReply(reply.Box, *reply.Loan, sent, now)
+	}
 	ga.applyGroupReport(reply, now)
 	ga.recordReadiness(reply, now)
 	ga.receiveBlocks(reply, now)
@@ -207,6 +217,7 @@
 func (ga *Gateway) applyGroupReport(re relay.Report, now time.Time) {
 	ga.loads.PutGroup(re.Box, re.Work, now)
 	ga.loads.SetGroupSize(re.Box, re.Gateways)
+	ga.loads.SetGroupDemand(re.Box, re.Demand)
 	ga.updateSize()
 }
 
@@ -251,6 +262,7 @@
 	ga.receiveNotices(re, now)
 	var work load.Work
 	var gateways int
+	var demand float64
 	to := gossip.ToMember
 	var suspicions []poison.Suspicion
 	var nextSuspicion uint64
@@ -259,15 +271,18 @@
 		to = gossip.BetweenCollectors
 		ga.applyGroupReport(re, now)
 		work, gateways = ga.loads.GroupSum(ga.pool.Work()), ga.loads.GroupSize()
+		demand = ga.loads.GroupDemand(ga.requestRate(now))
 	} else {
 		ga.loads.PutMember(re.Box, re.Work, now)
+		ga.loads.SetMemberDemand(re.Box, re.Demand)
 		ga.updateSize()
 		ga.collectTallies(re.Tallies)
 		work, gateways = ga.loads.SumExcept(re.Box, ga.pool.Work()), ga.loads.OtherGateways()
+		demand = ga.loads.DemandExcept(re.Box, ga.requestRate(now))
 	}
 	reply := relay.Report{
 		Box: ga.Box, Collector: true, Work: work.Busiest(maxLoadServers), Ready: ga.readyLocked(now), Gateways: gateways,
-		Suspicions: suspicions, NextSuspicion: nextSuspicion,
+		Suspicions: suspicions, NextSuspicion: nextSuspicion, Demand: demand, Loan: ga.handleLoanOffer(re.Box, re.Offer, now),
 	}
 	if ga.Usage != nil {
 		reply.Usage = ga.Usage.Receive(re.Usage, !re.Collector, re.Collector && ga.needsUsage(re.Box, now))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -29,6 +29,7 @@
 func (ga *Gateway) Serve(ctx context.Context, rq *Request, rs Responder) {
 	ga.inProgress.Add(1)
 	defer ga.inProgress.Add(-1)
+	ga.recordArrival(rq.Received)
 	ex := &exchange{ga: ga, rq: rq, responder: rs, attempts: map[int]*attemptState{}}
 	if co := ex.admit(rq.Received); co != result.OK {
 		ex.writeError(co, "", ex.retryAfter(co, 0))
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -68,6 +68,8 @@
 	at   time.Time
 	// gateways is the number of gateways that the report includes, zero if it is not known.
 	gateways int
+	// demand is the rate of requests of these gateways, per second.
+	demand float64
 }
 
 // Table holds the newest report of each other gateway. The zero value is empty. It is not safe for
@@ -105,6 +107,45 @@
 	}
 }
 
+// SetMemberDemand stores the rate of requests of a gateway with a report.
+func (ta *Table) SetMemberDemand(box string, perSecond float64) {
+	setDemand(ta.members, box, perSecond)
+}
+
+// SetGroupDemand stores the rate of requests of the gateways that the newest report of a collector
+// includes.
+func (ta *Table) SetGroupDemand(box string, perSecond float64) { setDemand(ta.groups, box, perSecond) }
+
+func setDemand(reports map[string]report, box string, perSecond float64) {
+	if re, ok := reports[box]; ok {
+		re.demand = max(0, perSecond)
+		reports[box] = re
+	}
+}
+
+// GroupDemand returns the rate of requests of the gateways that the result of GroupSum includes. own is
+// that of this gateway.
+func (ta *Table) GroupDemand(own float64) float64 {
+	for _, re := range ta.members {
+		own += re.demand
+	}
+	return own
+}
+
+// Demand returns the rate of requests of all gateways.
+func (ta *Table) Demand(own float64) float64 {
+	own = ta.GroupDemand(own)
+	for _, re := range ta.groups {
+		own += re.demand
+	}
+	return own
+}
+
+// DemandExcept returns the rate of requests of all gateways except one with a report.
+func (ta *Table) DemandExcept(box string, own float64) float64 {
+	return ta.Demand(own) - ta.members[box].demand
+}
+
 // GroupSize returns the number of gateways that the result of GroupSum includes.
 func (ta *Table) GroupSize() int { return 1 + len(ta.members) }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -105,6 +105,8 @@
 	// MaxMembers is the largest possible number of such processes, including recently unreachable
 	// ones. It may change at any time.
 	MaxMembers int
+	// Units returns how many units of shared quotas this process holds, one if it is nil.
+	Units func(now time.Time) float64
 	// Loads holds the work in progress of the other processes.
 	Loads *load.Table
 	// Warmup tracks cold servers.
@@ -197,6 +199,9 @@
 // path that sends an attempt has to check it, since a paused server looks idle.
 func (po *Pool) waitFor(se *directory.Server, cold quota.Limit, now time.Time) (quotas, pause time.Duration) {
 	gw := quota.Gateway{Box: po.Box, FleetSize: po.MaxMembers}
+	if po.Units != nil {
+		gw.Units = po.Units(now)
+	}
 	quotas = max(po.Warmup.Wait(se.Key(), cold, gw, now), po.Limits.Wait(se.Key(), gw, now))
 	return quotas, po.Pauses.LocalRemaining(se.Key(), now)
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,11 +1,13 @@
 // Package quota divides a server's rate limit among gateways without coordination per request. The
-// share of a gateway depends on the number of gateways. If one request each would exceed the limit,
-// a hash selects the gateways that send. It does no I/O and reads no clock.
+// share of a gateway depends on the number of gateways and on how many units of the limit it holds, one
+// unless gateways lend them to each other. If one request for each unit would exceed the limit, a hash
+// selects the units that may send. It does no I/O and reads no clock.
 package quota
 
 import (
 	"encoding/binary"
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,21 +44,23 @@
 // Enabled reports whether there is a limit.
 func (li Limit) Enabled() bool { return li.PerSecond > 0 && li.MaxInWindow >= 1 }
 
-// share is one gateway's share of a limit.
+// share is the share of a number of units in a limit.
 type share struct {
-	// probability is the probability that a gateway may send at all.
+	// probability is the probability that a unit may send at all.
 	probability float64
-	// maxInWindow bounds the requests of a selected gateway within the window, minInterval is the
-	// minimum time between two of them.
+	// maxInWindow bounds the requests within the window, those of a selected unit if only some are, and
+	// minInterval is the minimum time between two of them.
 	maxInWindow int
 	minInterval time.Duration
 }
 
-// shareOf divides a limit among a number of gateways.
-func (li Limit) shareOf(gateways int) share {
+// shareOf returns the share of a number of units if there are as many units as gateways.
+func (li Limit) shareOf(units float64, gateways int) share {
 	n := float64(max(1, gateways))
 	if n <= usableFraction*li.MaxInWindow {
-		return share{probability: 1, maxInWindow: int(usableFraction * li.MaxInWindow / n), minInterval: li.minInterval(n)}
+		return share{
+			probability: 1, maxInWindow: int(usableFraction * li.MaxInWindow * units / n), minInterval: li.minInterval(n / units),
+		}
 	}
 	// Each selected gateway sends one request: selected + deviations * sqrt(selected) =
 	// MaxInWindow.
@@ -117,6 +121,16 @@
 	Box string
 	// FleetSize is an upper estimate of the number of gateways.
 	FleetSize int
+	// Units is the number of units that it holds, zero for one.
+	Units float64
+}
+
+// units returns the number of units that the gateway holds.
+func (gw Gateway) units() float64 {
+	if gw.Units == 0 {
+		return 1
+	}
+	return gw.Units
 }
 
 // Wait returns how long a gateway must not send to the server with a key, zero if it may send now.
@@ -124,12 +138,17 @@
 	if !li.Enabled() {
 		return 0
 	}
-	sh := li.shareOf(gw.FleetSize)
+	sh := li.shareOf(gw.units(), gw.FleetSize)
 	if sh.probability < 1 {
-		value, next := li.draw(gw.Box, key, now)
-		if value >= sh.probability {
+		selected, next := li.selected(gw, key, sh.probability, now)
+		if selected == 0 {
 			return next
 		}
+		sh.maxInWindow *= selected
+		sh.minInterval /= time.Duration(selected)
+	}
+	if sh.maxInWindow == 0 {
+		return li.span()
 	}
 	n := len(us.sent)
 	if n == 0 {
@@ -142,6 +161,25 @@
 	return max(0, wait)
 }
 
+// selected returns how many of a gateway's units may send, and how long that is valid. A part of a unit is
+// selected with a part of the probability.
+func (li Limit) selected(gw Gateway, key string, probability float64, now time.Time) (units int, next time.Duration) {
+	box := gw.Box
+	for i := 0; float64(i) < gw.units(); i++ {
+		if i > 0 {
+			box = gw.Box + "\x00" + strconv.Itoa(i)
+		}
+		value, valid := li.draw(box, key, now)
+		if value < probability*min(1, gw.units()-float64(i)) {
+			units++
+		}
+		if i == 0 || valid < next {
+			next = valid
+		}
+	}
+	return units, next
+}
+
 // draw returns a pseudorandom number in [0, 1) for a gateway and a server, and how long it is
 // valid.
 func (li Limit) draw(box, key string, now time.Time) (value float64, next time.Duration) {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -215,7 +215,7 @@
 // The number of gateways selected for a server must exceed the limit very rarely.
 func TestSelectionRarelyExceedsTheLimit(t *testing.T) {
 	for _, gateways := range []int{30, 103, 410} {
-		sh := typicalLimit.shareOf(gateways)
+		sh := typicalLimit.shareOf(1, gateways)
 		over := 0
 		const servers = 4_000
 		for s := range servers {
@@ -233,7 +233,7 @@
 		require.Equal(t, 1, sh.maxInWindow)
 		require.InDelta(t, 9.3, sh.probability*float64(gateways), 0.2)
 	}
-	require.Equal(t, 1.0, typicalLimit.shareOf(23).probability)
-	require.InDelta(t, 23.0/14, typicalLimit.shareOf(23).minInterval.Seconds(), 1e-6)
-	require.False(t, math.IsNaN(typicalLimit.shareOf(0).probability))
+	require.Equal(t, 1.0, typicalLimit.shareOf(1, 23).probability)
+	require.InDelta(t, 23.0/14, typicalLimit.shareOf(1, 23).minInterval.Seconds(), 1e-6)
+	require.False(t, math.IsNaN(typicalLimit.shareOf(1, 0).probability))
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/backpressure"
 	"github.com/linnetrudder/linnetrudder/internal/gossip"
+	"github.com/linnetrudder/linnetrudder/internal/lending"
 	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/revision"
@@ -94,6 +95,11 @@
 	// receiver, NextSuspicion in a reply that of the first one that it does not contain.
 	WantedSuspicion uint64 `cbor:"17,keyasint,omitempty"`
 	NextSuspicion   uint64 `cbor:"18,keyasint,omitempty"`
+	// Demand is the rate of requests of the gateways that Work includes, per second.
+	Demand float64 `cbor:"19,keyasint,omitempty"`
+	// Offer lends units of shared quotas to the receiver or asks for some, Loan is the reply to it.
+	Offer *lending.Offer `cbor:"20,keyasint,omitempty"`
+	Loan  *lending.Reply `cbor:"21,keyasint,omitempty"`
 	// Crashes lists the servers that crashed recently.
 	Crashes []Crash `cbor:"16,keyasint,omitempty"`
 	// Limits lists the servers whose rate limit changed recently.
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -47,6 +47,9 @@
 	return added
 }
 
+// Any reports whether any server is cold.
+func (tr *Tracker) Any() bool { return len(tr.servers) > 0 }
+
 // Remaining returns how long a server remains cold, zero if it is warm.
 func (tr *Tracker) Remaining(key string, now time.Time) time.Duration {
 	if se := tr.servers[key]; se != nil {
