fix(gateway): a crowded gateway closes connections unread while its processor time does not suffice

What callers would see: the platform hands most new connections of a region to one gateway. With 0.1 to 0.15 of a core it reads all requests, queues them and answers after their time is over: of 650 a second none were answered from the second second on (own stand-in, a gateway throttled to 8 ms of each 100 ms).

Cause: nothing bounded what one gateway takes while others have room.

Change: each gateway knows the rate of requests of all. One that gets more than twice the mean, while another is ready, closes a part of its new connections before it reads anything, so that the callers connect elsewhere; the part follows the utilization of its processor time (getrusage, the share of its settings). Elsewhere nothing changes.

Ruled out as a signal, each tried: late timers (woken goroutines run next), the runtime's scheduling latencies (the queue is in the kernel).

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -17,6 +17,9 @@
 	MetricsUnserved     ID = 106
 	MachineSuspended    ID = 107
 	ClockUnreadable     ID = 108
+	OverloadBegan       ID = 109
+	OverloadEnded       ID = 110
+	LoadUnreadable      ID = 111
 	RequestReceived     ID = 200
 	RequestRouted       ID = 201
 	RequestRetried      ID = 202
@@ -120,6 +123,9 @@
 	{SettingsRefused, "settings_refused", "a changed settings file is invalid; the settings in force are unchanged"},
 	{MetricsUnserved, "metrics_unserved", "the process could not listen on the metrics address; callers are served regardless"},
 	{MachineSuspended, "machine_suspended", "the machine was suspended; the state known to the process is older by that time"},
+	{OverloadBegan, "overload_began", "the processor time does not suffice and other gateways have less load; a part of the new connections is closed unread"},
+	{OverloadEnded, "overload_ended", "all new connections are served again"},
+	{LoadUnreadable, "load_unreadable", "the processor time of the process can't be read; no connection is rejected because of overload"},
 	{ClockUnreadable, "clock_unreadable", "the clock that includes suspended time can't be read; suspensions of the machine are not detected"},
 	{RequestReceived, "request_received", "a request was read and its team identified"},
 	{RequestRouted, "request_routed", "an attempt was sent to a backend server"},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/budget"
 	"github.com/linnetrudder/linnetrudder/internal/cascade"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
+	"github.com/linnetrudder/linnetrudder/internal/cpuload"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/freshness"
@@ -21,6 +22,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/latency"
 	"github.com/linnetrudder/linnetrudder/internal/lending"
 	"github.com/linnetrudder/linnetrudder/internal/load"
+	"github.com/linnetrudder/linnetrudder/internal/overload"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
 	"github.com/linnetrudder/linnetrudder/internal/quota"
@@ -73,6 +75,9 @@
 	// does not answer such requests. LinkMbps is the capacity of the box's link in Mbit/s.
 	RelayAddress string
 	LinkMbps     int
+	// Cores is the number of cores that the process may use, a fraction for a share of one; zero if it is
+	// not known.
+	Cores float64
 	// Seeds holds the relay addresses of gateways from which the others read the state and receive
 	// changes at the first start of the whole system, until members are known. It is empty otherwise.
 	Seeds []string
@@ -85,6 +90,9 @@
 	// loggedSuspended is the total time of suspension at the last log entry. Only the goroutine of tick
 	// uses it.
 	loggedSuspended time.Duration
+	// loadUnreadable is set once the error of reading the processor time was logged. Only the goroutine of
+	// tick uses it.
+	loadUnreadable bool
 	// relayClient requests changes from the watcher, fallbackClient from another gateway while the service
 	// does not answer this one. Only the goroutine of syncState uses them.
 	relayClient, fallbackClient relay.Client
@@ -155,6 +163,8 @@
 	// to and borrows from, empty if there is none.
 	lending lending.Book
 	lender  string
+	// overload rejects new connections while the processor time does not suffice.
+	overload overload.Gate
 	// lastReportCollected is when a collector last took this gateway's report. instanceID distinguishes
 	// this process from earlier ones on the same box.
 	lastReportCollected time.Time
@@ -333,12 +343,14 @@
 func (ga *Gateway) tick(ctx context.Context) {
 	ti := time.NewTicker(tickInterval)
 	defer ti.Stop()
+	cpu := cpuload.Meter{Cores: ga.Cores}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ti.C:
 			now := clock.Now()
+			ga.observeLoad(cpu.Read(now))
 			ga.recordConfigAge(now)
 			ga.logSuspension()
 			ga.dropMissing(now)
--- a/internal/httpfront/httpfront.go
+++ b/internal/httpfront/httpfront.go
@@ -28,6 +28,9 @@
 	Handler http.Handler
 	// Limits returns the limits for a new connection.
 	Limits func() Limits
+	// Accept reports whether a new connection is served. Others are closed before anything is read, so that
+	// their callers know that no request was. All are served if it is nil.
+	Accept func() bool
 
 	mu sync.Mutex
 	// servers holds one server for each set of limits with which a connection was accepted.
@@ -83,7 +86,7 @@
 			return eris.Wrap(err, "accept")
 		}
 		cs := se.current(li.Addr())
-		if cs == nil {
+		if cs == nil || se.Accept != nil && !se.Accept() {
 			_ = co.Close()
 			continue
 		}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -49,6 +49,8 @@
 	// Callers is the number of concurrent clients.
 	Callers int
 	Defect  Defect
+	// CPUShare is the part of a core that gateways may use according to their settings, zero for no value.
+	CPUShare float64
 }
 
 const (
@@ -93,11 +95,7 @@
 
 // Run executes a plan and returns the violations. Settings and logs remain in Dir.
 func (rn *Runner) Run(ctx context.Context, pl Plan) ([]Violation, error) {
-	sr := &soakRun{
-		runner: rn, plan: pl, store: keyvalue.New(), fleet: &fleet.Fleet{Bin: rn.Bin, Dir: rn.Dir},
-		keys: []string{"key-1", "key-2"}, storeFaults: map[FaultKind]int{},
-		history: &history{plan: pl, executions: &executionLog{executed: map[string][]execution{}, rejected: map[string][]execution{}}, revokedAt: map[string]time.Time{}, drainedAt: map[string]time.Time{}},
-	}
+	sr := rn.newRun(pl)
 	err := sr.start()
 	defer sr.close()
 	if err != nil {
@@ -121,6 +119,14 @@
 	return sr.history.check(), nil
 }
 
+func (rn *Runner) newRun(pl Plan) *soakRun {
+	return &soakRun{
+		runner: rn, plan: pl, store: keyvalue.New(), fleet: &fleet.Fleet{Bin: rn.Bin, Dir: rn.Dir},
+		keys: []string{"key-1", "key-2"}, storeFaults: map[FaultKind]int{},
+		history: &history{plan: pl, executions: &executionLog{executed: map[string][]execution{}, rejected: map[string][]execution{}}, revokedAt: map[string]time.Time{}, drainedAt: map[string]time.Time{}},
+	}
+}
+
 func (sr *soakRun) start() error {
 	sr.storeServer = httptest.NewServer(sr.store)
 	address := strings.TrimPrefix(sr.storeServer.URL, "http://")
@@ -160,7 +166,7 @@
 	}
 	host, port, _ := strings.Cut(relay, ":")
 	gw.settingsPath = filepath.Join(sr.runner.Dir, fmt.Sprintf("gateway-%d.toml", i))
-	text := fmt.Sprintf(settingsTemplate, i, host, port, port, gw.address, ready, gracePeriod.Seconds(), revokeBound.Milliseconds(), gw.storeProxy.Address())
+	text := fmt.Sprintf(settingsTemplate, i, host, port, port, gw.address, ready, sr.runner.CPUShare, gracePeriod.Seconds(), revokeBound.Milliseconds(), gw.storeProxy.Address())
 	if err := os.WriteFile(gw.settingsPath, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -179,6 +185,7 @@
 readiness = "%s"
 [limits]
 link_mbps = 100.0
+cpu_share = %v
 [bounds]
 grace_s = %v
 revoke_ms = %d
