--- a/internal/explain/crashes.go
+++ b/internal/explain/crashes.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/event"
 )
@@ -20,8 +21,8 @@
 		rc := &ex.crashRecords[i]
 		switch {
 		case rc.Time.After(end.Time):
-		case rc.Event == event.RequestBlocked && rc.Fingerprint == end.Fingerprint && rc.Box == end.Box:
-			sentences = append(sentences, fmt.Sprintf("It had been blocked at %s for %s.", end.Box, since(rc, end)))
+		case rc.Event == event.RequestBlocked && rc.blocks(end) && rc.Box == end.Box:
+			sentences = append(sentences, rc.blockSentence(end))
 		case rc.Event == event.ServerEnded:
 			servers, requests = rc.addSuspects(end.Fingerprint, servers, requests)
 		}
@@ -34,6 +35,19 @@
 	return append([]string{crashed}, sentences...)
 }
 
+// blockSentence describes a block that applies to a request.
+func (rc *record) blockSentence(end *record) string {
+	if rc.Part == "" {
+		return fmt.Sprintf("It had been blocked at %s for %s.", end.Box, since(rc, end))
+	}
+	whose := "of team " + rc.Team
+	if rc.AllTeams {
+		whose = "of all teams"
+	}
+	return fmt.Sprintf("Part %s of its prompt, in requests %s, had been blocked at %s for %s: %d servers had crashed under %d different requests with it; blocked by %s until %s.",
+		rc.Part, whose, end.Box, since(rc, end), rc.Crashes, rc.Requests, rc.By, rc.Until.UTC().Format(time.RFC3339))
+}
+
 // addSuspects returns the two lists with the server of a crash record, and the IDs of the requests
 // with the given fingerprint that it was running, added. It adds no duplicates.
 func (rc *record) addSuspects(fingerprint string, servers, requests []string) (allServers, allRequests []string) {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -155,6 +155,19 @@
 	require.Contains(t, text, "Cause: backend servers ended under copies of the request")
 }
 
+func TestBlockedPartOfThePromptIsReported(t *testing.T) {
+	lines := []string{
+		`{"box":"a","event":525,"server":"s1","prints":["x1 aa"],"parts":["deadly t 2"],"time":"2026-01-01T00:00:01Z"}`,
+		`{"box":"a","event":208,"print":"ff","by":"b","part":"deadly","team":"t","all_teams":false,"requests":3,"servers":4,"until":"2026-01-01T00:05:02Z","time":"2026-01-01T00:00:02Z"}`,
+		`{"box":"a","event":208,"print":"fe","by":"b","part":"deadly","team":"other","requests":9,"servers":9,"until":"2026-01-01T00:05:02Z","time":"2026-01-01T00:00:02Z"}`,
+		`{"box":"a","event":205,"request":"x9","team":"t","code":410,"print":"cc","parts":["common","deadly"],"time":"2026-01-01T00:00:04Z"}`,
+	}
+	text := explanation(t, "x9", lines)
+	require.Contains(t, text, "Part deadly of its prompt, in requests of team t, had been blocked at a for 2s: "+
+		"4 servers had crashed under 3 different requests with it; blocked by b until 2026-01-01T00:05:02Z.")
+	require.NotContains(t, text, "9 servers")
+}
+
 func TestRestoredStoreIsReported(t *testing.T) {
 	lines := []string{
 		`{"box":"a","event":805,"revision":"2/75","before":"1/77","time":"2026-01-01T00:00:01Z"}`,
--- a/internal/explain/record.go
+++ b/internal/explain/record.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -55,6 +56,25 @@
 	// that was running on a server when the server crashed.
 	Fingerprint  string   `json:"print"`
 	Fingerprints []string `json:"prints"`
+	// Parts holds the ids of the prompt's parts that other requests may share; in the record of a crash,
+	// "part team count" of those that the suspects had.
+	Parts []string `json:"parts"`
+	// Part is the part of prompts that was blocked, for the requests of Team or of all teams, empty if a
+	// request was. By is the box that blocked it, Crashes and Requests are its evidence, Until the end.
+	Part     string    `json:"part"`
+	AllTeams bool      `json:"all_teams"`
+	By       string    `json:"by"`
+	Crashes  int       `json:"servers"`
+	Requests int       `json:"requests"`
+	Until    time.Time `json:"until"`
+}
+
+// blocks reports whether the record is of a block that applies to a request.
+func (rc *record) blocks(end *record) bool {
+	if rc.Part != "" {
+		return slices.Contains(end.Parts, rc.Part) && (rc.AllTeams || rc.Team == end.Team)
+	}
+	return rc.Fingerprint == end.Fingerprint
 }
 
 // parse parses a log line. It ignores a prefix before the JSON object, such as one added by a log
--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -65,6 +65,7 @@
 		return
 	}
 	if bl.Part != nil {
+		partBlocks.Inc()
 		ga.partDetector.Convicted(*bl.Part, now)
 	}
 	if _, own := ga.storeBlockAt[bl.Fingerprint]; !own && !stored {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	configAgeSeconds    = metrics.NewGauge(`linnetrudder_config_age_seconds`, nil)
 	storeEra            = metrics.NewGauge(`linnetrudder_store_era`, nil)
 	serverEnds          = metrics.NewCounter(`linnetrudder_server_ends_total`)
+	partBlocks          = metrics.NewCounter(`linnetrudder_part_blocks_total`)
 	requestBlocks       = metrics.NewCounter(`linnetrudder_request_blocks_total`)
 	serverLimits        = metrics.NewCounter(`linnetrudder_server_limits_total`)
 	serverPauses        = metrics.NewCounter(`linnetrudder_server_pauses_total`)
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -32,16 +32,19 @@
 func (ga *Gateway) neededUnits(now time.Time) float64 {
 	own := ga.requestRate(now)
 	all := ga.loads.Demand(own)
-	if all == 0 || !ga.loads.HasReports() || !ga.pool.Limits.Any() && !ga.pool.Warmup.Any() {
+	if all == 0 || !ga.loads.HasReports() || !ga.hasQuotas() {
 		return 1
 	}
 	return needMargin * float64(ga.gatewayCount) * own / all
 }
 
-// loanOffer returns the offer for a gateway that this one reports to, nil if it borrows from another
-// one. The lock is held.
+// hasQuotas reports whether any quota that gateways share is in force. The lock is held.
+func (ga *Gateway) hasQuotas() bool { return ga.pool.Limits.Any() || ga.pool.Warmup.Any() }
+
+// loanOffer returns the offer for a gateway that this one reports to, nil if it borrows from another one
+// or there is nothing to lend. The lock is held.
 func (ga *Gateway) loanOffer(box string, now time.Time) *lending.Offer {
-	if box != ga.lender {
+	if box != ga.lender || !ga.hasQuotas() && !ga.lending.IsActive(now) {
 		return nil
 	}
 	of := ga.lending.Offer(box, ga.neededUnits(now), now)
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -139,7 +139,7 @@
 	{BillsFull, "bills_full", http.StatusServiceUnavailable, DidNotRun, longRetry, "too many bill records wait for the key-value service"},
 	{ClaimsUnavailable, "claims_unavailable", http.StatusServiceUnavailable, DidNotRun, longRetry, "the claim on the key could not be made; nothing ran"},
 	{StaleConfiguration, "stale_configuration", http.StatusServiceUnavailable, DidNotRun, shortRetry, "the configuration is too old to accept a key by it"},
-	{RequestBlocked, "request_blocked", http.StatusServiceUnavailable, DidNotRun, longRetry, "backend servers ended under copies of the request; it is not sent to more of them for a while"},
+	{RequestBlocked, "request_blocked", http.StatusServiceUnavailable, DidNotRun, longRetry, "backend servers ended under copies of the request, or under others with a part of its prompt; it is not sent to more of them for a while"},
 	{LinkLost, "link_lost", http.StatusBadGateway, MayHaveRun, 0, "the connection was lost after the request was sent"},
 	{ServerFailed, "server_failed", http.StatusBadGateway, MayHaveRun, 0, "the backend server failed after the request was sent to it"},
 	{AnswerBroken, "answer_broken", http.StatusBadGateway, Ran, 0, "the answer broke off after a part of it was delivered"},
