--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -187,7 +187,9 @@
 	for _, su := range re.Suspicions {
 		ga.applySuspicion(su, now)
 	}
-	ga.decideParts(now)
+	if ga.partDetector.TakeChanged() {
+		ga.decideParts(now)
+	}
 	for _, fp := range re.Doubts {
 		if ga.addDoubt(fp, now) {
 			ga.unblock(fp, "another gateway received a complete response to the request")
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -65,8 +65,10 @@
 	clears   clearTable
 	// convicted holds the convicted parts.
 	convicted map[Part]*conviction
-	// tallies sums up the evidence that counts, nil after a change.
+	// tallies sums up the evidence that counts, nil after a change. changed is set by evidence from
+	// this process or others since TakeChanged.
 	tallies map[Part]*tally
+	changed bool
 }
 
 // conviction is the state of a convicted part.
@@ -102,10 +104,17 @@
 		Subject: Subject{Fingerprint: sn.Fingerprint, Team: sn.Team, Service: sn.Service, Parts: sn.Parts},
 		began:   cr.at.Add(-sn.ResponseAge),
 	})
-	pd.recorded, pd.tallies = now, nil
+	pd.recorded, pd.tallies, pd.changed = now, nil, true
 	return true
 }
 
+// TakeChanged reports whether there is new evidence since the last call.
+func (pd *PartDetector) TakeChanged() bool {
+	changed := pd.changed
+	pd.changed = false
+	return changed
+}
+
 // crash returns the crash that a suspicion is about.
 func (pd *PartDetector) crash(sn Suspicion, now time.Time) *serverCrash {
 	if cr := pd.crashes[sn.Server]; cr != nil {
@@ -132,7 +141,7 @@
 // Clear records that a server survived a response to a request with a part that began at a time.
 func (pd *PartDetector) Clear(pa Part, began, now time.Time) {
 	if pd.clears.add(pa, began, now) && (pd.tallies[pa] != nil || pd.tallies[pa.forAllTeams()] != nil) {
-		pd.tallies = nil
+		pd.tallies, pd.changed = nil, true
 	}
 }
 
