fix(gateway): a crowded gateway of two is noticed

All callers at one of two gateways: that one has twice the mean of both, never more, so it was not counted as crowded and read connections that it had no processor time for. The mean of the others is compared now.

--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// crowdedFactor is the multiple of the mean rate of requests of all gateways above which this one may
-	// reject connections: their callers find others with less load.
+	// crowdedFactor is the multiple of the mean rate of requests of the other gateways above which this one
+	// may reject connections: their callers find others with less load.
 	crowdedFactor = 2
 	// crowdedRetention is how long after another gateway was last ready this one may reject connections.
 	// An overloaded gateway exchanges fewer reports.
@@ -53,7 +53,10 @@
 
 // isCrowded reports whether far more requests come to this gateway than to the others. The lock is held.
 func (ga *Gateway) isCrowded(now time.Time) bool {
+	if ga.gatewayCount < 2 || now.Sub(ga.otherReadyAt) >= crowdedRetention {
+		return false
+	}
 	own := ga.requestRate(now)
-	mean := ga.loads.Demand(own) / float64(max(1, ga.gatewayCount))
-	return ga.gatewayCount > 1 && own > crowdedFactor*mean && now.Sub(ga.otherReadyAt) < crowdedRetention
+	mean := (ga.loads.Demand(own) - own) / float64(ga.gatewayCount-1)
+	return own > crowdedFactor*mean
 }
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -133,10 +133,8 @@
 }
 
 // Unconfirmed returns the server processes that completed a suspected request and were not seen alive
-// long enough after it to show that they survived it. The caller probes them: where all
-// traffic consists of suspected requests, nothing else would show these to be harmless. Without the
-// probes, a harmless request was refused until the block's end in 15 of 30 test runs without a
-// network.
+// long enough after it to show that they survived it. The caller probes them: where all traffic
+// consists of suspected requests, nothing else would show these to be harmless.
 func (rs *Runs) Unconfirmed(suspected func(su Subject) bool, now time.Time) []string {
 	var list []string
 	for server, sr := range rs.servers {
--- a/internal/poison/trial.go
+++ b/internal/poison/trial.go
@@ -23,8 +23,9 @@
 }
 
 // partTrials are the intervals for one request with a blocked part. The first ones are for parts on weak
-// evidence and for those with rivals, and begin when crashes by requests that were in progress are known. The last one is for all,
-// so that a part that still crashes servers costs one of them and not as many as before it was found.
+// evidence and for those with rivals, and begin when crashes by requests that were in progress are known.
+// The last one is for all: a part that still crashes servers costs one of them then, and not as many as
+// after the block's end.
 var partTrials = []window{
 	{time.Second, 3 * time.Second},
 	{10 * time.Second, time.Minute},
