--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -31,7 +31,7 @@
 		now := clock.Now()
 		en.mu.Lock()
 		blocked := en.blocks.Remaining(en.blocks.Find(su, now), now) > 0
-		hold := poison.HoldFor(su, en.parts.Suspects(now))
+		hold := en.parts.Hold(su, now)
 		en.mu.Unlock()
 		switch {
 		case blocked:
@@ -54,7 +54,7 @@
 	}
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	if poison.HoldFor(su, en.parts.Suspects(now)) == poison.HoldUntilDecided {
+	if en.parts.Hold(su, now) == poison.HoldUntilDecided {
 		return undecidedRetryAfter
 	}
 	return 0
--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -204,7 +204,7 @@
 func (ga *Gateway) addBlocks(re relay.Report, now time.Time) relay.Report {
 	re.Blocks = ga.blocks.Recent(now)
 	re.Suspects = ga.partDetector.Suspects(now)
-	re.Clears = ga.partDetector.Clears(ga.suspectedParts(now), now)
+	re.Clears = ga.partDetector.Clears(ga.partDetector.SuspectedParts(now), now)
 	for fp, since := range ga.doubts {
 		if now.Sub(since) < doubtTTL {
 			re.Doubts = append(re.Doubts, fp)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -12,7 +12,6 @@
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/event"
-	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 )
@@ -113,9 +112,7 @@
 	timeKnown := ga.runs.IsDisconnected(key, now)
 	suspects, at := ga.runs.Crashed(key, now)
 	serverEnds.Inc()
-	if !ga.crashGossip.Active(key) {
-		ga.propagateCrash(key, crash{at, timeKnown}, 0, now)
-	}
+	ga.crashes.Add(poison.CrashNotice{Server: key, Age: now.Sub(at), TimeUnknown: !timeKnown}, now)
 	for _, ru := range suspects {
 		ga.applySuspicion(ru.Suspicion(key, at, now), now)
 	}
@@ -123,53 +120,22 @@
 		Strs("prints", suspectNames(suspects)).Strs("parts", suspectParts(suspects)).Str("detail", reason).Msg(event.Name(event.ServerEnded))
 }
 
-// crash is when a server crashed, or when that was noticed if the time of the crash is not known.
-type crash struct {
-	at        time.Time
-	timeKnown bool
-}
-
-// propagateCrash starts to propagate the crash of a server to other gateways. The lock is held.
-func (ga *Gateway) propagateCrash(key string, cr crash, hops uint8, now time.Time) {
-	ga.crashGossip.Add(key, hops, now)
-	ga.crashes[key] = cr
-}
-
 // receiveCrashes applies the crashes that another gateway reports: requests of this gateway may have
 // caused them although none of its connections broke. The lock is held.
 func (ga *Gateway) receiveCrashes(re relay.Report, now time.Time) {
 	for _, no := range re.Crashes {
-		if !no.Valid() || ga.crashGossip.Active(no.Server) {
-			continue
-		}
-		at := now.Add(-no.Age)
-		ga.propagateCrash(no.Server, crash{at, !no.TimeUnknown}, no.Hops+1, now)
-		if !ga.runs.HasServer(no.Server) {
+		valid := no.Valid()
+		no.Hops++
+		if !valid || !ga.crashes.Add(no, now) || !ga.runs.HasServer(no.Server) {
 			continue
 		}
 		if !no.TimeUnknown {
-			ga.runs.Disconnected(no.Server, at)
+			ga.runs.Disconnected(no.Server, now.Add(-no.Age))
 		}
 		ga.applyServerCrash(no.Server, "reported by gateway "+re.Box, now)
 	}
 }
 
-// crashNotices returns the crashes to report. The lock is held.
-func (ga *Gateway) crashNotices(to gossip.Direction, now time.Time) []relay.Crash {
-	var list []relay.Crash
-	for _, fa := range ga.crashGossip.Due(to, now) {
-		cr := ga.crashes[fa.Key()]
-		list = append(list, relay.Crash{Server: fa.Key(), Age: max(0, now.Sub(cr.at)), TimeUnknown: !cr.timeKnown, Hops: fa.Hops()})
-	}
-	return list
-}
-
-// expireCrashes drops the crashes that are no longer propagated. The lock is held.
-func (ga *Gateway) expireCrashes(now time.Time) {
-	ga.crashGossip.Tick(now)
-	maps.DeleteFunc(ga.crashes, func(key string, _ crash) bool { return !ga.crashGossip.Active(key) })
-}
-
 // suspectNames returns the request ids and fingerprints of the first maxLoggedSuspects suspects for
 // the log.
 func suspectNames(suspects []*poison.Run) []string {
@@ -214,7 +180,7 @@
 	ga.clearParts(cleared, now)
 	ga.partDetector.Expire(now)
 	ga.decideParts(now)
-	asked := ga.suspectedParts(now)
+	asked := ga.partDetector.SuspectedParts(now)
 	suspected := func(su poison.Subject) bool {
 		return ga.crashDetector.CrashedServers(su.Fingerprint) > 0 || ga.blocks.Remaining(ga.blocks.Find(su, now), now) > 0 ||
 			slices.ContainsFunc(asked, su.Has)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -201,14 +201,10 @@
 	// crashDetector holds the suspicions against requests, blocks the requests that must not be sent.
 	crashDetector poison.Detector
 	blocks        poison.Blocks
-	// partDetector holds the evidence against parts of prompts. remoteSuspects holds the parts that other
-	// gateways suspect.
-	partDetector   poison.PartDetector
-	remoteSuspects map[poison.Part]remoteSuspect
-	// crashGossip holds the server processes whose crash is propagated to other gateways, crashes when
-	// they crashed.
-	crashGossip gossip.FactSet
-	crashes     map[string]crash
+	// partDetector holds the evidence against parts of prompts.
+	partDetector poison.PartDetector
+	// crashes holds the crashes of servers that are propagated to other gateways.
+	crashes poison.Crashes
 	// suspicionAdded is closed and replaced when a suspicion is added.
 	suspicionAdded chan struct{}
 	// blockLifted is closed and replaced when a block is lifted.
@@ -269,8 +265,6 @@
 	ga.relayPlan = relay.Plan{Box: ga.Box, DataCentre: ga.DataCentre}
 	ga.loadPlan = ga.relayPlan
 	ga.changed = make(chan struct{})
-	ga.remoteSuspects = map[poison.Part]remoteSuspect{}
-	ga.crashes = map[string]crash{}
 	ga.blockLifted = make(chan struct{})
 	ga.suspicionAdded = make(chan struct{})
 	ga.confirmed = make(chan struct{})
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/clock"
@@ -12,9 +10,6 @@
 )
 
 const (
-	// remoteSuspectTTL is how long a part is suspected after the last report of another gateway that does.
-	// It spans several intervals, since reports may be late.
-	remoteSuspectTTL = 3 * loadReportInterval
 	// holdFraction is the fraction of the target latency for which a request with a suspected part waits
 	// before its first attempt, retryHold how long it waits before a further one.
 	holdFraction = 0.25
@@ -27,12 +22,6 @@
 	collectorTimeout = time.Second
 )
 
-// remoteSuspect is a part that another gateway suspects.
-type remoteSuspect struct {
-	grade poison.Grade
-	until time.Time
-}
-
 // receivePartEvidence applies another gateway's suspected parts and clears. The lock is held.
 func (ga *Gateway) receivePartEvidence(re relay.Report, now time.Time) {
 	for _, cl := range re.Clears {
@@ -40,37 +29,7 @@
 			ga.partDetector.Clear(cl.Part, now.Add(-cl.Age), now)
 		}
 	}
-	maps.DeleteFunc(ga.remoteSuspects, func(_ poison.Part, rs remoteSuspect) bool { return !now.Before(rs.until) })
-	for _, sp := range re.Suspects[:min(len(re.Suspects), poison.MaxSuspects)] {
-		ga.remoteSuspects[sp.Part] = remoteSuspect{sp.Grade, now.Add(remoteSuspectTTL)}
-	}
-}
-
-// suspects returns the parts that this gateway suspects, and those that others do. Weak suspects of
-// others are left out if this gateway knows of a response that a server survived. The lock is held.
-func (ga *Gateway) suspects(now time.Time) []poison.Suspect {
-	list := ga.partDetector.Suspects(now)
-	for pa, rs := range ga.remoteSuspects {
-		known := slices.ContainsFunc(list, func(sp poison.Suspect) bool { return sp.Part == pa })
-		if !known && now.Before(rs.until) && (rs.grade != poison.Weak || !ga.partDetector.IsCleared(pa)) {
-			list = append(list, poison.Suspect{Part: pa, Grade: rs.grade})
-		}
-	}
-	return list
-}
-
-// suspectedParts returns the parts that this gateway or another one suspects. The lock is held.
-func (ga *Gateway) suspectedParts(now time.Time) []poison.Part {
-	var parts []poison.Part
-	for _, sp := range ga.partDetector.Suspects(now) {
-		parts = append(parts, sp.Part)
-	}
-	for pa, rs := range ga.remoteSuspects {
-		if now.Before(rs.until) && !slices.Contains(parts, pa) {
-			parts = append(parts, pa)
-		}
-	}
-	return parts
+	ga.partDetector.AddRemoteSuspects(re.Suspects, now)
 }
 
 // clearParts records that servers survived requests with their parts. The lock is held.
@@ -122,7 +81,7 @@
 	if ga.blocks.Remaining(ga.blocks.Find(su, now), now) > 0 {
 		return poison.NoHold
 	}
-	return poison.HoldFor(su, ga.suspects(now))
+	return ga.partDetector.Hold(su, now)
 }
 
 // awaitVerdict delays a request while its parts are suspected, at the most until a time.
--- a/internal/gateway/selfreports.go
+++ b/internal/gateway/selfreports.go
@@ -106,7 +106,7 @@
 // held.
 func (ga *Gateway) addNotices(re *relay.Report, to gossip.Direction, now time.Time) {
 	re.Limits = ga.pool.Limits.Notices(to, now)
-	re.Crashes = ga.crashNotices(to, now)
+	re.Crashes = ga.crashes.Notices(to, now)
 	for _, fa := range ga.leavingGossip.Due(to, now) {
 		if at, ok := ga.servers.LeavingSince(fa.Key()); ok {
 			re.Leaving = append(re.Leaving, gossip.Notice{Server: fa.Key(), Age: max(0, now.Sub(at)), Hops: fa.Hops()})
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -177,7 +177,7 @@
 	ga.expirePauses(now)
 	ga.leavingGossip.Tick(now)
 	ga.pauseGossip.Tick(now)
-	ga.expireCrashes(now)
+	ga.crashes.Expire(now)
 	ga.updateFleet(now)
 }
 
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -65,6 +65,8 @@
 	clears   clearTable
 	// convicted holds the convicted parts.
 	convicted map[Part]*conviction
+	// remote holds the parts that other processes suspect.
+	remote map[Part]remoteSuspect
 	// tallies sums up the evidence that counts, nil after a change. changed is set by evidence from
 	// this process or others since TakeChanged.
 	tallies map[Part]*tally
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -101,7 +101,7 @@
 	Offer *lending.Offer `cbor:"20,keyasint,omitempty"`
 	Loan  *lending.Reply `cbor:"21,keyasint,omitempty"`
 	// Crashes lists the servers that crashed recently.
-	Crashes []Crash `cbor:"16,keyasint,omitempty"`
+	Crashes []poison.CrashNotice `cbor:"16,keyasint,omitempty"`
 	// Limits lists the servers whose rate limit changed recently.
 	Limits []backpressure.Notice `cbor:"10,keyasint,omitempty"`
 	// Leaving lists the servers that announced their shutdown recently.
@@ -112,20 +112,6 @@
 	Usage *usage.Message `cbor:"13,keyasint,omitempty"`
 }
 
-// Crash propagates that a server's process has crashed. Its fields are exported for encoding.
-type Crash struct {
-	// Server is the key of the server instance.
-	Server string `cbor:"1,keyasint"`
-	// Age is the time since the crash, or since it was noticed if TimeUnknown is set.
-	Age         time.Duration `cbor:"2,keyasint"`
-	TimeUnknown bool          `cbor:"3,keyasint,omitempty"`
-	// Hops is how many gateways the notice has passed.
-	Hops uint8 `cbor:"4,keyasint,omitempty"`
-}
-
-// Valid reports whether a notice from another process is well-formed.
-func (cr *Crash) Valid() bool { return cr.Server != "" && cr.Age >= 0 && cr.Hops < gossip.MaxHops }
-
 // ReportHandler handles reports.
 type ReportHandler interface {
 	// Reported handles a report and returns the reply to it.
--- a/internal/relay/size_test.go
+++ b/internal/relay/size_test.go
@@ -26,7 +26,7 @@
 	re := Report{Box: "front-uio-a-1", Ready: true, Gateways: 1}
 	part := func(n int) string { return fmt.Sprintf("%012x", n) }
 	for i := range crashes {
-		re.Crashes = append(re.Crashes, Crash{Server: fmt.Sprintf("i-%010x@1790000000", i), Age: 50 * time.Millisecond})
+		re.Crashes = append(re.Crashes, poison.CrashNotice{Server: fmt.Sprintf("i-%010x@1790000000", i), Age: 50 * time.Millisecond})
 		for j := range suspects {
 			n := 3 * (i*suspects + j)
 			re.Suspicions = append(re.Suspicions, poison.Suspicion{
