--- a/internal/entry/feedback.go
+++ b/internal/entry/feedback.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -106,8 +107,12 @@
 		node.WriteError(w, result.New(result.BadRequest, err.Error()))
 		return
 	}
+	if len(list) > maxRatings {
+		node.WriteError(w, result.New(result.BadRequest, fmt.Sprintf("ratings: must be %d at the most", maxRatings)))
+		return
+	}
 	for i := range list {
-		if list[i].Score < 0 || list[i].Score > 1 || len(list) > maxRatings {
+		if list[i].Score < 0 || list[i].Score > 1 {
 			node.WriteError(w, result.New(result.BadRequest, "score: must be from 0 to 1"))
 			return
 		}
