--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -23,7 +23,8 @@
 		tr.RecordSent("a", t0)
 	}
 	require.True(t, tr.MarkCold("a", time.Second, t0))
-	require.False(t, tr.Wait("a", typicalLimit, onlyGateway, t0.Add(-1)) == 0 && tr.MarkCold("a", time.Second, t0))
+	require.Zero(t, tr.Wait("a", typicalLimit, onlyGateway, t0.Add(-1)))
+	require.False(t, tr.MarkCold("a", time.Second, t0), "it is cold already")
 	tr.RecordSent("a", t0)
 	require.Positive(t, tr.Wait("a", typicalLimit, onlyGateway, t0.Add(10*time.Millisecond)))
 	require.Zero(t, tr.Wait("a", quota.Limit{}, onlyGateway, t0.Add(10*time.Millisecond)), "a service without a limit")
