--- a/standin/cmd/days/days_test.go
+++ b/standin/cmd/days/days_test.go
@@ -102,6 +102,12 @@
 	}
 }
 
+// Guards against a panic for a deployment that supports no roll-outs.
+func TestGenerateWithoutRollouts(t *testing.T) {
+	kinds := supportedKinds("hup: share\n", disruptionKinds())
+	require.Contains(t, generateDay(1, "", kinds), `kind = "hup"`)
+}
+
 const gatewayLog = `   3.2000 front-a-1 {"event":204,"route":"r","data_centre":"a","code":100,"place":0,"confidence":49,"head_ms":50,"target_ms":1000,"prompt":100,"status":200}
    4.1000 front-a-1 {"event":204,"route":"r","data_centre":"a","code":100,"place":2,"confidence":100,"head_ms":1500,"target_ms":1000,"prompt":100,"status":200}
    4.2000 front-b-1 {"event":205,"route":"plain","data_centre":"b","code":402,"sends":0}
--- a/standin/cmd/days/disruption.go
+++ b/standin/cmd/days/disruption.go
@@ -98,3 +98,11 @@
 		},
 	}
 }
+
+// unlistedKinds returns kinds that the simulator plays although it does not list them.
+func unlistedKinds() []disruption {
+	return []disruption{
+		{kind: "poison", variants: []string{"deadly part"}, target: targetClass, share: valueRange{0.02, 0.06}, duration: valueRange{5, 20}},
+		{kind: "reset_conns", variants: []string{"silent", "silent inner", "silent store", "silent servers"}, share: valueRange{0.4, 1}},
+	}
+}
--- a/standin/cmd/days/draw.go
+++ b/standin/cmd/days/draw.go
@@ -22,8 +22,10 @@
 	First uint64 `help:"Seed of the first day; the others get consecutive seeds." default:"1"`
 	Days  int    `help:"Number of days per deployment." default:"10"`
 	// Rollout selects days for tests of rules that only a roll-out can break.
-	Rollout string   `help:"Variant of a bad roll-out to include in every day."`
-	Sites   []string `arg:"" help:"Files of the deployments." type:"existingfile"`
+	Rollout string `help:"Variant of a bad roll-out to include in every day."`
+	// Unlisted adds the kinds of unlistedKinds.
+	Unlisted bool     `help:"Include kinds that the bench plays although it does not list them."`
+	Sites    []string `arg:"" help:"Files of the deployments." type:"existingfile"`
 }
 
 // Run writes the days and prints each one as an argument for the play command.
@@ -50,6 +52,9 @@
 		return eris.Wrap(err, "list kinds of disruption")
 	}
 	kinds := supportedKinds(string(out), disruptionKinds())
+	if cm.Unlisted {
+		kinds = append(kinds, unlistedKinds()...)
+	}
 	name := strings.TrimSuffix(filepath.Base(path), ".toml")
 	for i := range cm.Days {
 		seed := cm.First + uint64(i)
@@ -132,7 +137,9 @@
 			faults = append(faults, line)
 		}
 	}
-	add(dg.pickRollout(variant))
+	if di, ok := dg.pickRollout(variant); ok {
+		add(di)
+	}
 	for range minDisruptions + dg.random.IntN(maxDisruptions-minDisruptions+1) {
 		add(dg.kinds[dg.random.IntN(len(dg.kinds))])
 	}
@@ -145,18 +152,22 @@
 	return text.String()
 }
 
-// pickRollout returns a good or bad roll-out, or a bad one of the given variant unless it is "".
-func (dg *dayGenerator) pickRollout(variant string) disruption {
+// pickRollout returns a good or bad roll-out, or a bad one of the given variant unless it is "". It
+// reports whether the deployment supports it.
+func (dg *dayGenerator) pickRollout(variant string) (disruption, bool) {
 	kind := dg.pickString([]string{"rollout_bad", "rollout_good"})
 	if variant != "" {
 		kind = "rollout_bad"
 	}
 	i := slices.IndexFunc(dg.kinds, func(di disruption) bool { return di.kind == kind })
+	if i < 0 {
+		return disruption{}, false
+	}
 	di := dg.kinds[i]
 	if variant != "" {
 		di.variants = []string{variant}
 	}
-	return di
+	return di, true
 }
 
 // formatDisruption returns a disruption, with random values within its ranges, as a line of a day's
