feat(gateway): logs name the state from which each server was chosen

Requests reached servers 3.1 and 3.6 s after these had said that they leave. The line of a request had the age of the state at admission only, and named the last server only; the line of a departure said neither through whom it came nor how old the state was that it ended.

Lines 202 to 207 now have state_age_ms and state_source of each choice; 511, 512 and 531 have source, behind_ms and the last choice of the server since then. linnetrudder_outdated_choices_total counts those with one, linnetrudder_departure_lag_seconds is a histogram of behind_ms.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,6 +42,10 @@
 	err  error
 	// released is set once the resources of the attempt have been freed.
 	released atomic.Bool
+	// stateAge is the age of the list of servers from which the server was chosen, stateSource the process
+	// that confirmed it.
+	stateAge    time.Duration
+	stateSource string
 	// run is the record that makes the request a suspect if the server crashes. It is nil if the
 	// attempt was never sent. abandoned is set if this gateway ended the attempt before the response
 	// arrived.
@@ -89,6 +93,7 @@
 	se.selection, se.prompt = ex.selection, ex.prompt(step.Model())
 	ga.pool.Started(se.server.Key(), se.selection.PrefillTime(), now)
 	ga.recordAttempt(se.server, ex.route.Name, now)
+	ga.recordChoice(se, now)
 	se.run = ga.runs.Sent(se.server.Key(), ex.subject, now)
 	ga.awaitingHead[se] = true
 	ga.logUnwantedAttempt(se, now)
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -10,7 +10,8 @@
 
 // addLogFields adds the result of an attempt to a log entry.
 func (se *attemptState) addLogFields(le *zerolog.Event) *zerolog.Event {
-	le = le.Str("server", se.server.ID).Str("model", se.step.Model()).Int("status", se.status())
+	le = le.Str("server", se.server.ID).Str("model", se.step.Model()).Int("status", se.status()).
+		Dur("state_age_ms", se.stateAge).Str("state_source", se.stateSource)
 	if se.response == nil {
 		return le
 	}
@@ -37,7 +38,9 @@
 	}
 	le := ex.ga.Log.Info().Int("event", int(id)).Str("request", ex.rq.ID).Int("attempt", se.step.Attempt()).
 		Str("server", se.server.ID).Str("model", se.step.Model()).Str("before", before.server.ID).
-		Int("before_status", before.status()).Dur("before_ms", se.began.Sub(before.began))
+		Int("before_status", before.status()).Dur("before_ms", se.began.Sub(before.began)).
+		Dur("before_state_age_ms", before.stateAge).Str("before_state_source", before.stateSource).
+		Dur("state_age_ms", se.stateAge).Str("state_source", se.stateSource)
 	if before.response != nil {
 		le = le.Int("confidence", before.response.Confidence)
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -213,6 +213,7 @@
 		return errOlderEra
 	}
 	ga.maxChangeAge = min(maxMissedChangeAge, ga.freshness.Age(clock.Now()))
+	ga.completeUntil = ga.freshness.ConfirmedAt()
 	if ga.freshness.HandleRead(sent) {
 		ga.storeRecovered()
 	}
@@ -235,7 +236,7 @@
 				continue
 			}
 		case ch.Leaving != "":
-			ga.markLeaving(ch.Leaving, clock.Now(), gossip.MaxHops, "announced to a watcher")
+			ga.markLeaving(ch.Leaving, clock.Now(), gossip.MaxHops, ga.freshness.Source())
 		case ch.Evacuated != "":
 			evacuated[ch.Evacuated] = true
 		case ch.Blocked != nil:
@@ -269,6 +270,7 @@
 	if ga.servesUpdates(now) {
 		ba = ga.encodeBatch(st)
 	}
+	ga.completeUntil = ga.freshness.ConfirmedAt()
 	if ga.freshness.HandleWatch(sent, wait, len(st.Changes) == 0, now) {
 		ga.storeRecovered()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/budget"
 	"github.com/linnetrudder/linnetrudder/internal/cascade"
+	"github.com/linnetrudder/linnetrudder/internal/choicelog"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/cpuload"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
@@ -115,6 +116,11 @@
 	snapshot encodedSnapshot
 	// maxChangeAge is an upper bound on the age of changes that are being applied for the first time.
 	maxChangeAge time.Duration
+	// completeUntil is the time up to which the state was complete before the changes that are being
+	// applied, the zero time before the first state.
+	completeUntil time.Time
+	// choices holds from which state each server was last chosen.
+	choices choicelog.Log
 	// stateRead is set after the first complete read of the state.
 	stateRead bool
 	// relayPlan selects the member to request changes from.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,10 @@
 	unusableEntries     = metrics.NewCounter(`linnetrudder_unusable_entries_total`)
 	// attemptsUnwanted counts attempts sent to a server that is shutting down or has asked for a pause.
 	attemptsUnwanted = metrics.NewCounter(`linnetrudder_attempts_unwanted_total`)
+	// outdatedChoices counts the departures of servers that became known only after the server had been
+	// chosen again, departureLag the upper bounds of the time from a departure until it was known.
+	outdatedChoices = metrics.NewCounter(`linnetrudder_outdated_choices_total`)
+	departureLag    = metrics.NewHistogram(`linnetrudder_departure_lag_seconds`)
 )
 
 // countRequest counts a final outcome and its latency in seconds.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -123,6 +123,7 @@
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	ga.completeUntil = ga.freshness.ConfirmedAt()
 	if ga.freshness.HandleRelay(us.box, sent, up.AgeAtRequest(clock.Since(sent))) {
 		ga.storeRecovered()
 	}
--- a/internal/gateway/selfreports.go
+++ b/internal/gateway/selfreports.go
@@ -54,7 +54,7 @@
 		ga.pool.Pauses.RecordAccepted(key, now)
 	}
 	if re.Leaving {
-		ga.markLeaving(key, now, 0, "announced in a response")
+		ga.markLeaving(key, now, 0, sourceServer)
 	}
 }
 
@@ -76,14 +76,14 @@
 }
 
 // markLeaving takes a server that announced its shutdown out of use, and propagates the announcement
-// to other gateways. The lock is held.
-func (ga *Gateway) markLeaving(key string, at time.Time, hops uint8, detail string) {
+// to other gateways. source is the process that reported it. The lock is held.
+func (ga *Gateway) markLeaving(key string, at time.Time, hops uint8, source string) {
 	if !ga.servers.MarkLeaving(key, at) {
 		return
 	}
 	ga.leavingGossip.Add(key, hops, clock.Now())
 	serversLeaving.Inc()
-	ga.logServer(event.ServerLeaving, key, detail)
+	ga.logDeparture(event.ServerLeaving, key, "announced", source, clock.Now())
 }
 
 // receiveNotices applies another gateway's notices of what servers reported. The lock is held.
@@ -91,7 +91,7 @@
 	ga.receiveLimitNotices(re, now)
 	for _, no := range re.Leaving {
 		if no.Valid() {
-			ga.markLeaving(no.Server, now.Add(-no.Age), no.Hops+1, "announced to gateway "+re.Box)
+			ga.markLeaving(no.Server, now.Add(-no.Age), no.Hops+1, re.Box)
 		}
 	}
 	ga.receiveCrashes(re, now)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -32,9 +32,10 @@
 	case se.Born != old.Born:
 		ga.applyServerCrash(old.Key(), "the server has restarted", now)
 		ga.pool.ForgetInstance(old.Key())
+		ga.choices.Forget(old.Key())
 		ga.logServer(event.ServerRestarted, se.ID, se.Service+" "+se.Version+" "+se.Address)
 	case se.Draining && !old.Draining:
-		ga.logServer(event.ServerDraining, se.ID, se.Service)
+		ga.logDeparture(event.ServerDraining, se.Key(), se.Service, ga.freshness.Source(), now)
 	}
 	ga.markCold(&se, se.ColdFor, now)
 }
@@ -53,7 +54,8 @@
 	ga.servers.Remove(id, now)
 	if ga.servers.Get(id) == nil {
 		ga.pool.Forget(key)
-		ga.logServer(event.ServerGone, id, "entry ended")
+		ga.logDeparture(event.ServerGone, key, "entry ended", ga.freshness.Source(), now)
+		ga.choices.Forget(key)
 	}
 }
 
@@ -64,6 +66,7 @@
 	key, listed := ga.serverKey(un.ID), ga.servers.Get(un.ID) != nil
 	ga.servers.Drop(un.ID)
 	ga.pool.Forget(key)
+	ga.choices.Forget(key)
 	if !listed && (ga.unusable[un.ID] || len(ga.unusable) >= maxUnusableIDs) {
 		return
 	}
@@ -197,6 +200,7 @@
 	}
 	for _, se := range ga.servers.Tick(now) {
 		ga.pool.Forget(se.Key())
+		ga.choices.Forget(se.Key())
 		ga.logServer(event.ServerGone, se.ID, "entry did not return")
 	}
 }
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -67,6 +67,7 @@
 	if !ga.eraGuard.Accept(st.Revision.Era, clock.Now()) {
 		return revision.Revision{}, errOlderEra
 	}
+	ga.completeUntil = ga.freshness.ConfirmedAt()
 	if ga.freshness.HandleRelay(from, sent, up.AgeAtRequest(clock.Since(sent))) {
 		ga.storeRecovered()
 	}
