fix(relay): a timeout bounds the silence of a call, not the transfer of its response

Callers' requests went to servers that had left 3.1 and 3.6 s before. A configuration of 0.9 MB among gateways takes 0.73 s of a link of 10 Mbit/s; the time-outs of a whole message were 0.4 to 1.1 s. Ten of 27 gateways cut off the response of five sources in a row, received all of it again from each, and knew nothing that came after it: their links were full for 3 s (0.7 to 1.1 MB/s received), their processors idle (1 in 100).

Ruled out by the record: processor time; a source that confirms what it does not know (the age was 3.6 s and known).

Each part of a response that arrives is progress, and a call ends when there is none for the timeout (internal/stall); also for calls to the key-value service and for writes to a gateway with a small link.

--- a/internal/gateway/bandwidth_test.go
+++ b/internal/gateway/bandwidth_test.go
@@ -18,6 +18,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/revision"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
+	"github.com/linnetrudder/linnetrudder/internal/stall"
 )
 
 const (
@@ -139,10 +140,12 @@
 	sizes   *documentSizes
 }
 
-func (ls linkedStore) Watch(ctx context.Context, after revision.Revision, wait time.Duration) (State, error) {
-	st, err := ls.Store.Watch(ctx, after, wait)
+func (ls linkedStore) Watch(ctx context.Context, after revision.Revision, wait, timeout time.Duration) (State, error) {
+	ctx, gu := stall.WithTimeout(ctx, wait+timeout)
+	defer gu.Stop()
+	st, err := ls.Store.Watch(ctx, after, wait, timeout)
 	if err == nil {
-		err = ls.receive(ctx, st)
+		err = ls.receive(ctx, st, func() { gu.Progress(timeout) })
 	}
 	return st, err
 }
@@ -150,18 +153,19 @@
 func (ls linkedStore) Read(ctx context.Context, era uint64, continueRead func(State) bool) (State, bool, error) {
 	st, complete, err := ls.Store.Read(ctx, era, continueRead)
 	if err == nil {
-		err = ls.receive(ctx, st)
+		err = ls.receive(ctx, st, func() {})
 	}
 	return st, complete, err
 }
 
 // receive transfers a response over the link of the box.
-func (ls linkedStore) receive(ctx context.Context, st State) error {
+func (ls linkedStore) receive(ctx context.Context, st State, progress func()) error {
 	ls.network.mu.Lock()
 	down := ls.network.receiving[ls.box]
 	ls.network.mu.Unlock()
 	for left := ls.sizes.of(st.Changes); left > 0 && ctx.Err() == nil; left -= linkChunk {
 		clock.Sleep(ctx, time.Until(down.reserve(min(left, linkChunk))))
+		progress()
 	}
 	return ctx.Err()
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -103,9 +103,7 @@
 // watchService waits once for changes from the key-value service.
 func (ga *Gateway) watchService(ctx context.Context, after revision.Revision, wait time.Duration) (revision.Revision, error) {
 	sent := clock.Now()
-	wctx, cancel := context.WithTimeout(ctx, wait+ga.answerTimeout())
-	defer cancel()
-	st, err := ga.Store.Watch(wctx, after, wait)
+	st, err := ga.Store.Watch(ctx, after, wait, ga.answerTimeout())
 	if err != nil {
 		return after, err
 	}
@@ -119,7 +117,7 @@
 	return st.Revision, nil
 }
 
-// answerTimeout returns how long the answer to a watch may take beyond its wait.
+// answerTimeout returns how long the answer to a watch may make no progress, beyond its wait at first.
 func (ga *Gateway) answerTimeout() time.Duration {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -22,6 +22,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/revision"
 	"github.com/linnetrudder/linnetrudder/internal/rollout"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
+	"github.com/linnetrudder/linnetrudder/internal/stall"
 )
 
 // scriptedStore is a key-value service without changes, so that each watch lasts for its maximum
@@ -54,7 +55,7 @@
 	return State{Revision: rev(1), Changes: []Change{{Document: doc}}}, true, sc.err()
 }
 
-func (sc *scriptedStore) Watch(ctx context.Context, after revision.Revision, wait time.Duration) (State, error) {
+func (sc *scriptedStore) Watch(ctx context.Context, after revision.Revision, wait, _ time.Duration) (State, error) {
 	clock.Sleep(ctx, wait)
 	return State{Revision: after}, sc.err()
 }
@@ -205,7 +206,9 @@
 	silencedAt atomic.Int64
 }
 
-func (ss *silentStore) Watch(ctx context.Context, after revision.Revision, wait time.Duration) (State, error) {
+func (ss *silentStore) Watch(ctx context.Context, after revision.Revision, wait, timeout time.Duration) (State, error) {
+	ctx, gu := stall.WithTimeout(ctx, wait+timeout)
+	defer gu.Stop()
 	sent := time.Now().UnixNano()
 	clock.Sleep(ctx, wait)
 	if sent < ss.silencedAt.Load() {
--- a/internal/gateway/propagation_test.go
+++ b/internal/gateway/propagation_test.go
@@ -17,6 +17,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/revision"
+	"github.com/linnetrudder/linnetrudder/internal/stall"
 )
 
 var errDialTimeout = errors.New("dial timeout")
@@ -111,11 +112,13 @@
 	return cs.storeView.Read(ctx, era, continueRead)
 }
 
-func (cs cutStore) Watch(ctx context.Context, after revision.Revision, wait time.Duration) (State, error) {
+func (cs cutStore) Watch(ctx context.Context, after revision.Revision, wait, timeout time.Duration) (State, error) {
+	ctx, gu := stall.WithTimeout(ctx, wait+timeout)
+	defer gu.Stop()
 	var st State
 	var err error
 	if !cs.isCut() {
-		st, err = cs.storeView.Watch(ctx, after, wait)
+		st, err = cs.storeView.Watch(ctx, after, wait, timeout)
 	}
 	if cs.isCut() {
 		<-ctx.Done()
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -117,7 +117,7 @@
 	return first, false, nil
 }
 
-func (vi storeView) Watch(ctx context.Context, after revision.Revision, wait time.Duration) (State, error) {
+func (vi storeView) Watch(ctx context.Context, after revision.Revision, wait, _ time.Duration) (State, error) {
 	vi.store.mu.Lock()
 	vi.store.watches[vi.box]++
 	vi.store.mu.Unlock()
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -319,8 +319,9 @@
 	Read(ctx context.Context, era uint64, continueRead func(first State) bool) (st State, complete bool, err error)
 	// Watch returns the changes after a revision, none if there were none within wait, and the revision
 	// to continue from. If that has another era, the changes are not complete. A response that names no
-	// era is assumed to be of the era of after.
-	Watch(ctx context.Context, after revision.Revision, wait time.Duration) (State, error)
+	// era is assumed to be of the era of after. The call fails if the response makes no progress for a
+	// timeout, beyond the wait at first.
+	Watch(ctx context.Context, after revision.Revision, wait, timeout time.Duration) (State, error)
 	// StorePhase stores a phase if the stored one still has the revision that ph names. It reports
 	// whether it did.
 	StorePhase(ctx context.Context, or Order, ph StoredPhase) (bool, error)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/linnetrudder/linnetrudder/internal/revision"
+	"github.com/linnetrudder/linnetrudder/internal/stall"
 )
 
 var now = time.Unix(1000, 0)
@@ -408,6 +410,31 @@
 	cl := dial(t, &fakeFeed{})
 	_, err := cl.Fetch(t.Context(), Request{})
 	require.NoError(t, err)
-	require.NoError(t, write(t.Context(), cl.conn, "no request"))
-	require.Error(t, read(t.Context(), cl.conn, &Update{}))
+	ctx, gu := stall.WithTimeout(t.Context(), cl.Timeout)
+	defer gu.Stop()
+	require.NoError(t, write(ctx, cl.conn, "no request", gu, cl.Timeout))
+	require.Error(t, read(ctx, cl.conn, &Update{}, gu, cl.Timeout))
+}
+
+// slowConn delivers what it receives in small parts.
+type slowConn struct{ net.Conn }
+
+func (sc slowConn) Read(buf []byte) (int, error) {
+	time.Sleep(10 * time.Millisecond)
+	return sc.Conn.Read(buf[:min(len(buf), 4<<10)])
+}
+
+func TestLargeResponseOverASlowLinkIsNotCutOffByTheTimeout(t *testing.T) {
+	data := make([]byte, 256<<10)
+	cl := dial(t, &fakeFeed{update: Update{Snapshot: data}})
+	cl.HTTP = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		var di net.Dialer
+		conn, err := di.DialContext(ctx, network, address)
+		return slowConn{conn}, err
+	}}}
+	began := time.Now()
+	up, err := cl.Fetch(t.Context(), Request{})
+	require.NoError(t, err)
+	require.Equal(t, data, up.Snapshot)
+	require.Greater(t, time.Since(began), cl.Timeout)
 }
--- a/internal/relay/socket.go
+++ b/internal/relay/socket.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+
+	"github.com/linnetrudder/linnetrudder/internal/stall"
 )
 
 // Path is the HTTP path of requests for changes, LoadPath that of load reports.
@@ -27,8 +32,10 @@
 	maxWait = 5 * time.Second
 	// idleTimeout closes a connection on which no message arrives.
 	idleTimeout = 10 * time.Second
-	// writeTimeout bounds the writing of a response.
+	// writeTimeout bounds the time in which a part of a message is written.
 	writeTimeout = 2 * time.Second
+	// partBytes is the size of the parts in which a message is written.
+	partBytes = 32 << 10
 )
 
 // Server answers requests for changes on WebSockets. Its exported fields are set before use.
@@ -87,9 +94,9 @@
 	if err != nil {
 		return err
 	}
-	wctx, done := context.WithTimeout(ctx, writeTimeout)
-	defer done()
-	return write(wctx, conn, message)
+	ctx, gu := stall.WithTimeout(ctx, writeTimeout)
+	defer gu.Stop()
+	return write(ctx, conn, message, gu, writeTimeout)
 }
 
 // Client calls one gateway. Its exported fields are set before use; it is not safe for concurrent
@@ -97,7 +104,8 @@
 type Client struct {
 	// Address is the gateway's address.
 	Address string
-	// Timeout bounds a call, in addition to the wait of a request.
+	// Timeout is how long a call may make no progress, in addition to the wait of a request. It does not
+	// bound the transfer of a large response.
 	Timeout time.Duration
 	// HTTP opens the connection.
 	HTTP *http.Client
@@ -122,21 +130,30 @@
 
 // call sends a message and reads the response to it.
 func (cl *Client) call(ctx context.Context, path string, timeout time.Duration, message, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, gu := stall.WithTimeout(ctx, timeout)
+	defer gu.Stop()
 	err := cl.dial(ctx, path)
 	if err == nil {
-		err = write(ctx, cl.conn, message)
+		err = write(ctx, cl.conn, message, gu, cl.Timeout)
 	}
 	if err == nil {
-		err = read(ctx, cl.conn, into)
+		err = read(ctx, cl.conn, into, gu, cl.Timeout)
 	}
 	if err != nil {
 		cl.Close()
+		err = eris.Wrap(err, callError(ctx))
 	}
 	return err
 }
 
+// callError describes why a call failed.
+func callError(ctx context.Context) string {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return "no progress before the timeout"
+	}
+	return "call gateway"
+}
+
 func (cl *Client) dial(ctx context.Context, path string) error {
 	if cl.conn != nil {
 		return nil
@@ -161,16 +178,35 @@
 	}
 }
 
-func write(ctx context.Context, conn *websocket.Conn, message any) error {
+// write writes a message. A long one is written in parts, each of which must be written within a timeout.
+func write(ctx context.Context, conn *websocket.Conn, message any, gu *stall.Guard, timeout time.Duration) error {
 	data, err := cbor.Marshal(message)
 	if err != nil {
 		return eris.Wrap(err, "encode")
 	}
-	return eris.Wrap(conn.Write(ctx, websocket.MessageBinary, data), "write")
+	if len(data) <= partBytes {
+		return eris.Wrap(conn.Write(ctx, websocket.MessageBinary, data), "write")
+	}
+	wr, err := conn.Writer(ctx, websocket.MessageBinary)
+	if err != nil {
+		return eris.Wrap(err, "write")
+	}
+	for part := range slices.Chunk(data, partBytes) {
+		if _, err := wr.Write(part); err != nil {
+			return eris.Wrap(err, "write")
+		}
+		gu.Progress(timeout)
+	}
+	return eris.Wrap(wr.Close(), "write")
 }
 
-func read(ctx context.Context, conn *websocket.Conn, into any) error {
-	_, data, err := conn.Read(ctx)
+// read reads a message. Each part must arrive within a timeout after the previous one.
+func read(ctx context.Context, conn *websocket.Conn, into any, gu *stall.Guard, timeout time.Duration) error {
+	_, re, err := conn.Reader(ctx)
+	if err != nil {
+		return eris.Wrap(err, "read")
+	}
+	data, err := io.ReadAll(gu.Reader(re, timeout))
 	if err != nil {
 		return eris.Wrap(err, "read")
 	}
--- a/internal/transport/idle.go
+++ b/internal/transport/idle.go
@@ -30,7 +30,7 @@
 }
 
 func (id *idleDropper) handleError(ctx context.Context) {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		idleConnectionsDropped.Inc()
 		id.CloseIdleConnections()
 	}
