fix(gateway): departures of servers travel in load reports, ahead of other changes

Gateways whose links were full with a configuration chose servers that had left 3.6 s before. Departures travelled in the one ordered stream of changes, so that whatever delays a change (its size, a source that fails, a lost history, little processor time) delays all departures behind it.

internal/departure keeps the departures with the revision of the key-value service after which the state contains them. Load reports, which gateways exchange ten times a second over connections of their own, carry those that the receiver does not know (it names the revision up to which it knows all), and how old the sender's knowledge is. A server is left out of the lists until the gateway's own state has reached that revision; then its entry decides, so that nothing that is reported outlasts the state.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/linnetrudder/linnetrudder/internal/revision"
 )
 
 // Server is the entry of a server instance, that is, of one run of a backend server between its
@@ -94,6 +96,9 @@
 	graceUntil time.Time
 	// leaving holds when servers announced their shutdown, by instance key.
 	leaving map[string]time.Time
+	// excluded holds the instances whose departure another process reported, by key, with the revision
+	// from which on the entries say so themselves.
+	excluded map[string]revision.Revision
 	// departed holds the instances known to be shutting down or to have ended, by key.
 	departed map[string]departedInstance
 	// quarantined holds entries of ended instances that a restored key-value service lists again.
@@ -174,6 +179,34 @@
 	return se.Draining || leaving
 }
 
+// Exclude takes a server instance out of use until StateReached is called with a revision, whether its
+// entry is known or not. It returns false if the instance is not in use.
+func (di *Directory) Exclude(key string, until revision.Revision) bool {
+	if se := di.ByKey(key); se != nil && di.IsDraining(se) {
+		return false
+	}
+	if at, ok := di.excluded[key]; ok && !until.After(at) {
+		return false
+	}
+	if di.excluded == nil {
+		di.excluded = map[string]revision.Revision{}
+	}
+	di.excluded[key] = until
+	di.byService = nil
+	return true
+}
+
+// StateReached ends the exclusions up to a revision of the key-value service: the entries are known up to
+// that revision.
+func (di *Directory) StateReached(to revision.Revision) {
+	for key, until := range di.excluded {
+		if !until.After(to) {
+			delete(di.excluded, key)
+			di.byService = nil
+		}
+	}
+}
+
 // Evacuate excludes the servers of a data centre from use until Restore is called. It returns false
 // if they were already excluded.
 func (di *Directory) Evacuate(dataCentre string) bool {
@@ -297,7 +330,7 @@
 func (di *Directory) rebuild() {
 	di.byService = map[string][]*Server{}
 	for _, se := range di.servers {
-		if !di.IsDraining(se) && !di.evacuated[se.DataCentre] {
+		if _, excluded := di.excluded[se.Key()]; !excluded && !di.IsDraining(se) && !di.evacuated[se.DataCentre] {
 			di.byService[se.Service] = append(di.byService[se.Service], se)
 		}
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/linnetrudder/linnetrudder/internal/revision"
 )
 
 var t0 = time.Unix(1000, 0)
@@ -211,3 +213,25 @@
 	_, ok := di.LeavingSince("gone")
 	require.False(t, ok)
 }
+
+func TestExcludedServerIsUnusedUntilTheStateIsReached(t *testing.T) {
+	var di Directory
+	di.Put(Server{ID: "a", Service: "s"})
+	until := func(number uint64) revision.Revision { return revision.Revision{Number: number} }
+	require.True(t, di.Exclude("a", until(7)))
+	require.False(t, di.Exclude("a", until(6)))
+	require.Empty(t, di.Servers("s"))
+	di.StateReached(until(6))
+	require.Empty(t, di.Servers("s"))
+	di.StateReached(until(7))
+	require.Len(t, di.Servers("s"), 1, "the entry decides")
+}
+
+func TestServerExcludedBeforeItsEntryArrivesIsUnused(t *testing.T) {
+	var di Directory
+	require.True(t, di.Exclude("b@1", revision.Revision{Number: 9}))
+	di.Put(Server{ID: "b", Born: 1, Service: "s"})
+	require.Empty(t, di.Servers("s"))
+	di.Put(Server{ID: "c", Service: "s", Draining: true})
+	require.False(t, di.Exclude("c", revision.Revision{Number: 9}), "it gets no requests already")
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -79,6 +79,9 @@
 	ReportUnreadable    ID = 533
 	ServerRevived       ID = 534
 	DutyHolderChanged   ID = 535
+	ServerExcluded      ID = 536
+	DeparturesOutdated  ID = 537
+	DeparturesCurrent   ID = 538
 	BillWritten         ID = 600
 	BillHeld            ID = 601
 	ClaimWon            ID = 602
@@ -185,6 +188,9 @@
 	{AttemptUnwanted, "attempt_unwanted", "an attempt was sent to a backend server that is leaving or had requested a pause"},
 	{ReportUnreadable, "report_unreadable", "a backend server's report on itself could not be read; its last known values stay in force"},
 	{ServerRevived, "server_revived", "a restored key-value service lists an instance of a backend server that has ended; the instance is not used unless its entry remains"},
+	{ServerExcluded, "server_excluded", "another gateway reported the departure of a backend server ahead of the changes that contain it; the server gets no new requests; fields as in 511"},
+	{DeparturesOutdated, "departures_outdated", "departures of backend servers are known up to a time longer ago than two thirds of the operator's bound"},
+	{DeparturesCurrent, "departures_current", "departures of backend servers are known within two thirds of the operator's bound again"},
 	{DutyHolderChanged, "duty_holder_changed", "another process, or none, holds the duty of reporting usage"},
 	{BillWritten, "bill_written", "bill records were stored durably"},
 	{BillHeld, "bill_held", "bill records are buffered until the key-value service accepts them"},
--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -34,8 +34,7 @@
 // of a request. The lock is held.
 func (ga *Gateway) applySuspicion(su poison.Suspicion, now time.Time) {
 	if !ga.crashDetector.IsHarmless(su.Fingerprint) && ga.partDetector.Record(su, now) {
-		close(ga.suspicionAdded)
-		ga.suspicionAdded = make(chan struct{})
+		ga.reportAtOnce()
 	}
 	term := ga.crashDetector.Record(su, now)
 	if term == 0 || ga.blocks.Remaining(su.Fingerprint, now) > 0 {
--- a/internal/gateway/choices.go
+++ b/internal/gateway/choices.go
@@ -9,7 +9,8 @@
 
 // recordChoice records from which state an attempt's server was chosen. The lock is held.
 func (ga *Gateway) recordChoice(se *attemptState, now time.Time) {
-	se.stateAge, se.stateSource = ga.freshness.Age(now), ga.freshness.Source()
+	at, source := ga.departuresKnownUntil()
+	se.stateAge, se.stateSource = now.Sub(at), source
 	ga.choices.Record(se.server.Key(), choicelog.Choice{
 		Request: se.ex.rq.ID, At: now, StateAge: se.stateAge, Source: se.stateSource,
 	})
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -211,7 +211,7 @@
 		return errOlderEra
 	}
 	ga.maxChangeAge = min(maxMissedChangeAge, ga.freshness.Age(clock.Now()))
-	ga.completeUntil = ga.freshness.ConfirmedAt()
+	ga.completeUntil, _ = ga.departuresKnownUntil()
 	if ga.freshness.HandleRead(sent) {
 		ga.storeRecovered()
 	}
@@ -253,6 +253,8 @@
 	}
 	ga.reconcileEvacuations(evacuated, restored, now)
 	ga.reconcileBlocks(blocked, restored, now)
+	ga.servers.StateReached(st.Revision)
+	ga.departures.Reset(st.Revision, ga.takeDeparted())
 	ga.history.Reset(st.Revision)
 	ga.replaceMembers(st, restored, now)
 	ga.stateRead = true
@@ -268,7 +270,7 @@
 	if ga.servesUpdates(now) {
 		ba = ga.encodeBatch(st)
 	}
-	ga.completeUntil = ga.freshness.ConfirmedAt()
+	ga.completeUntil, _ = ga.departuresKnownUntil()
 	if ga.freshness.HandleWatch(sent, wait, len(st.Changes) == 0, now) {
 		ga.storeRecovered()
 	}
@@ -283,6 +285,7 @@
 	for _, ch := range changes {
 		ga.applyChange(ch)
 	}
+	ga.departuresApplied(ba.To)
 	encoded := len(changes) == 0 || len(ba.Data) > 0
 	if encoded && ga.servesUpdates(clock.Now()) {
 		ga.history.Add(ba)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/choicelog"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/cpuload"
+	"github.com/linnetrudder/linnetrudder/internal/departure"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/freshness"
@@ -116,7 +117,11 @@
 	snapshot encodedSnapshot
 	// maxChangeAge is an upper bound on the age of changes that are being applied for the first time.
 	maxChangeAge time.Duration
-	// completeUntil is the time up to which the state was complete before the changes that are being
+	// departures holds the servers that stopped accepting requests, for other gateways. departed collects the
+	// keys of those in the changes that are being applied.
+	departures departure.Log
+	departed   []string
+	// completeUntil is the time up to which all departures were known before the changes that are being
 	// applied, the zero time before the first state.
 	completeUntil time.Time
 	// choices holds from which state each server was last chosen.
@@ -211,8 +216,12 @@
 	partDetector poison.PartDetector
 	// crashes holds the crashes of servers that are propagated to other gateways.
 	crashes poison.Crashes
-	// suspicionAdded is closed and replaced when a suspicion is added.
-	suspicionAdded chan struct{}
+	// reportDue is closed and replaced when there is something to report to other gateways at once.
+	reportDue chan struct{}
+	// exchangeTimeout is how long an exchange of load reports may make no progress. peerFailed receives a
+	// value when one has failed.
+	exchangeTimeout time.Duration
+	peerFailed      chan struct{}
 	// blockLifted is closed and replaced when a block is lifted.
 	blockLifted chan struct{}
 	// awaitingHead holds the attempts whose response head has not arrived. storeBlockAt holds when to
@@ -272,7 +281,9 @@
 	ga.loadPlan = ga.relayPlan
 	ga.changed = make(chan struct{})
 	ga.blockLifted = make(chan struct{})
-	ga.suspicionAdded = make(chan struct{})
+	ga.reportDue = make(chan struct{})
+	ga.exchangeTimeout = minExchangeTimeout
+	ga.peerFailed = make(chan struct{}, 1)
 	ga.confirmed = make(chan struct{})
 	ga.storeAvailable = make(chan struct{}, 1)
 	ga.rejoin = make(chan struct{}, 1)
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -12,6 +12,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/load"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
+	"github.com/linnetrudder/linnetrudder/internal/revision"
 	"github.com/linnetrudder/linnetrudder/internal/usage"
 )
 
@@ -27,10 +28,13 @@
 	// loadReportTTL is how long a report is used. It spans several intervals since reports may be
 	// late.
 	loadReportTTL = 5 * loadReportInterval
-	// loadExchangeTimeout bounds one exchange, which takes a few milliseconds and some tens of
-	// milliseconds on a busy box. loadRetryDelay is the pause after an exchange that failed.
-	loadExchangeTimeout = 300 * time.Millisecond
-	loadRetryDelay      = time.Second
+	// minExchangeTimeout is how long an exchange may make no progress, which takes a few milliseconds and
+	// some tens of milliseconds on a busy box. After each failure in a row it is twice as long, up to
+	// maxExchangeTimeout: the box may be slow rather than its peers. loadRetryDelay is the pause after an
+	// exchange that failed if there is no other peer.
+	minExchangeTimeout = 300 * time.Millisecond
+	maxExchangeTimeout = 1200 * time.Millisecond
+	loadRetryDelay     = time.Second
 	// loadPeersInterval is how often the gateways to report to are selected anew.
 	loadPeersInterval = 500 * time.Millisecond
 )
@@ -62,7 +66,18 @@
 				wg.Go(func() { ga.exchangeLoads(pctx, pe) })
 			}
 		}
-		clock.Sleep(ctx, loadPeersInterval)
+		ga.awaitPeerChange(ctx)
+	}
+}
+
+// awaitPeerChange waits until the peers are to be selected anew.
+func (ga *Gateway) awaitPeerChange(ctx context.Context) {
+	ti := time.NewTimer(loadPeersInterval)
+	defer ti.Stop()
+	select {
+	case <-ga.peerFailed:
+	case <-ti.C:
+	case <-ctx.Done():
 	}
 }
 
@@ -81,11 +96,12 @@
 
 // exchangeLoads reports to one gateway repeatedly until the context ends.
 func (ga *Gateway) exchangeLoads(ctx context.Context, to loadPeer) {
-	cl := relay.Client{Address: to.member.Address, Timeout: loadExchangeTimeout, HTTP: ga.RelayHTTP}
+	cl := relay.Client{Address: to.member.Address, HTTP: ga.RelayHTTP}
 	defer cl.Close()
 	failed, progress := false, exchangeProgress{}
 	for ctx.Err() == nil {
 		sent := clock.Now()
+		due := ga.nextReportDue(&cl)
 		re, next := ga.reportSince(to, progress)
 		reply, err := cl.Exchange(ctx, re)
 		if ctx.Err() != nil {
@@ -101,23 +117,32 @@
 			continue
 		}
 		progress.suspicions, progress.received = next, reply.NextSuspicion
+		if reply.Departures != nil {
+			progress.departures = reply.Departures.Known
+		}
 		progress.usage = ga.usageReplied(progress.usage, re, reply)
 		ga.reportAccepted(re, clock.Now())
 		ga.applyReportReply(reply, sent, clock.Now())
-		ga.awaitNextReport(ctx)
+		awaitNextReport(ctx, due)
 	}
 }
 
-// awaitNextReport waits until the next report is due. Suspicions are reported at once.
-func (ga *Gateway) awaitNextReport(ctx context.Context) {
+// nextReportDue returns a channel that is closed when there is something to report that is not in the
+// next report, and sets the timeout of the exchange.
+func (ga *Gateway) nextReportDue(cl *relay.Client) <-chan struct{} {
 	ga.mu.Lock()
-	suspicionAdded := ga.suspicionAdded
-	ga.mu.Unlock()
+	defer ga.mu.Unlock()
+	cl.Timeout = ga.exchangeTimeout
+	return ga.reportDue
+}
+
+// awaitNextReport waits until the next report is due, which is at once if due is closed.
+func awaitNextReport(ctx context.Context, due <-chan struct{}) {
 	clock.Sleep(ctx, minReportInterval)
 	ti := time.NewTimer(loadReportInterval - minReportInterval)
 	defer ti.Stop()
 	select {
-	case <-suspicionAdded:
+	case <-due:
 	case <-ti.C:
 	case <-ctx.Done():
 	}
@@ -137,6 +162,11 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.loadPlan.Failed(to.Box, clock.Now())
+	ga.exchangeTimeout = min(2*ga.exchangeTimeout, maxExchangeTimeout)
+	select {
+	case ga.peerFailed <- struct{}{}:
+	default:
+	}
 }
 
 // exchangeProgress is what another gateway has received so far, and what it has sent.
@@ -144,7 +174,9 @@
 	// suspicions is the sequence number of the next suspicion to send, received that of the next one to
 	// receive.
 	suspicions, received uint64
-	usage                usage.Cursor
+	// departures is the revision up to which the other gateway knows all departures of servers.
+	departures revision.Revision
+	usage      usage.Cursor
 }
 
 // reportSince returns this gateway's report to another one with what that has not received yet, and
@@ -155,6 +187,7 @@
 	defer ga.mu.Unlock()
 	re.Suspicions, nextSuspicion = ga.crashDetector.Since(progress.suspicions, clock.Now())
 	re.WantedSuspicion = progress.received
+	re.Departures = ga.departureMessage(progress.departures, clock.Now())
 	re.Offer = ga.loanOffer(to.member.Box, clock.Now())
 	if ga.Usage != nil {
 		re.Usage = ga.Usage.Outgoing(progress.usage, !to.asCollector || ga.needsUsage(to.member.Box, clock.Now()))
@@ -203,6 +236,7 @@
 func (ga *Gateway) applyReportReply(reply relay.Report, sent, now time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	ga.exchangeTimeout = minExchangeTimeout
 	if reply.Loan != nil {
 		ga.lending.HandleReply(reply.Box, *reply.Loan, sent, now)
 	}
@@ -210,6 +244,7 @@
 	ga.recordReadiness(reply, now)
 	ga.receiveBlocks(reply, now)
 	ga.receiveNotices(reply, now)
+	ga.receiveDepartures(reply.Box, reply.Departures, sent, now)
 }
 
 // applyGroupReport applies the loads and the number of gateways in a report that covers several
@@ -260,6 +295,7 @@
 	ga.recordReadiness(re, now)
 	ga.receiveBlocks(re, now)
 	ga.receiveNotices(re, now)
+	ga.receiveDepartures(re.Box, re.Departures, time.Time{}, now)
 	var work load.Work
 	var gateways int
 	var demand float64
@@ -284,6 +320,9 @@
 		Box: ga.Box, Collector: true, Work: work.Busiest(maxLoadServers), Ready: ga.readyLocked(now), Gateways: gateways,
 		Suspicions: suspicions, NextSuspicion: nextSuspicion, Demand: demand, Loan: ga.handleLoanOffer(re.Box, re.Offer, now),
 	}
+	if re.Departures != nil {
+		reply.Departures = ga.departureMessage(re.Departures.Known, now)
+	}
 	if ga.Usage != nil {
 		reply.Usage = ga.Usage.Receive(re.Usage, !re.Collector, re.Collector && ga.needsUsage(re.Box, now))
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -123,7 +123,7 @@
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.completeUntil = ga.freshness.ConfirmedAt()
+	ga.completeUntil, _ = ga.departuresKnownUntil()
 	if ga.freshness.HandleRelay(us.box, sent, up.AgeAtRequest(clock.Since(sent))) {
 		ga.storeRecovered()
 	}
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -40,6 +40,8 @@
 	disconnected map[string]bool
 	// reads is the number of Read calls, including those that read only the first part.
 	reads int
+	// compacted is the number of changes that watches cannot return any more.
+	compacted int
 	// rejectsBlocks is set if blocks cannot be stored.
 	rejectsBlocks bool
 }
@@ -95,6 +97,9 @@
 		return State{}, nil, result.New(result.StoreDown, "disconnected")
 	}
 	to := revision.Revision{Era: ke.era, Number: uint64(len(ke.changes))}
+	if !after.IsZero() && after.Number < uint64(ke.compacted) {
+		return State{}, nil, ErrHistoryUnavailable
+	}
 	if after.Number > to.Number {
 		return State{}, nil, ErrHistoryUnavailable
 	}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -37,6 +37,7 @@
 	case se.Draining && !old.Draining:
 		ga.logDeparture(event.ServerDraining, se.Key(), se.Service, ga.freshness.Source(), now)
 	}
+	ga.trackDeparture(&se, known != nil && old.Draining)
 	ga.markCold(&se, se.ColdFor, now)
 }
 
@@ -56,6 +57,7 @@
 		ga.pool.Forget(key)
 		ga.logDeparture(event.ServerGone, key, "entry ended", ga.freshness.Source(), now)
 		ga.choices.Forget(key)
+		ga.departed = append(ga.departed, key)
 	}
 }
 
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -67,7 +67,7 @@
 	if !ga.eraGuard.Accept(st.Revision.Era, clock.Now()) {
 		return revision.Revision{}, errOlderEra
 	}
-	ga.completeUntil = ga.freshness.ConfirmedAt()
+	ga.completeUntil, _ = ga.departuresKnownUntil()
 	if ga.freshness.HandleRelay(from, sent, up.AgeAtRequest(clock.Since(sent))) {
 		ga.storeRecovered()
 	}
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -16,6 +16,8 @@
 	// data centre; the other watchers ask a root.
 	maxDirectWatchers = 4
 	maxRoots          = 3
+	// maxFailedRoots is the number of failed roots from which on a watcher calls the service.
+	maxFailedRoots = 2
 	// avoidDuration is how long a watcher that failed is not asked again.
 	avoidDuration = 5 * time.Second
 	// serviceInterval is the minimum time between two calls to a service that does not answer, by a
@@ -88,12 +90,19 @@
 		return pl.choose(own, watchersOutside(members, pl.DataCentre), now)
 	}
 	roots := rootsOf(members)
-	if len(roots) == 0 || pl.isOneOf(roots) {
+	if len(roots) == 0 || pl.isOneOf(roots) || pl.doubtsRoots(roots, now) {
 		return Member{}, false
 	}
 	return pl.choose(roots, nil, now)
 }
 
+// doubtsRoots reports whether a watcher calls the service because several roots have failed recently:
+// asking the last one may take its whole timeout as well, and others wait for this watcher.
+func (pl *Plan) doubtsRoots(roots []Member, now time.Time) bool {
+	failed := len(roots) - len(pl.available(roots, now))
+	return failed >= maxFailedRoots && now.Sub(pl.serviceFailed) >= pl.serviceDelay(now)
+}
+
 // choose returns one of the preferred watchers that has not failed recently. If there is none and
 // the service has failed recently as well, it returns one of the others, or any preferred one.
 func (pl *Plan) choose(preferred, others []Member, now time.Time) (Member, bool) {
@@ -215,7 +224,7 @@
 // reports to the other, which replies with its own report.
 func (pl *Plan) Peers(members []Member, now time.Time) (peers []Member, collector bool) {
 	if !pl.isOneOf(watchersOf(members, pl.DataCentre)) {
-		if wa, ok := pl.Watcher(members, now); ok {
+		if wa, ok := pl.collector(members, now); ok {
 			peers = append(peers, wa)
 		}
 		return peers, false
@@ -228,6 +237,20 @@
 	return peers, true
 }
 
+// collector returns the collector that a gateway reports to: one of its data centre, or of another one
+// while those of its own have failed recently.
+func (pl *Plan) collector(members []Member, now time.Time) (Member, bool) {
+	delete(pl.failed, pl.asked)
+	own := watchersOf(members, pl.DataCentre)
+	for _, list := range [][]Member{pl.available(own, now), pl.available(watchersOutside(members, pl.DataCentre), now), own} {
+		if len(list) > 0 {
+			pl.asked = pl.pick(list).Box
+			return pl.pick(list), true
+		}
+	}
+	return Member{}, false
+}
+
 // CollectorRank returns this gateway's position among the collectors of all data centres, negative if
 // it is none.
 func (pl *Plan) CollectorRank(members []Member) int {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/backpressure"
+	"github.com/linnetrudder/linnetrudder/internal/departure"
 	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/lending"
 	"github.com/linnetrudder/linnetrudder/internal/load"
@@ -108,6 +109,8 @@
 	Leaving []gossip.Notice `cbor:"11,keyasint,omitempty"`
 	// Pauses lists the servers that recently requested a pause from a gateway.
 	Pauses []gossip.Notice `cbor:"12,keyasint,omitempty"`
+	// Departures lists the servers that stopped accepting requests.
+	Departures *departure.Message `cbor:"22,keyasint,omitempty"`
 	// Usage holds counts of requests for usage reports.
 	Usage *usage.Message `cbor:"13,keyasint,omitempty"`
 }
