--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -19,6 +19,32 @@
 	return at, source
 }
 
+// drainShare is the fraction of the bound on departures within which they are to be known. The rest is
+// left to the attempts that are being sent.
+const drainShare = 2.0 / 3
+
+// checkDepartures logs when departures are no longer known recently enough, and when they are again.
+func (ga *Gateway) checkDepartures(now time.Time) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	at, source := ga.departuresKnownUntil()
+	if at.IsZero() {
+		return
+	}
+	age := now.Sub(at)
+	departuresAgeSeconds.Set(age.Seconds())
+	outdated := ga.Bounds.MaxDrain != 0 && age > time.Duration(drainShare*float64(ga.Bounds.MaxDrain))
+	if outdated == ga.departuresOutdated {
+		return
+	}
+	ga.departuresOutdated = outdated
+	id := event.DeparturesCurrent
+	if outdated {
+		id = event.DeparturesOutdated
+	}
+	ga.Log.Warn().Int("event", int(id)).Str("source", source).Dur("age_ms", age).Msg(event.Name(id))
+}
+
 // trackDeparture records whether a listed server accepts requests. The lock is held.
 func (ga *Gateway) trackDeparture(se *directory.Server, wasDraining bool) {
 	switch {
--- a/internal/gateway/departures_test.go
+++ b/internal/gateway/departures_test.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/linnetrudder/linnetrudder/internal/choicelog"
+	"github.com/linnetrudder/linnetrudder/internal/departure"
 )
 
 // departurePlay is a cluster in which faults occur while a server departs.
@@ -137,3 +141,34 @@
 		}
 	}
 }
+
+func TestOutdatedDeparturesAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga, log := newServingGateway()
+		ga.Bounds.MaxDrain = 3 * time.Second
+		time.Sleep(2 * time.Second)
+		ga.checkDepartures(time.Now())
+		require.NotContains(t, log.String(), `"event":537`)
+		time.Sleep(time.Millisecond)
+		ga.checkDepartures(time.Now())
+		ga.checkDepartures(time.Now())
+		require.Equal(t, 1, strings.Count(log.String(), `"event":537,"source":"service","age_ms":2001`))
+		ga.receiveDepartures("b7", &departure.Message{Known: rev(1), After: rev(1), Age: 300 * time.Millisecond}, time.Now(), time.Now())
+		ga.checkDepartures(time.Now())
+		require.Contains(t, log.String(), `"event":538,"source":"b7","age_ms":300`)
+	})
+}
+
+func TestReportedDepartureIsExplainedInTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga, log := newServingGateway()
+		time.Sleep(time.Second)
+		ga.choices.Record("x1", choicelog.Choice{Request: "r7", At: time.Now(), StateAge: time.Second, Source: "b4"})
+		ga.receiveDepartures("b7", &departure.Message{Known: rev(5), After: rev(1), Departures: []departure.Departure{{Server: "x1", Revision: rev(4)}}},
+			time.Now(), time.Now())
+		require.Contains(t, log.String(), `"event":536,"server":"x1","detail":"revision 0/4","source":"b7","behind_ms":1000,"request":"r7"`)
+		require.NotContains(t, pickedServers(ga, time.Now()), "x1")
+		ga.applyWatch(State{Revision: rev(6)}, time.Now(), time.Second, time.Now())
+		require.Contains(t, pickedServers(ga, time.Now()), "x1", "the entry decides")
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,6 +124,8 @@
 	// completeUntil is the time up to which all departures were known before the changes that are being
 	// applied, the zero time before the first state.
 	completeUntil time.Time
+	// departuresOutdated is set while departures are not known recently enough.
+	departuresOutdated bool
 	// choices holds from which state each server was last chosen.
 	choices choicelog.Log
 	// stateRead is set after the first complete read of the state.
@@ -363,6 +365,7 @@
 			now := clock.Now()
 			ga.observeLoad(cpu.Read(now))
 			ga.recordConfigAge(now)
+			ga.checkDepartures(now)
 			ga.logSuspension()
 			ga.dropMissing(now)
 			ga.expireLost(now)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,8 @@
 	// chosen again, departureLag the upper bounds of the time from a departure until it was known.
 	outdatedChoices = metrics.NewCounter(`linnetrudder_outdated_choices_total`)
 	departureLag    = metrics.NewHistogram(`linnetrudder_departure_lag_seconds`)
+	// departuresAgeSeconds is the upper bound of the time since all departures of servers were known.
+	departuresAgeSeconds = metrics.NewGauge(`linnetrudder_departures_age_seconds`, nil)
 )
 
 // countRequest counts a final outcome and its latency in seconds.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -36,10 +36,13 @@
 
 // maxRelayAge returns the age up to which a watcher's state is used.
 func (bo Bounds) maxRelayAge() time.Duration {
-	if bo.MaxPropagation == 0 {
-		return longestRelayAge
+	age := longestRelayAge
+	for _, bound := range []time.Duration{bo.MaxPropagation, bo.MaxDrain} {
+		if bound != 0 {
+			age = min(age, bound-relayRecovery)
+		}
 	}
-	return min(longestRelayAge, bo.MaxPropagation-relayRecovery)
+	return age
 }
 
 // allowsRelay reports whether gateways may request changes from watchers. The responses may be older by
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -366,9 +366,13 @@
 		{3 * time.Second, 2100 * time.Millisecond, true},
 		{5 * time.Second, longestRelayAge, true},
 	} {
-		bo := Bounds{MaxPropagation: tc.bound, MaxConfigAge: 5 * time.Second}
-		require.Equal(t, tc.age, bo.maxRelayAge(), tc.bound)
-		require.Equal(t, tc.relay, bo.allowsRelay(), tc.bound)
+		for _, bo := range []Bounds{
+			{MaxPropagation: tc.bound, MaxConfigAge: 5 * time.Second},
+			{MaxPropagation: 5 * time.Second, MaxDrain: tc.bound, MaxConfigAge: 5 * time.Second},
+		} {
+			require.Equal(t, tc.age, bo.maxRelayAge(), tc.bound)
+			require.Equal(t, tc.relay, bo.allowsRelay(), tc.bound)
+		}
 	}
 }
 
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -345,6 +345,9 @@
 	// MaxPropagation is the time from the acknowledgement of a configuration within which requests must
 	// follow it, zero for no bound.
 	MaxPropagation time.Duration
+	// MaxDrain is the time from the acknowledgement of a server's departure within which requests must no
+	// longer reach it, zero for no bound.
+	MaxDrain time.Duration
 	// RetryRatio and RetryWindow bound the attempts beyond the first of all gateways together.
 	RetryRatio  float64
 	RetryWindow time.Duration
