perf(relay): changes among gateways are compressed

What earlier versions send is read as before; an earlier version can't read a large batch and calls the service, as it does for any batch it can't decode.

The test of a configuration that takes longer than a timeout has random paths now, so that it stays as large.

--- a/internal/gateway/bandwidth_test.go
+++ b/internal/gateway/bandwidth_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -37,6 +38,7 @@
 	mu             sync.Mutex
 	bytesPerSecond float64
 	freeAt         time.Time
+	bytes          int
 }
 
 // reserve reserves the link for a number of bytes and returns when they have been transferred.
@@ -46,10 +48,21 @@
 	if now := time.Now(); bl.freeAt.Before(now) {
 		bl.freeAt = now
 	}
+	bl.bytes += bytes
 	bl.freeAt = bl.freeAt.Add(time.Duration(float64(bytes) / bl.bytesPerSecond * float64(time.Second)))
 	return bl.freeAt
 }
 
+// receivedBytes returns the number of bytes that a box has received.
+func (ln *linkedNetwork) receivedBytes(box string) int {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	bl := ln.receiving[box]
+	bl.mu.Lock()
+	defer bl.mu.Unlock()
+	return bl.bytes
+}
+
 // linkedNetwork connects boxes over links of limited capacity.
 type linkedNetwork struct {
 	*pipeNetwork
@@ -256,14 +269,19 @@
 	return sc, ln
 }
 
-// addRoutes writes a configuration with a number of further routes.
-func (sc *testCluster) addRoutes(routes int) (version uint64) {
+// addRoutes writes a configuration with a number of further routes, whose paths hold a number of random
+// bytes each, which can't be compressed.
+func (sc *testCluster) addRoutes(routes, randomBytes int) (version uint64) {
+	var seed [32]byte
+	random := rand.NewChaCha8(seed)
+	path := make([]byte, randomBytes)
 	doc := sc.servers.document()
 	doc.Version++
 	doc.Routes = slices.Clone(doc.Routes)
 	for i := range routes {
 		ro := doc.Routes[i%2]
-		ro.Name, ro.Prefix = fmt.Sprintf("route-%06d", i), fmt.Sprintf("/further/%06d/", i)
+		_, _ = random.Read(path)
+		ro.Name, ro.Prefix = fmt.Sprintf("route-%06d", i), fmt.Sprintf("/further/%06d/%x/", i, path)
 		doc.Routes = append(doc.Routes, ro)
 	}
 	sc.servers.store.add(Change{Document: &doc})
@@ -300,7 +318,7 @@
 	const bound = 3 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		sc, _ := newLinkedCluster(t, 27, bound)
-		sc.addRoutes(4200)
+		sc.addRoutes(4200, 0)
 		for i := 1; i <= 4; i++ {
 			sc.drain(fmt.Sprint("s", i))
 			took := sc.awaitUnused(fmt.Sprint("s", i), 20*time.Second)
@@ -313,7 +331,7 @@
 func TestConfigurationThatTakesLongerThanATimeoutArrives(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sc, _ := newLinkedCluster(t, 27, 3*time.Second)
-		version := sc.addRoutes(12000)
+		version := sc.addRoutes(12000, 250)
 		time.Sleep(20 * time.Second)
 		for _, ga := range sc.gateways {
 			require.Equal(t, version, ga.Table().Version(), ga.Box)
@@ -321,3 +339,14 @@
 		}
 	})
 }
+
+func TestLargeConfigurationIsCompressedOnceForAllGateways(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc, ln := newLinkedCluster(t, 27, 3*time.Second)
+		before := ln.receivedBytes("b20")
+		version := sc.addRoutes(4200, 0)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, version, sc.gateways[20].Table().Version())
+		require.Less(t, ln.receivedBytes("b20")-before, 200_000)
+	})
+}
--- a/internal/gateway/departures_test.go
+++ b/internal/gateway/departures_test.go
@@ -64,7 +64,7 @@
 			dp.freeze()
 		}},
 		{"service slow", func(dp *departurePlay) { dp.network.delayStore(450 * time.Millisecond) }},
-		{"large configuration", func(dp *departurePlay) { dp.addRoutes(4200) }},
+		{"large configuration", func(dp *departurePlay) { dp.addRoutes(4200, 60) }},
 		{"history lost", func(dp *departurePlay) { dp.loseHistory() }},
 		{"little processor time", func(dp *departurePlay) {
 			for _, ga := range dp.gateways {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/pack"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
 	"github.com/linnetrudder/linnetrudder/internal/revision"
 )
@@ -257,7 +258,7 @@
 	if len(st.Changes) == 0 {
 		return ba
 	}
-	data, err := cbor.Marshal(st.Changes)
+	data, err := encodeChanges(st.Changes)
 	if err != nil {
 		ga.Log.Error().Int("event", int(event.RelayFailed)).Err(err).Msg(event.Name(event.RelayFailed))
 	}
@@ -268,9 +269,32 @@
 func decodeBatches(batches []relay.Batch) ([][]Change, error) {
 	decoded := make([][]Change, len(batches))
 	for i, ba := range batches {
-		if err := cbor.Unmarshal(ba.Data, &decoded[i]); err != nil {
-			return nil, eris.Wrap(err, "decode changes")
+		var err error
+		if decoded[i], err = decodeChanges(ba.Data); err != nil {
+			return nil, err
 		}
 	}
 	return decoded, nil
 }
+
+// encodeChanges encodes changes for other gateways.
+func encodeChanges(changes []Change) ([]byte, error) {
+	data, err := cbor.Marshal(changes)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode changes")
+	}
+	return pack.Pack(data)
+}
+
+// decodeChanges decodes the changes that another gateway encoded.
+func decodeChanges(data []byte) ([]Change, error) {
+	data, err := pack.Unpack(data)
+	if err != nil {
+		return nil, err
+	}
+	var changes []Change
+	if err := cbor.Unmarshal(data, &changes); err != nil {
+		return nil, eris.Wrap(err, "decode changes")
+	}
+	return changes, nil
+}
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/linnetrudder/linnetrudder/internal/clock"
@@ -58,10 +57,11 @@
 
 // applySnapshot applies a complete state sent by the watcher on a box.
 func (ga *Gateway) applySnapshot(from string, up relay.Update, sent time.Time) (revision.Revision, error) {
-	st := State{Revision: up.Revision}
-	if err := cbor.Unmarshal(up.Snapshot, &st.Changes); err != nil {
+	changes, err := decodeChanges(up.Snapshot)
+	if err != nil {
 		return revision.Revision{}, eris.Wrap(err, "decode state")
 	}
+	st := State{Revision: up.Revision, Changes: changes}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	if !ga.eraGuard.Accept(st.Revision.Era, clock.Now()) {
@@ -176,7 +176,7 @@
 	}
 	now := clock.Now()
 	if ga.snapshot.revision != up.Revision || now.Sub(ga.snapshot.at) > snapshotMaxAge {
-		data, err := cbor.Marshal(ga.snapshotChanges())
+		data, err := encodeChanges(ga.snapshotChanges())
 		if err != nil {
 			ga.Log.Error().Int("event", int(event.RelayFailed)).Err(err).Msg(event.Name(event.RelayFailed))
 			return up
