fix(kv): a timeout bounds the silence of a call, not the transfer of its response

Over a small link a large configuration would never have arrived, as between gateways. TestLargeValueOverASlowLinkIsNotCutOffByTheTimeout failed before (context deadline exceeded).

--- a/internal/boxes/boxes.go
+++ b/internal/boxes/boxes.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/stall"
 )
 
 // Role is the role of the process on a box.
@@ -52,15 +53,15 @@
 type Client struct {
 	// Address is the IP address and port of the service that provides the list.
 	Address string
-	// Timeout is the timeout of one call.
+	// Timeout is how long a call may make no progress.
 	Timeout time.Duration
 	HTTP    *http.Client
 }
 
 // List returns the boxes in the list that have a name and a valid address.
 func (cl *Client) List(ctx context.Context) ([]Box, error) {
-	ctx, cancel := context.WithTimeout(ctx, cl.Timeout)
-	defer cancel()
+	ctx, gu := stall.WithTimeout(ctx, cl.Timeout)
+	defer gu.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+cl.Address+"/v1/boxes", http.NoBody)
 	if err != nil {
 		return nil, result.New(result.BadSettings, "platform.boxes: "+err.Error())
@@ -73,7 +74,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, result.New(result.StoreDown, "list of boxes: "+resp.Status)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	data, err := io.ReadAll(gu.Reader(io.LimitReader(resp.Body, maxListBytes), cl.Timeout))
 	if err != nil {
 		return nil, result.New(result.StoreDown, "list of boxes: "+err.Error())
 	}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -19,6 +19,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/metrics"
 	"github.com/linnetrudder/linnetrudder/internal/result"
+	"github.com/linnetrudder/linnetrudder/internal/stall"
 )
 
 // Pair is a key with its value. Index is the service's modify index, which compare-and-swap refers
@@ -39,7 +40,7 @@
 	Address string
 	// Token is sent with each call if it is not empty.
 	Token string
-	// Timeout bounds each call, in addition to the wait of a watch.
+	// Timeout is how long each call may make no progress, in addition to the wait of a watch.
 	Timeout time.Duration
 	// Limiter limits the calls to this process's share of the service's rate limit.
 	Limiter *rate.Limiter
@@ -122,8 +123,8 @@
 	if err := cl.Limiter.Wait(ctx); err != nil {
 		return nil, 0, result.New(result.StoreBudget, err.Error())
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+cl.Timeout)
-	defer cancel()
+	ctx, gu := stall.WithTimeout(ctx, wait+cl.Timeout)
+	defer gu.Stop()
 	req, err := cl.request(ctx, method, key, query, value)
 	if err != nil {
 		return nil, 0, err
@@ -135,7 +136,7 @@
 		return nil, 0, CallError(method == http.MethodPut, err.Error())
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := io.ReadAll(gu.Reader(io.LimitReader(resp.Body, maxResponseBytes), cl.Timeout))
 	if err != nil {
 		metrics.StoreCalls.Add("failed", 1)
 		return nil, 0, CallError(method == http.MethodPut, err.Error())
