--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -29,6 +29,7 @@
 	Reports  bool          `help:"Include servers that report their shutdown or a pause in responses."`
 	Restores bool          `help:"Include restores of the key-value service from older copies."`
 	Silences bool          `help:"Include open connections that become silent for good."`
+	Large    bool          `help:"Include large configurations, and small links to the key-value service."`
 }
 
 func main() {
@@ -74,6 +75,9 @@
 		if ar.Silences {
 			pl = pl.WithSilences()
 		}
+		if ar.Large {
+			pl = pl.WithLargeConfigs()
+		}
 		so := &soak.Runner{Bin: ar.Bin, Dir: dir, Callers: ar.Callers}
 		violations, err := so.Run(context.Background(), pl)
 		if err != nil {
--- a/standin/fleet/proxy.go
+++ b/standin/fleet/proxy.go
@@ -31,6 +31,31 @@
 	conns   map[net.Conn]bool
 	// silenced is closed and replaced when the open connections become silent.
 	silenced chan struct{}
+	// bytesPerSecond is the capacity of the link for responses, zero for no limit. linkFreeAt is when it has
+	// transferred all previous ones.
+	bytesPerSecond float64
+	linkFreeAt     time.Time
+}
+
+// SetRate limits the capacity of the link for responses in bytes per second, zero for no limit.
+func (px *Proxy) SetRate(bytesPerSecond float64) {
+	px.mu.Lock()
+	defer px.mu.Unlock()
+	px.bytesPerSecond = bytesPerSecond
+}
+
+// reserveLink returns how long the transfer of a part of a response takes, with those before it.
+func (px *Proxy) reserveLink(bytes int, now time.Time) time.Duration {
+	px.mu.Lock()
+	defer px.mu.Unlock()
+	if px.bytesPerSecond == 0 {
+		return 0
+	}
+	if px.linkFreeAt.Before(now) {
+		px.linkFreeAt = now
+	}
+	px.linkFreeAt = px.linkFreeAt.Add(time.Duration(float64(bytes) / px.bytesPerSecond * float64(time.Second)))
+	return px.linkFreeAt.Sub(now)
 }
 
 // NewProxy starts a proxy that listens on loopback and forwards to an address.
@@ -156,6 +181,9 @@
 	for {
 		n, err := from.Read(buf)
 		px.waitToForward(response)
+		if response {
+			time.Sleep(px.reserveLink(n, time.Now()))
+		}
 		select {
 		case <-silenced:
 			if err != nil {
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -76,6 +76,8 @@
 		sr.restoreStore(fa)
 	case ConfigChange:
 		sr.publishConfig()
+	case LargeConfig:
+		sr.publishLargeConfig()
 	case KeyRevocation:
 		sr.revokeKey()
 	case Poison:
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -68,6 +68,8 @@
 	// PoisonPart makes a client send requests of which no two are alike, with one part of their prompts
 	// that crashes the servers that begin a response to it.
 	PoisonPart FaultKind = "poison-part"
+	// LargeConfig publishes a configuration with many more routes.
+	LargeConfig FaultKind = "configure-large"
 	// ConfigChange publishes a new version of the configuration, KeyRevocation revokes an API key.
 	ConfigChange  FaultKind = "configure"
 	KeyRevocation FaultKind = "revoke"
@@ -203,6 +205,29 @@
 	return pl
 }
 
+// largeConfigCount is how many large configurations WithLargeConfigs adds.
+const largeConfigCount = 3
+
+// WithLargeConfigs adds configurations with many more routes, each followed by a server that drains. All
+// gateways but the first two have small links to the key-value service. It has a random source of its
+// own, so that the other faults of the seed remain the same.
+func (pl Plan) WithLargeConfigs() Plan {
+	rn := rand.New(rand.NewPCG(pl.Seed, pl.Seed+6))
+	pl.Faults = slices.Clone(pl.Faults)
+	for range largeConfigCount {
+		at := warmUp + time.Duration(rn.Int64N(int64(pl.FaultsEnd-warmUp)))
+		pl.Faults = append(pl.Faults, Fault{Kind: LargeConfig, Start: at, End: at},
+			Fault{Kind: ServerDrain, Target: rn.IntN(pl.Servers), Start: at + requestInterval, End: at + requestInterval})
+	}
+	slices.SortFunc(pl.Faults, func(a, b Fault) int { return int(a.Start - b.Start) })
+	return pl
+}
+
+// hasLargeConfigs reports whether the plan has large configurations.
+func (pl Plan) hasLargeConfigs() bool {
+	return slices.ContainsFunc(pl.Faults, func(fa Fault) bool { return fa.Kind == LargeConfig })
+}
+
 // GeneratePlan generates the plan of a seed for a number of gateways and servers, with faults that
 // start within faultTime after the warm-up.
 func GeneratePlan(seed uint64, gateways, servers int, faultTime time.Duration) Plan {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -88,9 +88,11 @@
 	servers        []*server
 	serversStarted int
 	configVersion  int
-	keys           []string
-	storeFaults    map[FaultKind]int
-	injections     sync.WaitGroup
+	// furtherRoutes is the number of routes that no client uses.
+	furtherRoutes int
+	keys          []string
+	storeFaults   map[FaultKind]int
+	injections    sync.WaitGroup
 }
 
 // Run executes a plan and returns the violations. Settings and logs remain in Dir.
@@ -164,6 +166,9 @@
 	if gw.storeProxy, err = fleet.NewProxy(store); err != nil {
 		return err
 	}
+	if sr.plan.hasLargeConfigs() && i >= 2 {
+		gw.storeProxy.SetRate(smallLinkRate)
+	}
 	host, port, _ := strings.Cut(relay, ":")
 	gw.settingsPath = filepath.Join(sr.runner.Dir, fmt.Sprintf("gateway-%d.toml", i))
 	text := fmt.Sprintf(settingsTemplate, i, host, port, port, gw.address, ready, sr.runner.CPUShare, gracePeriod.Seconds(), revokeBound.Milliseconds(), gw.storeProxy.Address())
@@ -253,6 +258,22 @@
 	sr.writeConfig()
 }
 
+// largeConfigRoutes is the number of routes of a large configuration. smallLinkRate is the capacity of a
+// small link in bytes per second, over which it takes longer than the timeouts of a call.
+const (
+	largeConfigRoutes = 1500
+	smallLinkRate     = 400e3
+)
+
+// publishLargeConfig publishes a version of the configuration with many routes.
+func (sr *soakRun) publishLargeConfig() {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	sr.furtherRoutes = largeConfigRoutes
+	sr.configVersion++
+	sr.writeConfig()
+}
+
 // writeConfig writes the current version of the configuration; the caller holds mu.
 func (sr *soakRun) writeConfig() {
 	route := func(name, kind string, attempts int) map[string]any {
@@ -262,9 +283,13 @@
 			"resumable": kind == "streaming",
 		}
 	}
+	routes := []any{route("safe", "safe", 3), route("unsafe", "unsafe", 1), route("stream", "streaming", 3)}
+	for i := range sr.furtherRoutes {
+		routes = append(routes, route(fmt.Sprint("further-", i), "safe", 3))
+	}
 	sr.store.Set("op/config", map[string]any{
 		"version":  sr.configVersion,
-		"routes":   []any{route("safe", "safe", 3), route("unsafe", "unsafe", 1), route("stream", "streaming", 3)},
+		"routes":   routes,
 		"services": []any{map[string]any{"name": "svc", "max_connections": 100}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []any{map[string]any{"name": "team", "api_keys": sr.keys}},
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -103,6 +103,16 @@
 	}
 }
 
+func TestGuaranteesHoldWhenTheConfigurationIsLargeForTheLinks(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			pl := GeneratePlan(seed, 4, 6, 6*time.Second).WithLargeConfigs()
+			require.Empty(t, runPlan(t, pl, ""), "%v", pl.Faults)
+		})
+	}
+}
+
 // Requests of which no two are alike have a part that crashes servers, while gateways are killed,
 // suspended and partitioned from the key-value service, and servers crash for other reasons.
 func TestPoisonPartIsContained(t *testing.T) {
