--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -74,12 +74,8 @@
 		sr.store.ExpireLeases()
 	case StoreRestore:
 		sr.restoreStore(fa)
-	case ConfigChange:
-		sr.publishConfig()
-	case LargeConfig:
-		sr.publishLargeConfig()
-	case KeyRevocation:
-		sr.revokeKey()
+	case ConfigChange, LargeConfig, KeyRevocation:
+		sr.changeConfig(fa.Kind)
 	case Poison:
 		sr.sendPoison(fa)
 	case PoisonPart:
@@ -91,6 +87,18 @@
 	}
 }
 
+// changeConfig makes an operator's change of the configuration.
+func (sr *soakRun) changeConfig(ki FaultKind) {
+	switch ki {
+	case KeyRevocation:
+		sr.revokeKey()
+	case LargeConfig:
+		sr.publishLargeConfig()
+	default:
+		sr.publishConfig()
+	}
+}
+
 func (sr *soakRun) silenceConnections() {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
