--- a/internal/departure/departure.go
+++ b/internal/departure/departure.go
@@ -23,7 +23,7 @@
 	Revision revision.Revision `cbor:"2,keyasint"`
 }
 
-// Message tells another gateway about departures. The fields are exported because the codec needs them.
+// Message reports departures to another gateway. The fields are exported because the codec needs them.
 type Message struct {
 	// Known is the revision up to which the sender knows all departures, Age an upper bound of the time
 	// since that was all of them.
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -90,15 +90,16 @@
 		return pl.choose(own, watchersOutside(members, pl.DataCentre), now)
 	}
 	roots := rootsOf(members)
-	if len(roots) == 0 || pl.isOneOf(roots) || pl.doubtsRoots(roots, now) {
+	if len(roots) == 0 || pl.isOneOf(roots) || pl.hasFailedRoots(roots, now) {
 		return Member{}, false
 	}
 	return pl.choose(roots, nil, now)
 }
 
-// doubtsRoots reports whether a watcher calls the service because several roots have failed recently:
-// asking the last one may take its whole timeout as well, and others wait for this watcher.
-func (pl *Plan) doubtsRoots(roots []Member, now time.Time) bool {
+// hasFailedRoots reports whether so many roots have failed recently that a watcher calls the service
+// instead of the remaining one, which may take its whole timeout as well while others wait for this
+// watcher.
+func (pl *Plan) hasFailedRoots(roots []Member, now time.Time) bool {
 	failed := len(roots) - len(pl.available(roots, now))
 	return failed >= maxFailedRoots && now.Sub(pl.serviceFailed) >= pl.serviceDelay(now)
 }
