fix(gateway): a gateway that changes its collector counts the others once

The highest count is kept for 30 s, and shares of limits shrink with it.

No collector of another data centre until one of the own is known. A collector drops expired reports before it sums them, so that one that was suspended does not count those that have left it.

--- a/internal/gateway/departures_test.go
+++ b/internal/gateway/departures_test.go
@@ -172,3 +172,32 @@
 		require.Contains(t, pickedServers(ga, time.Now()), "x1", "the entry decides")
 	})
 }
+
+func TestGatewaysAreNotCountedTwiceWhenTheyChangeTheirCollector(t *testing.T) {
+	const gateways = 27
+	synctest.Test(t, func(t *testing.T) {
+		sc, ln := newLinkedCluster(t, gateways, 3*time.Second)
+		dp := &departurePlay{testCluster: sc, network: ln}
+		dp.roots, dp.watchers = watcherBoxes(sc)
+		highest := func(lasts time.Duration) int {
+			most := 0
+			for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				for _, ga := range sc.gateways {
+					ga.mu.Lock()
+					most = max(most, ga.fleet.Estimate(time.Now()))
+					ga.mu.Unlock()
+				}
+			}
+			return most
+		}
+		// Those of one data centre that change their collector may be counted in two reports until the
+		// earlier one expires.
+		const most = gateways + gateways/3
+		require.Equal(t, gateways, highest(time.Second), "at the start")
+		dp.freeze(dp.roots[0], dp.otherWatcher())
+		require.LessOrEqual(t, highest(3*time.Second), most)
+		dp.frozen = nil
+		dp.freeze()
+		require.LessOrEqual(t, highest(10*time.Second), most)
+	})
+}
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -130,7 +130,7 @@
 		ga := newGatewayWithState()
 		reply := ga.Reported(re)
 		require.Equal(t, "a", reply.Box)
-		ga.applyReportReply(re, clock.Now(), clock.Now())
+		ga.applyReportReply(loadPeer{}, re, clock.Now(), clock.Now())
 		ga.expireLoads(clock.Now().Add(time.Hour))
 		checkInvariants(t, ga)
 	})
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -122,7 +122,7 @@
 		}
 		progress.usage = ga.usageReplied(progress.usage, re, reply)
 		ga.reportAccepted(re, clock.Now())
-		ga.applyReportReply(reply, sent, clock.Now())
+		ga.applyReportReply(to, reply, sent, clock.Now())
 		awaitNextReport(ctx, due)
 	}
 }
@@ -201,6 +201,7 @@
 	defer ga.mu.Unlock()
 	re := relay.Report{Box: ga.Box, Collector: collector, Work: ga.pool.Work(), Gateways: 1}
 	if collector {
+		ga.loads.Expire(clock.Now().Add(-loadReportTTL)) // after a suspension, others have the members
 		re.Work, re.Gateways = ga.loads.GroupSum(re.Work), ga.loads.GroupSize()
 	}
 	if !collector {
@@ -232,10 +233,13 @@
 	ga.clearReported()
 }
 
-// applyReportReply applies the reply to a report that was sent at a time.
-func (ga *Gateway) applyReportReply(reply relay.Report, sent, now time.Time) {
+// applyReportReply applies the reply of a peer to a report that was sent at a time.
+func (ga *Gateway) applyReportReply(from loadPeer, reply relay.Report, sent, now time.Time) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	if !from.asCollector {
+		ga.loads.KeepGroup(reply.Box) // the reply covers all other gateways
+	}
 	ga.exchangeTimeout = minExchangeTimeout
 	if reply.Loan != nil {
 		ga.lending.HandleReply(reply.Box, *reply.Loan, sent, now)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -134,6 +134,7 @@
 	for i, changes := range batches {
 		ga.applyBatch(changes, up.Batches[i])
 	}
+	ga.departuresApplied(up.Revision)
 	ga.announceConfirmation()
 	return up.Revision, nil
 }
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -82,7 +82,7 @@
 	require.NoError(t, err)
 	ga.table.Store(table)
 	require.True(t, ga.report(false).Ready)
-	ga.applyReportReply(relay.Report{Box: "b", Ready: true}, time.Now(), time.Now())
+	ga.applyReportReply(loadPeer{}, relay.Report{Box: "b", Ready: true}, time.Now(), time.Now())
 	require.True(t, ga.otherGatewayReady(time.Now()))
 	ga.Stop(time.Now(), time.Now())
 	require.False(t, ga.Reported(relay.Report{Box: "b"}).Ready)
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -191,6 +191,15 @@
 	}
 }
 
+// KeepGroup drops the reports of all collectors but one.
+func (ta *Table) KeepGroup(box string) {
+	for other := range ta.groups {
+		if other != box {
+			ta.dropGroup(other)
+		}
+	}
+}
+
 // HasReports reports whether there are any reports.
 func (ta *Table) HasReports() bool { return len(ta.members)+len(ta.groups) > 0 }
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -109,3 +109,15 @@
 		}
 	}
 }
+
+func TestKeptGroupIsTheOnlyOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var ta Table
+	ta.PutGroup("a", Work{KeyOf("s"): 2}, now)
+	ta.SetGroupSize("a", 26)
+	ta.PutGroup("b", Work{KeyOf("s"): 3}, now)
+	ta.SetGroupSize("b", 26)
+	ta.KeepGroup("b")
+	require.Equal(t, 26, ta.OtherGateways())
+	require.Equal(t, uint32(3), ta.OnServer("s"))
+}
--- a/internal/relay/loads_test.go
+++ b/internal/relay/loads_test.go
@@ -107,6 +107,12 @@
 	require.Equal(t, "dc0", peer(now.Add(avoidDuration)).DataCentre)
 }
 
+func TestGatewayReportsToNoneUntilACollectorOfItsDataCentreIsKnown(t *testing.T) {
+	pl := Plan{Box: "b09", DataCentre: "dc7"}
+	peers, _ := pl.Peers(members(12), now)
+	require.Empty(t, peers)
+}
+
 // echo replies to each report with the same work under the box name "echo".
 type echo struct{}
 
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -239,10 +239,14 @@
 }
 
 // collector returns the collector that a gateway reports to: one of its data centre, or of another one
-// while those of its own have failed recently.
+// while those of its own have failed recently. There is none until one of its data centre is known: a
+// gateway that changes its collector is counted twice for a moment.
 func (pl *Plan) collector(members []Member, now time.Time) (Member, bool) {
 	delete(pl.failed, pl.asked)
 	own := watchersOf(members, pl.DataCentre)
+	if len(own) == 0 {
+		return Member{}, false
+	}
 	for _, list := range [][]Member{pl.available(own, now), pl.available(watchersOutside(members, pl.DataCentre), now), own} {
 		if len(list) > 0 {
 			pl.asked = pl.pick(list).Box
