--- a/internal/gateway/bandwidth_test.go
+++ b/internal/gateway/bandwidth_test.go
@@ -331,7 +331,7 @@
 func TestConfigurationThatTakesLongerThanATimeoutArrives(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sc, _ := newLinkedCluster(t, 27, 3*time.Second)
-		version := sc.addRoutes(12000, 250)
+		version := sc.addRoutes(3000, 1000)
 		time.Sleep(20 * time.Second)
 		for _, ga := range sc.gateways {
 			require.Equal(t, version, ga.Table().Version(), ga.Box)
