--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -33,6 +33,10 @@
 // store stands in for the platform's metadata store as PROTOCOL.md describes it.
 type store struct {
 	address string
+	// turnedAway holds the machines that get 503, watchedAt when each machine last sent a watch; both by
+	// name, for machines with an address of their own (addressFor).
+	turnedAway map[string]bool
+	watchedAt  map[string]time.Time
 
 	mu        sync.Mutex
 	items     map[string]item
@@ -41,7 +45,9 @@
 	revision  uint64
 	changed   chan struct{}
 	// cut is closed and replaced when the waiting watches are cut.
-	cut       chan struct{}
+	cut chan struct{}
+	// headFirst is set if a watch that waits gets the head of its answer at once.
+	headFirst bool
 	leases    map[int64]*time.Timer
 	ttls      map[int64]time.Duration
 	lastLease int64
@@ -55,11 +61,60 @@
 	st := &store{
 		address: li.Addr().String(), items: map[string]item{}, changed: make(chan struct{}), cut: make(chan struct{}),
 		leases: map[int64]*time.Timer{}, ttls: map[int64]time.Duration{},
+		turnedAway: map[string]bool{}, watchedAt: map[string]time.Time{},
 	}
 	go func() { _ = http.Serve(li, st) }()
 	return st, nil
 }
 
+// addressFor returns an address of the store that only one machine uses.
+func (st *store) addressFor(machine string) (string, error) {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go func() {
+		_ = http.Serve(li, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			st.mu.Lock()
+			away := st.turnedAway[machine]
+			if r.URL.Path == "/api/kv-watch" {
+				st.watchedAt[machine] = time.Now()
+			}
+			st.mu.Unlock()
+			if away {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			st.ServeHTTP(w, r)
+		}))
+	}()
+	return li.Addr().String(), nil
+}
+
+// setTurnedAway sets the machines that the store turns away.
+func (st *store) setTurnedAway(machines ...string) {
+	st.mu.Lock()
+	st.turnedAway = map[string]bool{}
+	for _, machine := range machines {
+		st.turnedAway[machine] = true
+	}
+	st.mu.Unlock()
+}
+
+// watching returns the machines that sent a watch lately.
+func (st *store) watching(lately time.Duration) []string {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	var list []string
+	for machine, at := range st.watchedAt {
+		if time.Since(at) < lately {
+			list = append(list, machine)
+		}
+	}
+	sort.Strings(list)
+	return list
+}
+
 // set writes a key as the operator or a worker does. It returns when the store has taken it, which is
 // the acknowledgement.
 func (st *store) set(key string, value any) time.Time {
@@ -83,6 +138,13 @@
 	return time.Now()
 }
 
+// setHeadFirst sets whether a watch that waits gets the head of its answer at once.
+func (st *store) setHeadFirst(headFirst bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.headFirst = headFirst
+}
+
 // cutWatches closes the connections of the waiting watches without an answer.
 func (st *store) cutWatches() {
 	st.mu.Lock()
@@ -250,7 +312,7 @@
 			At     uint64 `json:"timestamp"`
 		}{Events: []item{}}
 		st.mu.Lock()
-		gone, changed, cut := after < st.compacted, st.changed, st.cut
+		gone, changed, cut, headFirst := after < st.compacted, st.changed, st.cut, st.headFirst
 		answer.At = max(after, st.revision)
 		first := sort.Search(len(st.events), func(i int) bool { return st.events[i].Revision > after })
 		for _, it := range st.events[first:] {
@@ -267,6 +329,9 @@
 			_ = json.NewEncoder(w).Encode(answer)
 			return
 		}
+		if headFirst {
+			_ = http.NewResponseController(w).Flush()
+		}
 		select {
 		case <-changed:
 		case <-cut:
