--- a/review/rig/gateway.go
+++ b/review/rig/gateway.go
@@ -6,8 +6,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -167,9 +169,32 @@
 		_ = ga.cmd.Wait()
 		close(ga.done)
 	}()
+	started.Lock()
+	defer started.Unlock()
+	started.gateways = append(started.gateways, ga)
 	return nil
 }
 
+// started holds the gateways that this run has started.
+var started struct {
+	sync.Mutex
+	gateways []*gateway
+}
+
+// endOnSignal ends the started gateways and the run when the run is asked to stop.
+func endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		started.Lock()
+		for _, ga := range started.gateways {
+			_ = ga.cmd.Process.Kill()
+		}
+		os.Exit(exitNotRun)
+	}()
+}
+
 // ready asks the process whether it is ready, as the platform does.
 func (ga *gateway) ready() bool {
 	cl := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -55,6 +55,7 @@
 		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
 		return exitNotRun
 	}
+	endOnSignal()
 	root, err := os.Getwd()
 	if err != nil {
 		return exitNotRun
--- a/review/rig/removed.go
+++ b/review/rig/removed.go
@@ -118,14 +118,15 @@
 	statuses := map[int]int{}
 	for _, a := range all.list {
 		statuses[a.status]++
+		line, verdict := "", ""
 		for _, ru := range jo.of(a.id) {
-			at, left := removedAt[ru.worker]
-			if left && ru.at.Sub(at) > drainBound {
+			line += fmt.Sprintf(" run by %s at %s", ru.worker, sc.at(ru.at))
+			if at, left := removedAt[ru.worker]; left && ru.at.Sub(at) > drainBound {
 				late++
-				fmt.Fprintf(sc.record, "request %s to %s sent %s answered %s with %d, run by %s at %s, %.3f s after the acknowledgement of its removal  DRAIN\n",
-					a.id, a.gateway, sc.at(a.sent), sc.at(a.answered), a.status, ru.worker, sc.at(ru.at), ru.at.Sub(at).Seconds())
+				verdict = fmt.Sprintf("  DRAIN: %.3f s after the acknowledgement of its removal", ru.at.Sub(at).Seconds())
 			}
 		}
+		fmt.Fprintf(sc.record, "request %s by %s to %s sent %s answered %s with %d%s%s\n", a.id, a.client, a.gateway, sc.at(a.sent), sc.at(a.answered), a.status, line, verdict)
 	}
 	summary := fmt.Sprintf("%d requests, answers by status %v; run by a worker that was removed more than %v before: %d", len(all.list), statuses, drainBound, late)
 	sc.notef("%s", summary)
--- a/review/rig/starved.go
+++ b/review/rig/starved.go
@@ -143,20 +143,20 @@
 	machines := map[string]int{}
 	for _, a := range all.list {
 		statuses[a.status]++
-		for _, ch := range changes {
-			after := a.sent.Sub(ch.at)
-			if slices.Contains(ch.away, a.gateway) || after <= applyBound || a.sent.After(ch.until) {
-				continue
-			}
-			for _, ru := range jo.of(a.id) {
-				if serviceOf[ru.worker] != ch.served {
-					late++
-					machines[a.gateway]++
-					fmt.Fprintf(sc.record, "request %s to %s sent %s, %.3f s after the acknowledgement, answered %s with %d, run by %s of the old service %s at %s  CONFIG\n",
-						a.id, a.gateway, sc.at(a.sent), after.Seconds(), sc.at(a.answered), a.status, ru.worker, serviceOf[ru.worker], sc.at(ru.at))
+		line, verdict := "", ""
+		for _, ru := range jo.of(a.id) {
+			line += fmt.Sprintf(" run by %s of %s at %s", ru.worker, serviceOf[ru.worker], sc.at(ru.at))
+			for _, ch := range changes {
+				after := a.sent.Sub(ch.at)
+				if slices.Contains(ch.away, a.gateway) || after <= applyBound || a.sent.After(ch.until) || serviceOf[ru.worker] == ch.served {
+					continue
 				}
+				late++
+				machines[a.gateway]++
+				verdict = fmt.Sprintf("  CONFIG: the old service, %.3f s after the acknowledgement", after.Seconds())
 			}
 		}
+		fmt.Fprintf(sc.record, "request %s by %s to %s sent %s answered %s with %d%s%s\n", a.id, a.client, a.gateway, sc.at(a.sent), sc.at(a.answered), a.status, line, verdict)
 	}
 	summary := fmt.Sprintf("%d requests, answers by status %v; run by the old service more than %v after the acknowledgement, from machines that the store serves: %d %v",
 		len(all.list), statuses, applyBound, late, machines)
