--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -51,8 +51,10 @@
 	host     string
 	path     string
 	deadline time.Duration
-	co       net.Conn
-	re       *bufio.Reader
+	// extra holds further header lines.
+	extra string
+	co    net.Conn
+	re    *bufio.Reader
 }
 
 // close closes the connection.
@@ -78,8 +80,8 @@
 	}
 	body := bytes.Repeat([]byte("p"), 600)
 	var out bytes.Buffer
-	fmt.Fprintf(&out, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
-		cl.path, cl.host, a.id, cl.deadline.Milliseconds(), key, len(body))
+	fmt.Fprintf(&out, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n",
+		cl.path, cl.host, a.id, cl.deadline.Milliseconds(), key, cl.extra, len(body))
 	out.Write(body)
 	a.sent = time.Now()
 	_ = cl.co.SetDeadline(a.sent.Add(cl.deadline + time.Second))
