--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -16,7 +16,9 @@
 // run is one run of a request at a worker.
 type run struct {
 	worker, tenant string
-	at             time.Time
+	// target and host are those of the request as the worker received it.
+	target, host string
+	at           time.Time
 }
 
 // journal holds the runs of all workers by request.
@@ -228,7 +230,7 @@
 		}
 	}
 	defer func() { <-wo.slot }()
-	wo.journal.add(id, run{worker: wo.id, tenant: r.Header.Get("X-Tenant"), at: time.Now()})
+	wo.journal.add(id, run{worker: wo.id, tenant: r.Header.Get("X-Tenant"), target: r.RequestURI, host: r.Host, at: time.Now()})
 	begun()
 	work := time.Duration((0.5 + rand.Float64()) * float64(wo.work))
 	select {
