fix(platform): a response is used only after its owner is known

Cause: decodeResponse acted on 421, X-Not-Executed and the server's report on itself before it compared the request id. A second copy of a rejection, in the place of the next response, was taken for the response to the next request.

Ruled out: repeats by the transport, false rejections.

Change: the owner is checked first. A response of another call is dropped, its connection closed, counted and logged (event 539), and the attempt may have run. A rejection without an id counts only on a connection that carried no other call. An attempt at a server that an earlier attempt of the same request was sent to opens a connection of its own, since the id is the same.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -82,6 +82,7 @@
 	ServerExcluded      ID = 536
 	DeparturesOutdated  ID = 537
 	DeparturesCurrent   ID = 538
+	ResponseUnrelated   ID = 539
 	BillWritten         ID = 600
 	BillHeld            ID = 601
 	ClaimWon            ID = 602
@@ -191,6 +192,7 @@
 	{ServerExcluded, "server_excluded", "another gateway reported the departure of a backend server ahead of the changes that contain it; the server gets no new requests; fields as in 511"},
 	{DeparturesOutdated, "departures_outdated", "departures of backend servers are known up to a time longer ago than two thirds of the operator's bound"},
 	{DeparturesCurrent, "departures_current", "departures of backend servers are known within two thirds of the operator's bound again"},
+	{ResponseUnrelated, "response_unrelated", "a response arrived in the place of the one to an attempt and belongs to another call; it is dropped, its connection is closed, and the attempt may have run; response_to: the request that the response names"},
 	{DutyHolderChanged, "duty_holder_changed", "another process, or none, holds the duty of reporting usage"},
 	{BillWritten, "bill_written", "bill records were stored durably"},
 	{BillHeld, "bill_held", "bill records are buffered until the key-value service accepts them"},
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"slices"
 
 	"github.com/rs/zerolog"
@@ -23,6 +24,18 @@
 // of them.
 func (ex *exchange) modelIndex(model string) int { return slices.Index(ex.request.Models, model) }
 
+// logUnrelated logs and counts a response that belongs to another call.
+func (se *attemptState) logUnrelated() {
+	var unrelated *UnrelatedError
+	if !errors.As(se.err, &unrelated) {
+		return
+	}
+	responsesUnrelated.Inc()
+	se.ex.ga.Log.Warn().Int("event", int(event.ResponseUnrelated)).Str("request", se.ex.rq.ID).Str("server", se.server.ID).
+		Str("status", unrelated.Status).Str("response_to", unrelated.RequestID).Bool("connection_reused", unrelated.Reused).
+		Msg(event.Name(event.ResponseUnrelated))
+}
+
 // logRetry logs an attempt after the first one together with what led to it.
 func (ex *exchange) logRetry(se *attemptState) {
 	id := event.RequestRetried
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 	serverLimits        = metrics.NewCounter(`linnetrudder_server_limits_total`)
 	serverPauses        = metrics.NewCounter(`linnetrudder_server_pauses_total`)
 	serversLeaving      = metrics.NewCounter(`linnetrudder_servers_leaving_total`)
+	responsesUnrelated  = metrics.NewCounter(`linnetrudder_responses_unrelated_total`)
 	reportsUnreadable   = metrics.NewCounter(`linnetrudder_reports_unreadable_total`)
 	connectionsRejected = metrics.NewCounter(`linnetrudder_connections_rejected_total`)
 	unusableEntries     = metrics.NewCounter(`linnetrudder_unusable_entries_total`)
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -106,7 +106,8 @@
 	// LastEventID is the event after which a stream continues. It is empty to start from the beginning.
 	LastEventID string
 	// NewConnection forbids reuse of an idle connection. An idle connection may lead to a server that
-	// has just ended, and it would be unknown whether an attempt sent on it has run.
+	// has just ended, and it would be unknown whether an attempt sent on it has run. On the connection of
+	// an earlier attempt of the same request, a second copy of its response may arrive.
 	NewConnection bool
 }
 
@@ -124,9 +125,9 @@
 	Report selfreport.Report
 }
 
-// Backend calls backend servers. Its errors are *RefusedError, *AmbiguousError, ErrNotSent,
-// ErrUnreachable or others. After an *AmbiguousError or an error of another kind the attempt may have
-// run.
+// Backend calls backend servers. Its errors are *RefusedError, *AmbiguousError, *UnrelatedError,
+// ErrNotSent, ErrUnreachable or others. After an *AmbiguousError, an *UnrelatedError or an error of
+// another kind the attempt may have run.
 type Backend interface {
 	Call(ctx context.Context, at *Attempt) (*Response, error)
 	// CheckReachable opens a connection to a server and closes it. It returns ErrUnreachable if the
@@ -158,6 +159,19 @@
 	return "server answered " + ae.Status + " and may have run the call"
 }
 
+// UnrelatedError is a response that arrived in the place of the one to an attempt and belongs to another
+// call. Nothing that it says applies to the attempt.
+type UnrelatedError struct {
+	// Status is the status line of the response, RequestID the request that it names, empty for none.
+	Status, RequestID string
+	// Reused is set if the connection had been used for another call.
+	Reused bool
+}
+
+func (ue *UnrelatedError) Error() string {
+	return "response " + ue.Status + " belongs to another call: " + strconv.Quote(ue.RequestID)
+}
+
 var (
 	// ErrNotSent means that an attempt never reached its server.
 	ErrNotSent = eris.New("attempt was not sent")
--- /dev/null
+++ b/internal/transport/connection.go
@@ -0,0 +1,37 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+// Connection observes the connection that one request is sent on. The zero value is ready to use.
+type Connection struct {
+	conn    net.Conn
+	reused  bool
+	written atomic.Bool
+}
+
+// Observe returns a context for the request.
+func (co *Connection) Observe(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(info httptrace.GotConnInfo) { co.conn, co.reused = info.Conn, info.Reused },
+		WroteHeaders: func() { co.written.Store(true) },
+	})
+}
+
+// Written reports whether the head of the request was written.
+func (co *Connection) Written() bool { return co.written.Load() }
+
+// Reused reports whether the connection had been used for another request.
+func (co *Connection) Reused() bool { return co.reused }
+
+// Discard closes the connection after a response that does not belong to the request: the response that
+// is still due would be read in the place of the next one.
+func (co *Connection) Discard() {
+	if co.conn != nil {
+		_ = co.conn.Close()
+	}
+}
