fix(agent): a response that names another request is a failure

TestResponseToAnotherRequestIsAFailure failed before (code 501, not dispatched; now 504, server failed). A server that names no request can't be told apart, as before.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -22,9 +22,13 @@
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/timeline"
+	"github.com/linnetrudder/linnetrudder/internal/transport"
 	"github.com/linnetrudder/linnetrudder/internal/wire"
 )
 
+// headerRequestID names the request. A server that echoes it shows which request a response belongs to.
+const headerRequestID = "X-Request-Id"
+
 // readBufferBytes is the maximum length of the response data in one frame.
 const readBufferBytes = 16 << 10
 
@@ -78,13 +82,18 @@
 		return result.NotDispatched, nil
 	}
 	ru.recordSent()
-	resp, err := ru.ag.HTTP.Do(req)
+	var conn transport.Connection
+	resp, err := ru.ag.HTTP.Do(req.WithContext(conn.Observe(ctx)))
 	if err != nil {
 		co := dialCode(err)
 		ru.connBroken, ru.connRefused = co == result.ServerFailed, errors.Is(err, syscall.ECONNREFUSED)
 		return co, nil
 	}
 	defer resp.Body.Close()
+	if id := resp.Header.Get(headerRequestID); id != "" && id != ru.at.Request {
+		conn.Discard()
+		return result.ServerFailed, nil
+	}
 	ru.recordAnswered()
 	ru.ag.applySelfReport(resp)
 	switch {
@@ -147,7 +156,7 @@
 	if ru.at.Type != "" {
 		req.Header.Set("Content-Type", ru.at.Type)
 	}
-	req.Header.Set("X-Request-Id", ru.at.Request)
+	req.Header.Set(headerRequestID, ru.at.Request)
 	req.Header.Set("X-Attempt", strconv.Itoa(ru.at.Number))
 	return req, nil
 }
--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -36,6 +36,25 @@
 	require.Zero(t, calls)
 }
 
+// Guards against the response to another request being taken for that to an attempt: a 429 would say that
+// the attempt did not run.
+func TestResponseToAnotherRequestIsAFailure(t *testing.T) {
+	for _, status := range []int{http.StatusTooManyRequests, http.StatusOK} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Request-Id", "another")
+			w.WriteHeader(status)
+		}))
+		defer server.Close()
+		ag := &Agent{
+			HTTP: server.Client(),
+			Node: &node.Node{Settings: settings.Settings{Server: settings.Server{Address: strings.TrimPrefix(server.URL, "http://")}}},
+		}
+		ru := &run{ag: ag, at: &wire.Attempt{Request: "call", Method: http.MethodGet, Path: "/", Version: "v"}, decided: clock.Now()}
+		co, _ := ru.call(t.Context())
+		require.Equal(t, result.ServerFailed, co)
+	}
+}
+
 // A server that breaks a response off and stays up has not crashed at that time: the requests sent
 // afterwards are suspects if it crashes later.
 func TestServerThatStaysUpAfterBrokenResponseHasNotCrashed(t *testing.T) {
