fix(direct): a server that becomes available during the choice is used

Cause, read from the code: whether a server is available and how long to wait for one are two calls, each under the lock. If a limit changes in between (a loan, a report), the second says "no wait", and the request was refused as one that no server may serve, with the wrong Retry-After.

Change: a server is chosen once more if nothing has to be waited for. TestServerThatBecomesAvailableDuringTheChoiceIsUsed failed before (refused with 401), passes now.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -290,6 +290,10 @@
 		if wait := re.Picker.Wait(re.model(), re.tried, now); wait > 0 {
 			return re.refuse(result.Overloaded, wait)
 		}
+		// The limits may have changed since Pick.
+		server, ok = re.Picker.Pick(re.model(), re.tried, now)
+	}
+	if !ok {
 		return re.refuse(co, re.retryAfter(co, now))
 	}
 	return re.attempt(server, now)
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -72,6 +72,25 @@
 	return re
 }
 
+// pickerWithUpdate has no server until it is asked how long to wait, as when a server's limit is raised in
+// between.
+type pickerWithUpdate struct{ updated bool }
+
+func (pi *pickerWithUpdate) Pick(string, []string, time.Time) (string, bool) { return "a", pi.updated }
+
+func (pi *pickerWithUpdate) Wait(string, []string, time.Time) time.Duration {
+	pi.updated = true
+	return 0
+}
+
+// Guards against a request being refused for want of a server while a server is available.
+func TestServerThatBecomesAvailableDuringTheChoiceIsUsed(t *testing.T) {
+	re := request(func(re *Request) { re.Picker = &pickerWithUpdate{} })
+	st := re.Begin(t0)
+	require.Equal(t, Send, st.Op(), st.Code())
+	require.Equal(t, "a", st.Server())
+}
+
 // Servers that are excluded by rate limits are not missing: the code is Overloaded rather than
 // NoServer, and callers get a Retry-After value.
 func TestRateLimitedServersYieldOverloaded(t *testing.T) {
