fix(relay): a failed call does not keep a gateway from a service that answers

Cause: relay.Plan asked outdated watchers for 1 s, or 5 s, after any failed call, whatever the service had answered before. Ruled out: a service that does not answer (no 800 lines in between), a watcher with an old state (406 lines throughout).

Change: internal/outage decides from the calls whether the service is connected, interrupted or away, for the choice of the source, the writes of phases and blocks, and the log; freshness keeps the age only. A report that the service answers again which came before a failure no longer ends the pause after it. 405, 800 and 801 have the state.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -23,11 +23,6 @@
 type Tracker struct {
 	// confirmed is the time up to which all changes are known. It never decreases.
 	confirmed time.Time
-	// connected is set while the service answers this process, or another gateway that it asks.
-	connected bool
-	// failing is set from a failed call until a later time is confirmed. failedAt is when it failed.
-	failing  bool
-	failedAt time.Time
 	// slow is set from a failed call until an answer arrives within promptAnswer.
 	slow bool
 	// source is the process that confirmed the time, Service or the box of another gateway.
@@ -47,17 +42,15 @@
 // ConfirmedAt returns the time up to which all changes are known.
 func (tr *Tracker) ConfirmedAt() time.Time { return tr.confirmed }
 
-// HandleRead processes the answer to a full read that was sent at the given time. It reports
-// whether the connection to the service was lost before.
-func (tr *Tracker) HandleRead(sent time.Time) (regained bool) { return tr.confirm(sent, Service) }
+// HandleRead processes the answer to a full read that was sent at the given time.
+func (tr *Tracker) HandleRead(sent time.Time) { tr.confirm(sent, Service) }
 
-// HandleWatch processes the answer to a watch, which is empty if there was no change within the
-// wait. It reports whether the connection to the service was lost before.
-func (tr *Tracker) HandleWatch(sent time.Time, wait time.Duration, empty bool, now time.Time) (regained bool) {
+// HandleWatch processes the answer to a watch, which is empty if there was no change within the wait.
+func (tr *Tracker) HandleWatch(sent time.Time, wait time.Duration, empty bool, now time.Time) {
 	if now.Sub(sent) < wait+promptAnswer {
 		tr.slow = false
 	}
-	return tr.confirm(earliestAnswer(sent, wait, empty, now), Service)
+	tr.confirm(earliestAnswer(sent, wait, empty, now), Service)
 }
 
 // earliestAnswer returns a lower bound, as late as possible, of the time at which a watch was
@@ -72,18 +65,13 @@
 
 // HandleRelay processes the answer of another gateway's box to a request that was sent at the given
 // time. age is the maximum age that the other gateway's state had when it received the request, negative
-// if that state was confirmed later. It reports whether the connection to the service was lost before.
-func (tr *Tracker) HandleRelay(box string, sent time.Time, age time.Duration) (regained bool) {
-	return tr.confirm(sent.Add(-age), box)
+// if that state was confirmed later.
+func (tr *Tracker) HandleRelay(box string, sent time.Time, age time.Duration) {
+	tr.confirm(sent.Add(-age), box)
 }
 
-// HandleFailure records a failed call. It reports whether the connection to the service was lost by
-// it.
-func (tr *Tracker) HandleFailure(now time.Time) (lost bool) {
-	lost = tr.connected
-	tr.connected, tr.failing, tr.failedAt, tr.slow = false, true, now, true
-	return lost
-}
+// HandleFailure records a failed call.
+func (tr *Tracker) HandleFailure() { tr.slow = true }
 
 // AnswerTimeout returns how long the answer to a call may take beyond the wait that the call asks for.
 func (tr *Tracker) AnswerTimeout() time.Duration {
@@ -96,17 +84,8 @@
 // EverConfirmed reports whether any time has been confirmed since the start.
 func (tr *Tracker) EverConfirmed() bool { return !tr.confirmed.IsZero() }
 
-// Failing reports whether no time since the last failed call is confirmed.
-func (tr *Tracker) Failing() bool { return tr.failing }
-
-func (tr *Tracker) confirm(at time.Time, source string) (regained bool) {
+func (tr *Tracker) confirm(at time.Time, source string) {
 	if at.After(tr.confirmed) {
 		tr.confirmed, tr.source = at, source
 	}
-	if at.Before(tr.failedAt) {
-		return false
-	}
-	regained = !tr.connected
-	tr.connected, tr.failing = true, false
-	return regained
 }
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -28,7 +28,7 @@
 func TestAnswerTimeoutIsLongerUntilTheServiceAnswersPromptly(t *testing.T) {
 	var tr Tracker
 	require.Equal(t, answerTimeout, tr.AnswerTimeout())
-	tr.HandleFailure(atMS(0))
+	tr.HandleFailure()
 	require.Equal(t, longAnswerTimeout, tr.AnswerTimeout())
 	tr.HandleWatch(atMS(0), time.Second, true, atMS(1600))
 	require.Equal(t, longAnswerTimeout, tr.AnswerTimeout(), "a slow answer")
@@ -36,17 +36,17 @@
 	require.Equal(t, answerTimeout, tr.AnswerTimeout())
 }
 
-func TestConnectionLostAndRegained(t *testing.T) {
+func TestAgeCountsFromTheLatestConfirmedTime(t *testing.T) {
 	var tr Tracker
-	require.True(t, tr.HandleRead(atMS(0)))
+	require.False(t, tr.EverConfirmed())
+	tr.HandleRead(atMS(0))
 	require.Equal(t, time.Second, tr.Age(atMS(1000)))
-	require.True(t, tr.HandleFailure(atMS(1200)))
-	require.False(t, tr.HandleFailure(atMS(1300)), "the connection was lost before")
-	require.False(t, tr.HandleRelay("b", atMS(1400), 300*time.Millisecond), "the other gateway's state is from before the failure")
-	require.True(t, tr.Failing())
-	require.True(t, tr.HandleWatch(atMS(1500), time.Second, true, atMS(2500)))
-	require.False(t, tr.HandleWatch(atMS(2500), time.Second, true, atMS(3500)))
+	tr.HandleRelay("b", atMS(1400), 300*time.Millisecond)
+	require.Equal(t, atMS(1100), tr.ConfirmedAt())
+	require.Equal(t, "b", tr.Source())
+	tr.HandleWatch(atMS(2500), time.Second, true, atMS(3500))
 	require.Equal(t, 100*time.Millisecond, tr.Age(atMS(3600)))
+	require.Equal(t, Service, tr.Source())
 	tr.HandleRead(atMS(1000))
 	require.Equal(t, 100*time.Millisecond, tr.Age(atMS(3600)), "the confirmed time never decreases")
 }
--- a/internal/gateway/blocks.go
+++ b/internal/gateway/blocks.go
@@ -217,13 +217,13 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	for _, bl := range ga.blocks.Unstored() {
-		if !ga.freshness.Failing() && !now.Before(ga.storeBlockAt[bl.Fingerprint]) {
+		if !ga.storeOutage.Failing() && !now.Before(ga.storeBlockAt[bl.Fingerprint]) {
 			ga.storeBlockAt[bl.Fingerprint] = now.Add(blockWriteRetryDelay)
 			go ga.storeBlock(ctx, bl)
 		}
 	}
 	for fp, due := range ga.deleteBlockAt {
-		if !ga.freshness.Failing() && !now.Before(due) {
+		if !ga.storeOutage.Failing() && !now.Before(due) {
 			ga.deleteBlockAt[fp] = now.Add(blockWriteRetryDelay)
 			go ga.removeBlocks(ctx, []poison.Fingerprint{fp})
 		}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -54,9 +54,10 @@
 		ga.watch(ctx, at)
 	}
 	for ctx.Err() == nil {
+		sent := clock.Now()
 		at, err := ga.readState(ctx)
 		if err != nil {
-			at = ga.storeFailed(ctx, revision.Revision{}, err)
+			at = ga.storeFailed(ctx, revision.Revision{}, sent, err)
 		}
 		if !at.IsZero() {
 			ga.watch(ctx, at)
@@ -67,13 +68,14 @@
 // watch applies changes as they arrive until the history is not available.
 func (ga *Gateway) watch(ctx context.Context, after revision.Revision) {
 	for ctx.Err() == nil {
+		sent := clock.Now()
 		next, err := ga.receiveChanges(ctx, after)
 		switch {
 		case errors.Is(err, ErrHistoryUnavailable):
 			ga.Log.Warn().Int("event", int(event.HistoryGone)).Stringer("revision", after).Msg(event.Name(event.HistoryGone))
 			return
 		case err != nil:
-			after = ga.storeFailed(ctx, after, err)
+			after = ga.storeFailed(ctx, after, sent, err)
 		default:
 			after = next
 		}
@@ -158,22 +160,31 @@
 // storeFailed records a failed call to the service and pauses. Meanwhile it requests the changes after a
 // revision from another gateway if there is one that the service answers, and returns the revision to
 // continue from.
-func (ga *Gateway) storeFailed(ctx context.Context, after revision.Revision, cause error) revision.Revision {
+func (ga *Gateway) storeFailed(ctx context.Context, after revision.Revision, sent time.Time, cause error) revision.Revision {
 	if ctx.Err() != nil {
 		return after
 	}
+	select {
+	case <-ga.storeAvailable: // reported before this failure
+	default:
+	}
+	now := clock.Now()
+	began := now
+	if isTimeout(cause) {
+		began = sent
+	}
 	ga.mu.Lock()
-	wasConnected := ga.freshness.HandleFailure(clock.Now())
-	ga.relayPlan.ServiceFailed(clock.Now())
+	ga.freshness.HandleFailure()
+	lost := ga.storeOutage.HandleFailure(began, now)
 	ga.servers.StoreUnavailable()
-	age, neverRead := ga.freshness.Age(clock.Now()), !ga.freshness.EverConfirmed()
+	state, age, neverRead := ga.storeOutage.State(now), ga.freshness.Age(now), !ga.freshness.EverConfirmed()
 	ga.mu.Unlock()
 	storeFailures.Inc()
-	if wasConnected {
-		ga.Log.Warn().Int("event", int(event.StoreLost)).Dur("age_ms", age).Err(cause).Msg(event.Name(event.StoreLost))
-	} else {
-		ga.Log.Warn().Int("event", int(event.StoreCallFailed)).Dur("age_ms", age).Err(cause).Msg(event.Name(event.StoreCallFailed))
+	id := event.StoreCallFailed
+	if lost {
+		id = event.StoreLost
 	}
+	ga.Log.Warn().Int("event", int(id)).Str("state", string(state)).Dur("age_ms", age).Err(cause).Msg(event.Name(id))
 	longest := min(maxOutagePause, max(maxRetryPause, time.Duration(outagePauseRatio*float64(age))))
 	if neverRead {
 		longest = maxRetryPause // no other gateway knows of this one yet and could report to it
@@ -186,10 +197,30 @@
 	return next
 }
 
-// storeRecovered records that the service answers again. The lock is held.
-func (ga *Gateway) storeRecovered() {
-	ga.servers.StoreAvailable(clock.Now())
-	ga.Log.Info().Int("event", int(event.StoreRegained)).Msg(event.Name(event.StoreRegained))
+// isTimeout reports whether a call failed because there was no response.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// storeAnswered records that the service answered a call of this gateway. The lock is held.
+func (ga *Gateway) storeAnswered(sent, now time.Time) {
+	ga.storeReached(ga.storeOutage.HandleAnswer(sent, now), now)
+}
+
+// storeAnsweredOther records that the service answered another gateway, whose state had an age when a
+// request to it was sent. The lock is held.
+func (ga *Gateway) storeAnsweredOther(sent time.Time, age time.Duration, now time.Time) {
+	ga.storeReached(ga.storeOutage.HandleOther(sent.Add(-age), now), now)
+}
+
+func (ga *Gateway) storeReached(regained bool, now time.Time) {
+	if !ga.storeOutage.Failing() {
+		ga.servers.StoreAvailable(now)
+	}
+	if regained {
+		ga.Log.Info().Int("event", int(event.StoreRegained)).Msg(event.Name(event.StoreRegained))
+	}
 }
 
 // applyReadState applies a complete state read from the service.
@@ -201,9 +232,8 @@
 	}
 	ga.maxChangeAge = min(maxMissedChangeAge, ga.freshness.Age(clock.Now()))
 	ga.completeUntil, _ = ga.departuresKnownUntil()
-	if ga.freshness.HandleRead(sent) {
-		ga.storeRecovered()
-	}
+	ga.freshness.HandleRead(sent)
+	ga.storeAnswered(sent, clock.Now())
 	ga.replaceState(st)
 	ga.maxChangeAge = 0
 	return nil
@@ -260,9 +290,8 @@
 		ba = ga.encodeBatch(st)
 	}
 	ga.completeUntil, _ = ga.departuresKnownUntil()
-	if ga.freshness.HandleWatch(sent, wait, len(st.Changes) == 0, now) {
-		ga.storeRecovered()
-	}
+	ga.freshness.HandleWatch(sent, wait, len(st.Changes) == 0, now)
+	ga.storeAnswered(sent, now)
 	ga.applyBatch(st.Changes, ba)
 	ga.announceConfirmation()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/latency"
 	"github.com/linnetrudder/linnetrudder/internal/lending"
 	"github.com/linnetrudder/linnetrudder/internal/load"
+	"github.com/linnetrudder/linnetrudder/internal/outage"
 	"github.com/linnetrudder/linnetrudder/internal/overload"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
@@ -130,6 +131,8 @@
 	choices choicelog.Log
 	// stateRead is set after the first complete read of the state.
 	stateRead bool
+	// storeOutage follows the calls to the key-value service.
+	storeOutage outage.Tracker
 	// relayPlan selects the member to request changes from.
 	relayPlan relay.Plan
 	// document is the configuration in force before compilation.
@@ -279,7 +282,7 @@
 	ga.deleteBlockAt = map[poison.Fingerprint]time.Time{}
 	ga.doubts = map[poison.Fingerprint]time.Time{}
 	ga.members = map[string]relay.Member{}
-	ga.relayPlan = relay.Plan{Box: ga.Box, DataCentre: ga.DataCentre}
+	ga.relayPlan = relay.Plan{Box: ga.Box, DataCentre: ga.DataCentre, Service: &ga.storeOutage, MaxPropagation: ga.Bounds.MaxPropagation}
 	ga.loadPlan = ga.relayPlan
 	ga.changed = make(chan struct{})
 	ga.blockLifted = make(chan struct{})
@@ -350,6 +353,7 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.Bounds = bo
+	ga.relayPlan.MaxPropagation = bo.MaxPropagation
 	clear(ga.retries)
 }
 
--- a/internal/gateway/propagation_test.go
+++ b/internal/gateway/propagation_test.go
@@ -20,7 +20,10 @@
 	"github.com/linnetrudder/linnetrudder/internal/stall"
 )
 
-var errDialTimeout = errors.New("dial timeout")
+var (
+	errDialTimeout = errors.New("dial timeout")
+	errRejected    = errors.New("503 Service Unavailable")
+)
 
 // cuts holds the boxes that are cut off. What is sent to and from them is lost without an error, as when
 // a box freezes or loses power.
@@ -29,6 +32,8 @@
 	// fromGateways holds the boxes cut off from other gateways, fromService those cut off from the
 	// key-value service.
 	fromGateways, fromService map[string]bool
+	// rejected holds the boxes whose calls the key-value service rejects.
+	rejected map[string]bool
 }
 
 func (cu *cuts) set(cut *map[string]bool, boxes ...string) {
@@ -104,7 +109,12 @@
 
 func (cs cutStore) isCut() bool { return cs.cuts.has(&cs.cuts.fromService, cs.box) }
 
+func (cs cutStore) isRejected() bool { return cs.cuts.has(&cs.cuts.rejected, cs.box) }
+
 func (cs cutStore) Read(ctx context.Context, era uint64, continueRead func(State) bool) (State, bool, error) {
+	if cs.isRejected() {
+		return State{}, false, errRejected
+	}
 	if cs.isCut() {
 		clock.Sleep(ctx, time.Second)
 		return State{}, false, errDialTimeout
@@ -117,6 +127,9 @@
 	defer gu.Stop()
 	var st State
 	var err error
+	if cs.isRejected() {
+		return State{}, errRejected
+	}
 	if !cs.isCut() {
 		st, err = cs.storeView.Watch(ctx, after, wait, timeout)
 	}
@@ -124,17 +137,24 @@
 		<-ctx.Done()
 		return State{}, ctx.Err()
 	}
+	if cs.isRejected() {
+		return State{}, errRejected
+	}
 	return st, err
 }
 
 // newCutCluster returns a cluster in which gateways can be cut off.
-func newCutCluster(t *testing.T, gateways int, bound time.Duration) (*testCluster, *cuts) {
+func newCutCluster(t *testing.T, gateways int, bound time.Duration, options ...func(ga *Gateway, cs cutStore)) (*testCluster, *cuts) {
 	t.Helper()
 	cu := &cuts{}
 	sc := newTestClusterWith(t, gateways, func(sc *testCluster) {
 		sc.configure = func(ga *Gateway) {
 			ga.Bounds.MaxPropagation = bound
-			ga.Store = cutStore{storeView: storeView{store: sc.servers.store, box: ga.Box}, cuts: cu}
+			cs := cutStore{storeView: storeView{store: sc.servers.store, box: ga.Box}, cuts: cu}
+			ga.Store = cs
+			for _, option := range options {
+				option(ga, cs)
+			}
 			ga.RelayHTTP = &http.Client{Transport: &http.Transport{DialContext: cu.dial(sc.network, ga.Box)}}
 		}
 	})
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -89,7 +89,10 @@
 	if ok {
 		id = event.WatchStopped
 	}
-	ga.Log.Info().Int("event", int(id)).Str("watcher", wa.Box).Int("members", len(ga.members)).Msg(event.Name(id))
+	now := clock.Now()
+	ga.Log.Info().Int("event", int(id)).Str("watcher", wa.Box).Int("members", len(ga.members)).
+		Str("service", string(ga.storeOutage.State(now))).Dur("failed_ms_ago", now.Sub(ga.storeOutage.FailedAt())).
+		Msg(event.Name(id))
 }
 
 // updateSource is a gateway to request changes from.
@@ -128,9 +131,9 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.completeUntil, _ = ga.departuresKnownUntil()
-	if ga.freshness.HandleRelay(us.box, sent, up.AgeAtRequest(clock.Since(sent))) {
-		ga.storeRecovered()
-	}
+	age := up.AgeAtRequest(clock.Since(sent))
+	ga.freshness.HandleRelay(us.box, sent, age)
+	ga.storeAnsweredOther(sent, age, clock.Now())
 	for i, changes := range batches {
 		ga.applyBatch(changes, up.Batches[i])
 	}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -275,7 +275,7 @@
 	if !tried || next.Elapsed-stored.Elapsed < elapsedWriteInterval || ro.canary.DecisionImminent(now) {
 		return false
 	}
-	return !ga.freshness.Failing() && ga.relayPlan.IsWatcher(ga.memberList())
+	return !ga.storeOutage.Failing() && ga.relayPlan.IsWatcher(ga.memberList())
 }
 
 func (ga *Gateway) storePhase(ctx context.Context, ro *rolloutState, ph StoredPhase) {
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -336,7 +336,7 @@
 	old := ro.canary.OrderedAt.Add(4 * elapsedWriteInterval)
 	_, due := ga.phaseToStore(ro, old)
 	require.True(t, due)
-	ga.freshness.HandleFailure(time.Now())
+	ga.storeOutage.HandleFailure(time.Now(), time.Now())
 	_, due = ga.phaseToStore(ro, old)
 	require.False(t, due, "the key-value service does not answer")
 
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -68,9 +68,9 @@
 		return revision.Revision{}, errOlderEra
 	}
 	ga.completeUntil, _ = ga.departuresKnownUntil()
-	if ga.freshness.HandleRelay(from, sent, up.AgeAtRequest(clock.Since(sent))) {
-		ga.storeRecovered()
-	}
+	age := up.AgeAtRequest(clock.Since(sent))
+	ga.freshness.HandleRelay(from, sent, age)
+	ga.storeAnsweredOther(sent, age, clock.Now())
 	ga.replaceState(st)
 	return up.Revision, nil
 }
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/linnetrudder/linnetrudder/internal/outage"
 )
 
 const (
@@ -25,9 +27,11 @@
 	// service.
 	serviceInterval = time.Second
 	// longServiceInterval replaces serviceInterval if at least minStaleWatchers watchers have
-	// answered within it that the service does not answer them either.
+	// answered within it that the service does not answer them either. It is shortened so that the call
+	// after one failed call is answered, callSlack later, within the bound on propagation.
 	longServiceInterval = 5 * time.Second
 	minStaleWatchers    = 3
+	callSlack           = time.Second
 	// minStaleWait and maxStaleWait bound the time for which a gateway asks watchers with an outdated
 	// state again before it calls the service.
 	minStaleWait = 200 * time.Millisecond
@@ -51,15 +55,19 @@
 type Plan struct {
 	// Box and DataCentre are the gateway's own.
 	Box, DataCentre string
+	// Service tells how this gateway's calls to the key-value service went.
+	Service *outage.Tracker
+	// MaxPropagation is the time within which changes of the configuration must be in force, zero for no
+	// bound.
+	MaxPropagation time.Duration
 
 	// failed holds the time of each watcher's last failure, by box; stale holds the time at which
 	// each last answered that its state is out of date.
 	failed, stale map[string]time.Time
 	// asked is the watcher that Watcher returned last, empty once it has failed.
 	asked string
-	// serviceFailed is when the key-value service last failed to answer this gateway. staleSince is when
-	// a watcher first answered in the present outage that its state is out of date.
-	serviceFailed, staleSince time.Time
+	// staleSince is when a watcher first answered in the present outage that its state is out of date.
+	staleSince time.Time
 	// lastCatchUp is when AllowCatchUp last allowed a call.
 	lastCatchUp time.Time
 }
@@ -101,14 +109,14 @@
 // watcher.
 func (pl *Plan) hasFailedRoots(roots []Member, now time.Time) bool {
 	failed := len(roots) - len(pl.available(roots, now))
-	return failed >= maxFailedRoots && now.Sub(pl.serviceFailed) >= pl.serviceDelay(now)
+	return failed >= maxFailedRoots && pl.mayCallService(now)
 }
 
 // choose returns one of the preferred watchers that has not failed recently. If there is none and
-// the service has failed recently as well, it returns one of the others, or any preferred one.
+// the service does not answer either, it returns one of the others, or any preferred one.
 func (pl *Plan) choose(preferred, others []Member, now time.Time) (Member, bool) {
 	available := pl.available(preferred, now)
-	if len(available) == 0 && now.Sub(pl.serviceFailed) < pl.serviceDelay(now) {
+	if len(available) == 0 && !pl.mayCallService(now) {
 		available = pl.available(others, now)
 		if len(available) == 0 {
 			available = preferred
@@ -168,7 +176,12 @@
 	})
 }
 
-// serviceDelay returns the minimum time between two calls to a service that fails.
+// mayCallService reports whether this gateway may call the service now.
+func (pl *Plan) mayCallService(now time.Time) bool {
+	return pl.Service.MayCall(pl.serviceDelay(now), now)
+}
+
+// serviceDelay returns the minimum time between two calls to a service that does not answer.
 func (pl *Plan) serviceDelay(now time.Time) time.Duration {
 	stale := 0
 	for _, at := range pl.stale {
@@ -176,10 +189,13 @@
 			stale++
 		}
 	}
-	if stale >= minStaleWatchers {
+	switch {
+	case stale < minStaleWatchers:
+		return serviceInterval
+	case pl.MaxPropagation == 0:
 		return longServiceInterval
 	}
-	return serviceInterval
+	return max(serviceInterval, min(longServiceInterval, pl.MaxPropagation-callSlack))
 }
 
 // ShouldJoin reports whether a gateway should register as a member: it is still listed as a
@@ -301,9 +317,6 @@
 	pl.failed[box] = now
 }
 
-// ServiceFailed records that the key-value service did not answer this gateway.
-func (pl *Plan) ServiceFailed(now time.Time) { pl.serviceFailed = now }
-
 // AllowCatchUp reports whether a gateway whose revision is not in its watcher's history may call
 // the service now, and records the call.
 func (pl *Plan) AllowCatchUp(now time.Time) bool {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/linnetrudder/linnetrudder/internal/outage"
 	"github.com/linnetrudder/linnetrudder/internal/revision"
 	"github.com/linnetrudder/linnetrudder/internal/stall"
 )
@@ -31,7 +32,7 @@
 	all := members(30)
 	watching, asked := map[string]int{}, map[string]int{}
 	for _, me := range all {
-		pl := Plan{Box: me.Box, DataCentre: me.DataCentre}
+		pl := Plan{Box: me.Box, DataCentre: me.DataCentre, Service: &outage.Tracker{}}
 		wa, ok := pl.Watcher(all, now)
 		if pl.IsWatcher(all) {
 			watching[me.DataCentre]++
@@ -50,7 +51,7 @@
 	for n, want := range map[int]int{1: 0, 6: 0, 7: 2, 9: 6, 30: 6} {
 		all, serving := members(n), 0
 		for _, me := range all {
-			if (&Plan{Box: me.Box, DataCentre: me.DataCentre}).Serves(all) {
+			if (&Plan{Box: me.Box, DataCentre: me.DataCentre, Service: &outage.Tracker{}}).Serves(all) {
 				serving++
 			}
 		}
@@ -62,7 +63,7 @@
 	all := members(12)
 	all[9].LinkMbps, all[6].LinkMbps = 200, 200
 	for _, me := range all {
-		pl := Plan{Box: me.Box, DataCentre: me.DataCentre}
+		pl := Plan{Box: me.Box, DataCentre: me.DataCentre, Service: &outage.Tracker{}}
 		if wa, ok := pl.Watcher(all, now); ok && me.DataCentre == "dc0" {
 			require.Contains(t, []string{"b06", "b09"}, wa.Box)
 		}
@@ -71,7 +72,7 @@
 
 func TestGatewayWhoseWatchersFailCallsTheService(t *testing.T) {
 	all := members(12)
-	pl := Plan{Box: "b09", DataCentre: "dc0"}
+	pl := Plan{Box: "b09", DataCentre: "dc0", Service: &outage.Tracker{}}
 	first, ok := pl.Watcher(all, now)
 	require.True(t, ok)
 	pl.Failed(first.Box, now)
@@ -90,7 +91,7 @@
 // second.
 func TestUnavailableServiceIsRarelyCalledByOthersThanWatchers(t *testing.T) {
 	all := members(12)
-	pl := Plan{Box: "b09", DataCentre: "dc0"}
+	pl := Plan{Box: "b09", DataCentre: "dc0", Service: &outage.Tracker{}}
 	calls, at := 0, now
 	for ; at.Before(now.Add(10 * time.Second)); at = at.Add(200 * time.Millisecond) {
 		wa, ok := pl.Watcher(all, at)
@@ -99,13 +100,13 @@
 			continue
 		}
 		calls++
-		pl.ServiceFailed(at)
+		pl.Service.HandleFailure(at, at)
 	}
 	require.LessOrEqual(t, calls, 10)
 	require.GreaterOrEqual(t, calls, 5)
 	for _, me := range all[:maxRoots] {
-		pl := Plan{Box: me.Box, DataCentre: me.DataCentre}
-		pl.ServiceFailed(now)
+		pl := Plan{Box: me.Box, DataCentre: me.DataCentre, Service: &outage.Tracker{}}
+		pl.Service.HandleFailure(now, now)
 		_, ok := pl.Watcher(all, now)
 		require.False(t, ok, "a root keeps calling the service")
 	}
@@ -116,13 +117,13 @@
 // those that are not watchers rarely call it.
 func TestWatchersInOtherDataCentresAreAskedBeforeTheServiceAgain(t *testing.T) {
 	all := members(12)
-	pl := Plan{Box: "b09", DataCentre: "dc0"}
+	pl := Plan{Box: "b09", DataCentre: "dc0", Service: &outage.Tracker{}}
 	asked, calls := map[string]bool{}, 0
 	for at := now; at.Before(now.Add(11 * time.Second)); at = at.Add(100 * time.Millisecond) {
 		wa, ok := pl.Watcher(all, at)
 		if !ok {
 			calls++
-			pl.ServiceFailed(at)
+			pl.Service.HandleFailure(at, at)
 			continue
 		}
 		asked[wa.Box] = true
@@ -133,6 +134,27 @@
 	require.GreaterOrEqual(t, calls, 2, "the service may answer only this gateway")
 }
 
+// Guards against a gateway that stays away from the service for longer than changes may take.
+func TestServiceIsCalledAgainWithinTheBoundOnPropagation(t *testing.T) {
+	all := members(12)
+	for _, bound := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second} {
+		for _, answeredBefore := range []bool{false, true} {
+			pl := Plan{Box: "b09", DataCentre: "dc0", Service: &outage.Tracker{}, MaxPropagation: bound}
+			if answeredBefore {
+				pl.Service.HandleAnswer(now, now)
+			}
+			pl.Service.HandleFailure(now, now)
+			at := now
+			for called := false; !called; at = at.Add(100 * time.Millisecond) {
+				wa, asked := pl.Watcher(all, at)
+				called = !asked
+				pl.Stale(wa.Box, at)
+			}
+			require.LessOrEqual(t, at.Sub(now)+callSlack-100*time.Millisecond, bound, "answered before: %v", answeredBefore)
+		}
+	}
+}
+
 // Guards against all gateways of a data centre calling the service at the same moment when both of
 // their watchers' states become out of date: 71 gateways read the whole state at once while the
 // service had only lost its history, and their watchers had it again 0.1 s later.
@@ -141,7 +163,7 @@
 		all := members(12)
 		calls := map[int]int{}
 		for i := range 70 {
-			pl := Plan{Box: fmt.Sprint("x", i), DataCentre: "dc0"}
+			pl := Plan{Box: fmt.Sprint("x", i), DataCentre: "dc0", Service: &outage.Tracker{}}
 			for at := now; at.Before(now.Add(2 * time.Second)); at = at.Add(50 * time.Millisecond) {
 				wa, ok := pl.Watcher(all, at)
 				if !ok {
@@ -168,7 +190,7 @@
 // was asked as well.
 func TestOtherWatcherIsAskedBeforeAnOutdatedOneAgain(t *testing.T) {
 	all := members(12)
-	pl := Plan{Box: "b09", DataCentre: "dc0"}
+	pl := Plan{Box: "b09", DataCentre: "dc0", Service: &outage.Tracker{}}
 	first, _ := pl.Watcher(all, now)
 	pl.Stale(first.Box, now)
 	at := now.Add(100 * time.Millisecond)
@@ -187,7 +209,7 @@
 
 func TestWatcherThatAnswersAgainIsNotAvoided(t *testing.T) {
 	all := members(12)
-	pl := Plan{Box: "b09", DataCentre: "dc0"}
+	pl := Plan{Box: "b09", DataCentre: "dc0", Service: &outage.Tracker{}}
 	for at := now; at.Before(now.Add(minStaleWait)); at = at.Add(50 * time.Millisecond) {
 		wa, _ := pl.Watcher(all, at)
 		pl.Stale(wa.Box, at)
@@ -220,7 +242,7 @@
 	roots := rootsOf(all)
 	require.Len(t, roots, maxRoots)
 	for _, me := range allWatchers(all) {
-		pl := Plan{Box: me.Box, DataCentre: me.DataCentre}
+		pl := Plan{Box: me.Box, DataCentre: me.DataCentre, Service: &outage.Tracker{}}
 		at := now
 		for range maxRoots {
 			if wa, ok := pl.Watcher(all, at); ok {
@@ -243,15 +265,15 @@
 		}
 		calling := map[string]bool{}
 		for _, me := range all {
-			pl := Plan{Box: me.Box, DataCentre: me.DataCentre}
+			pl := Plan{Box: me.Box, DataCentre: me.DataCentre, Service: &outage.Tracker{}}
 			wa, ok := pl.Watcher(all, now)
 			if !ok {
 				calling[me.DataCentre] = true
 				continue
 			}
-			second := Plan{Box: wa.Box, DataCentre: wa.DataCentre}
+			second := Plan{Box: wa.Box, DataCentre: wa.DataCentre, Service: &outage.Tracker{}}
 			if root, ok := second.Watcher(all, now); ok {
-				third := Plan{Box: root.Box, DataCentre: root.DataCentre}
+				third := Plan{Box: root.Box, DataCentre: root.DataCentre, Service: &outage.Tracker{}}
 				_, ok = third.Watcher(all, now)
 				require.False(t, ok, "a watcher that others ask calls the service")
 			}
@@ -265,7 +287,7 @@
 	for i := range 20 {
 		all = append(all, Member{Box: fmt.Sprintf("b%02d", i), DataCentre: fmt.Sprint("dc", i%5), Address: "a"})
 	}
-	pl := Plan{Box: "b04", DataCentre: "dc4"}
+	pl := Plan{Box: "b04", DataCentre: "dc4", Service: &outage.Tracker{}}
 	asked := map[string]bool{}
 	fail := func() {
 		wa, ok := pl.Watcher(all, now)
@@ -279,7 +301,7 @@
 	}
 	_, ok := pl.Watcher(all, now)
 	require.False(t, ok, "the gateways that ask this one wait")
-	pl.ServiceFailed(now)
+	pl.Service.HandleFailure(now, now)
 	for range maxRoots - maxFailedRoots {
 		fail()
 	}
@@ -289,12 +311,12 @@
 
 func TestOnlyNeededGatewaysJoin(t *testing.T) {
 	all := members(6) // two in each of three data centres
-	pl := Plan{Box: "b09", DataCentre: "dc0"}
+	pl := Plan{Box: "b09", DataCentre: "dc0", Service: &outage.Tracker{}}
 	require.False(t, pl.ShouldJoin(all, 0), "there are two members with such links")
 	require.True(t, pl.ShouldJoin(all, 1), "its link is larger")
 	require.True(t, pl.ShouldJoin(all[1:], 0), "there is only one member")
 	require.True(t, pl.ShouldJoin(nil, 0))
-	again := Plan{Box: "b00", DataCentre: "dc0"}
+	again := Plan{Box: "b00", DataCentre: "dc0", Service: &outage.Tracker{}}
 	require.True(t, again.ShouldJoin(append(all, Member{Box: "b06", DataCentre: "dc0", Address: "a"}), 0), "a restarted watcher")
 }
 
@@ -306,7 +328,7 @@
 }
 
 func TestGatewayWithoutMembersCallsTheService(t *testing.T) {
-	pl := Plan{Box: "b00", DataCentre: "dc0"}
+	pl := Plan{Box: "b00", DataCentre: "dc0", Service: &outage.Tracker{}}
 	_, ok := pl.Watcher(nil, now)
 	require.False(t, ok)
 	_, ok = pl.Watcher([]Member{{Box: "b01", DataCentre: "dc0"}}, now)
