--- a/internal/gateway/storefallback.go
+++ b/internal/gateway/storefallback.go
@@ -19,8 +19,8 @@
 const minFallbackInterval = minRetryPause
 
 // followFallback requests the changes after a revision from another gateway for a pause, and for up to
-// fallbackDuration if the service has answered that gateway since this one's call failed. It returns the
-// revision to continue from and whether the other gateway answered.
+// fallbackDuration while it is a better source than the service. It returns the revision to continue from and
+// whether the other gateway answered.
 func (ga *Gateway) followFallback(ctx context.Context, after revision.Revision, pause time.Duration) (revision.Revision, bool) {
 	failed := clock.Now()
 	wa, ok := ga.fallback(failed)
@@ -37,7 +37,7 @@
 		}
 		after = next
 		left = pause
-		if ga.confirmedSince(failed) {
+		if ga.prefersFallback(failed, clock.Now()) {
 			left = fallbackDuration
 		}
 		left -= clock.Since(failed)
@@ -64,9 +64,11 @@
 	return wa, ok
 }
 
-// confirmedSince reports whether all changes up to a time are known.
-func (ga *Gateway) confirmedSince(at time.Time) bool {
+// prefersFallback reports whether to follow another gateway rather than to call the service: the service
+// has answered that one since a call failed, recently enough, and repeated calls of this one have failed.
+func (ga *Gateway) prefersFallback(failed, now time.Time) bool {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	return ga.freshness.ConfirmedAt().After(at)
+	return ga.freshness.ConfirmedAt().After(failed) && ga.freshness.Age(now) <= ga.Bounds.maxRelayAge() &&
+		!ga.storeOutage.MayCall(fallbackDuration, now)
 }
