fix(directory): a failed call is no outage, removed servers are dropped at once

Cause: any failed call counted as an outage of the store, and opened a grace of 2 s for entries that lapse in one, counted from the next answer. Ruled out: a late removal (the configuration written with it was in force after 0.35 s).

Change: the list of servers asks internal/outage when the store was away: 1 s of failed calls, or 2 s without an answer to anybody that is known here. Entries that go missing in an outage are kept until 2 s after its end; before, those that went missing earlier than that were dropped with its end.

The tests of the list state outages by their calls now, with the same times and results.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -84,16 +84,23 @@
 // entry may reappear while it drains.
 const departureRetention = 10 * time.Minute
 
+// Service tells when the key-value service was away.
+type Service interface {
+	InOutage(now time.Time) bool
+	// Ended returns when the last outage ended, zero if there was none.
+	Ended() time.Time
+}
+
 // Directory is a process's list of servers. The zero value is empty. It is not safe for concurrent
 // use.
 type Directory struct {
+	// Service is set before use. Without it, the key-value service is never away.
+	Service Service
+
 	servers map[string]*Server
-	// missingUntil holds the servers whose entries disappeared and when they are removed.
+	// missingUntil holds the servers whose entries disappeared and when they are removed, at the earliest
+	// once the time to write them again after an outage is over.
 	missingUntil map[string]time.Time
-	// storeUnavailable is set while the key-value service does not answer.
-	storeUnavailable bool
-	// graceUntil is the time until which a disappeared entry does not mean that its server ended.
-	graceUntil time.Time
 	// leaving holds when servers announced their shutdown, by instance key.
 	leaving map[string]time.Time
 	// excluded holds the instances whose departure another process reported, by key, with the revision
@@ -253,30 +260,18 @@
 	}
 	if di.mayReappear(now) && !di.IsDraining(se) {
 		if _, ok := di.missingUntil[id]; !ok {
-			di.missingUntil[id] = di.graceEnd(now)
+			di.missingUntil[id] = now
 		}
 		return
 	}
 	di.end(se, now)
 }
 
-// StoreUnavailable records that the key-value service does not answer.
-func (di *Directory) StoreUnavailable() { di.storeUnavailable = true }
-
-// StoreAvailable records that the key-value service answers again.
-func (di *Directory) StoreAvailable(now time.Time) {
-	if !di.storeUnavailable {
-		return
-	}
-	di.storeUnavailable = false
-	di.graceUntil = now.Add(reregistrationGrace)
-}
-
 // Tick removes the servers whose entries did not reappear in time and returns them.
 func (di *Directory) Tick(now time.Time) []*Server {
 	var dropped []*Server
 	for id, at := range di.missingUntil {
-		if di.storeUnavailable || now.Before(at) {
+		if di.mayReappear(now) || now.Before(at) {
 			continue
 		}
 		dropped = append(dropped, di.servers[id])
@@ -315,16 +310,13 @@
 // Len returns the number of known servers.
 func (di *Directory) Len() int { return len(di.servers) }
 
-// mayReappear reports whether an entry may be missing although its server is running.
+// mayReappear reports whether an entry may be missing although its server is running: it may have lapsed
+// in an outage of the key-value service.
 func (di *Directory) mayReappear(now time.Time) bool {
-	return di.storeUnavailable || now.Before(di.graceUntil)
-}
-
-func (di *Directory) graceEnd(now time.Time) time.Time {
-	if di.storeUnavailable {
-		return now.Add(reregistrationGrace)
+	if di.Service == nil {
+		return false
 	}
-	return di.graceUntil
+	return di.Service.InOutage(now) || now.Before(di.Service.Ended().Add(reregistrationGrace))
 }
 
 func (di *Directory) rebuild() {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/outage"
+
 	"github.com/linnetrudder/linnetrudder/internal/revision"
 )
 
@@ -32,6 +34,14 @@
 	require.NotNil(t, di.Get("b"))
 }
 
+// newConnectedDirectory returns an empty directory and the service that its entries are from, which
+// answered at t0.
+func newConnectedDirectory() (*outage.Tracker, *Directory) {
+	se := &outage.Tracker{}
+	se.HandleAnswer(t0, t0)
+	return se, &Directory{Service: se}
+}
+
 func TestRemovedServerIsDroppedImmediately(t *testing.T) {
 	var di Directory
 	di.Put(Server{ID: "a", Service: "s"})
@@ -40,31 +50,47 @@
 }
 
 func TestEntryLostInAnOutageHasTimeToReappear(t *testing.T) {
-	var di Directory
+	se, di := newConnectedDirectory()
 	di.Put(Server{ID: "a", Service: "s"})
 	di.Put(Server{ID: "b", Service: "s"})
-	di.StoreUnavailable()
-	di.StoreAvailable(at(10))
+	se.HandleFailure(at(1), at(1))
+	se.HandleAnswer(at(10), at(10))
 	di.Remove("a", at(10.1))
 	di.Remove("b", at(10.1))
-	require.Len(t, ids(&di), 2)
+	require.Len(t, ids(di), 2)
 	di.Put(Server{ID: "a", Service: "s"})
 	require.Empty(t, di.Tick(at(11.9)))
 	dropped := di.Tick(at(12))
 	require.Len(t, dropped, 1)
 	require.Equal(t, "b", dropped[0].ID)
-	require.Equal(t, []string{"a"}, ids(&di))
+	require.Equal(t, []string{"a"}, ids(di))
 	di.Remove("a", at(13))
-	require.Empty(t, ids(&di), "a removal outside an outage takes effect immediately")
+	require.Empty(t, ids(di), "a removal outside an outage takes effect immediately")
 }
 
 func TestNothingIsDroppedDuringAStoreOutage(t *testing.T) {
-	var di Directory
+	se, di := newConnectedDirectory()
 	di.Put(Server{ID: "a", Service: "s"})
-	di.StoreUnavailable()
+	se.HandleFailure(t0, t0)
 	di.Remove("a", at(1))
 	require.Empty(t, di.Tick(at(60)))
-	require.Len(t, ids(&di), 1)
+	require.Len(t, ids(di), 1)
+	se.HandleAnswer(at(70), at(70))
+	require.Empty(t, di.Tick(at(71.9)), "the server has time to write its entry again")
+	require.Len(t, di.Tick(at(72)), 1)
+}
+
+// Guards against a cut connection or a rejected call being taken for an outage: a server whose entry was
+// removed just afterwards received requests for two more seconds.
+func TestEntryRemovedAfterAFailedCallIsDroppedImmediately(t *testing.T) {
+	se, di := newConnectedDirectory()
+	di.Put(Server{ID: "a", Service: "s"})
+	di.Put(Server{ID: "b", Service: "s"})
+	se.HandleFailure(at(1), at(1))
+	di.Remove("b", at(1.05))
+	se.HandleAnswer(at(1.1), at(1.1))
+	di.Remove("a", at(1.1))
+	require.Empty(t, ids(di))
 }
 
 // Models a startup in a deployment of a thousand gateways, where the entries of ten thousand
@@ -109,21 +135,21 @@
 // Guards against reporting a server as removed twice: once when its draining entry is removed and
 // again when the grace period of its missing entry ends.
 func TestMissingServerThatDrainsIsDroppedOnce(t *testing.T) {
-	var di Directory
+	se, di := newConnectedDirectory()
 	di.Put(Server{ID: "a", Service: "s"})
-	di.StoreUnavailable()
+	se.HandleFailure(t0, t0)
 	di.Remove("a", at(1))
-	di.StoreAvailable(at(2))
+	se.HandleAnswer(at(2), at(2))
 	di.Put(Server{ID: "a", Service: "s"})
 	di.Remove("a", at(3))
 	di.Put(Server{ID: "a", Service: "s", Draining: true})
 	di.Remove("a", at(3.5))
 	require.Empty(t, di.Tick(at(60)))
 	di.Put(Server{ID: "b", Service: "s"})
-	di.StoreUnavailable()
+	se.HandleFailure(at(60), at(60))
 	di.Remove("b", at(61))
 	di.Drop("b")
-	di.StoreAvailable(at(62))
+	se.HandleAnswer(at(62), at(62))
 	require.Empty(t, di.Tick(at(90)))
 }
 
@@ -179,26 +205,26 @@
 }
 
 func TestAnnouncedShutdownOutlastsTheEntry(t *testing.T) {
-	var di Directory
+	se, di := newConnectedDirectory()
 	di.Put(Server{ID: "a", Service: "s", Born: 1})
 	di.Put(Server{ID: "b", Service: "s", Born: 1})
 	key := di.Get("a").Key()
 	require.True(t, di.MarkLeaving(key, t0))
 	require.False(t, di.MarkLeaving(key, at(1)), "already known")
-	require.Equal(t, []string{"b"}, ids(&di))
+	require.Equal(t, []string{"b"}, ids(di))
 	require.True(t, di.IsDraining(di.Get("a")))
 
 	di.Put(Server{ID: "a", Service: "s", Born: 1})
-	require.Equal(t, []string{"b"}, ids(&di), "an outdated entry says that it is ready")
-	di.StoreUnavailable()
+	require.Equal(t, []string{"b"}, ids(di), "an outdated entry says that it is ready")
+	se.HandleFailure(at(1), at(1))
 	di.Remove("a", at(2))
 	require.Nil(t, di.Get("a"), "a server that is shutting down has no grace period")
-	di.StoreAvailable(at(3))
+	se.HandleAnswer(at(3), at(3))
 	di.Put(Server{ID: "a", Service: "s", Born: 1})
-	require.Equal(t, []string{"b"}, ids(&di), "its entry reappears")
+	require.Equal(t, []string{"b"}, ids(di), "its entry reappears")
 	di.Drop("a")
 	di.Put(Server{ID: "a", Service: "s", Born: 2})
-	require.Len(t, ids(&di), 2, "its next instance")
+	require.Len(t, ids(di), 2, "its next instance")
 }
 
 func TestAnnouncedShutdownsExpireWithTheirServers(t *testing.T) {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -176,7 +176,6 @@
 	ga.mu.Lock()
 	ga.freshness.HandleFailure()
 	lost := ga.storeOutage.HandleFailure(began, now)
-	ga.servers.StoreUnavailable()
 	state, age, neverRead := ga.storeOutage.State(now), ga.freshness.Age(now), !ga.freshness.EverConfirmed()
 	ga.mu.Unlock()
 	storeFailures.Inc()
@@ -205,19 +204,17 @@
 
 // storeAnswered records that the service answered a call of this gateway. The lock is held.
 func (ga *Gateway) storeAnswered(sent, now time.Time) {
-	ga.storeReached(ga.storeOutage.HandleAnswer(sent, now), now)
+	ga.logRegained(ga.storeOutage.HandleAnswer(sent, now))
 }
 
 // storeAnsweredOther records that the service answered another gateway, whose state had an age when a
 // request to it was sent. The lock is held.
 func (ga *Gateway) storeAnsweredOther(sent time.Time, age time.Duration, now time.Time) {
-	ga.storeReached(ga.storeOutage.HandleOther(sent.Add(-age), now), now)
+	ga.logRegained(ga.storeOutage.HandleOther(sent.Add(-age), now))
 }
 
-func (ga *Gateway) storeReached(regained bool, now time.Time) {
-	if !ga.storeOutage.Failing() {
-		ga.servers.StoreAvailable(now)
-	}
+// logRegained logs that the service was away and answers again.
+func (ga *Gateway) logRegained(regained bool) {
 	if regained {
 		ga.Log.Info().Int("event", int(event.StoreRegained)).Msg(event.Name(event.StoreRegained))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -282,6 +282,7 @@
 	ga.deleteBlockAt = map[poison.Fingerprint]time.Time{}
 	ga.doubts = map[poison.Fingerprint]time.Time{}
 	ga.members = map[string]relay.Member{}
+	ga.servers.Service = &ga.storeOutage
 	ga.relayPlan = relay.Plan{Box: ga.Box, DataCentre: ga.DataCentre, Service: &ga.storeOutage, MaxPropagation: ga.Bounds.MaxPropagation}
 	ga.loadPlan = ga.relayPlan
 	ga.changed = make(chan struct{})
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -161,9 +161,9 @@
 		"unusable entry": func(ga *Gateway, _ time.Time) { ga.dropUnusableServer(UnusableServer{ID: "x1"}) },
 		"no entry":       func(ga *Gateway, now time.Time) { ga.removeServer("x1", now) },
 		"lost in an outage": func(ga *Gateway, now time.Time) {
-			ga.servers.StoreUnavailable()
+			ga.storeOutage.HandleFailure(now.Add(-time.Minute), now)
 			ga.removeServer("x1", now)
-			ga.servers.StoreAvailable(now)
+			ga.storeOutage.HandleAnswer(now, now)
 			ga.dropMissing(now.Add(time.Minute))
 		},
 	} {
--- a/internal/gateway/servers_test.go
+++ b/internal/gateway/servers_test.go
@@ -189,7 +189,7 @@
 func TestUnusableEntryTakesServerOutOfUse(t *testing.T) {
 	now := time.Now()
 	ga, log := newServingGateway()
-	ga.servers.StoreUnavailable()
+	ga.storeOutage.HandleFailure(now.Add(-time.Minute), now)
 	ga.applyChange(Change{Unusable: &UnusableServer{ID: "x1", Reason: "a field is missing"}})
 	require.Equal(t, map[string]bool{"x0": true, "x2": true}, pickedServers(ga, now), "at once, even while the store is lost")
 	for range 50 {
--- a/internal/outage/outage.go
+++ b/internal/outage/outage.go
@@ -60,16 +60,18 @@
 		tr.firstFailed = now
 	}
 	tr.failed = now
-	lost = !tr.lost && !tr.answered.IsZero() && tr.State(now) == Away
+	lost = !tr.lost && tr.InOutage(now)
 	tr.lost = tr.lost || lost
 	return lost
 }
 
 // HandleAnswer records that the service answered a call of this process that was sent at the given time. It
-// reports whether the service was away before.
+// reports whether the service was away before, as far as this process knew.
 func (tr *Tracker) HandleAnswer(sent, now time.Time) (regained bool) {
 	tr.answeredHere, tr.firstFailed = now, time.Time{}
-	return tr.confirm(sent, now)
+	regained = tr.confirm(sent, now)
+	tr.answered = now // a watch is answered at the end of its wait
+	return regained
 }
 
 // HandleOther records that the service answered another process at the given time. It reports whether the
@@ -108,6 +110,11 @@
 	return Interrupted
 }
 
+// InOutage reports whether the service is away and has answered before.
+func (tr *Tracker) InOutage(now time.Time) bool {
+	return !tr.answered.IsZero() && tr.State(now) == Away
+}
+
 // Failing reports whether a call of this process has failed since the service is known to have answered.
 func (tr *Tracker) Failing() bool { return !tr.failingSince.IsZero() }
 
