feat(gateway): log the outcome that led to a further attempt

The lines of a further attempt told the error of the one before, but not whether it counted as not executed, nor whether the request may be repeated. Without both, a request that ran twice could not be told from one whose first attempt was lost. 202, 203 and 207 now name idempotent and before_outcome; outcomes are typed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,10 +57,28 @@
 	headDecided, serverSilent atomic.Bool
 	// stalled is set if the stream was abandoned because no events arrived.
 	stalled atomic.Bool
+	// outcome is what the attempt ended with, empty while it is in progress.
+	outcome attemptOutcome
 }
 
-// attemptAnswered is the outcome of an attempt whose complete response arrived.
-const attemptAnswered = "answered"
+// attemptOutcome is what an attempt ended with. Its values appear in logs and metrics.
+type attemptOutcome string
+
+const (
+	// attemptAnswered: the complete response arrived.
+	attemptAnswered attemptOutcome = "answered"
+	// attemptRefused: the server rejected the attempt without executing it.
+	attemptRefused attemptOutcome = "refused"
+	// attemptUnreachable: the server refused the connection, attemptUnsent: the request was not written.
+	attemptUnreachable attemptOutcome = "unreachable"
+	attemptUnsent      attemptOutcome = "unsent"
+	// attemptLost: the request was written and no usable response arrived.
+	attemptLost attemptOutcome = "lost"
+	// attemptBroken: the response ended early.
+	attemptBroken attemptOutcome = "broken"
+	// attemptDropped: the response was not needed any more.
+	attemptDropped attemptOutcome = "dropped"
+)
 
 // status returns the status of the response, zero if there is none.
 func (se *attemptState) status() int {
@@ -262,23 +280,23 @@
 	var refusal *RefusedError
 	switch {
 	case errors.As(se.err, &refusal):
-		se.endNotSent("refused")
+		se.endNotSent(attemptRefused)
 		ex.rejected = true
 		if refusal.Gone {
 			ex.removeReplacedServer(se)
 		}
 		return ex.request.Refused(now)
 	case errors.Is(se.err, ErrUnreachable):
-		se.endNotSent("unreachable")
+		se.endNotSent(attemptUnreachable)
 		ex.ga.recordServerCrash(se.server, "it refuses connections")
 		ex.ga.ejectUnreachable(ctx, se, now)
 		return ex.request.Unsent(now)
 	case errors.Is(se.err, ErrNotSent):
-		se.endNotSent("unsent")
+		se.endNotSent(attemptUnsent)
 		ex.ga.recordHealth(ctx, se, false, now)
 		return ex.request.Unsent(now)
 	case se.err != nil:
-		se.end("lost")
+		se.end(attemptLost)
 		if !se.abandoned {
 			ex.ga.connectionLost(ctx, se.server)
 			ex.awaitVerdictBeforeRetry(ctx)
@@ -297,7 +315,7 @@
 }
 
 // end frees the resources of the attempt and counts its outcome.
-func (se *attemptState) end(outcome string) {
+func (se *attemptState) end(outcome attemptOutcome) {
 	se.cancel()
 	if !se.released.CompareAndSwap(false, true) {
 		return
@@ -306,6 +324,7 @@
 		_ = se.response.Body.Close()
 	}
 	se.ex.ga.mu.Lock()
+	se.outcome = outcome
 	se.ex.ga.pool.Ended(se.server.Key())
 	se.run.Finish(outcome == attemptAnswered, clock.Now())
 	se.ex.ga.mu.Unlock()
@@ -313,7 +332,7 @@
 }
 
 // endNotSent ends an attempt that its server never started.
-func (se *attemptState) endNotSent(outcome string) {
+func (se *attemptState) endNotSent(outcome attemptOutcome) {
 	if se.run != nil {
 		se.ex.ga.mu.Lock()
 		se.run.MarkUnsent()
@@ -323,7 +342,7 @@
 }
 
 // discard ends an attempt whose response is not needed any more.
-func (se *attemptState) discard() { se.end("dropped") }
+func (se *attemptState) discard() { se.end(attemptDropped) }
 
 // copyRest sends the caller the remainder of a response whose start was buffered.
 func (se *attemptState) copyRest(rs Responder) error {
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -49,8 +49,12 @@
 	case before.step.Model() != se.step.Model():
 		id = event.RequestEscalated
 	}
+	ex.ga.mu.Lock()
+	outcome := before.outcome
+	ex.ga.mu.Unlock()
 	le := ex.ga.Log.Info().Int("event", int(id)).Str("request", ex.rq.ID).Int("attempt", se.step.Attempt()).
-		Str("server", se.server.ID).Str("model", se.step.Model()).Str("before", before.server.ID).
+		Bool("idempotent", ex.request.Idempotent).
+		Str("server", se.server.ID).Str("model", se.step.Model()).Str("before", before.server.ID).Str("before_outcome", string(outcome)).
 		Int("before_status", before.status()).Dur("before_ms", se.began.Sub(before.began)).
 		Dur("before_state_age_ms", before.stateAge).Str("before_state_source", before.stateSource).
 		Dur("state_age_ms", se.stateAge).Str("state_source", se.stateSource)
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -83,7 +83,7 @@
 			ex.responder.Abort()
 			return
 		}
-		se.end("broken")
+		se.end(attemptBroken)
 		if !se.stalled.Load() {
 			ex.ga.connectionLost(ctx, se.server)
 			ex.awaitVerdictBeforeRetry(ctx)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -43,6 +43,6 @@
 }
 
 // countAttempt counts the outcome of an attempt.
-func countAttempt(service, outcome string) {
+func countAttempt(service string, outcome attemptOutcome) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`linnetrudder_attempts_total{service=%q,outcome=%q}`, service, outcome)).Inc()
 }
