fix(transport): reset connections that are closed with unsent data

A server that answers before it has read a long body does not learn that its request was abandoned: the close of the connection waits behind the body.

Cause: closing a connection queues the end of the stream behind unsent data. Evidence: with a body of 16 MB that the server does not read, the server saw no close within 400 ms (TestServerLearnsOfAbandonedRequestWithUnreadBody failed before in that case; without a body and with 100 KB it passed). After up to 2 s the user timeout ended the connection at our end only.

Change: a connection that is closed while sent data is unacknowledged is reset, which the server sees at once. If the amount is not known, it is closed as before. Ruled out: a reset in all cases, since a lost one is not repeated.

--- /dev/null
+++ b/internal/transport/conn_test.go
@@ -0,0 +1,67 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// closeNotice is the time within which a server must learn that a request was abandoned.
+const closeNotice = 400 * time.Millisecond
+
+// awaitHangUp reports whether a connection is found to be closed within a time, without reading from it.
+func awaitHangUp(t *testing.T, conn *net.TCPConn, within time.Duration) bool {
+	t.Helper()
+	raw, err := conn.SyscallConn()
+	require.NoError(t, err)
+	closed := false
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		for end := time.Now().Add(within); !closed && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			_, _ = unix.Poll(fds, 0)
+			closed = fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		}
+	}))
+	return closed
+}
+
+// Guards against a server that continues an abandoned request because the close of its connection waits
+// behind a body that the server does not read.
+func TestServerLearnsOfAbandonedRequestWithUnreadBody(t *testing.T) {
+	for name, size := range map[string]int{"no body": 0, "short body": 100 << 10, "body larger than all buffers": 16 << 20} {
+		t.Run(name, func(t *testing.T) {
+			li, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = li.Close() }()
+			accepted := make(chan *net.TCPConn, 1)
+			go func() {
+				conn, err := li.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = bufio.NewReaderSize(conn, 16).ReadString('\n')
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart"))
+				accepted <- conn.(*net.TCPConn)
+			}()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+li.Addr().String(), bytes.NewReader(make([]byte, size)))
+			require.NoError(t, err)
+			resp, err := New(NewDialer()).RoundTrip(req)
+			require.NoError(t, err)
+			defer func() { _ = resp.Body.Close() }()
+			conn := <-accepted
+			defer func() { _ = conn.Close() }()
+			require.False(t, awaitHangUp(t, conn, 50*time.Millisecond))
+			cancel()
+			require.True(t, awaitHangUp(t, conn, closeNotice))
+		})
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -31,7 +31,7 @@
 // New returns an HTTP transport that opens connections with the dialer and does not decompress.
 func New(dialer *net.Dialer) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dialWith(dialer),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
