fix(agent): an attempt is sent once, also when a reused connection breaks

What callers saw: on the product's own way (entries and agents, not on the users' platform) a GET to a plain service, which the service may declare not repeatable, ran twice if its server closed a kept connection without a response; a redirect was followed, so that up to ten requests reached the server.

Cause: the agent's HTTP client repeats by itself what it takes for repeatable, and follows redirects. Class: who decides that a request may be sent again.

--- a/cmd/linnetrudder/agent.go
+++ b/cmd/linnetrudder/agent.go
@@ -1,9 +1,8 @@
 package main
 
 import (
-	"net/http"
-
 	"github.com/linnetrudder/linnetrudder/internal/agent"
+	"github.com/linnetrudder/linnetrudder/internal/transport"
 )
 
 // agentCmd runs the agent of a backend server.
@@ -25,7 +24,7 @@
 		Node:  da.node,
 		Links: da.listener,
 		Admin: da.admin,
-		HTTP:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleBackendConns, DisableCompression: true}},
+		HTTP:  transport.NewClientWithIdle(maxIdleBackendConns),
 		Store: da.storeClient(),
 	}
 	return ag.Run(da.ctx)
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -149,10 +148,11 @@
 
 func (ru *run) newRequest(ctx context.Context) (*http.Request, error) {
 	url := "http://" + ru.ag.Node.Settings.Server.Address + ru.at.Path
-	req, err := http.NewRequestWithContext(ctx, ru.at.Method, url, bytes.NewReader(ru.at.Body))
+	req, err := http.NewRequestWithContext(ctx, ru.at.Method, url, transport.SingleUse(ru.at.Body))
 	if err != nil {
 		return nil, eris.Wrap(err, "create request to backend server")
 	}
+	req.ContentLength = int64(len(ru.at.Body))
 	if ru.at.Type != "" {
 		req.Header.Set("Content-Type", ru.at.Type)
 	}
--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +18,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/node"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/settings"
+	"github.com/linnetrudder/linnetrudder/internal/transport"
 	"github.com/linnetrudder/linnetrudder/internal/wire"
 )
 
@@ -70,3 +74,71 @@
 	ru.recordEnd(t.Context(), co)
 	require.False(t, ag.dispatched.IsDisconnected("s", clock.Now()))
 }
+
+// newTestAgent returns an agent that calls a backend server.
+func newTestAgent(server *httptest.Server) *Agent {
+	return &Agent{
+		HTTP: transport.NewClient(),
+		Node: &node.Node{Settings: settings.Settings{Server: settings.Server{Address: strings.TrimPrefix(server.URL, "http://")}}},
+	}
+}
+
+// breakingServer executes requests and closes each connection without a response to its second one. It
+// returns the number of executions per request.
+func breakingServer(t *testing.T) (server *httptest.Server, executed func(request string) int) {
+	t.Helper()
+	var mu sync.Mutex
+	counts, seen := map[string]int{}, map[string]bool{}
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		counts[r.Header.Get(headerRequestID)]++
+		reused := seen[r.RemoteAddr]
+		seen[r.RemoteAddr] = true
+		mu.Unlock()
+		if reused {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(headerRequestID, "another")
+		_, _ = io.WriteString(w, "fine")
+	}))
+	t.Cleanup(server.Close)
+	return server, func(request string) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return counts[request]
+	}
+}
+
+// Guards against the HTTP client repeating an attempt by itself when a reused connection breaks.
+func TestAttemptIsSentOnceWhenAReusedConnectionBreaks(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut} {
+		server, executed := breakingServer(t)
+		ag := newTestAgent(server)
+		warmUp, err := ag.HTTP.Get(server.URL)
+		require.NoError(t, err)
+		_, _ = io.ReadAll(warmUp.Body)
+		require.NoError(t, warmUp.Body.Close())
+		ru := &run{ag: ag, at: &wire.Attempt{Request: "call", Method: method, Path: "/", Body: []byte("x"), Version: "v"}, decided: clock.Now()}
+		co, _ := ru.call(t.Context())
+		require.Equal(t, result.ServerFailed, co, method)
+		require.Equal(t, 1, executed("call"), method)
+	}
+}
+
+// Guards against an attempt being executed a second time, or by another server, because the first one
+// answered with a redirect.
+func TestRedirectOfABackendServerIsNotFollowed(t *testing.T) {
+	for _, status := range []int{http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect, http.StatusPermanentRedirect} {
+		var calls atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			calls.Add(1)
+			w.Header().Set(headerRequestID, "another")
+			w.Header().Set("Location", "/elsewhere")
+			w.WriteHeader(status)
+		}))
+		defer server.Close()
+		ru := &run{ag: newTestAgent(server), at: &wire.Attempt{Request: "call", Method: http.MethodPost, Path: "/", Body: []byte("x"), Version: "v"}, decided: clock.Now()}
+		_, _ = ru.call(t.Context())
+		require.EqualValues(t, 1, calls.Load(), "status %d", status)
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -41,8 +41,18 @@
 }
 
 // NewClient returns an HTTP client with a transport of its own. It closes its idle connections when a
-// call is not answered before its deadline.
-func NewClient() *http.Client { return &http.Client{Transport: &idleDropper{New(NewDialer())}} }
+// call is not answered before its deadline. It follows no redirects, which would send a request again.
+func NewClient() *http.Client { return NewClientWithIdle(maxIdleConnections) }
+
+// NewClientWithIdle is NewClient with a maximum number of idle connections to one address.
+func NewClientWithIdle(maxIdle int) *http.Client {
+	tr := New(NewDialer())
+	tr.MaxIdleConnsPerHost = maxIdle
+	return &http.Client{
+		Transport:     &idleDropper{tr},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
 
 // NewDialer returns a dialer whose connections fail if their peer disappears without closing them.
 func NewDialer() *net.Dialer {
