fix(transport): response heads are limited to 32 KiB

Cause: the standard library's default limit of 10 MB for a response head, kept by every transport of ours. Class: input of a peer without a bound of our own.

Change: one limit for all transports (backend servers, key-value service, gateways, agents, platform's lists).

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -22,6 +22,9 @@
 	idleTimeout = 20 * time.Second
 	// maxIdleConnections is the maximum number of idle connections to one address.
 	maxIdleConnections = 32
+	// maxResponseHeaderBytes is the maximum size of a response head in bytes, with all informational responses
+	// before it. net/http would read 10 MB. Heads of a few hundred bytes are usual.
+	maxResponseHeaderBytes = 32 << 10
 	// readBufferSize and writeBufferSize are the sizes of a connection's buffers in bytes. Most
 	// response heads and events are much smaller.
 	readBufferSize  = 2 << 10
@@ -31,12 +34,13 @@
 // New returns an HTTP transport that opens connections with the dialer and does not decompress.
 func New(dialer *net.Dialer) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialWith(dialer),
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     idleTimeout,
-		ReadBufferSize:      readBufferSize,
-		WriteBufferSize:     writeBufferSize,
+		DialContext:            dialWith(dialer),
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		ReadBufferSize:         readBufferSize,
+		WriteBufferSize:        writeBufferSize,
 	}
 }
 
