fix(log): messages of the standard library go to the process's log

What operators saw: net/http writes a line of its own to standard error when a server sends bytes after a response, with up to 2 KB of them; it is not structured, has no bound and may block.

Cause: the standard logger, which is also that of each http.Server, was left as it is. Class: output that does not go through the log writer.

--- a/cmd/linnetrudder/daemon.go
+++ b/cmd/linnetrudder/daemon.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/linnetrudder/linnetrudder/internal/kv"
+	"github.com/linnetrudder/linnetrudder/internal/liblog"
 	"github.com/linnetrudder/linnetrudder/internal/node"
 	"github.com/linnetrudder/linnetrudder/internal/settings"
 	"github.com/linnetrudder/linnetrudder/internal/timeline"
@@ -50,11 +51,12 @@
 		stop()
 		return nil, eris.Wrap(err, "listen for admin API")
 	}
+	lo := zerolog.New(st.err).Level(level).With().Timestamp().
+		Str("box", se.Box).Str("data_centre", se.DataCentre).Logger()
+	liblog.Capture(lo)
 	return &daemon{
 		node: &node.Node{
-			Settings: se,
-			Log: zerolog.New(st.err).Level(level).With().Timestamp().
-				Str("box", se.Box).Str("data_centre", se.DataCentre).Logger(),
+			Settings: se, Log: lo,
 			Ring: &timeline.Ring{Box: se.Box, DataCentre: se.DataCentre},
 		},
 		listener: li,
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -20,6 +20,7 @@
 	OverloadBegan       ID = 109
 	OverloadEnded       ID = 110
 	LoadUnreadable      ID = 111
+	LibraryMessage      ID = 112
 	RequestReceived     ID = 200
 	RequestRouted       ID = 201
 	RequestRetried      ID = 202
@@ -130,6 +131,7 @@
 	{OverloadBegan, "overload_began", "the processor time does not suffice and other gateways have less load; a part of the new connections is closed unread"},
 	{OverloadEnded, "overload_ended", "all new connections are served again"},
 	{LoadUnreadable, "load_unreadable", "the processor time of the process can't be read; no connection is rejected because of overload"},
+	{LibraryMessage, "library_message", "a library logged a message of its own; at most 5 of a kind are logged in 10 s, all are counted"},
 	{ClockUnreadable, "clock_unreadable", "the clock that includes suspended time can't be read; suspensions of the machine are not detected"},
 	{RequestReceived, "request_received", "a request was read and its team identified"},
 	{RequestRouted, "request_routed", "an attempt was sent to a backend server"},
