fix(gateway): only events whose position has risen are passed on

A server's event with the id abc reached the caller, and after a break the stream went on at the second server from abc, which began anew: the caller got parts 1 to 3 twice. Text that is no event reached callers as it was.

Cause: any text up to an empty line was an event, and any id the place to continue from. Class: content of a response that is used before it is checked.

Change: package sse decides in one place. An event needs one id, a number above that of the one before; comments pass; what else comes ends the attempt before it reaches the caller, and the stream goes on from the last good position or ends visibly cut. On routes that are not resumable a stream may number none of its events. A caller that resumes is not sent what it has. An event may have 64 KiB, 1 MiB before, since all streams may receive one without end.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -267,8 +267,8 @@
 }
 
 func (ex *exchange) lastEventID(step direct.Step) string {
-	if step.Resume() && ex.deliveredID != "" {
-		return ex.deliveredID
+	if id := ex.cursor.ID(); step.Resume() && id != "" {
+		return id
 	}
 	return ex.rq.LastEventID
 }
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -61,5 +61,5 @@
 	if before.response != nil {
 		le = le.Int("confidence", before.response.Confidence)
 	}
-	ex.choice.addLogFields(le).Str("why", why).Str("last_event", ex.deliveredID).Msg(event.Name(id))
+	ex.choice.addLogFields(le).Str("why", why).Str("last_event", ex.cursor.ID()).Msg(event.Name(id))
 }
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -137,7 +137,7 @@
 	stall := ex.stallTimeout()
 	stallTimer := time.AfterFunc(stall, func() { ex.onStall(se) })
 	defer stallTimer.Stop()
-	re := sse.NewReader(se.response.Body)
+	re, sq := sse.NewReader(se.response.Body), sse.NewSequence(ex.request.Resumable)
 	for {
 		ev, err := re.Next()
 		if errors.Is(err, io.EOF) {
@@ -148,15 +148,17 @@
 		}
 		stallTimer.Reset(stall)
 		events++
-		if ex.alreadyDelivered(ev) {
+		isNew, err := sq.Accept(ev, ex.cursor)
+		if err != nil {
+			return events, err
+		}
+		if !isNew {
 			continue
 		}
 		if err := ex.responder.WriteChunk(ev.Raw()); err != nil {
 			return events, result.New(result.Stopped, err.Error())
 		}
-		if ev.ID() != "" {
-			ex.deliveredID = ev.ID()
-		}
+		ex.cursor.Advance(ev)
 	}
 }
 
@@ -188,17 +190,6 @@
 	return ok && ga.window(ex.service).Remaining(now) >= 1
 }
 
-// alreadyDelivered reports whether the caller has already received an event. That is the case if a
-// server resumes a stream at an earlier event than requested.
-func (ex *exchange) alreadyDelivered(ev sse.Event) bool {
-	if ex.deliveredID == "" {
-		return false
-	}
-	n, ok := ev.Number()
-	last, hasLast := sse.Number(ex.deliveredID)
-	return ok && hasLast && n <= last
-}
-
 // codeOf returns the result code of an error. It is Stopped if the error has none, which means that
 // the caller's connection failed.
 func codeOf(err error) result.Code {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -12,6 +12,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/pool"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/routing"
+	"github.com/linnetrudder/linnetrudder/internal/sse"
 )
 
 // defaultTimeout is the timeout of a request if neither the caller nor the route names one.
@@ -109,8 +110,8 @@
 	fallback *fallbackResponse
 	// finalAttempt is the attempt whose response the caller receives, nil before there is one.
 	finalAttempt *attemptState
-	// deliveredID is the id of the last event that the caller received.
-	deliveredID string
+	// cursor is the position up to which the caller has the stream.
+	cursor sse.Cursor
 	// rejected is set once a server has rejected an attempt.
 	rejected bool
 	// usageCounted is set once the request was counted for the usage report.
@@ -190,6 +191,9 @@
 		Received: rq.Received, Target: rq.Received.Add(ro.Target), Deadline: rq.Received.Add(limit),
 		Picker: ex, RetryBudget: ex, Cascade: ex, Latency: ex, Blocklist: ex,
 	}
+	if ex.request.Resumable {
+		ex.cursor = sse.NewCursor(rq.LastEventID)
+	}
 	if rq.AnyModel {
 		ex.request.Models = ro.Models
 	}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -6,11 +6,10 @@
 	"bufio"
 	"bytes"
 	"io"
-	"strconv"
 )
 
-// maxEventBytes is the maximum size of an event. A larger event is an error.
-const maxEventBytes = 1 << 20
+// maxEventBytes is the maximum size of an event in bytes. A larger event is an error.
+const maxEventBytes = 64 << 10
 
 // readBufferBytes is the size of the read buffer. Most events are far smaller.
 const readBufferBytes = 2048
@@ -18,25 +17,14 @@
 // Event is a complete event.
 type Event struct {
 	raw []byte
-	id  string
+	// ids holds the values of all id fields. A well-formed event has one at most.
+	ids []string
 }
 
 // Raw returns the bytes of the event, including the terminating blank line. They are valid until
 // the next event is read.
 func (ev Event) Raw() []byte { return ev.raw }
 
-// ID returns the event's id, or "" if it has none.
-func (ev Event) ID() string { return ev.id }
-
-// Number returns the event's id as a number, or false if it is not a number.
-func (ev Event) Number() (int64, bool) { return Number(ev.id) }
-
-// Number returns an event id as a number, or false if it is not a number.
-func Number(id string) (int64, bool) {
-	n, err := strconv.ParseInt(id, 10, 64)
-	return n, err == nil
-}
-
 // Reader reads events from a stream.
 type Reader struct{ br *bufio.Reader }
 
@@ -64,7 +52,7 @@
 			return Event{}, err //nolint:wrapcheck // callers compare the reader's error
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 && endsWithEmptyLine(ev.raw) {
-			ev.id = findID(ev.raw)
+			ev.ids = findIDs(ev.raw)
 			return ev, nil
 		}
 		if len(ev.raw) > maxEventBytes {
@@ -82,12 +70,13 @@
 
 var idField = []byte("id:")
 
-// findID returns the value of the first id field, or "" if there is none.
-func findID(raw []byte) string {
+// findIDs returns the values of all id fields.
+func findIDs(raw []byte) []string {
+	var ids []string
 	for line := range bytes.Lines(raw) {
 		if value, ok := bytes.CutPrefix(line, idField); ok {
-			return string(bytes.TrimSpace(value))
+			ids = append(ids, string(bytes.TrimSpace(value)))
 		}
 	}
-	return ""
+	return ids
 }
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -17,7 +17,7 @@
 			return raws, ids, err
 		}
 		raws = append(raws, string(ev.Raw()))
-		ids = append(ids, ev.ID())
+		ids = append(ids, strings.Join(ev.ids, " "))
 	}
 }
 
