fix(gateway): buffered responses of all requests share a limit

Each response of a plain service was buffered up to 1 MiB before its delivery, so that a truncated one can be repeated elsewhere, and nothing bounded all of them: 200 callers at servers that send without end took 469 MB of heap (processes of callers, servers and gateway in one test).

Cause: a limit per response and none in common. Class: input of a peer without a bound of our own.

Change: package buffer. All buffered responses share an eighth of the process's memory (limits.memory_mb), 16 MiB if it is not set. A response that finds no room is passed on as it comes; it is not refused, but can't be repeated if it breaks off. linnetrudder_buffer_limit_reached_total counts them.

Ways: refuse with 503 (callers lose a response that a server is making); a limit for the number of buffered responses (says nothing of memory); passing on, taken.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/linnetrudder/linnetrudder/internal/buffer"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/direct"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
@@ -20,7 +20,7 @@
 
 // maxBufferedBytes is the size up to which the response of a plain service is read completely
 // before it is delivered, so that an attempt with a truncated response can be repeated at another
-// server.
+// server. Less is buffered once the responses of all requests have reached their common limit.
 const maxBufferedBytes = 1 << 20
 
 // attemptState is an attempt in progress or ended.
@@ -35,10 +35,9 @@
 	cancel    context.CancelFunc
 	// response is nil until its head has arrived.
 	response *Response
-	// body is the complete body of a response that is not a stream, or its first maxBufferedBytes.
-	body []byte
-	// rest is the remainder of a body that is longer than maxBufferedBytes.
-	rest io.Reader
+	// body is the body of a response that is not a stream, or as much of it as could be buffered. It is nil for
+	// a stream.
+	body *buffer.Body
 	err  error
 	// released is set once the resources of the attempt have been freed.
 	released atomic.Bool
@@ -200,10 +199,7 @@
 	if se.err != nil || se.response.Stream {
 		return
 	}
-	se.body, se.err = io.ReadAll(io.LimitReader(se.response.Body, maxBufferedBytes))
-	if se.err == nil && len(se.body) == maxBufferedBytes {
-		se.rest = se.response.Body
-	}
+	se.body, se.err = ex.ga.buffers.Read(se.response.Body, maxBufferedBytes)
 }
 
 // revisits reports whether an earlier attempt of the request was sent to the same server.
@@ -323,6 +319,9 @@
 	if se.response != nil {
 		_ = se.response.Body.Close()
 	}
+	if se.body != nil {
+		se.body.Release()
+	}
 	se.ex.ga.mu.Lock()
 	se.outcome = outcome
 	se.ex.ga.pool.Ended(se.server.Key())
@@ -344,13 +343,13 @@
 // discard ends an attempt whose response is not needed any more.
 func (se *attemptState) discard() { se.end(attemptDropped) }
 
-// copyRest sends the caller the remainder of a response whose start was buffered.
+// copyRest sends the caller the remainder of a response whose beginning was buffered.
 func (se *attemptState) copyRest(rs Responder) error {
 	buf := make([]byte, 32<<10)
 	for {
-		n, err := se.rest.Read(buf)
+		n, err := se.response.Body.Read(buf)
 		if n > 0 {
-			if werr := rs.WriteChunk(bytes.Clone(buf[:n])); werr != nil {
+			if werr := rs.WriteChunk(buf[:n]); werr != nil {
 				return werr
 			}
 		}
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -31,8 +31,8 @@
 		return
 	}
 	var err error
-	if se.rest == nil {
-		err = ex.responder.WriteResponse(se.response.Status, se.response.Header, se.body)
+	if se.body.Complete() {
+		err = ex.responder.WriteResponse(se.response.Status, se.response.Header, se.body.Bytes())
 	} else {
 		err = ex.deliverLong(se)
 	}
@@ -49,7 +49,7 @@
 	if err := ex.responder.WriteHead(se.response.Status, se.response.Header); err != nil {
 		return err
 	}
-	if err := ex.responder.WriteChunk(se.body); err != nil {
+	if err := ex.responder.WriteChunk(se.body.Bytes()); err != nil {
 		return err
 	}
 	return se.copyRest(ex.responder)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -11,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/linnetrudder/linnetrudder/internal/budget"
+	"github.com/linnetrudder/linnetrudder/internal/buffer"
 	"github.com/linnetrudder/linnetrudder/internal/cascade"
 	"github.com/linnetrudder/linnetrudder/internal/choicelog"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
@@ -63,6 +65,8 @@
 	// longestDenyAge is the age of the configuration up to which requests are rejected at the most for an
 	// unknown route or key. An older configuration may lack routes and keys that have been added since.
 	longestDenyAge = 2500 * time.Millisecond
+	// defaultResponseBytes is the maximum memory of buffered responses in bytes if none is set.
+	defaultResponseBytes = 16 << 20
 )
 
 // Gateway serves requests. Its exported fields must be set before Run and Serve.
@@ -81,6 +85,9 @@
 	// Cores is the number of cores that the process may use, a fraction for a share of one; zero if it is
 	// not known.
 	Cores float64
+	// ResponseBytes is the maximum memory in bytes of the buffered responses of all requests, zero for
+	// defaultResponseBytes.
+	ResponseBytes int64
 	// Seeds holds the relay addresses of gateways from which the others read the state and receive
 	// changes at the first start of the whole system, until members are known. It is empty otherwise.
 	Seeds []string
@@ -103,6 +110,8 @@
 	table atomic.Pointer[routing.Table]
 	// stop is set when a planned stop begins.
 	stop atomic.Pointer[stopPlan]
+	// buffers holds the responses that are read before they are delivered.
+	buffers buffer.Pool
 	// inProgress is the number of requests being served.
 	inProgress atomic.Int64
 
@@ -265,6 +274,7 @@
 	ga.pool = pool.Pool{
 		Box: ga.Box, DataCentre: ga.DataCentre, Directory: &ga.servers, Loads: &ga.loads, Units: ga.lending.Units,
 	}
+	ga.buffers.Limit = cmp.Or(ga.ResponseBytes, defaultResponseBytes)
 	ga.requests = rate.Meter{TimeConstant: demandTimeConstant}
 	ga.unusable = map[string]bool{}
 	ga.unreadableLog = zerolog.BurstSampler{Burst: unreadableBurst, Period: unreadablePeriod}
