test(soak): servers that repeat responses, send heads without end and stop within streams

What would have found the faults of the incident. The stand-ins rejected requests and repeated responses never together, and nothing measured memory or how long a server works on a stream that went on elsewhere.

--misbehave adds three faults: a third of a server's requests rejected and a third of its responses sent twice, at once or in the place of the next; heads without end from all servers; streams that stop for 2 s. New checks: at most 64 MB more resident memory than when idle, and a server stops working on a stream within 400 ms of its going on elsewhere (shown by the defect ignores-close).

--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -16,20 +16,21 @@
 )
 
 type arguments struct {
-	Bin      string        `help:"Directory of the built programs." default:"bin" type:"existingdir"`
-	Dir      string        `help:"Directory for settings and logs; a temporary one by default."`
-	Seed     uint64        `help:"First seed; the current time if zero."`
-	Runs     int           `help:"Number of runs, with consecutive seeds." default:"1"`
-	Trouble  time.Duration `help:"How long faults are injected." default:"8s"`
-	Gateways int           `help:"Number of gateways." default:"4"`
-	Servers  int           `help:"Number of backend servers." default:"6"`
-	Callers  int           `help:"Number of concurrent callers." default:"16"`
-	Poison   bool          `help:"Include a request that crashes the servers that run it."`
-	Part     bool          `help:"Include requests with a part of their prompts that crashes the servers that run them."`
-	Reports  bool          `help:"Include servers that report their shutdown or a pause in responses."`
-	Restores bool          `help:"Include restores of the key-value service from older copies."`
-	Silences bool          `help:"Include open connections that become silent for good."`
-	Large    bool          `help:"Include large configurations, and small links to the key-value service."`
+	Bin       string        `help:"Directory of the built programs." default:"bin" type:"existingdir"`
+	Dir       string        `help:"Directory for settings and logs; a temporary one by default."`
+	Seed      uint64        `help:"First seed; the current time if zero."`
+	Runs      int           `help:"Number of runs, with consecutive seeds." default:"1"`
+	Trouble   time.Duration `help:"How long faults are injected." default:"8s"`
+	Gateways  int           `help:"Number of gateways." default:"4"`
+	Servers   int           `help:"Number of backend servers." default:"6"`
+	Callers   int           `help:"Number of concurrent callers." default:"16"`
+	Poison    bool          `help:"Include a request that crashes the servers that run it."`
+	Part      bool          `help:"Include requests with a part of their prompts that crashes the servers that run them."`
+	Reports   bool          `help:"Include servers that report their shutdown or a pause in responses."`
+	Restores  bool          `help:"Include restores of the key-value service from older copies."`
+	Silences  bool          `help:"Include open connections that become silent for good."`
+	Misbehave bool          `help:"Include servers that repeat responses, send heads without end and stop within streams."`
+	Large     bool          `help:"Include large configurations, and small links to the key-value service."`
 }
 
 func main() {
@@ -75,6 +76,9 @@
 		if ar.Silences {
 			pl = pl.WithSilences()
 		}
+		if ar.Misbehave {
+			pl = pl.WithMisbehaviour()
+		}
 		if ar.Large {
 			pl = pl.WithLargeConfigs()
 		}
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -33,6 +33,10 @@
 	// PoisonContained: once blockWithin has passed since the poison request crashed maxPoisonCrashes
 	// servers, it crashes at most as many more servers through gateways that no fault disturbs.
 	PoisonContained Guarantee = "few-ends"
+	// SingleRun: when a stream goes on at another server, the one before stops working on it.
+	SingleRun Guarantee = "single-run"
+	// BoundedMemory: a gateway uses at most maxResidentGrowth more memory than when idle.
+	BoundedMemory Guarantee = "memory"
 	// Recovery: requests succeed again within recoverWithin of the last fault.
 	Recovery Guarantee = "recovery"
 )
@@ -99,6 +103,8 @@
 	poisonedParts []outcome
 	// revokedAt and drainedAt hold when keys were revoked and servers started draining.
 	revokedAt, drainedAt map[string]time.Time
+	// resident is the resident memory of each gateway.
+	resident []residentRange
 }
 
 // check returns all violations.
@@ -126,6 +132,7 @@
 			add(DeadlineMet, ou, "answered after %s", ou.done.Sub(ou.sent))
 		}
 		list = append(list, hi.checkDraining(ou, executions)...)
+		list = append(list, hi.checkSingleRuns(ou, executions)...)
 		if detail, truncated := hi.truncatedByShutdown(ou, executions); truncated {
 			add(GracefulShutdown, ou, "%s", detail)
 		}
@@ -134,6 +141,7 @@
 	list = append(list, hi.checkPoison(hi.poisonedParts, maxPartCrashes)...)
 	list = append(list, hi.checkAnnouncedShutdowns()...)
 	list = append(list, hi.checkPauses()...)
+	list = append(list, hi.checkMemory()...)
 	return append(list, hi.checkRecovery()...)
 }
 
@@ -219,7 +227,7 @@
 		if !hi.overlaps(fa, ou.sent, ou.done) {
 			continue
 		}
-		if fa.Kind != Stop && (fa.affectsGateway(ou.gateway) || slices.Contains(serverKinds, fa.Kind)) {
+		if fa.Kind != Stop && (fa.affectsGateway(ou.gateway) || slices.Contains(serverKinds, fa.Kind) || slices.Contains(misbehaviourKinds, fa.Kind)) {
 			return "", false
 		}
 		stopped = stopped || fa.Kind == Stop && fa.Target == ou.gateway
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -82,6 +82,8 @@
 		sr.sendPoisonPart(fa)
 	case ConnectionsSilent:
 		sr.silenceConnections()
+	case ServerEndlessHead:
+		sr.endlessHeads(fa)
 	default:
 		sr.injectServerFault(fa)
 	}
--- a/standin/soak/server.go
+++ b/standin/soak/server.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -22,6 +23,8 @@
 	at     time.Time
 	// announced is set if the response announced the server's shutdown.
 	announced bool
+	// ended is when the server stopped working on it, the zero time before that.
+	ended time.Time
 }
 
 // executionLog holds, by request id, the executions of all servers and the rejections with a
@@ -44,6 +47,17 @@
 	el.executed[request] = append(el.executed[request], ex)
 }
 
+// end records that a server stopped working on a request.
+func (el *executionLog) end(request, server string, at time.Time) {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	for i, ex := range el.executed[request] {
+		if ex.server == server {
+			el.executed[request][i].ended = at
+		}
+	}
+}
+
 func (el *executionLog) rejectionsOf(request string) []execution {
 	el.mu.Lock()
 	defer el.mu.Unlock()
@@ -125,8 +139,8 @@
 		return nil, err
 	}
 	se := &server{id: id, executions: el, proxy: px, defect: de, faults: map[FaultKind]int{}}
-	se.http = &http.Server{Handler: se, ReadHeaderTimeout: time.Minute}
-	go func() { _ = se.http.Serve(li) }()
+	se.http = &http.Server{Handler: se, ReadHeaderTimeout: time.Minute, ConnContext: withConn}
+	go func() { _ = se.http.Serve(repeatingListener{li}) }()
 	return se, nil
 }
 
@@ -211,12 +225,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if !se.acquireSlot() {
+	if se.repeatResponses(r) || !se.acquireSlot() {
 		w.Header().Set("X-Not-Executed", "full")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer se.releaseSlot()
+	defer func() { se.executions.end(id, se.id, time.Now()) }()
 	ex := execution{server: se.id, team: r.Header.Get("X-Tenant"), at: time.Now(), announced: announced}
 	se.executions.add(id, ex)
 	if se.defect == RunsTwice {
@@ -254,6 +269,9 @@
 		return
 	case se.faultActive(ServerDropsResponses, responseFaultFraction):
 		panic(http.ErrAbortHandler)
+	case se.faultActive(ServerEndlessHead, 1):
+		sendEndlessHead(w)
+		return
 	case se.faultActive(ServerWrongRequestID, responseFaultFraction):
 		w.Header().Set("X-Request-Id", "another")
 	}
@@ -288,6 +306,26 @@
 		}
 		_, _ = io.WriteString(w, eventBody(id, n))
 		_ = http.NewResponseController(w).Flush()
-		time.Sleep(eventInterval)
+		pause := eventInterval
+		if se.faultActive(ServerHangs, hangingFraction) {
+			pause = hangTime
+		}
+		if !se.wait(r.Context(), pause) {
+			return
+		}
+	}
+}
+
+// wait waits between two events. It reports whether the connection is still open.
+func (se *server) wait(ctx context.Context, pause time.Duration) bool {
+	if se.defect == IgnoresClose {
+		time.Sleep(pause)
+		return true
+	}
+	select {
+	case <-time.After(pause):
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -37,6 +37,8 @@
 	VariesPoison Defect = "varies-poison"
 	// OmitsReports makes servers omit the headers that announce their shutdown or request a pause.
 	OmitsReports Defect = "hides-reports"
+	// IgnoresClose makes servers continue streams whose connection was closed.
+	IgnoresClose Defect = "ignores-close"
 	// OutageNeverEnds makes the key-value service leave all requests unanswered after its first
 	// fault.
 	OutageNeverEnds Defect = "stays-down"
@@ -107,6 +109,7 @@
 	defer cancel()
 	sr.history.start = time.Now()
 	var callers sync.WaitGroup
+	callers.Go(func() { sr.watchMemory(ctx) })
 	for i := range rn.Callers {
 		callers.Go(func() { sr.runCaller(ctx, i) })
 	}
@@ -125,7 +128,7 @@
 	return &soakRun{
 		runner: rn, plan: pl, store: keyvalue.New(), fleet: &fleet.Fleet{Bin: rn.Bin, Dir: rn.Dir},
 		keys: []string{"key-1", "key-2"}, storeFaults: map[FaultKind]int{},
-		history: &history{plan: pl, executions: &executionLog{executed: map[string][]execution{}, rejected: map[string][]execution{}}, revokedAt: map[string]time.Time{}, drainedAt: map[string]time.Time{}},
+		history: &history{plan: pl, executions: &executionLog{executed: map[string][]execution{}, rejected: map[string][]execution{}}, revokedAt: map[string]time.Time{}, drainedAt: map[string]time.Time{}, resident: make([]residentRange, pl.Gateways)},
 	}
 }
 
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -113,6 +113,21 @@
 	}
 }
 
+// Servers repeat responses, among them rejections, send heads without end and stop within streams. Seeds 2 to 4
+// violated AtMostOnce or BoundedMemory in the past.
+func TestGuaranteesHoldWhenServersMisbehave(t *testing.T) {
+	for _, seed := range []uint64{2, 3, 4} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			pl := GeneratePlan(seed, 3, 5, 6*time.Second).WithMisbehaviour()
+			rn := &Runner{Bin: bin, Dir: t.TempDir(), Callers: 32}
+			violations, err := rn.Run(t.Context(), pl)
+			require.NoError(t, err)
+			require.Empty(t, violations, "%v", pl.Faults)
+		})
+	}
+}
+
 // Requests of which no two are alike have a part that crashes servers, while gateways are killed,
 // suspended and partitioned from the key-value service, and servers crash for other reasons.
 func TestPoisonPartIsContained(t *testing.T) {
@@ -144,6 +159,7 @@
 		{VariesPoison, PoisonContained, []Fault{{Poison, 0, seconds(0.5), seconds(8)}}, seconds(8)},
 		{OmitsReports, DrainingServer, []Fault{{StoreDown, 0, seconds(0.9), seconds(5.5)}, {ServerAnnouncesShutdown, 0, seconds(1), seconds(1)}}, seconds(7)},
 		{OmitsReports, RetryAfterHonoured, []Fault{{ServerShedsLoad, 0, seconds(1), seconds(4)}, {ServerShedsLoad, 1, seconds(1), seconds(4)}, {ServerShedsLoad, 2, seconds(1), seconds(4)}}, seconds(4)},
+		{IgnoresClose, SingleRun, []Fault{{ServerHangs, 0, seconds(0.5), seconds(4)}}, seconds(4)},
 		{OutageNeverEnds, Recovery, []Fault{{StoreDown, 0, seconds(0.5), seconds(1)}}, seconds(1)},
 	} {
 		t.Run(string(tc.defect)+" "+string(tc.guarantee), func(t *testing.T) {
