feat(rollout): versions are compared on like work, slow is twice as slow

Cause: a response counted as slow above 3 times the old version's best time (5 times for plain responses), so that versions below that passed whatever their responses showed.

Change: package comparison. A response is compared with recent ones of the old version of the same kind, from servers with a similar load; slow is above the square root of slow_factor times the typical one. slow_factor is the operator's, 2 by default. The cumulative test stays; before the shift it must show that the version is not slow, or the deadline has passed. A step's line tells how many responses were compared and from which part of slow ones on they would have shown it (detectable_part); responses in the 5 s after the end are compared with those before, logged once (704).

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -94,6 +94,7 @@
 	RolloutReversed     ID = 701
 	RolloutOrdered      ID = 702
 	PhaseStored         ID = 703
+	RolloutCompared     ID = 704
 	StoreCallFailed     ID = 800
 	StoreLost           ID = 801
 	StoreRegained       ID = 802
@@ -202,10 +203,11 @@
 	{ClaimLost, "claim_lost", "the claim had already been made by another claimant"},
 	{UsageReported, "usage_reported", "the platform accepted the report of a window's usage"},
 	{DutyCallFailed, "duty_call_failed", "a call for the duty of reporting usage failed; it is made again"},
-	{RolloutStep, "rollout_step", "a version's share of new requests changed"},
+	{RolloutStep, "rollout_step", "a version's share of new requests changed; compared, slow: responses of the new version on all gateways that were compared with the old one's on like work, and the slow ones; detectable_part: the part of slow ones from which on so many show a bad version, above 1 if they can't"},
 	{RolloutReversed, "rollout_reversed", "a version was rolled back"},
 	{RolloutOrdered, "rollout_ordered", "an operator's roll-out order was received"},
 	{PhaseStored, "phase_stored", "the phase of a roll-out was written, or another process had written it first"},
+	{RolloutCompared, "rollout_compared", "responses in the first seconds after a roll-out were compared with those before on like work; compared: how many, slow: how many of them took longer than halfway to slow_factor times as long; nothing can return to the version before"},
 	{StoreCallFailed, "store_call_failed", "a call to the key-value service failed"},
 	{StoreLost, "store_lost", "the key-value service does not answer"},
 	{StoreRegained, "store_regained", "the key-value service answers again"},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,8 +11,10 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/buffer"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
+	"github.com/linnetrudder/linnetrudder/internal/comparison"
 	"github.com/linnetrudder/linnetrudder/internal/direct"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/latency"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
 	"github.com/linnetrudder/linnetrudder/internal/result"
@@ -32,7 +34,10 @@
 	// selection describes the choice of the server. prompt is the prompt that the server has to read.
 	selection pool.Selection
 	prompt    pool.Prompt
-	cancel    context.CancelFunc
+	// load is the number of attempts in progress on the server before this one. pace is that of the stream.
+	load   int
+	pace   latency.Pace
+	cancel context.CancelFunc
 	// response is nil until its head has arrived.
 	response *Response
 	// body is the body of a response that is not a stream, or as much of it as could be buffered. It is nil for
@@ -108,6 +113,7 @@
 		ex.firstVersion = listed.Version
 	}
 	se.selection, se.prompt = ex.selection, ex.prompt(step.Model())
+	se.load = ga.pool.Attempts(se.server.Key())
 	ga.pool.Started(se.server.Key(), se.selection.PrefillTime(), now)
 	ga.recordAttempt(se.server, ex.route.Name, now)
 	ga.recordChoice(se, now)
@@ -183,7 +189,7 @@
 	failed := se.response.Status >= direct.FirstServerError
 	ga.observeOutcome(se.server, se.ex.route.Name, failed)
 	if !failed && !se.response.Stream {
-		ga.observeDuration(se.server, "response "+name+se.ex.route.Name, took, slowResponseFactor, now)
+		ga.observeDuration(se.server, comparison.Work{Kind: "response " + name + se.ex.route.Name, Load: se.load}, took, now)
 	}
 }
 
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/clock"
+	"github.com/linnetrudder/linnetrudder/internal/comparison"
 	"github.com/linnetrudder/linnetrudder/internal/direct"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
@@ -66,15 +67,14 @@
 		return
 	}
 	for {
-		began := clock.Now()
-		events, err := ex.relayEvents(se)
+		err := ex.relayEvents(se)
 		now := clock.Now()
 		var er *result.Error
 		switch {
 		case err == nil:
 			se.end(attemptAnswered)
 			ex.ga.recordHealth(ctx, se, true, now)
-			ex.ga.recordStreamPace(se, events, now.Sub(began), now)
+			ex.ga.recordStreamPace(se, now)
 			ex.logAnswered()
 			return
 		case errors.As(err, &er):
@@ -96,18 +96,16 @@
 	}
 }
 
-// minStreamEvents is the number of events that a stream must have for its pace to be used.
-const minStreamEvents = 3
-
-// recordStreamPace records the pace of a complete stream for the roll-out of its service. Unlike
-// the time to the head, the pace does not depend on the prompt.
-func (ga *Gateway) recordStreamPace(se *attemptState, events int, took time.Duration, now time.Time) {
-	if events < minStreamEvents {
+// recordStreamPace records the pace of a stream for the roll-out of its service, once. Unlike the time to
+// the head, the pace does not depend on the prompt.
+func (ga *Gateway) recordStreamPace(se *attemptState, now time.Time) {
+	gap, ok := se.pace.Take()
+	if !ok {
 		return
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.observeDuration(se.server, "event "+se.ex.modelKey(se.step.Model()), took/time.Duration(events-1), slowEventFactor, now)
+	ga.observeDuration(se.server, comparison.Work{Kind: "event " + se.ex.modelKey(se.step.Model()), Load: se.load}, gap, now)
 }
 
 // resume resumes a broken stream at another server. It returns nil if the request has ended instead.
@@ -133,7 +131,7 @@
 // relayEvents forwards events until the stream ends and returns their number. The error is nil at
 // the end of the stream, a *result.Error if nothing more can be sent to the caller, and another one
 // if the stream broke.
-func (ex *exchange) relayEvents(se *attemptState) (events int, err error) {
+func (ex *exchange) relayEvents(se *attemptState) error {
 	stall := ex.stallTimeout()
 	stallTimer := time.AfterFunc(stall, func() { ex.onStall(se) })
 	defer stallTimer.Stop()
@@ -141,22 +139,24 @@
 	for {
 		ev, err := re.Next()
 		if errors.Is(err, io.EOF) {
-			return events, nil
+			return nil
 		}
 		if err != nil {
-			return events, err
+			return err
 		}
 		stallTimer.Reset(stall)
-		events++
+		if now := clock.Now(); se.pace.Event(now) {
+			ex.ga.recordStreamPace(se, now)
+		}
 		isNew, err := sq.Accept(ev, ex.cursor)
 		if err != nil {
-			return events, err
+			return err
 		}
 		if !isNew {
 			continue
 		}
 		if err := ex.responder.WriteChunk(ev.Raw()); err != nil {
-			return events, result.New(result.Stopped, err.Error())
+			return result.New(result.Stopped, err.Error())
 		}
 		ex.cursor.Advance(ev)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/cascade"
 	"github.com/linnetrudder/linnetrudder/internal/choicelog"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
+	"github.com/linnetrudder/linnetrudder/internal/comparison"
 	"github.com/linnetrudder/linnetrudder/internal/cpuload"
 	"github.com/linnetrudder/linnetrudder/internal/departure"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
@@ -206,9 +207,8 @@
 	modelGains  cascade.ConfidenceGains
 	// backlogTrends tracks the backlog of each service.
 	backlogTrends map[string]*latency.Smoother
-	// latencyFloors tracks the time below which only the fastest responses or stream events are, by
-	// service and model.
-	latencyFloors latency.Baseline
+	// references holds the times of recent responses of each service, except those of versions on trial.
+	references map[string]*comparison.Reference
 	// retries holds the retry window of each service.
 	retries map[string]*budget.Window
 	// rollouts holds the most recent roll-out of each service.
@@ -293,6 +293,7 @@
 	ga.doubts = map[poison.Fingerprint]time.Time{}
 	ga.members = map[string]relay.Member{}
 	ga.servers.Service = &ga.storeOutage
+	ga.references = map[string]*comparison.Reference{}
 	ga.relayPlan = relay.Plan{Box: ga.Box, DataCentre: ga.DataCentre, Service: &ga.storeOutage, MaxPropagation: ga.Bounds.MaxPropagation}
 	ga.loadPlan = ga.relayPlan
 	ga.changed = make(chan struct{})
--- a/internal/gateway/outcomes.go
+++ b/internal/gateway/outcomes.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/comparison"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/rate"
 )
 
@@ -30,16 +32,6 @@
 	return me
 }
 
-// slowEventFactor and slowResponseFactor are the multiples of the old version's best time that count
-// as slow, between two events of a stream and for a complete response. On the users' sites the time
-// between events of a slow version is 4 to 5.5 times the old version's best time, that of a good
-// version on idle servers up to 1.4 times. Complete responses of a plain service differ by a factor
-// of up to 4.
-const (
-	slowEventFactor    = 3
-	slowResponseFactor = 5
-)
-
 // observeOutcome records the outcome of a server's response for the roll-out of its service.
 // Outcomes that the server did not report itself, such as a lost connection, do not count. A stream
 // counts by its head, since the assessment of a version must not wait for streams to end. The lock
@@ -50,16 +42,75 @@
 	}
 }
 
-// observeDuration records for the roll-out of the server's service whether a response was slow:
-// whether it took more than factor times the old version's best time. name separates responses whose
-// durations are not comparable. The lock is held.
-func (ga *Gateway) observeDuration(se directory.Server, name string, took time.Duration, factor float64, now time.Time) {
+// completedCheckTime is how long responses are compared with those of the old version after the end of a
+// roll-out.
+const completedCheckTime = 5 * time.Second
+
+// slowFactor returns how many times slower a bad version is.
+func (bo Bounds) slowFactor() float64 {
+	if bo.SlowFactor == 0 {
+		return DefaultSlowFactor
+	}
+	return bo.SlowFactor
+}
+
+// observeDuration records for the roll-out of the server's service whether a response was slow, compared
+// with those of the old version on like work. Servers that are warming up are slow whatever their version.
+// The lock is held.
+func (ga *Gateway) observeDuration(se directory.Server, wo comparison.Work, took time.Duration, now time.Time) {
+	if ga.pool.Warmup.Remaining(se.Key(), now) > 0 {
+		return
+	}
 	ro := ga.rollouts[se.Service]
-	isNew := ro != nil && se.Version == ro.order.Plan.Version
+	re := ga.reference(se.Service)
+	if ro == nil || ro.ended() {
+		if ro != nil {
+			ga.observeCompleted(ro, wo, took, now)
+		}
+		re.Add(wo, took, now)
+		return
+	}
+	isNew := se.Version == ro.order.Plan.Version
+	if slow, ok := re.IsSlow(wo, took, ga.Bounds.slowFactor(), now); ok {
+		ro.canary.ObserveLatency(se.Key(), isNew, slow, now)
+	}
 	if !isNew {
-		ga.latencyFloors.Observe(name, took)
+		re.Add(wo, took, now)
+	}
+}
+
+// reference returns the times of recent responses of a service, except those of a version on trial. The lock
+// is held.
+func (ga *Gateway) reference(service string) *comparison.Reference {
+	re := ga.references[service]
+	if re == nil {
+		re = &comparison.Reference{}
+		ga.references[service] = re
+	}
+	return re
+}
+
+// observeCompleted compares a response after the end of a roll-out with those before it. No request can
+// return to the old version then, so the result is only logged, once. The lock is held.
+func (ga *Gateway) observeCompleted(ro *rolloutState, wo comparison.Work, took time.Duration, now time.Time) {
+	if ro.before == nil {
+		return
+	}
+	if slow, ok := ro.before.IsSlow(wo, took, ga.Bounds.slowFactor(), now); ok {
+		ro.timedSince++
+		if slow {
+			ro.slowSince++
+		}
+	}
+	if now.Sub(ro.completedAt) < completedCheckTime {
+		return
 	}
-	if best := ga.latencyFloors.Latency(name); ro != nil && !ro.ended() && best > 0 {
-		ro.canary.ObserveLatency(se.Key(), isNew, float64(took) > factor*float64(best), now)
+	level := ga.Log.Info()
+	if 2*ro.slowSince > ro.timedSince {
+		level = ga.Log.Warn()
 	}
+	level.Int("event", int(event.RolloutCompared)).Str("service", ro.order.Plan.Service).Str("version", ro.order.Plan.Version).
+		Int("compared", ro.timedSince).Int("slow", ro.slowSince).Float64("slow_factor", ga.Bounds.slowFactor()).
+		Msg(event.Name(event.RolloutCompared))
+	ro.before = nil
 }
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/clock"
+	"github.com/linnetrudder/linnetrudder/internal/comparison"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
@@ -50,6 +51,11 @@
 	writtenAt    time.Time
 	// storing is set while a call to store a phase is in progress.
 	storing bool
+	// before holds the times of the responses before the roll-out completed, at completedAt. timedSince and
+	// slowSince count the responses since that were compared with them, and the slow ones.
+	before                *comparison.Reference
+	completedAt           time.Time
+	timedSince, slowSince int
 }
 
 // applyOrder applies an operator's order. The lock is held.
@@ -149,8 +155,14 @@
 		id = event.RolloutReversed
 	}
 	tried, bad := ro.canary.Counts()
+	timed, slow, detectable := ro.canary.Compared()
 	ga.Log.Info().Int("event", int(id)).Str("service", ro.order.Plan.Service).Str("version", ro.order.Plan.Version).
-		Str("phase", string(ph)).Int("tried_here", tried).Int("bad_here", bad).Msg(event.Name(id))
+		Str("phase", string(ph)).Int("tried_here", tried).Int("bad_here", bad).
+		Int("compared", timed).Int("slow", slow).Float64("detectable_part", detectable).Msg(event.Name(id))
+	if ph == rollout.Complete {
+		ro.before, ro.completedAt = ga.references[ro.order.Plan.Service], clock.Now()
+		delete(ga.references, ro.order.Plan.Service)
+	}
 }
 
 // restrictVersion restricts an attempt to the version that its session is assigned to, or the
@@ -213,6 +225,7 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	for _, ro := range ga.rollouts {
+		ro.canary.Plan.Servers = ga.pool.CountEligible(pool.Query{Service: ro.order.Plan.Service, Version: ro.order.Plan.Version, OnlyVersion: true})
 		ga.publishTallies(ctx, ro, now)
 		ga.applyVerdict(ro, now)
 		ph, due := ga.phaseToStore(ro, now)
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,8 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
+	"github.com/linnetrudder/linnetrudder/internal/comparison"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
@@ -95,20 +98,64 @@
 func TestSlowVersionFails(t *testing.T) {
 	ga, ro := newTrialGateway(t)
 	for i := range 40 {
-		ga.observeDuration(directory.Server{ID: fmt.Sprint("o", i%9), Service: "s", Version: "v1"}, "pace", time.Second, slowEventFactor, time.Now())
+		ga.observeDuration(directory.Server{ID: fmt.Sprint("o", i%9), Service: "s", Version: "v1"}, comparison.Work{Kind: "pace"}, time.Second, time.Now())
 	}
 	for i := range 20 {
-		ga.observeDuration(directory.Server{ID: fmt.Sprint("n", i%9), Service: "s", Version: "v2"}, "pace", 8*time.Second, slowEventFactor, time.Now())
+		ga.observeDuration(directory.Server{ID: fmt.Sprint("n", i%9), Service: "s", Version: "v2"}, comparison.Work{Kind: "pace"}, 8*time.Second, time.Now())
 	}
 	awaitVerdict(ga, ro)
 	require.Equal(t, rollout.Failed, ro.canary.Phase())
 }
 
+// Guards against a version that is two to three times slower being completed and kept.
+func TestVersionThatIsTwiceAsSlowFails(t *testing.T) {
+	ga, ro := newTrialGateway(t)
+	for i := range 40 {
+		ga.observeDuration(directory.Server{ID: fmt.Sprint("o", i%9), Service: "s", Version: "v1"}, comparison.Work{Kind: "pace"}, time.Second, time.Now())
+	}
+	for i := range 20 {
+		ga.observeDuration(directory.Server{ID: fmt.Sprint("n", i%9), Service: "s", Version: "v2"}, comparison.Work{Kind: "pace"}, 1900*time.Millisecond, time.Now())
+	}
+	awaitVerdict(ga, ro)
+	require.Equal(t, rollout.Failed, ro.canary.Phase())
+}
+
+// The operator says from which factor on a version is bad.
+func TestSlowFactorIsTheOperators(t *testing.T) {
+	ga, ro := newTrialGateway(t)
+	ga.Bounds.SlowFactor = 4
+	for i := range 40 {
+		ga.observeDuration(directory.Server{ID: fmt.Sprint("o", i%9), Service: "s", Version: "v1"}, comparison.Work{Kind: "pace"}, time.Second, time.Now())
+	}
+	for i := range 20 {
+		ga.observeDuration(directory.Server{ID: fmt.Sprint("n", i%9), Service: "s", Version: "v2"}, comparison.Work{Kind: "pace"}, 1900*time.Millisecond, time.Now())
+	}
+	awaitVerdict(ga, ro)
+	require.Equal(t, rollout.Trying, ro.canary.Phase())
+}
+
+// Guards against a good version being stopped since its servers have just started.
+func TestResponsesOfColdServersAreNotCompared(t *testing.T) {
+	ga, ro := newTrialGateway(t)
+	for i := range 40 {
+		ga.observeDuration(directory.Server{ID: fmt.Sprint("o", i%9), Service: "s", Version: "v1"}, comparison.Work{Kind: "pace"}, time.Second, time.Now())
+	}
+	for i := range 20 {
+		se := directory.Server{ID: fmt.Sprint("n", i%9), Service: "s", Version: "v2"}
+		ga.pool.Warmup.MarkCold(se.Key(), time.Minute, time.Now())
+		ga.observeDuration(se, comparison.Work{Kind: "pace"}, 8*time.Second, time.Now())
+	}
+	awaitVerdict(ga, ro)
+	require.Equal(t, rollout.Trying, ro.canary.Phase())
+}
+
 // The time to a head depends on the prompts that a server has cached, and a new server has none, so
 // it must not be used to compare versions.
 func TestResponseWithoutComparableDurationIsNotSlow(t *testing.T) {
 	ga, ro := newTrialGateway(t)
-	ga.latencyFloors.Observe("pace", time.Second)
+	for range 40 {
+		ga.reference("s").Add(comparison.Work{Kind: "pace"}, time.Second, time.Now())
+	}
 	for i := range 100 {
 		ga.observeOutcome(directory.Server{ID: fmt.Sprint("n", i%9), Service: "s", Version: "v2"}, "r", false)
 	}
@@ -369,3 +416,20 @@
 	ga.applyWatch(State{Revision: rev(9), Changes: []Change{order}}, now, time.Second, now)
 	require.False(t, ga.rollouts["s"].canary.OrderedAt.Before(now), "a watch reports changes at once")
 }
+
+// A version that turns out slow after the end can't be taken back, so the log must say so.
+func TestSlowVersionIsLoggedAfterTheEnd(t *testing.T) {
+	ga, log := newServingGateway(orderAt(rev(3), "v2"))
+	ro := ga.rollouts["s"]
+	now := clock.Now()
+	for range 40 {
+		ga.observeDuration(directory.Server{ID: "o", Service: ro.order.Plan.Service, Version: "v1"}, comparison.Work{Kind: "pace"}, time.Second, now)
+	}
+	ro.canary.Enter(rollout.Complete)
+	ga.logPhase(ro)
+	for _, after := range []time.Duration{0, time.Second, completedCheckTime + time.Second, completedCheckTime + 2*time.Second} {
+		ga.observeDuration(directory.Server{ID: "n", Service: ro.order.Plan.Service, Version: "v2"}, comparison.Work{Kind: "pace"}, 2*time.Second, now.Add(after))
+	}
+	require.Equal(t, 1, strings.Count(log.String(), "rollout_compared"))
+	require.Contains(t, log.String(), `"compared":3,"slow":3,"slow_factor":2`)
+}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -351,6 +351,10 @@
 	RenewLease(ctx context.Context, id lease.ID) error
 }
 
+// DefaultSlowFactor is the usual Bounds.SlowFactor: servers that take twice the time serve half as much
+// with the same slots.
+const DefaultSlowFactor = 2
+
 // Bounds are the limits that the platform sets for gateways.
 type Bounds struct {
 	// MaxConfigAge is the maximum age of the configuration at which a key may be accepted, zero for no
@@ -362,6 +366,9 @@
 	// MaxDrain is the time from the acknowledgement of a server's departure within which requests must no
 	// longer reach it, zero for no bound.
 	MaxDrain time.Duration
+	// SlowFactor is how many times slower than the one before a version must be on like work to count as
+	// bad, DefaultSlowFactor if it is zero.
+	SlowFactor float64
 	// RetryRatio and RetryWindow bound the attempts beyond the first of all gateways together.
 	RetryRatio  float64
 	RetryWindow time.Duration
--- a/internal/latency/latency.go
+++ b/internal/latency/latency.go
@@ -1,4 +1,4 @@
-// Package latency estimates the usual, lowest and smoothed latencies of responses, so that an
+// Package latency estimates the usual and smoothed latencies of responses and the pace of streams, so that an
 // attempt is not abandoned only because all responses are slow. It does no I/O and reads no clock.
 package latency
 
@@ -23,38 +23,5 @@
 	me.means[name] = mean + time.Duration(smoothingFactor*float64(took-mean))
 }
 
-const (
-	// baselineQuantile is the quantile of the latencies that the baseline estimates.
-	baselineQuantile = 0.01
-	// baselineStep is the relative step size of the estimate: it rises by 0.1 % with each slower
-	// response, so that a few seconds of load do not shift it.
-	baselineStep = 0.1
-)
-
-// Baseline estimates a low quantile of the latencies by name: the latency of an unloaded server.
-// The zero value is empty. It is not safe for concurrent use.
-type Baseline struct{ estimates map[string]float64 }
-
-// Observe records a latency.
-func (ba *Baseline) Observe(name string, took time.Duration) {
-	if ba.estimates == nil {
-		ba.estimates = map[string]float64{}
-	}
-	estimate, ok := ba.estimates[name]
-	switch {
-	case !ok:
-		estimate = float64(took)
-	case float64(took) < estimate:
-		estimate *= 1 - baselineStep*(1-baselineQuantile)
-		estimate = max(estimate, float64(took))
-	default:
-		estimate *= 1 + baselineStep*baselineQuantile
-	}
-	ba.estimates[name] = estimate
-}
-
-// Latency returns the baseline, zero if there are no samples.
-func (ba *Baseline) Latency(name string) time.Duration { return time.Duration(ba.estimates[name]) }
-
 // Usual returns the moving average, zero if there are no samples.
 func (me *Meter) Usual(name string) time.Duration { return me.means[name] }
--- a/internal/latency/latency_test.go
+++ b/internal/latency/latency_test.go
@@ -21,29 +21,6 @@
 	require.Zero(t, me.Usual("other"))
 }
 
-func TestBaselineIsNearTheLowestLatencies(t *testing.T) {
-	ra := rand.New(rand.NewPCG(1, 2))
-	var ba Baseline
-	require.Zero(t, ba.Latency("m"))
-	for range 500 {
-		took := 10 * math.Exp(1.2*math.Abs(ra.NormFloat64()))
-		ba.Observe("m", time.Duration(took*float64(time.Millisecond)))
-	}
-	require.InDelta(t, 11, ba.Latency("m").Seconds()*1000, 3)
-}
-
-func TestBurstDoesNotShiftTheBaseline(t *testing.T) {
-	var ba Baseline
-	for range 200 {
-		ba.Observe("m", 20*time.Millisecond)
-	}
-	before := ba.Latency("m")
-	for range 120 {
-		ba.Observe("m", 100*time.Millisecond)
-	}
-	require.Less(t, ba.Latency("m"), before*5/4)
-}
-
 func TestPromptTimeIsThatOfAnIdleServer(t *testing.T) {
 	ra := rand.New(rand.NewPCG(1, 2))
 	var pt PromptTime
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -255,7 +255,7 @@
 func (po *Pool) idle(list []*directory.Server) []*directory.Server {
 	var idle []*directory.Server
 	for _, se := range list {
-		if po.attempts(se.Key()) == 0 {
+		if po.Attempts(se.Key()) == 0 {
 			idle = append(idle, se)
 		}
 	}
@@ -268,7 +268,7 @@
 // HasIdle reports whether there is a usable server without attempts in progress.
 func (po *Pool) HasIdle(qu Query, now time.Time) bool {
 	return slices.ContainsFunc(po.Directory.Servers(qu.Service), func(se *directory.Server) bool {
-		return qu.matches(se) && po.attempts(se.Key()) == 0 && po.maySend(se, qu.ColdLimit, now) && po.outliers.Usable(se.Key(), now)
+		return qu.matches(se) && po.Attempts(se.Key()) == 0 && po.maySend(se, qu.ColdLimit, now) && po.outliers.Usable(se.Key(), now)
 	})
 }
 
@@ -336,8 +336,8 @@
 	return sum / time.Duration(len(list))
 }
 
-// attempts returns the number of known attempts in progress on a server.
-func (po *Pool) attempts(key string) int { return po.running[key] + int(po.Loads.OnServer(key)) }
+// Attempts returns the number of known attempts in progress on a server.
+func (po *Pool) Attempts(key string) int { return po.running[key] + int(po.Loads.OnServer(key)) }
 
 // Work returns this process's work in progress by server, for a report to other processes.
 func (po *Pool) Work() load.Work {
@@ -356,7 +356,7 @@
 	least := 0
 	for i := range list {
 		se := list[(offset+i)%len(list)]
-		attempts := po.attempts(se.Key())
+		attempts := po.Attempts(se.Key())
 		if se.DataCentre != po.DataCentre {
 			attempts += remotePenalty
 		}
--- a/internal/rollout/canary.go
+++ b/internal/rollout/canary.go
@@ -169,7 +169,8 @@
 	case ca.suspicious():
 		return "", false
 	case ph == Trying:
-		return Shifting, left <= ca.exposure.shiftLead(ca.Plan, elapsed) && age >= minTrialTime && ca.exposure.allowsShift(ca.Plan, left, now)
+		return Shifting, left <= ca.exposure.shiftLead(ca.Plan, elapsed) && age >= minTrialTime &&
+			ca.exposure.allowsShift(ca.Plan, left, now) && (ca.slow.isClear() || left <= -maxOverrun)
 	default:
 		return Complete, left <= finishLead && age >= minShiftTime && (ca.cleared() || left <= -maxOverrun)
 	}
--- a/internal/rollout/outcomes.go
+++ b/internal/rollout/outcomes.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// defaultFailureRate is the assumed normal rate of bad responses without data, minBadRate the
@@ -15,6 +18,9 @@
 	minNormalSlowRate = 0.05
 	maxNormalSlowRate = 0.25
 	badSlowRate       = 0.45
+	// minOldTimed is the number of responses of the old version from which on the new one's must be compared
+	// before the shift.
+	minOldTimed = 10
 	// clearRate is the rate of bad responses that must be ruled out before a roll-out completes,
 	// clearThreshold the log likelihood ratio for it: seven good responses.
 	clearRate      = 0.3
@@ -73,14 +79,31 @@
 type latencyTest struct {
 	// sum is the cumulative sum of the test; never below zero.
 	sum float64
-	// oldTimed and oldSlow count the responses of the old version.
+	// oldTimed and oldSlow count the responses of the old version, newTimed and newSlow those of the new one
+	// on all gateways.
 	oldTimed, oldSlow int
+	newTimed, newSlow int
 	servers           serverSet
 }
 
+// normalRate returns the rate of slow responses of the old version.
+func (lt *latencyTest) normalRate() float64 {
+	return min(maxNormalSlowRate, smoothedRate(float64(lt.oldSlow), float64(lt.oldTimed), minNormalSlowRate))
+}
+
 func (lt *latencyTest) add(timed, slow int) {
-	normal := min(maxNormalSlowRate, smoothedRate(float64(lt.oldSlow), float64(lt.oldTimed), minNormalSlowRate))
-	lt.sum = cusum(lt.sum, float64(slow), float64(timed), normal, badSlowRate)
+	lt.newTimed += timed
+	lt.newSlow += slow
+	lt.sum = cusum(lt.sum, float64(slow), float64(timed), lt.normalRate(), badSlowRate)
+}
+
+// isClear reports whether the evidence that the version is not slow suffices. It does where the responses of
+// the old version are not timed either.
+func (lt *latencyTest) isClear() bool {
+	if lt.oldTimed < minOldTimed {
+		return true
+	}
+	return evidenceForGood(float64(lt.newTimed), float64(lt.newSlow), lt.normalRate(), badSlowRate) >= clearThreshold
 }
 
 // RouteOutcomes holds the outcomes of the new version for one route on one gateway.
@@ -239,22 +262,38 @@
 // Bad reports whether the new version counts as bad: one of the tests exceeds its threshold by
 // responses from enough of the servers.
 func (ca *Canary) Bad() bool {
-	if ca.slow.sum >= badThreshold && ca.slow.servers.widespread(ca.concentrated()) {
+	if ca.slow.sum >= badThreshold && ca.slowEverywhere() {
 		return true
 	}
 	for _, ft := range ca.routes {
-		if ft.maxSum() >= badThreshold && ft.servers.widespread(ca.concentrated()) {
+		if ft.maxSum() >= badThreshold && ft.servers.widespread(ca.concentrated(), 0) {
 			return true
 		}
 	}
 	return false
 }
 
+// Compared describes the test for slow responses: how many responses of the new version were compared with
+// the old one's on all gateways, how many of them were slow, and the part of slow responses from which on
+// that many would have shown a bad version, more than one if none would have.
+func (ca *Canary) Compared() (timed, slow int, detectable float64) {
+	lt := &ca.slow
+	normal := lt.normalRate()
+	forSlow, forFast := math.Log(badSlowRate/normal), math.Log((1-normal)/(1-badSlowRate))
+	detectable = (badThreshold/math.Max(1, float64(lt.newTimed)) + forFast) / (forSlow + forFast)
+	return lt.newTimed, lt.newSlow, detectable
+}
+
+// slowEverywhere reports whether slow responses came from enough of the version's servers.
+func (ca *Canary) slowEverywhere() bool {
+	return ca.slow.servers.widespread(ca.concentrated(), expectedTried(ca.Plan.Servers, ca.slow.newTimed))
+}
+
 // suspicious reports whether the evidence against the version exceeds chance. The trial then
 // continues, which costs a missed deadline at most. A few slow responses of single servers are
 // chance.
 func (ca *Canary) suspicious() bool {
-	if ca.slow.sum > suspicionThreshold && ca.slow.servers.widespread(ca.concentrated()) {
+	if ca.slow.sum > suspicionThreshold && ca.slowEverywhere() {
 		return true
 	}
 	for _, ft := range ca.routes {
--- a/internal/rollout/servers.go
+++ b/internal/rollout/servers.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 const (
 	// badServerFraction is the minimum fraction of the tried servers that must have given bad
@@ -60,12 +63,21 @@
 	return list
 }
 
-// widespread reports whether enough of the servers gave bad responses.
-func (ss *serverSet) widespread(concentrated bool) bool {
+// widespread reports whether enough of the servers gave bad responses. tried is the number of servers that
+// gave any on all gateways, as far as it is known: others report only those with bad ones.
+func (ss *serverSet) widespread(concentrated bool, tried float64) bool {
 	fraction := badServerFraction
 	if concentrated {
 		fraction = badServerFractionConcentrated
 	}
 	bad, seen := len(ss.bad()), len(ss.servers)
-	return bad >= min(minBadServers, seen) && float64(bad) >= fraction*float64(seen)
+	return bad >= min(minBadServers, seen) && float64(bad) >= fraction*max(tried, float64(seen))
+}
+
+// expectedTried returns how many of a number of servers are expected to have given any of the responses.
+func expectedTried(servers, responses int) float64 {
+	if servers == 0 {
+		return 0
+	}
+	return float64(servers) * (1 - math.Pow(1-1/float64(servers), float64(responses)))
 }
