fix(httpfront): a raised header limit applies to open connections

Cause: a connection was served with the limits of its acceptance only. A lowered limit applies to new connections, as before.

--- a/internal/httpfront/httpfront.go
+++ b/internal/httpfront/httpfront.go
@@ -1,5 +1,6 @@
 // Package httpfront implements an HTTP server whose limits can be changed while it runs. A
-// connection is served with the limits that were in force when it was accepted.
+// connection is served with the limits that were in force when it was accepted; a larger limit of the
+// request header takes effect on open connections as well.
 package httpfront
 
 import (
@@ -111,7 +112,7 @@
 		return cs
 	}
 	cs := &connServer{conns: make(chan net.Conn), done: make(chan struct{}), addr: addr, http: &http.Server{
-		Handler: se.Handler, MaxHeaderBytes: li.HeaderBytes,
+		Handler: &headerLimiter{next: se.Handler, accepted: li.HeaderBytes, limits: se.Limits}, MaxHeaderBytes: max(minReadBytes, li.HeaderBytes),
 		ReadHeaderTimeout: li.HeaderTimeout, IdleTimeout: li.IdleTimeout,
 	}}
 	if se.servers == nil {
--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -62,6 +62,20 @@
 	require.Equal(t, http.StatusOK, sendRequest(t, dial(t, li), "short"))
 }
 
+// Guards against proper requests on open connections being refused after the limit was raised.
+func TestRaisedHeaderLimitAppliesToOpenConnections(t *testing.T) {
+	var limit atomic.Int64
+	limit.Store(4 << 10)
+	_, li := startServer(t, func() Limits { return Limits{HeaderBytes: int(limit.Load())} }, respondOK)
+	long := strings.Repeat("x", 15_000)
+	open := dial(t, li)
+	require.Equal(t, http.StatusOK, sendRequest(t, open, "short"))
+	limit.Store(16 << 10)
+	require.Equal(t, http.StatusOK, sendRequest(t, open, long))
+	limit.Store(4 << 10)
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, sendRequest(t, dial(t, li), long))
+}
+
 func TestShutdownWaitsForRequestsInProgress(t *testing.T) {
 	started, release := make(chan struct{}), make(chan struct{})
 	se, li := startServer(t, func() Limits { return Limits{HeaderBytes: 4096} }, func(w http.ResponseWriter, r *http.Request) {
