--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -365,7 +365,7 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.Bounds = bo
-	ga.relayPlan.MaxPropagation = bo.MaxPropagation
+	ga.relayPlan.MaxPropagation, ga.loadPlan.MaxPropagation = bo.MaxPropagation, bo.MaxPropagation
 	clear(ga.retries)
 }
 
