fix(agent): a decision is checked once there is a connection

Cause: the age of the decision was checked before a connection was taken, and counted from when the admission had been sent and logged, so that a suspension in between went unnoticed. Class: a check before a wait.

Change: the decision counts from the event that it was made for, and is checked when there is a connection, before anything is written to it. TestDecisionIsCheckedOnceThereIsAConnection failed before (code 501 and a run; now 504 and none).

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -75,15 +75,16 @@
 	if err != nil {
 		return result.NotDispatched, nil
 	}
-	if gate.Stalled(ru.decided, clock.Now()) {
-		// The process was suspended after the gate's decision, so the state that the decision was
-		// based on may be out of date.
+	if ru.checkDecision() != nil {
 		return result.NotDispatched, nil
 	}
 	ru.recordSent()
-	var conn transport.Connection
+	conn := transport.Connection{Check: ru.checkDecision}
 	resp, err := ru.ag.HTTP.Do(req.WithContext(conn.Observe(ctx)))
-	if err != nil {
+	switch {
+	case conn.CheckFailed():
+		return result.NotDispatched, nil
+	case err != nil:
 		co := dialCode(err)
 		ru.connBroken, ru.connRefused = co == result.ServerFailed, errors.Is(err, syscall.ECONNREFUSED)
 		return co, nil
@@ -107,6 +108,18 @@
 	return ru.relay(ctx, resp, &me)
 }
 
+// errDecisionOutdated means that the process was suspended after the gate's decision, so that the state that the
+// decision was based on may be out of date.
+var errDecisionOutdated = eris.New("decision is outdated")
+
+// checkDecision checks that the gate's decision may still be acted on.
+func (ru *run) checkDecision() error {
+	if gate.Stalled(ru.decided, clock.Now()) {
+		return errDecisionOutdated
+	}
+	return nil
+}
+
 // relay forwards the body of the response and reads its usage.
 func (ru *run) relay(ctx context.Context, resp *http.Response, me *meter) (result.Code, *wire.Usage) {
 	buf := make([]byte, readBufferBytes)
--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -142,3 +143,24 @@
 		require.EqualValues(t, 1, calls.Load(), "status %d", status)
 	}
 }
+
+// Guards against a process that is suspended while it waits for a connection, and then makes the call although the
+// version may have been withdrawn in the meantime.
+func TestDecisionIsCheckedOnceThereIsAConnection(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		for _, body := range []string{"", "x", strings.Repeat("x", 100_000)} {
+			server, executed := breakingServer(t)
+			ag := newTestAgent(server)
+			ru := &run{ag: ag, at: &wire.Attempt{Request: "call", Method: method, Path: "/", Body: []byte(body), Version: "v"}, decided: clock.Now()}
+			ag.HTTP.Transport = &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				ru.decided = clock.Now().Add(-time.Minute)
+				var di net.Dialer
+				return di.DialContext(ctx, network, address)
+			}}
+			co, _ := ru.call(t.Context())
+			require.Equal(t, result.NotDispatched, co, "%s with %d bytes", method, len(body))
+			time.Sleep(20 * time.Millisecond)
+			require.Zero(t, executed("call"))
+		}
+	}
+}
--- a/internal/agent/streams.go
+++ b/internal/agent/streams.go
@@ -75,7 +75,7 @@
 		Load: &lo, Revision: ag.gate.Revision(), Stamp: ag.Node.Stamp(),
 	})
 	ag.Node.Record(timeline.Entry{Event: event.AttemptAdmitted, Request: at.Request, Team: at.Team, Version: at.Version})
-	ru := &run{ag: ag, li: st.li, key: key, at: at, decided: clock.Now()}
+	ru := &run{ag: ag, li: st.li, key: key, at: at, decided: ag.gate.DecidedAt()}
 	go func() {
 		defer cancel()
 		ru.execute(ctx)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -239,6 +239,9 @@
 	}
 }
 
+// DecidedAt returns when the latest decisions were made.
+func (ga *Gate) DecidedAt() time.Time { return ga.lastEvent }
+
 // Stalled reports whether a decision is too old to be acted on because the process has been
 // suspended since it was made.
 func Stalled(decided, now time.Time) bool { return now.Sub(decided) > stallThreshold }
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -7,8 +7,14 @@
 	"sync/atomic"
 )
 
-// Connection observes the connection that one request is sent on. The zero value is ready to use.
+// Connection observes the connection that one request is sent on. The zero value is ready to use. Its exported
+// field is set before Observe.
 type Connection struct {
+	// Check is called once there is a connection, before anything is written to it. If it returns an error, the
+	// request is not sent and fails. It may be nil.
+	Check func() error
+
+	failed  atomic.Bool
 	conn    net.Conn
 	reused  bool
 	written atomic.Bool
@@ -17,11 +23,22 @@
 // Observe returns a context for the request.
 func (co *Connection) Observe(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      func(info httptrace.GotConnInfo) { co.conn, co.reused = info.Conn, info.Reused },
+		GotConn:      co.handleConn,
 		WroteHeaders: func() { co.written.Store(true) },
 	})
 }
 
+func (co *Connection) handleConn(info httptrace.GotConnInfo) {
+	co.conn, co.reused = info.Conn, info.Reused
+	if co.Check != nil && co.Check() != nil {
+		co.failed.Store(true)
+		_ = info.Conn.Close()
+	}
+}
+
+// CheckFailed reports whether the request was not sent because Check returned an error.
+func (co *Connection) CheckFailed() bool { return co.failed.Load() }
+
 // Written reports whether the head of the request was written.
 func (co *Connection) Written() bool { return co.written.Load() }
 
