--- a/standin/soak/misbehaviour.go
+++ b/standin/soak/misbehaviour.go
@@ -85,7 +85,7 @@
 	defer rc.mu.Unlock()
 	n, err := rc.Conn.Write(data)
 	if !rc.repeat || err != nil || len(data) > maxRecordedBytes {
-		return n, err //nolint:wrapcheck // as returned by the connection
+		return n, err
 	}
 	rc.repeat = false
 	if rc.late {
@@ -115,7 +115,7 @@
 func (rl repeatingListener) Accept() (net.Conn, error) {
 	conn, err := rl.Listener.Accept()
 	if err != nil {
-		return nil, err //nolint:wrapcheck // as returned by the listener
+		return nil, err
 	}
 	return &repeatingConn{Conn: conn}, nil
 }
