--- a/internal/comparison/comparison.go
+++ b/internal/comparison/comparison.go
@@ -4,6 +4,7 @@
 package comparison
 
 import (
+	"maps"
 	"math"
 	"math/bits"
 	"slices"
@@ -22,6 +23,8 @@
 	typicalQuantile = 0.5
 	// loadClasses is the number of classes. Each has twice the load of the one before.
 	loadClasses = 12
+	// maxKinds is the number of kinds of work from which on those without a response within maxAge are dropped.
+	maxKinds = 256
 )
 
 // Work describes what a response was for.
@@ -37,7 +40,14 @@
 
 // Reference holds recent responses of the version that others are compared with. The zero value is empty. It
 // is not safe for concurrent use.
-type Reference struct{ kinds map[string]*[loadClasses]ring }
+type Reference struct{ kinds map[string]*kindTimes }
+
+// kindTimes holds the responses of one kind of work, by class of load.
+type kindTimes struct {
+	classes [loadClasses]ring
+	// last is when a response was last added.
+	last time.Time
+}
 
 // ring holds the last classSamples responses.
 type ring struct {
@@ -72,21 +82,34 @@
 // Add records a response.
 func (re *Reference) Add(wo Work, took time.Duration, now time.Time) {
 	if re.kinds == nil {
-		re.kinds = map[string]*[loadClasses]ring{}
+		re.kinds = map[string]*kindTimes{}
+	}
+	kt := re.kinds[wo.Kind]
+	if kt == nil {
+		re.prune(now)
+		kt = &kindTimes{}
+		re.kinds[wo.Kind] = kt
 	}
-	if re.kinds[wo.Kind] == nil {
-		re.kinds[wo.Kind] = &[loadClasses]ring{}
+	kt.classes[wo.class()].add(sample{took: took, at: now})
+	kt.last = now
+}
+
+// prune drops the kinds that are not in use if there are many: routes come and go with configurations.
+func (re *Reference) prune(now time.Time) {
+	if len(re.kinds) < maxKinds {
+		return
 	}
-	re.kinds[wo.Kind][wo.class()].add(sample{took: took, at: now})
+	maps.DeleteFunc(re.kinds, func(_ string, kt *kindTimes) bool { return now.Sub(kt.last) > maxAge })
 }
 
 // Typical returns the duration that is typical of like work, false if too few responses are known. Responses
 // of the classes of load next to that of the work are used until there are enough.
 func (re *Reference) Typical(wo Work, now time.Time) (time.Duration, bool) {
-	classes := re.kinds[wo.Kind]
-	if classes == nil {
+	kt := re.kinds[wo.Kind]
+	if kt == nil {
 		return 0, false
 	}
+	classes := &kt.classes
 	own := wo.class()
 	durations := classes[own].appendRecent(nil, now)
 	for away := 1; away < loadClasses && len(durations) < minSamples; away++ {
--- a/internal/comparison/comparison_test.go
+++ b/internal/comparison/comparison_test.go
@@ -1,6 +1,7 @@
 package comparison
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -68,3 +69,13 @@
 		re.IsSlow(Work{"m", 1}, time.Second, 2, start)
 	}
 }
+
+// Guards against memory that grows with each route that a configuration has had.
+func TestKindsThatAreNotUsedAreDropped(t *testing.T) {
+	var re Reference
+	now := time.Unix(1000, 0)
+	for i := range 20 * maxKinds {
+		re.Add(Work{Kind: fmt.Sprint(i)}, time.Second, now.Add(time.Duration(i)*time.Second))
+	}
+	require.LessOrEqual(t, len(re.kinds), maxKinds+1)
+}
