--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -27,12 +27,16 @@
 func (po *Pool) Used() int64 { return po.used.Load() }
 
 func (po *Pool) reserve(bytes int) bool {
-	if po.used.Add(int64(bytes)) > po.Limit {
-		po.used.Add(-int64(bytes))
-		limitReached.Inc()
-		return false
+	for {
+		used := po.used.Load()
+		if used+int64(bytes) > po.Limit {
+			limitReached.Inc()
+			return false
+		}
+		if po.used.CompareAndSwap(used, used+int64(bytes)) {
+			return true
+		}
 	}
-	return true
 }
 
 // Body is the beginning of a body, or all of it. The zero value is empty.
