--- a/internal/transport/idle_test.go
+++ b/internal/transport/idle_test.go
@@ -60,7 +60,11 @@
 }
 
 func (ss *silencedServer) call(ctx context.Context, cl *http.Client, path string) error {
-	ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+	timeout := 100 * time.Millisecond
+	if path == "/barrier" {
+		timeout = 30 * time.Second // all connections must be open, however long that takes
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, ss.address+path, http.NoBody)
 	if err != nil {
