--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -75,11 +75,11 @@
 	if err != nil {
 		return result.NotDispatched, nil
 	}
-	if ru.checkDecision() != nil {
+	if !ru.decisionHolds() {
 		return result.NotDispatched, nil
 	}
 	ru.recordSent()
-	conn := transport.Connection{Check: ru.checkDecision}
+	conn := transport.Connection{Check: ru.decisionHolds}
 	resp, err := ru.ag.HTTP.Do(req.WithContext(conn.Observe(ctx)))
 	switch {
 	case conn.CheckFailed():
@@ -108,17 +108,9 @@
 	return ru.relay(ctx, resp, &me)
 }
 
-// errDecisionOutdated means that the process was suspended after the gate's decision, so that the state that the
-// decision was based on may be out of date.
-var errDecisionOutdated = eris.New("decision is outdated")
-
-// checkDecision checks that the gate's decision may still be acted on.
-func (ru *run) checkDecision() error {
-	if gate.Stalled(ru.decided, clock.Now()) {
-		return errDecisionOutdated
-	}
-	return nil
-}
+// decisionHolds reports whether the gate's decision may still be acted on. After a suspension of the process,
+// the state that it was based on may be out of date.
+func (ru *run) decisionHolds() bool { return !gate.Stalled(ru.decided, clock.Now()) }
 
 // relay forwards the body of the response and reads its usage.
 func (ru *run) relay(ctx context.Context, resp *http.Response, me *meter) (result.Code, *wire.Usage) {
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -128,9 +128,8 @@
 	return nil
 }
 
-// relayEvents forwards events until the stream ends and returns their number. The error is nil at
-// the end of the stream, a *result.Error if nothing more can be sent to the caller, and another one
-// if the stream broke.
+// relayEvents forwards events until the stream ends. The error is nil at the end of the stream, a
+// *result.Error if nothing more can be sent to the caller, and another one if the stream broke.
 func (ex *exchange) relayEvents(se *attemptState) error {
 	stall := ex.stallTimeout()
 	stallTimer := time.AfterFunc(stall, func() { ex.onStall(se) })
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -95,14 +95,18 @@
 	require.Equal(t, rev(5), ph.Revision, "the write is compared with the older phase")
 }
 
+// observePaces records streams of a version, at nine servers in turn.
+func observePaces(ga *Gateway, version string, streams int, took time.Duration) {
+	for i := range streams {
+		se := directory.Server{ID: fmt.Sprint(version, "-", i%9), Service: "s", Version: version}
+		ga.observeDuration(se, comparison.Work{Kind: "pace"}, took, time.Now())
+	}
+}
+
 func TestSlowVersionFails(t *testing.T) {
 	ga, ro := newTrialGateway(t)
-	for i := range 40 {
-		ga.observeDuration(directory.Server{ID: fmt.Sprint("o", i%9), Service: "s", Version: "v1"}, comparison.Work{Kind: "pace"}, time.Second, time.Now())
-	}
-	for i := range 20 {
-		ga.observeDuration(directory.Server{ID: fmt.Sprint("n", i%9), Service: "s", Version: "v2"}, comparison.Work{Kind: "pace"}, 8*time.Second, time.Now())
-	}
+	observePaces(ga, "v1", 40, time.Second)
+	observePaces(ga, "v2", 20, 8*time.Second)
 	awaitVerdict(ga, ro)
 	require.Equal(t, rollout.Failed, ro.canary.Phase())
 }
@@ -110,12 +114,8 @@
 // Guards against a version that is two to three times slower being completed and kept.
 func TestVersionThatIsTwiceAsSlowFails(t *testing.T) {
 	ga, ro := newTrialGateway(t)
-	for i := range 40 {
-		ga.observeDuration(directory.Server{ID: fmt.Sprint("o", i%9), Service: "s", Version: "v1"}, comparison.Work{Kind: "pace"}, time.Second, time.Now())
-	}
-	for i := range 20 {
-		ga.observeDuration(directory.Server{ID: fmt.Sprint("n", i%9), Service: "s", Version: "v2"}, comparison.Work{Kind: "pace"}, 1900*time.Millisecond, time.Now())
-	}
+	observePaces(ga, "v1", 40, time.Second)
+	observePaces(ga, "v2", 20, 1900*time.Millisecond)
 	awaitVerdict(ga, ro)
 	require.Equal(t, rollout.Failed, ro.canary.Phase())
 }
@@ -124,12 +124,8 @@
 func TestSlowFactorIsTheOperators(t *testing.T) {
 	ga, ro := newTrialGateway(t)
 	ga.Bounds.SlowFactor = 4
-	for i := range 40 {
-		ga.observeDuration(directory.Server{ID: fmt.Sprint("o", i%9), Service: "s", Version: "v1"}, comparison.Work{Kind: "pace"}, time.Second, time.Now())
-	}
-	for i := range 20 {
-		ga.observeDuration(directory.Server{ID: fmt.Sprint("n", i%9), Service: "s", Version: "v2"}, comparison.Work{Kind: "pace"}, 1900*time.Millisecond, time.Now())
-	}
+	observePaces(ga, "v1", 40, time.Second)
+	observePaces(ga, "v2", 20, 1900*time.Millisecond)
 	awaitVerdict(ga, ro)
 	require.Equal(t, rollout.Trying, ro.canary.Phase())
 }
@@ -137,9 +133,7 @@
 // Guards against a good version being stopped since its servers have just started.
 func TestResponsesOfColdServersAreNotCompared(t *testing.T) {
 	ga, ro := newTrialGateway(t)
-	for i := range 40 {
-		ga.observeDuration(directory.Server{ID: fmt.Sprint("o", i%9), Service: "s", Version: "v1"}, comparison.Work{Kind: "pace"}, time.Second, time.Now())
-	}
+	observePaces(ga, "v1", 40, time.Second)
 	for i := range 20 {
 		se := directory.Server{ID: fmt.Sprint("n", i%9), Service: "s", Version: "v2"}
 		ga.pool.Warmup.MarkCold(se.Key(), time.Minute, time.Now())
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -10,9 +10,9 @@
 // Connection observes the connection that one request is sent on. The zero value is ready to use. Its exported
 // field is set before Observe.
 type Connection struct {
-	// Check is called once there is a connection, before anything is written to it. If it returns an error, the
+	// Check is called once there is a connection, before anything is written to it. If it returns false, the
 	// request is not sent and fails. It may be nil.
-	Check func() error
+	Check func() bool
 
 	failed  atomic.Bool
 	conn    net.Conn
@@ -30,13 +30,13 @@
 
 func (co *Connection) handleConn(info httptrace.GotConnInfo) {
 	co.conn, co.reused = info.Conn, info.Reused
-	if co.Check != nil && co.Check() != nil {
+	if co.Check != nil && !co.Check() {
 		co.failed.Store(true)
 		_ = info.Conn.Close()
 	}
 }
 
-// CheckFailed reports whether the request was not sent because Check returned an error.
+// CheckFailed reports whether the request was not sent because Check returned false.
 func (co *Connection) CheckFailed() bool { return co.failed.Load() }
 
 // Written reports whether the head of the request was written.
