fix(httpfront): a lack of file descriptors does not end the process

What callers saw: once a gateway had used up its file descriptors, accept failed and the process ended with all its requests. Cause: each error of accept ended the server. Class: an error of one connection is taken for one of the listener. TestServerSurvivesALackOfFileDescriptors hung on the code before (the connection was never served).

--- a/internal/httpfront/httpfront.go
+++ b/internal/httpfront/httpfront.go
@@ -78,8 +78,8 @@
 	se.mu.Lock()
 	se.listener = li
 	se.mu.Unlock()
-	for {
-		co, err := li.Accept()
+	for pl := (patientListener{li}); ; {
+		co, err := pl.Accept()
 		if errors.Is(err, net.ErrClosed) && se.isClosed() {
 			return http.ErrServerClosed
 		}
--- a/internal/httpfront/httpfront_test.go
+++ b/internal/httpfront/httpfront_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -49,6 +51,34 @@
 	return co
 }
 
+// exhaustedListener is a listener that has no file descriptors left for its first connections.
+type exhaustedListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+func (el *exhaustedListener) Accept() (net.Conn, error) {
+	if el.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return el.Listener.Accept()
+}
+
+// Guards against a process that ends, with all its requests, because it has used up its file descriptors.
+func TestServerSurvivesALackOfFileDescriptors(t *testing.T) {
+	var lc net.ListenConfig
+	li, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	el := &exhaustedListener{Listener: li}
+	el.failures.Store(3)
+	se := &Server{Handler: http.HandlerFunc(respondOK), Limits: func() Limits { return Limits{HeaderBytes: 1 << 10} }}
+	ended := make(chan error, 1)
+	go func() { ended <- se.Serve(el) }()
+	require.Equal(t, http.StatusOK, sendRequest(t, dial(t, li), "x"))
+	require.NoError(t, se.Shutdown(t.Context()))
+	require.ErrorIs(t, <-ended, http.ErrServerClosed)
+}
+
 func TestChangedLimitsApplyOnlyToNewConnections(t *testing.T) {
 	var headerBytes atomic.Int64
 	headerBytes.Store(1 << 16)
