fix(transport): the close of a connection does not depend on one packet

What callers saw: nothing yet. On a path that loses packets, a server may go on with an abandoned request, and with a stream that went on elsewhere, until it writes. A reset is sent once; the end of a stream is sent again until it is acknowledged. Class: a message that must arrive is sent without a way to notice that it did not. Change: reset only if data has not been sent at all, which is the case for which the reset was brought in (a peer that does not read): there the end would wait behind the data. What a server sees: the end of the stream after the request in the usual case, a reset in the other. TestConnectionWhosePeerReadsIsNotReset failed 5 of 5 before (connection reset by peer); TestServerLearnsOfAbandonedRequestWithUnreadBody holds as before.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -21,23 +21,24 @@
 	}
 }
 
-// Close closes the connection. If the peer has not received all data, the connection is reset: the end of
-// the stream would be queued behind that data, and the peer would go on with an abandoned request.
+// Close closes the connection. If data waits because the peer does not read, the connection is reset: the end of
+// the stream would wait behind that data, and the peer would go on with an abandoned request. Otherwise the end is
+// sent, which is repeated until the peer has it, while a reset may be lost.
 func (cc clientConn) Close() error {
-	if cc.unacknowledged() {
+	if cc.waitsToSend() {
 		_ = cc.SetLinger(0)
 	}
 	return cc.TCPConn.Close() //nolint:wrapcheck // as returned by the connection
 }
 
-// unacknowledged reports whether sent data has not been acknowledged, false if that is not known.
-func (cc clientConn) unacknowledged() bool {
+// waitsToSend reports whether data has not been sent at all, false if that is not known.
+func (cc clientConn) waitsToSend() bool {
 	raw, err := cc.SyscallConn()
 	if err != nil {
 		return false
 	}
 	bytes := 0
-	if err := raw.Control(func(fd uintptr) { bytes, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); err != nil {
+	if err := raw.Control(func(fd uintptr) { bytes, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQNSD) }); err != nil {
 		return false
 	}
 	return err == nil && bytes > 0
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -65,3 +66,26 @@
 		})
 	}
 }
+
+// Guards against the close of a connection that depends on a single packet: a reset is never sent again.
+func TestConnectionWhosePeerReadsIsNotReset(t *testing.T) {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = li.Close() }()
+	conn, err := dialWith(NewDialer())(t.Context(), "tcp", li.Addr().String())
+	require.NoError(t, err)
+	peer, err := li.Accept()
+	require.NoError(t, err)
+	defer func() { _ = peer.Close() }()
+	raw, err := peer.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	// Acknowledgements are delayed, so that data is still unacknowledged when the connection is closed.
+	require.NoError(t, raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_QUICKACK, 0) }))
+	require.NoError(t, err)
+	_, err = conn.Write([]byte("request"))
+	require.NoError(t, err)
+	require.NoError(t, conn.Close())
+	received, err := io.ReadAll(peer)
+	require.NoError(t, err)
+	require.Equal(t, "request", string(received))
+}
