test(soak): callers that repeat operations, signals in overlapping series

Until now callers sent no body, repeated nothing, and runs were counted by attempt. What a caller needs done once can also run twice in two attempts, each of which ran once: a promise or a reset that was not true. Gateways get SIGTERM, SIGHUP, SIGTERM, SIGHUP in overlapping series, beside kills, reloads and changes.

--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -30,6 +30,7 @@
 	Restores  bool          `help:"Include restores of the key-value service from older copies."`
 	Silences  bool          `help:"Include open connections that become silent for good."`
 	Misbehave bool          `help:"Include servers that repeat responses, send heads without end and stop within streams."`
+	Operate   bool          `help:"Let half of the callers perform operations with retries, and stop, reload and reconfigure gateways in series."`
 	Large     bool          `help:"Include large configurations, and small links to the key-value service."`
 }
 
@@ -79,6 +80,9 @@
 		if ar.Misbehave {
 			pl = pl.WithMisbehaviour()
 		}
+		if ar.Operate {
+			pl = pl.WithOperations()
+		}
 		if ar.Large {
 			pl = pl.WithLargeConfigs()
 		}
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -37,6 +37,12 @@
 	SingleRun Guarantee = "single-run"
 	// BoundedMemory: a gateway uses at most maxResidentGrowth more memory than when idle.
 	BoundedMemory Guarantee = "memory"
+	// OperationOnce: an operation that must not be repeated runs once, however often its caller sends it.
+	OperationOnce Guarantee = "operation-once"
+	// UnreadNotExecuted: a request whose connection was reset before any response is never executed.
+	UnreadNotExecuted Guarantee = "true-reset"
+	// AbandonedStops: servers stop working on a stream abandonNotice after its caller has left.
+	AbandonedStops Guarantee = "abandoned-stops"
 	// Recovery: requests succeed again within recoverWithin of the last fault.
 	Recovery Guarantee = "recovery"
 )
@@ -65,6 +71,10 @@
 	poison bool
 	// prompt lists the parts of the prompt, empty for none.
 	prompt string
+	// ending is how an attempt of an operation ended, empty for other requests. from is the last event of a stream
+	// that its caller had.
+	ending ending
+	from   int
 }
 
 const (
@@ -97,6 +107,7 @@
 	start      time.Time
 	outcomes   []outcome
 	executions *executionLog
+	operations []*operation
 	// poisoned holds the outcomes of the poison request.
 	poisoned []outcome
 	// poisonedParts holds the outcomes of the requests with the poison part.
@@ -142,6 +153,7 @@
 	list = append(list, hi.checkAnnouncedShutdowns()...)
 	list = append(list, hi.checkPauses()...)
 	list = append(list, hi.checkMemory()...)
+	list = append(list, hi.checkOperations()...)
 	return append(list, hi.checkRecovery()...)
 }
 
@@ -172,7 +184,7 @@
 		return plainBody(ou.id)
 	}
 	var sb strings.Builder
-	for n := 1; n <= streamEvents; n++ {
+	for n := ou.from + 1; n <= streamEvents; n++ {
 		sb.WriteString(eventBody(ou.id, n))
 	}
 	return sb.String()
@@ -182,7 +194,7 @@
 // service that it reads from.
 func (fa Fault) affectsGateway(gateway int) bool {
 	switch {
-	case slices.Contains(gatewayKinds, fa.Kind):
+	case slices.Contains(gatewayKinds, fa.Kind), fa.Kind == SignalSeries:
 		return fa.Target == gateway
 	case slices.Contains(storeKinds, fa.Kind):
 		return true
@@ -190,6 +202,9 @@
 	return false
 }
 
+// stops reports whether a fault shuts a gateway down gracefully.
+func (fa Fault) stops() bool { return fa.Kind == Stop || fa.Kind == SignalSeries }
+
 // undisturbed reports whether no fault affected a gateway from settleTime before a time span to its
 // end.
 func (hi *history) undisturbed(gateway int, from, until time.Time) bool {
@@ -219,7 +234,7 @@
 // truncatedByShutdown reports whether the response to an executed request was truncated while its
 // gateway shut down gracefully and no other fault could have caused it.
 func (hi *history) truncatedByShutdown(ou outcome, executions []execution) (detail string, truncated bool) {
-	if !ou.incomplete || len(executions) == 0 {
+	if !ou.incomplete || ou.ending == endedDeparted || len(executions) == 0 {
 		return "", false
 	}
 	stopped := false
@@ -227,10 +242,10 @@
 		if !hi.overlaps(fa, ou.sent, ou.done) {
 			continue
 		}
-		if fa.Kind != Stop && (fa.affectsGateway(ou.gateway) || slices.Contains(serverKinds, fa.Kind) || slices.Contains(misbehaviourKinds, fa.Kind)) {
+		if !fa.stops() && (fa.affectsGateway(ou.gateway) || slices.Contains(serverKinds, fa.Kind) || slices.Contains(misbehaviourKinds, fa.Kind)) {
 			return "", false
 		}
-		stopped = stopped || fa.Kind == Stop && fa.Target == ou.gateway
+		stopped = stopped || fa.stops() && fa.Target == ou.gateway
 	}
 	return "truncated while " + executions[0].server + " executed it", stopped
 }
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -49,7 +49,7 @@
 // inject applies a fault and returns at its end.
 func (sr *soakRun) inject(fa Fault) {
 	switch fa.Kind {
-	case Kill, Stop:
+	case Kill, Stop, SignalSeries:
 		sr.restartGateway(fa)
 	case Pause:
 		gw := sr.gateways[fa.Target]
@@ -126,6 +126,12 @@
 		si = syscall.SIGKILL
 	}
 	_ = gw.process.Signal(si)
+	if fa.Kind == SignalSeries {
+		for _, si := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+			gw.process.Wait(seriesPause)
+			_ = gw.process.Signal(si)
+		}
+	}
 	gw.process.Wait(gracePeriod + restartTime)
 	if err := sr.startGateway(fa.Target); err != nil {
 		// Clients of this gateway fail from now on, which the Recovery check detects.
@@ -133,6 +139,9 @@
 	}
 }
 
+// seriesPause is the time between the signals of a SignalSeries.
+const seriesPause = 300 * time.Millisecond
+
 // reloadSettings makes a gateway reload a truncated settings file and then the valid one again.
 func (sr *soakRun) reloadSettings(fa Fault) {
 	gw := sr.gateways[fa.Target]
--- a/standin/soak/reports.go
+++ b/standin/soak/reports.go
@@ -24,7 +24,7 @@
 func (hi *history) uninterrupted(gateway int, from, until time.Time) bool {
 	for _, fa := range hi.plan.Faults {
 		switch fa.Kind {
-		case Kill, Stop, Pause:
+		case Kill, Stop, SignalSeries, Pause:
 			if fa.Target == gateway && hi.overlaps(fa, from, until) {
 				return false
 			}
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -23,6 +23,8 @@
 	Stop   FaultKind = "stop"
 	Pause  FaultKind = "pause"
 	Reload FaultKind = "reload"
+	// SignalSeries sends a gateway SIGTERM, with SIGHUP and a further SIGTERM while it stops, and starts it again.
+	SignalSeries FaultKind = "signal-series"
 	// CallersReset resets the connections of a gateway's clients.
 	CallersReset FaultKind = "callers-reset"
 	// StorePartition closes a gateway's connections to the key-value service, new ones at once.
@@ -106,6 +108,8 @@
 	// ends at End.
 	Faults         []Fault
 	FaultsEnd, End time.Duration
+	// Operations is set if half of the callers perform operations.
+	Operations bool
 }
 
 const (
@@ -144,6 +148,24 @@
 	return slices.ContainsFunc(pl.Faults, func(fa Fault) bool { return fa.Kind == PoisonPart })
 }
 
+// seriesInterval is the mean time between the faults that WithOperations adds.
+const seriesInterval = 700 * time.Millisecond
+
+// WithOperations adds callers that perform operations, with bodies and retries, on connections that they use until
+// they are closed, and gateways that are stopped, reloaded and reconfigured in overlapping series. It has a random
+// source of its own, so that the other faults of the seed remain the same.
+func (pl Plan) WithOperations() Plan {
+	rn := rand.New(rand.NewPCG(pl.Seed, pl.Seed+8))
+	pl.Faults, pl.Operations = slices.Clone(pl.Faults), true
+	for at := warmUp; at < pl.FaultsEnd; at += time.Duration(rn.ExpFloat64() * float64(seriesInterval)) {
+		ki := []FaultKind{SignalSeries, SignalSeries, Reload, ConfigChange, Kill, Pause}[rn.IntN(6)]
+		until := min(pl.FaultsEnd, at+time.Duration(rn.Int64N(int64(time.Second))))
+		pl.Faults = append(pl.Faults, Fault{Kind: ki, Target: rn.IntN(pl.Gateways), Start: at, End: until})
+	}
+	slices.SortFunc(pl.Faults, func(a, b Fault) int { return int(a.Start - b.Start) })
+	return pl
+}
+
 // reportFaultsPerKind is how many faults of each kind WithReports adds.
 const reportFaultsPerKind = 2
 
--- a/standin/soak/server.go
+++ b/standin/soak/server.go
@@ -129,7 +129,7 @@
 }
 
 // startServer starts a backend server on loopback behind a proxy.
-func startServer(id string, el *executionLog, de Defect) (*server, error) {
+func startServer(id string, el *executionLog, de Defect, pl Plan) (*server, error) {
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("server: %w", err)
@@ -140,6 +140,9 @@
 	}
 	se := &server{id: id, executions: el, proxy: px, defect: de, faults: map[FaultKind]int{}}
 	se.http = &http.Server{Handler: se, ReadHeaderTimeout: time.Minute, ConnContext: withConn}
+	if pl.Operations {
+		se.http.IdleTimeout = serverIdleTimeout
+	}
 	go func() { _ = se.http.Serve(repeatingListener{li}) }()
 	return se, nil
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -39,6 +39,8 @@
 	OmitsReports Defect = "hides-reports"
 	// IgnoresClose makes servers continue streams whose connection was closed.
 	IgnoresClose Defect = "ignores-close"
+	// ResetsCallers lets connections of callers be reset while their requests are in progress.
+	ResetsCallers Defect = "resets-callers"
 	// OutageNeverEnds makes the key-value service leave all requests unanswered after its first
 	// fault.
 	OutageNeverEnds Defect = "stays-down"
@@ -111,6 +113,10 @@
 	var callers sync.WaitGroup
 	callers.Go(func() { sr.watchMemory(ctx) })
 	for i := range rn.Callers {
+		if pl.Operations && i%2 == 0 {
+			callers.Go(func() { sr.runOperations(ctx.Done(), i) })
+			continue
+		}
 		callers.Go(func() { sr.runCaller(ctx, i) })
 	}
 	for _, fa := range pl.Faults {
@@ -121,6 +127,9 @@
 	cancel()
 	callers.Wait()
 	sr.injections.Wait()
+	if pl.Operations {
+		fmt.Fprintf(os.Stderr, "soak: attempts by ending, and how many ran: %v\n", sr.history.endings())
+	}
 	return sr.history.check(), nil
 }
 
@@ -243,7 +252,7 @@
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
 	sr.serversStarted++
-	se, err := startServer(fmt.Sprintf("s-%d", sr.serversStarted), sr.history.executions, sr.runner.Defect)
+	se, err := startServer(fmt.Sprintf("s-%d", sr.serversStarted), sr.history.executions, sr.runner.Defect, sr.plan)
 	if err != nil {
 		return err
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -44,10 +45,23 @@
 	}
 }
 
+// series returns momentary faults of a kind, one each 50 ms, at the targets in turn.
+func series(ki FaultKind, targets, n int) []Fault {
+	var list []Fault
+	for i := range n {
+		at := time.Duration(i+10) * 50 * time.Millisecond
+		list = append(list, Fault{Kind: ki, Target: i % targets, Start: at, End: at})
+	}
+	return list
+}
+
 // runPlan executes a plan and returns the violations.
 func runPlan(t *testing.T, pl Plan, de Defect) []Violation {
 	t.Helper()
 	rn := &Runner{Bin: bin, Dir: t.TempDir(), Callers: 8, Defect: de}
+	if pl.Operations {
+		rn.Callers = 32
+	}
 	violations, err := rn.Run(t.Context(), pl)
 	require.NoError(t, err)
 	return violations
@@ -128,6 +142,21 @@
 	}
 }
 
+// Callers repeat operations as far as they may, while gateways are stopped, reloaded and reconfigured in overlapping
+// series and servers misbehave.
+func TestOperationsRunOnceInSeriesOfSignals(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			pl := GeneratePlan(seed, 3, 5, 6*time.Second).WithMisbehaviour().WithOperations()
+			rn := &Runner{Bin: bin, Dir: t.TempDir(), Callers: 32}
+			violations, err := rn.Run(t.Context(), pl)
+			require.NoError(t, err)
+			require.Empty(t, violations, "%v", pl.Faults)
+		})
+	}
+}
+
 // Requests of which no two are alike have a part that crashes servers, while gateways are killed,
 // suspended and partitioned from the key-value service, and servers crash for other reasons.
 func TestPoisonPartIsContained(t *testing.T) {
@@ -159,12 +188,17 @@
 		{VariesPoison, PoisonContained, []Fault{{Poison, 0, seconds(0.5), seconds(8)}}, seconds(8)},
 		{OmitsReports, DrainingServer, []Fault{{StoreDown, 0, seconds(0.9), seconds(5.5)}, {ServerAnnouncesShutdown, 0, seconds(1), seconds(1)}}, seconds(7)},
 		{OmitsReports, RetryAfterHonoured, []Fault{{ServerShedsLoad, 0, seconds(1), seconds(4)}, {ServerShedsLoad, 1, seconds(1), seconds(4)}, {ServerShedsLoad, 2, seconds(1), seconds(4)}}, seconds(4)},
+		{RunsTwice, OperationOnce, nil, seconds(1)},
+		{FalseNotExecuted, OperationOnce, nil, seconds(1)},
+		{ResetsCallers, UnreadNotExecuted, series(CallersReset, 2, 40), seconds(2.5)},
+		{IgnoresClose, AbandonedStops, []Fault{{ServerHangs, 0, seconds(0.5), seconds(6)}, {ServerHangs, 1, seconds(0.5), seconds(6)}, {ServerHangs, 2, seconds(0.5), seconds(6)}}, seconds(6)},
 		{IgnoresClose, SingleRun, []Fault{{ServerHangs, 0, seconds(0.5), seconds(4)}}, seconds(4)},
 		{OutageNeverEnds, Recovery, []Fault{{StoreDown, 0, seconds(0.5), seconds(1)}}, seconds(1)},
 	} {
 		t.Run(string(tc.defect)+" "+string(tc.guarantee), func(t *testing.T) {
 			t.Parallel()
 			pl := Plan{Gateways: 2, Servers: 3, Faults: tc.faults, FaultsEnd: tc.faultsEnd, End: tc.faultsEnd + faultFreeTail}
+			pl.Operations = slices.Contains([]Guarantee{OperationOnce, UnreadNotExecuted, AbandonedStops}, tc.guarantee)
 			violated := map[Guarantee]bool{}
 			for _, vi := range runPlan(t, pl, tc.defect) {
 				violated[vi.Guarantee] = true
