test: bounds in time count the time for which the process runs

On an idle machine the bounds are what they were. Also: concurrent starts of processes raced for a slice of the stand-in (race detector, in the new soak test beside load).

--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -38,7 +39,9 @@
 	// Tune adjusts a member's settings before they are written.
 	Tune func(settings map[string]any)
 
-	members   []*Member
+	members []*Member
+	// mu guards processes, which may be started concurrently.
+	mu        sync.Mutex
 	processes []*Process
 }
 
@@ -66,6 +69,8 @@
 		_ = lo.Close()
 		close(pr.done)
 	}()
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
 	fl.processes = append(fl.processes, pr)
 	return pr, nil
 }
@@ -226,6 +231,8 @@
 			stopErr = eris.Errorf("%s exited with code %d", pr.Name, pr.ExitCode())
 		}
 	}
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
 	for _, pr := range fl.processes {
 		if !pr.exited() {
 			_ = pr.Signal(syscall.SIGKILL)
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -103,11 +103,13 @@
 
 // history holds the observations of a run.
 type history struct {
-	plan       Plan
-	start      time.Time
-	outcomes   []outcome
-	executions *executionLog
-	operations []*operation
+	plan  Plan
+	start time.Time
+	// recoverFrom is recoverWithin after the last fault.
+	recoverFrom time.Time
+	outcomes    []outcome
+	executions  *executionLog
+	operations  []*operation
 	// poisoned holds the outcomes of the poison request.
 	poisoned []outcome
 	// poisonedParts holds the outcomes of the requests with the poison part.
@@ -252,11 +254,10 @@
 
 // checkRecovery checks the success rate at the end of the run, after recoverWithin without faults.
 func (hi *history) checkRecovery() []Violation {
-	from := hi.start.Add(hi.plan.FaultsEnd + recoverWithin)
 	total, served := 0, 0
 	var last outcome
 	for _, ou := range hi.outcomes {
-		if ou.sent.Before(from) || !hi.revokedAt[ou.key].IsZero() {
+		if ou.sent.Before(hi.recoverFrom) || !hi.revokedAt[ou.key].IsZero() {
 			continue
 		}
 		total++
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -123,7 +123,11 @@
 		time.Sleep(time.Until(sr.history.start.Add(fa.Start)))
 		sr.injections.Go(func() { sr.inject(fa) })
 	}
-	time.Sleep(time.Until(sr.history.start.Add(pl.End)))
+	time.Sleep(time.Until(sr.history.start.Add(pl.FaultsEnd)))
+	// The rest is measured in running time, which a busy machine does not shorten.
+	fleet.SleepRunning(recoverWithin)
+	sr.history.recoverFrom = time.Now()
+	fleet.SleepRunning(pl.End - pl.FaultsEnd - recoverWithin)
 	cancel()
 	callers.Wait()
 	sr.injections.Wait()
