test(soak): say when a gateway had ended the connection of a stream that went on elsewhere

In the one run of TestOperationsRunOnceInSeriesOfSignals/3 beside 24 to 36 busy loops, with the race detector and 18 other tests of the package, a server worked on a stream for 515 ms after it went on elsewhere (400 are allowed). The record could not tell a late gateway from a late server: both ends were measured in the same starved process. The proxy records when a gateway ends a connection now, and the violation names it. The check and its bound are as they were.

--- a/standin/fleet/proxy.go
+++ b/standin/fleet/proxy.go
@@ -29,6 +29,8 @@
 	// changed is closed and replaced when the impairment changes.
 	changed chan struct{}
 	conns   map[net.Conn]bool
+	// ends holds when clients ended their connections, by the local address of the connection to the target.
+	ends map[string]time.Time
 	// silenced is closed and replaced when the open connections become silent.
 	silenced chan struct{}
 	// bytesPerSecond is the capacity of the link for responses, zero for no limit. linkFreeAt is when it has
@@ -64,7 +66,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "proxy")
 	}
-	px := &Proxy{listener: li, target: target, conns: map[net.Conn]bool{}, changed: make(chan struct{}), silenced: make(chan struct{})}
+	px := &Proxy{listener: li, target: target, conns: map[net.Conn]bool{}, ends: map[string]time.Time{}, changed: make(chan struct{}), silenced: make(chan struct{})}
 	go px.serve()
 	return px, nil
 }
@@ -88,6 +90,20 @@
 	px.changed = make(chan struct{})
 }
 
+func (px *Proxy) recordEnd(address string, now time.Time) {
+	px.mu.Lock()
+	defer px.mu.Unlock()
+	px.ends[address] = now
+}
+
+// EndedAt returns when the client of a connection ended it, the zero time if it has not. The connection is named by
+// the address from which the target sees it come.
+func (px *Proxy) EndedAt(address string) time.Time {
+	px.mu.Lock()
+	defer px.mu.Unlock()
+	return px.ends[address]
+}
+
 // ResetConnections closes the open connections with a TCP reset.
 func (px *Proxy) ResetConnections() {
 	px.mu.Lock()
@@ -180,6 +196,9 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
+		if err != nil && !response {
+			px.recordEnd(to.LocalAddr().String(), time.Now())
+		}
 		px.waitToForward(response)
 		if response {
 			time.Sleep(px.reserveLink(n, time.Now()))
--- a/standin/soak/misbehaviour.go
+++ b/standin/soak/misbehaviour.go
@@ -186,11 +186,19 @@
 		if before.ended.Sub(next.at) <= closeNotice || !hi.undisturbed(ou.gateway, next.at, before.ended) || hi.serverImpaired(next.at) {
 			continue
 		}
-		list = append(list, Violation{SingleRun, ou.id, fmt.Sprintf("%s worked on it for %s after it went on at %s", before.server, before.ended.Sub(next.at), next.server)})
+		list = append(list, Violation{SingleRun, ou.id, fmt.Sprintf("%s worked on it for %s after it went on at %s, %s", before.server, before.ended.Sub(next.at), next.server, before.closedAfter(next.at))})
 	}
 	return list
 }
 
+// closedAfter says when the gateway ended the connection, which separates a late gateway from a late server.
+func (ex execution) closedAfter(at time.Time) string {
+	if ex.closed.IsZero() {
+		return "its connection was open"
+	}
+	return fmt.Sprintf("its connection was closed after %s", ex.closed.Sub(at))
+}
+
 // serverImpaired reports whether the connections to any server were impaired shortly before a time.
 func (hi *history) serverImpaired(at time.Time) bool {
 	return slices.ContainsFunc(hi.plan.Faults, func(fa Fault) bool {
--- a/standin/soak/operation.go
+++ b/standin/soak/operation.go
@@ -133,29 +133,21 @@
 // send makes one attempt. It returns the Retry-After of its response.
 func (op *operation) send(ou *outcome, onNew bool) (wait time.Duration) {
 	oc := op.caller
+	ou.incomplete, ou.ending = true, endedUnread
 	cc, err := oc.connect(ou.gateway, onNew)
 	if err != nil {
-		ou.ending = endedUnread
 		return 0
 	}
-	ou.incomplete = true
 	if err := op.write(cc, ou); err != nil {
-		ou.ending = endedUnread
 		_ = cc.Close()
 		return 0
 	}
-	leaving := oc.rand.Float64() < departingFraction
 	limit := requestDeadline + patience
-	if leaving {
+	if oc.rand.Float64() < departingFraction {
 		limit = time.Duration(oc.rand.Int64N(int64(departWithin)))
 	}
 	_ = cc.SetReadDeadline(time.Now().Add(limit))
-	// Peek returns the connection's own error, which ReadResponse replaces.
-	_, err = cc.reader.Peek(1)
-	var resp *http.Response
-	if err == nil {
-		resp, err = http.ReadResponse(cc.reader, nil)
-	}
+	resp, err := cc.readResponse()
 	if err != nil {
 		ou.ending = endingOf(err)
 		oc.leave(cc)
@@ -167,31 +159,45 @@
 	op.readEvents(ou.body)
 	after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 	wait = time.Duration(after * float64(time.Second))
+	ou.ending = endingWith(ou.status, err)
 	switch {
 	case err != nil:
-		ou.ending = endedBroken
-		if isTimeout(err) {
-			ou.ending = endedDeparted
-		}
 		oc.leave(cc)
 		return wait
-	case isPromise(ou.status):
-		ou.ending = endedPromised
-	case ou.status >= http.StatusInternalServerError:
-		ou.ending = endedBroken
+	case resp.Close:
+		_ = cc.Close()
 	default:
-		ou.ending = endedAnswered
+		_ = cc.SetReadDeadline(time.Time{})
+		oc.idle[ou.gateway] = cc
 	}
 	ou.incomplete = false
-	if resp.Close {
-		_ = cc.Close()
-		return wait
-	}
-	_ = cc.SetReadDeadline(time.Time{})
-	oc.idle[ou.gateway] = cc
 	return wait
 }
 
+// readResponse reads the head of a response. Its error is the connection's own if there was no response.
+func (cc *callerConn) readResponse() (*http.Response, error) {
+	// ReadResponse replaces the error of the connection.
+	if _, err := cc.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(cc.reader, nil)
+}
+
+// endingWith returns how an attempt ended that got a response, with an error if its body is incomplete.
+func endingWith(status int, err error) ending {
+	switch {
+	case isTimeout(err):
+		return endedDeparted
+	case err != nil:
+		return endedBroken
+	case isPromise(status):
+		return endedPromised
+	case status >= http.StatusInternalServerError:
+		return endedBroken
+	}
+	return endedAnswered
+}
+
 // connect returns a connection to a gateway, the one that is open unless a new one is needed.
 func (oc *operationCaller) connect(gateway int, onNew bool) (*callerConn, error) {
 	cc := oc.idle[gateway]
@@ -321,7 +327,7 @@
 	for _, ex := range executions {
 		late := ex.at.After(ou.done.Add(abandonNotice))
 		if (late || ex.ended.Sub(ou.done) > abandonNotice) && !hi.serverImpaired(ou.done) && hi.undisturbed(ou.gateway, ou.done, ou.done.Add(abandonNotice)) {
-			return []Violation{{AbandonedStops, ou.id, fmt.Sprintf("%s worked on it until %s after its caller had left", ex.server, ex.ended.Sub(ou.done))}}
+			return []Violation{{AbandonedStops, ou.id, fmt.Sprintf("%s worked on it until %s after its caller had left, %s", ex.server, ex.ended.Sub(ou.done), ex.closedAfter(ou.done))}}
 		}
 	}
 	return nil
--- a/standin/soak/server.go
+++ b/standin/soak/server.go
@@ -23,8 +23,9 @@
 	at     time.Time
 	// announced is set if the response announced the server's shutdown.
 	announced bool
-	// ended is when the server stopped working on it, the zero time before that.
-	ended time.Time
+	// ended is when the server stopped working on it, the zero time before that. closed is when the gateway had ended
+	// the connection by then, the zero time if it had not.
+	ended, closed time.Time
 }
 
 // executionLog holds, by request id, the executions of all servers and the rejections with a
@@ -47,13 +48,13 @@
 	el.executed[request] = append(el.executed[request], ex)
 }
 
-// end records that a server stopped working on a request.
-func (el *executionLog) end(request, server string, at time.Time) {
+// end records that a server stopped working on a request, and when the gateway had ended its connection.
+func (el *executionLog) end(request, server string, at, closed time.Time) {
 	el.mu.Lock()
 	defer el.mu.Unlock()
 	for i, ex := range el.executed[request] {
 		if ex.server == server {
-			el.executed[request][i].ended = at
+			el.executed[request][i].ended, el.executed[request][i].closed = at, closed
 		}
 	}
 }
@@ -234,7 +235,7 @@
 		return
 	}
 	defer se.releaseSlot()
-	defer func() { se.executions.end(id, se.id, time.Now()) }()
+	defer func() { se.executions.end(id, se.id, time.Now(), se.proxy.EndedAt(r.RemoteAddr)) }()
 	ex := execution{server: se.id, team: r.Header.Get("X-Tenant"), at: time.Now(), announced: announced}
 	se.executions.add(id, ex)
 	if se.defect == RunsTwice {
