fix(soak): recovery is measured from the end of the last restart

Cause: restarts of one gateway wait for each other. In that run the last fault was to end 9.0 s after the start; by their logs gateway 0 was stopped and started four more times until 17.5 s, gateways 1 and 2 until 13.8 and 12.6 s. The runner stopped gateways while it counted. Class: a fault that outlasts its plan. Change: recovery begins when the restarts have ended, and the checks consider restarts at the times at which they happened. The bound is as it was.

--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -204,6 +204,9 @@
 	return false
 }
 
+// restarts reports whether a fault ends a gateway's process, which is started again.
+func (fa Fault) restarts() bool { return fa.Kind == Kill || fa.stops() }
+
 // stops reports whether a fault shuts a gateway down gracefully.
 func (fa Fault) stops() bool { return fa.Kind == Stop || fa.Kind == SignalSeries }
 
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -121,6 +121,8 @@
 	gw := sr.gateways[fa.Target]
 	gw.restartMu.Lock()
 	defer gw.restartMu.Unlock()
+	began := time.Since(sr.history.start)
+	defer func() { sr.recordFault(fa, began) }()
 	si := syscall.SIGTERM
 	if fa.Kind == Kill || sr.runner.Defect == KillsOnStop {
 		si = syscall.SIGKILL
@@ -139,6 +141,14 @@
 	}
 }
 
+// recordFault adds a fault that may have been applied later than planned to those that the checks consider.
+func (sr *soakRun) recordFault(fa Fault, began time.Duration) {
+	fa.Start, fa.End = began, time.Since(sr.history.start)
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	sr.history.plan.Faults = append(sr.history.plan.Faults, fa)
+}
+
 // seriesPause is the time between the signals of a SignalSeries.
 const seriesPause = 300 * time.Millisecond
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -97,6 +98,8 @@
 	keys          []string
 	storeFaults   map[FaultKind]int
 	injections    sync.WaitGroup
+	// restarts holds the injections that restart gateways, which wait for each other and may outlast their faults.
+	restarts sync.WaitGroup
 }
 
 // Run executes a plan and returns the violations. Settings and logs remain in Dir.
@@ -121,9 +124,14 @@
 	}
 	for _, fa := range pl.Faults {
 		time.Sleep(time.Until(sr.history.start.Add(fa.Start)))
-		sr.injections.Go(func() { sr.inject(fa) })
+		group := &sr.injections
+		if fa.restarts() {
+			group = &sr.restarts
+		}
+		group.Go(func() { sr.inject(fa) })
 	}
 	time.Sleep(time.Until(sr.history.start.Add(pl.FaultsEnd)))
+	sr.restarts.Wait()
 	// The rest is measured in running time, which a busy machine does not shorten.
 	fleet.SleepRunning(recoverWithin)
 	sr.history.recoverFrom = time.Now()
@@ -138,6 +146,7 @@
 }
 
 func (rn *Runner) newRun(pl Plan) *soakRun {
+	pl.Faults = slices.Clone(pl.Faults)
 	return &soakRun{
 		runner: rn, plan: pl, store: keyvalue.New(), fleet: &fleet.Fleet{Bin: rn.Bin, Dir: rn.Dir},
 		keys: []string{"key-1", "key-2"}, storeFaults: map[FaultKind]int{},
