fix(entry): an operator gets the outcome of the own change

What operators saw: a change whose write had no response is looked for in the store. If another operator had changed the configuration meanwhile, the newest change was given as the outcome: another revision, summary and operator than their own. Two changes reported the same revision. Cause: the response took the newest change of the envelope instead of the one with the operation's id. Class: what is newest is taken for one's own. Load only makes it likely that a change comes between. TestOperatorGetsTheOwnChangeAfterALostResponse failed before (revision 2, operation 'other' in place of 1, 'own').

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -170,9 +170,11 @@
 		node.WriteError(w, err)
 		return
 	}
-	en.Node.Record(timeline.Entry{Event: event.ConfigAccepted, Revision: ev.Revision, Detail: re.Operator + ": " + re.Summary})
+	// After a lost response, others may have made further changes before this one is found.
+	own, _ := ev.Find(re.Operation)
+	en.Node.Record(timeline.Entry{Event: event.ConfigAccepted, Revision: own.Revision, Detail: re.Operator + ": " + re.Summary})
 	en.Node.Install(config.Compile(ev.Revision, ev.Document))
-	node.WriteJSON(w, http.StatusOK, ev.Changes[0])
+	node.WriteJSON(w, http.StatusOK, own)
 }
 
 func (en *Entry) getHistory(w http.ResponseWriter, r *http.Request) {
