fix(quota): counts of gateways from before all are known are not retained

What callers saw: for 30 s after a start of all gateways, a server with a limit got a smaller part of what it takes, since each gateway's share is computed from the highest count of the last 30 s; others were refused.

TestCountsBeforeAllGatewaysAreKnownAreNotRetained fails on the code before (53 instead of 27).

--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -33,6 +33,17 @@
 	require.Equal(t, 1, (&Fleet{firstObserved: t0}).Estimate(t0.Add(time.Minute)), "a single gateway")
 }
 
+// Guards against shares of limits that stay small for countRetention because gateways were counted twice at the start.
+func TestCountsBeforeAllGatewaysAreKnownAreNotRetained(t *testing.T) {
+	var fl Fleet
+	fl.Observe(1, t0)
+	fl.Observe(53, t0.Add(1500*time.Millisecond))
+	fl.Observe(27, t0.Add(2*time.Second))
+	require.Equal(t, assumedGateways, fl.Estimate(t0.Add(2*time.Second)))
+	fl.Observe(27, t0.Add(settleTime))
+	require.Equal(t, 27, fl.Estimate(t0.Add(settleTime)))
+}
+
 // strategy decides for each gateway whether it sends to a cold server.
 type strategy interface {
 	allows(gateway, server int, now time.Time) bool
