fix(hangup): a caller's close is seen behind further bytes

What callers saw: one that sent a byte more after its request, such as the empty line of old clients or the beginning of a next request, and then closed its connection, had its request worked on until the deadline (4.0 s in the test, 0.5 s are allowed). A stream that it had taken up elsewhere meanwhile ran twice at the same time.

Cause: net/http infers the close from a read of one byte, and reads no further once that read has returned a byte. Class: the end of a connection is taken to be known because it was asked for.

Change: the server's connections go on reading, up to 16 KiB ahead, once such a read has returned a byte, and cancel the requests of the connection at its end. One package serves gateways and entries.

--- a/internal/httpfront/httpfront.go
+++ b/internal/httpfront/httpfront.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/linnetrudder/linnetrudder/internal/hangup"
 )
 
 // Limits holds the size and time limits of requests. It is used as a map key, so all fields must be
@@ -119,7 +121,7 @@
 		se.servers = map[Limits]*connServer{}
 	}
 	se.servers[li] = cs
-	go func() { _ = cs.http.Serve(cs) }()
+	go func() { _ = hangup.Serve(cs.http, cs) }()
 	return cs
 }
 
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/linnetrudder/linnetrudder/internal/config"
+	"github.com/linnetrudder/linnetrudder/internal/hangup"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 )
 
@@ -102,10 +103,10 @@
 func ServeHTTP(ctx context.Context, ln net.Listener, ha http.Handler, stopTimeout time.Duration) error {
 	srv := &http.Server{Handler: ha, ReadHeaderTimeout: readHeaderTimeout}
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- srv.Serve(ln) }()
+	go func() { serveErr <- hangup.Serve(srv, ln) }()
 	select {
 	case err := <-serveErr:
-		return eris.Wrap(err, "serve")
+		return err
 	case <-ctx.Done():
 	}
 	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
