test(soak): callers that send further bytes before they leave, requests that outlast the notice

What would have found the close that was not seen: callers of the soak closed connections without a further byte, and what they left ended within the 500 ms that servers have, or with the failed write of the next event.

Operations take a request of 900 ms besides; half of the callers that leave send an empty line 10 ms before. Servers end such a request when its connection ends. The record of a connection's end is dropped when its address is used again; it said that a connection was closed 6.5 s before its request.

--- a/standin/fleet/proxy.go
+++ b/standin/fleet/proxy.go
@@ -187,6 +187,7 @@
 		return nil, false
 	}
 	px.conns[client], px.conns[target] = true, true
+	delete(px.ends, target.LocalAddr().String()) // of an earlier connection with this address
 	return px.silenced, true
 }
 
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -41,7 +41,7 @@
 	OperationOnce Guarantee = "operation-once"
 	// UnreadNotExecuted: a request whose connection was reset before any response is never executed.
 	UnreadNotExecuted Guarantee = "true-reset"
-	// AbandonedStops: servers stop working on a stream abandonNotice after its caller has left.
+	// AbandonedStops: servers stop working on a stream or a long request abandonNotice after its caller has left.
 	AbandonedStops Guarantee = "abandoned-stops"
 	// Recovery: requests succeed again within recoverWithin of the last fault.
 	Recovery Guarantee = "recovery"
--- a/standin/soak/operation.go
+++ b/standin/soak/operation.go
@@ -21,6 +21,8 @@
 	// sent them.
 	departingFraction = 0.08
 	departWithin      = 250 * time.Millisecond
+	// lastBytesPause is the time from the last bytes that a departing caller sends until it closes the connection.
+	lastBytesPause = 10 * time.Millisecond
 	// slowBodyFraction is the fraction of attempts whose body follows bodyPause after their head.
 	slowBodyFraction = 0.1
 	bodyPause        = 10 * time.Millisecond
@@ -32,6 +34,9 @@
 	serverIdleTimeout = 150 * time.Millisecond
 )
 
+// operationPaths are the paths of operations.
+var operationPaths = []string{"/safe/x", "/unsafe/x", "/stream/x", longPath}
+
 // ending is how an attempt ended for its caller. Its values appear in reports.
 type ending string
 
@@ -92,7 +97,7 @@
 		default:
 		}
 		op := &operation{
-			caller: oc, name: fmt.Sprintf("o-%d-%d", caller, n), path: []string{"/safe/x", "/unsafe/x", "/stream/x"}[oc.rand.IntN(3)],
+			caller: oc, name: fmt.Sprintf("o-%d-%d", caller, n), path: operationPaths[oc.rand.IntN(len(operationPaths))],
 			key: sr.pickKey(caller + n + 1), began: time.Now(),
 		}
 		op.perform()
@@ -219,8 +224,12 @@
 	return &callerConn{Conn: conn, reader: bufio.NewReader(conn)}, nil
 }
 
-// leave closes a connection: with its end, or with a reset.
+// leave closes a connection: with its end, or with a reset, and behind an empty line or not.
 func (oc *operationCaller) leave(cc *callerConn) {
+	if oc.rand.IntN(2) == 0 {
+		_, _ = io.WriteString(cc, "\r\n")
+		time.Sleep(lastBytesPause)
+	}
 	if tc, ok := cc.Conn.(*net.TCPConn); ok && oc.rand.IntN(2) == 0 {
 		_ = tc.SetLinger(0)
 	}
@@ -319,9 +328,9 @@
 	return list
 }
 
-// checkDeparture finds a stream that a server worked on abandonNotice after its caller had left.
+// checkDeparture finds a stream or a long request that a server worked on abandonNotice after its caller had left.
 func (hi *history) checkDeparture(ou outcome, executions []execution) []Violation {
-	if ou.ending != endedDeparted || !strings.HasPrefix(ou.path, "/stream/") || !hi.undisturbed(ou.gateway, ou.sent, ou.done) {
+	if ou.ending != endedDeparted || ou.path != longPath && !strings.HasPrefix(ou.path, "/stream/") || !hi.undisturbed(ou.gateway, ou.sent, ou.done) {
 		return nil
 	}
 	for _, ex := range executions {
--- a/standin/soak/server.go
+++ b/standin/soak/server.go
@@ -77,6 +77,9 @@
 	plainDuration = 15 * time.Millisecond
 	eventInterval = 20 * time.Millisecond
 	streamEvents  = 8
+	// longDuration is how long a request to longPath takes. Its caller may leave long before abandonNotice is over.
+	longDuration = 900 * time.Millisecond
+	longPath     = "/unsafe/long"
 	// slots is how many requests a server executes concurrently.
 	slots = 32
 	// errorFraction is the fraction of requests that fail under ServerErrors,
@@ -250,7 +253,12 @@
 	if se.faultActive(ServerSlow, 1) {
 		duration *= slowFactor
 	}
-	time.Sleep(duration)
+	if r.URL.Path == longPath {
+		duration = longDuration
+	}
+	if !se.wait(r.Context(), duration) {
+		panic(http.ErrAbortHandler)
+	}
 	if r.Header.Get(headerPoison) != "" {
 		se.crash()
 		<-r.Context().Done()
@@ -320,7 +328,7 @@
 	}
 }
 
-// wait waits between two events. It reports whether the connection is still open.
+// wait waits while the server works. It reports whether the connection is still open.
 func (se *server) wait(ctx context.Context, pause time.Duration) bool {
 	if se.defect == IgnoresClose {
 		time.Sleep(pause)
