fix(entry): requests wait for the first dial of each agent after a start

What callers saw: an entry that had just started answered 503, code 401 (no server), Retry-After 1 s, although all servers were reachable.

Cause: the configuration may come from the key-value service some milliseconds before the links to the agents are open. Until the first attempt to link to each agent has ended, an entry does not know which servers it can reach.

Change: requests wait for that, at most 500 ms after the start or the first list of boxes; then they are decided on at once as before.

--- a/internal/entry/caller_request.go
+++ b/internal/entry/caller_request.go
@@ -141,13 +141,14 @@
 	return cr, nil
 }
 
-func (en *Entry) checkReady(_ *http.Request, _ *callerRequest) error {
+func (en *Entry) checkReady(r *http.Request, _ *callerRequest) error {
 	if en.Node.Stopping() {
 		return result.New(result.Leaving, "")
 	}
 	if en.Node.Snapshot() == nil {
 		return result.New(result.NoConfiguration, "")
 	}
+	en.awaitInitialDials(r.Context())
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	if en.outbox.Full() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -93,6 +93,8 @@
 	billAcks map[string][]wire.BillLine
 	// dialers holds the supervised dialer of each agent, by box.
 	dialers map[string]dialer
+	// dials tells when the agents have been dialled for the first time.
+	dials initialDials
 	// serverOf maps an agent's box to its backend server, boxOf is the inverse.
 	serverOf, boxOf map[string]string
 	// attempts maps the stream number of each attempt to its request.
@@ -158,6 +160,7 @@
 	en.billAcks = map[string][]wire.BillLine{}
 	en.Node.Fanout = replica.EntryFanout
 	en.dialers = map[string]dialer{}
+	en.dials = newInitialDials(clock.Now())
 	en.serverOf = map[string]string{}
 	en.boxOf = map[string]string{}
 	en.attempts = map[uint64]*sentAttempt{}
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -10,6 +10,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/boxes"
 	"github.com/linnetrudder/linnetrudder/internal/claim"
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/link"
 	"github.com/linnetrudder/linnetrudder/internal/node"
@@ -69,6 +70,7 @@
 		if bo, ok := wanted[box]; !ok || bo.Address != di.address {
 			ending = append(ending, di)
 			delete(en.dialers, box)
+			en.dials.end(box)
 		}
 	}
 	var starting []boxes.Box
@@ -82,6 +84,7 @@
 			starting = append(starting, bo)
 		}
 	}
+	en.dials.list(agentNames(starting), clock.Now())
 	for _, bo := range starting {
 		token := en.supervisor.Add(node.Service{Name: "link to " + bo.Name, Run: en.maintainLink(bo)})
 		en.dialers[bo.Name] = dialer{token: token, address: bo.Address}
@@ -167,6 +170,9 @@
 	defer cancel()
 	li, err := link.Dial(dialing, bo.Address, en.Node.Identity(), time.Now())
 	if err != nil {
+		en.mu.Lock()
+		defer en.mu.Unlock()
+		en.dials.end(bo.Name)
 		return false
 	}
 	li.Handler = en
@@ -177,6 +183,9 @@
 	en.balancer.LinkUp(bo.Server, bo.DataCentre)
 	en.mu.Unlock()
 	en.Node.AddLink(li)
+	en.mu.Lock()
+	en.dials.end(bo.Name)
+	en.mu.Unlock()
 	err = li.Run(ctx)
 	if en.Node.RemoveLink(li, err) {
 		en.mu.Lock()
