--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -157,14 +157,10 @@
 	gw := sr.gateways[fa.Target]
 	gw.restartMu.Lock()
 	defer gw.restartMu.Unlock()
-	valid, err := os.ReadFile(gw.settingsPath)
-	if err != nil {
-		return
-	}
-	_ = os.WriteFile(gw.settingsPath, valid[:len(valid)/2], 0o600)
+	_ = gw.writeSettings(gw.settings[:len(gw.settings)/2])
 	_ = gw.process.Signal(syscall.SIGHUP)
 	time.Sleep(requestInterval)
-	_ = os.WriteFile(gw.settingsPath, valid, 0o600)
+	_ = gw.writeSettings(gw.settings)
 	_ = gw.process.Signal(syscall.SIGHUP)
 }
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -63,13 +63,16 @@
 	restartTime = time.Second
 	// crashedEntryTTL is how long the entry of a crashed server remains.
 	crashedEntryTTL = 1500 * time.Millisecond
-	// gracePeriod is the time that the settings allow for a graceful shutdown.
-	gracePeriod = 3 * time.Second
+	// gracePeriod is the time that the settings allow for a graceful shutdown, shortGracePeriod the time that they
+	// allow for when a process starts, if it is raised later.
+	gracePeriod      = 3 * time.Second
+	shortGracePeriod = time.Second
 )
 
 // gateway is a gateway process with the proxies for its clients and for the key-value service.
 type gateway struct {
-	settingsPath            string
+	// settingsPath is where the settings are, settings the ones in force.
+	settingsPath, settings  string
 	address                 string
 	clientProxy, storeProxy *fleet.Proxy
 	process                 *fleet.Process
@@ -196,10 +199,7 @@
 	}
 	host, port, _ := strings.Cut(relay, ":")
 	gw.settingsPath = filepath.Join(sr.runner.Dir, fmt.Sprintf("gateway-%d.toml", i))
-	text := fmt.Sprintf(settingsTemplate, i, host, port, port, gw.address, ready, sr.runner.CPUShare, gracePeriod.Seconds(), revokeBound.Milliseconds(), gw.storeProxy.Address())
-	if err := os.WriteFile(gw.settingsPath, []byte(text), 0o600); err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
+	gw.settings = fmt.Sprintf(settingsTemplate, i, host, port, port, gw.address, ready, sr.runner.CPUShare, gracePeriod.Seconds(), revokeBound.Milliseconds(), gw.storeProxy.Address())
 	sr.gateways = append(sr.gateways, gw)
 	return sr.startGateway(i)
 }
@@ -227,17 +227,46 @@
 `
 
 // startGateway starts a gateway's process and waits until it accepts connections. The port of a process
-// that is still stopping remains in use for a moment.
+// that is still stopping remains in use for a moment. If callers perform operations, the grace period is raised after
+// the start, with a signal at every second gateway.
 func (sr *soakRun) startGateway(i int) error {
 	gw := sr.gateways[i]
+	initial := gw.settings
+	if sr.plan.Operations {
+		initial = strings.ReplaceAll(initial, graceSetting(gracePeriod), graceSetting(shortGracePeriod))
+	}
+	if err := gw.writeSettings(initial); err != nil {
+		return err
+	}
 	pr, err := sr.fleet.Start(fmt.Sprintf("gateway-%d", i), "linnetrudder", "gateway", "--settings", gw.settingsPath)
 	if err != nil {
 		return err
 	}
 	gw.process = pr
-	return pr.WaitListening(gw.address)
+	if err := pr.WaitListening(gw.address); err != nil {
+		return err
+	}
+	if initial == gw.settings {
+		return nil
+	}
+	if err := gw.writeSettings(gw.settings); err != nil {
+		return err
+	}
+	if i%2 == 0 {
+		return pr.Signal(syscall.SIGHUP)
+	}
+	return nil
+}
+
+func (gw *gateway) writeSettings(text string) error {
+	if err := os.WriteFile(gw.settingsPath, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	return nil
 }
 
+func graceSetting(grace time.Duration) string { return fmt.Sprintf("grace_s = %v\n", grace.Seconds()) }
+
 // close stops everything that the run has started.
 func (sr *soakRun) close() {
 	for _, gw := range sr.gateways {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -157,6 +157,14 @@
 	}
 }
 
+// The grace period is raised while the gateways run, with and without a signal, before they are stopped.
+func TestRaisedGracePeriodIsKept(t *testing.T) {
+	at := func(n time.Duration) time.Duration { return n * time.Second }
+	pl := Plan{Gateways: 2, Servers: 3, FaultsEnd: at(9), End: at(9) + faultFreeTail, Operations: true}
+	pl.Faults = []Fault{{Stop, 0, at(1), at(1)}, {Stop, 1, at(1), at(1)}, {Stop, 0, at(5), at(5)}, {Stop, 1, at(6), at(6)}}
+	require.Empty(t, runPlan(t, pl, ""))
+}
+
 // Requests of which no two are alike have a part that crashes servers, while gateways are killed,
 // suspended and partitioned from the key-value service, and servers crash for other reasons.
 func TestPoisonPartIsContained(t *testing.T) {
