test(soak): a third of the gateways is turned away, and a slow version is ordered

The soak removes a route, and checks that gateways that nothing disturbed for 3 s do not use it 2 s later. It orders a version whose requests take 2.5 times as long, and checks that it is not completed and gets at most 15 in 100 requests and 30 more.

A first version of the check, of revoked keys, did not find the fault: keys are refused after 3.7 s of an unknown state, before a gateway counts as undisturbed again.

--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -19,6 +19,9 @@
 	RefusedNotExecuted Guarantee = "true-refusal"
 	// ResponseIntegrity: a successful response is complete and belongs to its request.
 	ResponseIntegrity Guarantee = "own-answer"
+	// ChangeInForce: gateways that no fault has disturbed for settleTime do not use a route later than applyBound after it
+	// was removed.
+	ChangeInForce Guarantee = "change-in-force"
 	// RevokedKey: an API key is not accepted later than revokeBound after its revocation.
 	RevokedKey Guarantee = "revoked-key"
 	// DrainingServer: a server gets no new requests later than drainBound after it starts draining.
@@ -43,6 +46,9 @@
 	UnreadNotExecuted Guarantee = "true-reset"
 	// AbandonedStops: servers stop working on a stream or a long request abandonNotice after its caller has left.
 	AbandonedStops Guarantee = "abandoned-stops"
+	// BadVersionContained: a version that is much slower is not completed, and gets at most canaryShare of the requests
+	// until its deadline.
+	BadVersionContained Guarantee = "bad-version"
 	// Recovery: requests succeed again within recoverWithin of the last fault.
 	Recovery Guarantee = "recovery"
 )
@@ -81,7 +87,9 @@
 	// revokeBound and drainBound are the times within which gateways must stop accepting a
 	// revoked key and stop sending requests to a draining server.
 	revokeBound = 5 * time.Second
-	drainBound  = 2 * time.Second
+	// applyBound is the time within which gateways must apply a change of the configuration.
+	applyBound = 2 * time.Second
+	drainBound = 2 * time.Second
 	// requestDeadline is the deadline that clients set.
 	requestDeadline = 1500 * time.Millisecond
 	// timingSlack is added to requestDeadline in the check, since the gateways share a machine with their clients.
@@ -116,6 +124,10 @@
 	poisonedParts []outcome
 	// revokedAt and drainedAt hold when keys were revoked and servers started draining.
 	revokedAt, drainedAt map[string]time.Time
+	// routeRemovedAt is when the route of removedPath was removed, far in the future if it was not.
+	routeRemovedAt time.Time
+	// rollout is the roll-out of a slow version, nil if there was none.
+	rollout *slowRollout
 	// resident is the resident memory of each gateway.
 	resident []residentRange
 }
@@ -138,6 +150,9 @@
 		if ou.status == http.StatusOK && !ou.incomplete && ou.body != ou.expectedBody() {
 			add(ResponseIntegrity, ou, "got body %q", ou.body)
 		}
+		if late := ou.sent.Sub(hi.routeRemovedAt); ou.path == removedPath && late > applyBound && len(executions) > 0 && hi.inContact(ou.gateway, ou.sent) {
+			add(ChangeInForce, ou, "executed on %s %s after its route was removed", executions[0].server, late)
+		}
 		if at, ok := hi.revokedAt[ou.key]; ok && ou.sent.Sub(at) > revokeBound && len(executions) > 0 {
 			add(RevokedKey, ou, "executed %s after its key was revoked", executions[0].at.Sub(at))
 		}
@@ -156,6 +171,7 @@
 	list = append(list, hi.checkPauses()...)
 	list = append(list, hi.checkMemory()...)
 	list = append(list, hi.checkOperations()...)
+	list = append(list, hi.checkRollout()...)
 	return append(list, hi.checkRecovery()...)
 }
 
@@ -218,6 +234,17 @@
 	})
 }
 
+// inContact reports whether no fault, nor connections that became silent, affected a gateway from settleTime before a time.
+func (hi *history) inContact(gateway int, at time.Time) bool {
+	return !slices.ContainsFunc(hi.plan.Faults, func(fa Fault) bool {
+		end := hi.start.Add(fa.End).Add(settleTime)
+		if fa.restarts() {
+			end = end.Add(restartTime)
+		}
+		return (fa.affectsGateway(gateway) || fa.Kind == ConnectionsSilent) && hi.start.Add(fa.Start).Before(at) && end.After(at)
+	})
+}
+
 // overlaps reports whether a fault, with the restart that may follow it, overlaps a time span.
 func (hi *history) overlaps(fa Fault, from, until time.Time) bool {
 	return hi.start.Add(fa.Start).Before(until) && hi.start.Add(fa.End).Add(restartTime).After(from)
@@ -260,7 +287,7 @@
 	total, served := 0, 0
 	var last outcome
 	for _, ou := range hi.outcomes {
-		if ou.sent.Before(hi.recoverFrom) || !hi.revokedAt[ou.key].IsZero() {
+		if ou.sent.Before(hi.recoverFrom) || !hi.revokedAt[ou.key].IsZero() || ou.path == removedPath {
 			continue
 		}
 		total++
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -74,7 +74,7 @@
 		sr.store.ExpireLeases()
 	case StoreRestore:
 		sr.restoreStore(fa)
-	case ConfigChange, LargeConfig, KeyRevocation:
+	case ConfigChange, LargeConfig, KeyRevocation, RouteRemoval:
 		sr.changeConfig(fa.Kind)
 	case Poison:
 		sr.sendPoison(fa)
@@ -84,6 +84,8 @@
 		sr.silenceConnections()
 	case ServerEndlessHead:
 		sr.endlessHeads(fa)
+	case SlowRollout:
+		sr.rollOutSlowly(fa)
 	default:
 		sr.injectServerFault(fa)
 	}
@@ -96,6 +98,8 @@
 		sr.revokeKey()
 	case LargeConfig:
 		sr.publishLargeConfig()
+	case RouteRemoval:
+		sr.removeRoute()
 	default:
 		sr.publishConfig()
 	}
@@ -306,7 +310,7 @@
 
 // replaceServer starts a server and swaps it with one that stops, so that the new one has its index.
 func (sr *soakRun) replaceServer(index int, old *server) {
-	if err := sr.addServer(); err != nil {
+	if err := sr.addServer(firstVersion); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "soak: replacement of a backend server failed:", err)
 		return
 	}
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -72,9 +72,11 @@
 	PoisonPart FaultKind = "poison-part"
 	// LargeConfig publishes a configuration with many more routes.
 	LargeConfig FaultKind = "configure-large"
-	// ConfigChange publishes a new version of the configuration, KeyRevocation revokes an API key.
+	// ConfigChange publishes a new version of the configuration, KeyRevocation revokes an API key. RouteRemoval removes
+	// the route of removedPath, which a part of the requests uses in its plans.
 	ConfigChange  FaultKind = "configure"
 	KeyRevocation FaultKind = "revoke"
+	RouteRemoval  FaultKind = "remove-route"
 )
 
 // gatewayKinds affect one gateway, storeKinds the key-value service and serverKinds one backend
@@ -104,6 +106,8 @@
 type Plan struct {
 	Seed              uint64
 	Gateways, Servers int
+	// DataCentres is the number of data centres that the gateways are in, one if it is zero.
+	DataCentres int
 	// Faults are ordered by their start. Those that GeneratePlan draws end by FaultsEnd; the run
 	// ends at End.
 	Faults         []Fault
@@ -148,6 +152,14 @@
 	return slices.ContainsFunc(pl.Faults, func(fa Fault) bool { return fa.Kind == PoisonPart })
 }
 
+// removedPath is the path of a route that RouteRemoval removes.
+const removedPath = "/removed/x"
+
+// removesRoute reports whether the plan removes the route of removedPath.
+func (pl Plan) removesRoute() bool {
+	return slices.ContainsFunc(pl.Faults, func(fa Fault) bool { return fa.Kind == RouteRemoval })
+}
+
 // seriesInterval is the mean time between the faults that WithOperations adds.
 const seriesInterval = 700 * time.Millisecond
 
--- a/standin/soak/server.go
+++ b/standin/soak/server.go
@@ -18,9 +18,9 @@
 
 // execution is one execution of a request as a backend server observed it.
 type execution struct {
-	server string
-	team   string
-	at     time.Time
+	server, version string
+	team            string
+	at              time.Time
 	// announced is set if the response announced the server's shutdown.
 	announced bool
 	// ended is when the server stopped working on it, the zero time before that. closed is when the gateway had ended
@@ -113,11 +113,11 @@
 
 // server is one instance of a simulated backend server.
 type server struct {
-	id         string
-	executions *executionLog
-	proxy      *fleet.Proxy
-	http       *http.Server
-	defect     Defect
+	id, version string
+	executions  *executionLog
+	proxy       *fleet.Proxy
+	http        *http.Server
+	defect      Defect
 	// crash stops the server without notice.
 	crash func()
 
@@ -132,8 +132,8 @@
 	entriesWritten int
 }
 
-// startServer starts a backend server on loopback behind a proxy.
-func startServer(id string, el *executionLog, de Defect, pl Plan) (*server, error) {
+// startServer starts a backend server of a version on loopback behind a proxy.
+func startServer(id, version string, el *executionLog, de Defect, pl Plan) (*server, error) {
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("server: %w", err)
@@ -142,7 +142,7 @@
 	if err != nil {
 		return nil, err
 	}
-	se := &server{id: id, executions: el, proxy: px, defect: de, faults: map[FaultKind]int{}}
+	se := &server{id: id, version: version, executions: el, proxy: px, defect: de, faults: map[FaultKind]int{}}
 	se.http = &http.Server{Handler: se, ReadHeaderTimeout: time.Minute, ConnContext: withConn}
 	if pl.Operations {
 		se.http.IdleTimeout = serverIdleTimeout
@@ -205,7 +205,7 @@
 		state = "draining"
 	}
 	return map[string]any{
-		"service": "svc", "address": se.proxy.Address(), "zone": "z1", "version": "v1",
+		"service": "svc", "address": se.proxy.Address(), "zone": "z1", "version": se.version,
 		"slots": slots, "state": state, "cold_remaining_ms": 0, "seq": se.entriesWritten,
 	}
 }
@@ -239,7 +239,7 @@
 	}
 	defer se.releaseSlot()
 	defer func() { se.executions.end(id, se.id, time.Now(), se.proxy.EndedAt(r.RemoteAddr)) }()
-	ex := execution{server: se.id, team: r.Header.Get("X-Tenant"), at: time.Now(), announced: announced}
+	ex := execution{server: se.id, version: se.version, team: r.Header.Get("X-Tenant"), at: time.Now(), announced: announced}
 	se.executions.add(id, ex)
 	if se.defect == RunsTwice {
 		se.executions.add(id, ex)
@@ -249,7 +249,7 @@
 
 // execute writes the response to a request, subject to the faults and the defect of the server.
 func (se *server) execute(w http.ResponseWriter, r *http.Request, id string) {
-	duration := plainDuration
+	duration := se.onVersion(plainDuration)
 	if se.faultActive(ServerSlow, 1) {
 		duration *= slowFactor
 	}
@@ -318,7 +318,7 @@
 		}
 		_, _ = io.WriteString(w, eventBody(id, n))
 		_ = http.NewResponseController(w).Flush()
-		pause := eventInterval
+		pause := se.onVersion(eventInterval)
 		if se.faultActive(ServerHangs, hangingFraction) {
 			pause = hangTime
 		}
@@ -328,6 +328,14 @@
 	}
 }
 
+// onVersion returns how long work takes on the server's version that takes some time on the first one.
+func (se *server) onVersion(work time.Duration) time.Duration {
+	if se.version == slowVersion {
+		return time.Duration(slowVersionFactor * float64(work))
+	}
+	return work
+}
+
 // wait waits while the server works. It reports whether the connection is still open.
 func (se *server) wait(ctx context.Context, pause time.Duration) bool {
 	if se.defect == IgnoresClose {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -98,9 +98,11 @@
 	configVersion  int
 	// furtherRoutes is the number of routes that no client uses.
 	furtherRoutes int
-	keys          []string
-	storeFaults   map[FaultKind]int
-	injections    sync.WaitGroup
+	// routeRemoved is set once the route of removedPath is not in the configuration any more.
+	routeRemoved bool
+	keys         []string
+	storeFaults  map[FaultKind]int
+	injections   sync.WaitGroup
 	// restarts holds the injections that restart gateways, which wait for each other and may outlast their faults.
 	restarts sync.WaitGroup
 }
@@ -142,6 +144,7 @@
 	cancel()
 	callers.Wait()
 	sr.injections.Wait()
+	sr.readRollout()
 	if pl.Operations {
 		fmt.Fprintf(os.Stderr, "soak: attempts by ending, and how many ran: %v\n", sr.history.endings())
 	}
@@ -153,7 +156,7 @@
 	return &soakRun{
 		runner: rn, plan: pl, store: keyvalue.New(), fleet: &fleet.Fleet{Bin: rn.Bin, Dir: rn.Dir},
 		keys: []string{"key-1", "key-2"}, storeFaults: map[FaultKind]int{},
-		history: &history{plan: pl, executions: &executionLog{executed: map[string][]execution{}, rejected: map[string][]execution{}}, revokedAt: map[string]time.Time{}, drainedAt: map[string]time.Time{}, resident: make([]residentRange, pl.Gateways)},
+		history: &history{plan: pl, routeRemovedAt: time.Now().Add(time.Hour), executions: &executionLog{executed: map[string][]execution{}, rejected: map[string][]execution{}}, revokedAt: map[string]time.Time{}, drainedAt: map[string]time.Time{}, resident: make([]residentRange, pl.Gateways)},
 	}
 }
 
@@ -162,7 +165,7 @@
 	address := strings.TrimPrefix(sr.storeServer.URL, "http://")
 	sr.publishConfig()
 	for range sr.plan.Servers {
-		if err := sr.addServer(); err != nil {
+		if err := sr.addServer(firstVersion); err != nil {
 			return err
 		}
 	}
@@ -199,7 +202,7 @@
 	}
 	host, port, _ := strings.Cut(relay, ":")
 	gw.settingsPath = filepath.Join(sr.runner.Dir, fmt.Sprintf("gateway-%d.toml", i))
-	gw.settings = fmt.Sprintf(settingsTemplate, i, host, port, port, gw.address, ready, sr.runner.CPUShare, gracePeriod.Seconds(), revokeBound.Milliseconds(), gw.storeProxy.Address())
+	gw.settings = fmt.Sprintf(settingsTemplate, i, 1+i%max(1, sr.plan.DataCentres), host, port, port, gw.address, ready, sr.runner.CPUShare, gracePeriod.Seconds(), revokeBound.Milliseconds(), applyBound.Milliseconds(), canaryShare, canarySlack, gw.storeProxy.Address())
 	sr.gateways = append(sr.gateways, gw)
 	return sr.startGateway(i)
 }
@@ -207,7 +210,7 @@
 // settingsTemplate is the template of a gateway's settings file.
 const settingsTemplate = `
 node_name = "front-%d"
-zone = "z1"
+zone = "z%d"
 ip = "%s"
 port_range = [%s, %s]
 [listen]
@@ -219,9 +222,13 @@
 [bounds]
 grace_s = %v
 revoke_ms = %d
+config_apply_ms = %d
 strict_revoke = true
 retry_budget_ratio = 0.9
 budget_window_s = 10
+canary_share = %v
+canary_slack = %d
+session_s = 5
 [platform]
 address = "%s"
 `
@@ -289,12 +296,12 @@
 	}
 }
 
-// addServer starts a backend server and writes its entry; the caller does not hold mu.
-func (sr *soakRun) addServer() error {
+// addServer starts a backend server of a version and writes its entry; the caller does not hold mu.
+func (sr *soakRun) addServer(version string) error {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
 	sr.serversStarted++
-	se, err := startServer(fmt.Sprintf("s-%d", sr.serversStarted), sr.history.executions, sr.runner.Defect, sr.plan)
+	se, err := startServer(fmt.Sprintf("s-%d", sr.serversStarted), version, sr.history.executions, sr.runner.Defect, sr.plan)
 	if err != nil {
 		return err
 	}
@@ -338,6 +345,9 @@
 		}
 	}
 	routes := []any{route("safe", "safe", 3), route("unsafe", "unsafe", 1), route("stream", "streaming", 3)}
+	if sr.plan.removesRoute() && !sr.routeRemoved {
+		routes = append(routes, route("removed", "safe", 3))
+	}
 	for i := range sr.furtherRoutes {
 		routes = append(routes, route(fmt.Sprint("further-", i), "safe", 3))
 	}
@@ -362,6 +372,17 @@
 	sr.history.revokedAt[revoked] = time.Now()
 }
 
+// removeRoute removes the route of removedPath.
+func (sr *soakRun) removeRoute() {
+	sr.mu.Lock()
+	sr.routeRemoved = true
+	sr.mu.Unlock()
+	sr.publishConfig()
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	sr.history.routeRemovedAt = time.Now()
+}
+
 // pickKey returns the API key for the nth request. Every eighth request uses the first key, also after
 // its revocation.
 func (sr *soakRun) pickKey(n int) string {
@@ -383,6 +404,9 @@
 			id: fmt.Sprintf("r-%d-%d", caller, n), gateway: (caller + n/5) % len(sr.gateways),
 			path: []string{"/safe/x", "/unsafe/x", "/stream/x"}[n%3], key: sr.pickKey(caller + n),
 		}
+		if sr.plan.removesRoute() && n%8 == 0 {
+			ou.path = removedPath
+		}
 		if sr.plan.hasPoisonPart() {
 			ou.prompt = fmt.Sprintf("common:100,subject-%d:100,own-%d:50", n%7, n)
 		}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -165,6 +165,37 @@
 	require.Empty(t, runPlan(t, pl, ""))
 }
 
+// The key-value service turns a third of the gateways away, those that call it for others, and one call of each of the others
+// fails just before a route is removed.
+func TestChangeIsInForceWhenAThirdOfTheGatewaysIsTurnedAway(t *testing.T) {
+	t.Parallel()
+	at := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+	const gateways, centres = 9, 3
+	pl := Plan{Gateways: gateways, Servers: 6, DataCentres: centres, FaultsEnd: at(12), End: at(12) + faultFreeTail}
+	for i := range centres {
+		pl.Faults = append(pl.Faults, Fault{StorePartition, i, at(1), at(12)})
+	}
+	for i := centres; i < gateways; i++ {
+		pl.Faults = append(pl.Faults, Fault{StorePartition, i, at(5), at(5.1)})
+	}
+	pl.Faults = append(pl.Faults, Fault{RouteRemoval, 0, at(5.5), at(5.5)})
+	rn := &Runner{Bin: bin, Dir: t.TempDir(), Callers: 48}
+	violations, err := rn.Run(t.Context(), pl)
+	require.NoError(t, err)
+	require.Empty(t, violations)
+}
+
+// A version that is slower in all its responses is ordered.
+func TestSlowVersionIsNotCompleted(t *testing.T) {
+	t.Parallel()
+	at := func(n time.Duration) time.Duration { return n * time.Second }
+	pl := Plan{Gateways: 3, Servers: 6, Faults: []Fault{{SlowRollout, 0, at(1), at(13)}}, FaultsEnd: at(13), End: at(13) + faultFreeTail}
+	rn := &Runner{Bin: bin, Dir: t.TempDir(), Callers: 32}
+	violations, err := rn.Run(t.Context(), pl)
+	require.NoError(t, err)
+	require.Empty(t, violations)
+}
+
 // Requests of which no two are alike have a part that crashes servers, while gateways are killed,
 // suspended and partitioned from the key-value service, and servers crash for other reasons.
 func TestPoisonPartIsContained(t *testing.T) {
