--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -19,18 +19,24 @@
 
 // awaitHangUp reports whether a connection is found to be closed within a time, without reading from it.
 func awaitHangUp(t *testing.T, conn *net.TCPConn, within time.Duration) bool {
+	t.Helper()
+	return awaitEvent(t, conn, within, unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR)
+}
+
+// awaitEvent reports whether one of the events occurs on a connection within a time.
+func awaitEvent(t *testing.T, conn *net.TCPConn, within time.Duration, events int16) bool {
 	t.Helper()
 	raw, err := conn.SyscallConn()
 	require.NoError(t, err)
-	closed := false
+	occurred := false
 	require.NoError(t, raw.Control(func(fd uintptr) {
 		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		for end := time.Now().Add(within); !closed && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for end := time.Now().Add(within); !occurred && time.Now().Before(end); time.Sleep(time.Millisecond) {
 			_, _ = unix.Poll(fds, 0)
-			closed = fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+			occurred = fds[0].Revents&events != 0
 		}
 	}))
-	return closed
+	return occurred
 }
 
 // Guards against a server that continues an abandoned request because the close of its connection waits
@@ -67,6 +73,65 @@
 	}
 }
 
+// connectTo returns both sides of a connection, with some bytes sent to the peer.
+func connectTo(t *testing.T) (conn net.Conn, peer *net.TCPConn) {
+	t.Helper()
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = li.Close() }()
+	conn, err = dialWith(NewDialer())(t.Context(), "tcp", li.Addr().String())
+	require.NoError(t, err)
+	accepted, err := li.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = accepted.Close() })
+	_, err = conn.Write([]byte("request"))
+	require.NoError(t, err)
+	return conn, accepted.(*net.TCPConn)
+}
+
+// Guards against a server that takes the end of a stream for a connection that is still open in its direction, and
+// works on an abandoned request.
+func TestPeerThatKeepsItsSideOpenIsReset(t *testing.T) {
+	conn, peer := connectTo(t)
+	require.NoError(t, conn.Close())
+	require.True(t, awaitHangUp(t, peer, endInterval/2), "the end of the stream is not sent at once")
+	require.True(t, awaitEvent(t, peer, closeNotice, unix.POLLERR|unix.POLLHUP), "the connection is not reset")
+}
+
+// Guards against callers that wait for a connection which was closed meanwhile.
+func TestReadsInProgressEndWhenTheConnectionIsClosed(t *testing.T) {
+	conn, _ := connectTo(t)
+	ended := make(chan error)
+	go func() {
+		_, err := conn.Read(make([]byte, 1))
+		ended <- err
+	}()
+	time.Sleep(10 * time.Millisecond)
+	require.NoError(t, conn.Close())
+	require.NoError(t, conn.Close(), "a second time")
+	require.Error(t, <-ended)
+	_, err := conn.Write([]byte("x"))
+	require.Error(t, err)
+}
+
+// Guards against an abandoned response that looks complete, because its server ended it when it saw the close.
+func TestWhatThePeerSendsAfterTheCloseIsNotRead(t *testing.T) {
+	for range 200 {
+		conn, peer := connectTo(t)
+		go func() {
+			_, _ = io.ReadAll(peer)
+			_, _ = peer.Write([]byte("the end of the response"))
+		}()
+		read := make(chan int)
+		go func() {
+			n, _ := conn.Read(make([]byte, 100))
+			read <- n
+		}()
+		require.NoError(t, conn.Close())
+		require.Zero(t, <-read)
+	}
+}
+
 // Guards against the close of a connection that depends on a single packet: a reset is never sent again.
 func TestConnectionWhosePeerReadsIsNotReset(t *testing.T) {
 	li, err := net.Listen("tcp", "127.0.0.1:0")
--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -31,6 +31,7 @@
 	Silences  bool          `help:"Include open connections that become silent for good."`
 	Misbehave bool          `help:"Include servers that repeat responses, send heads without end and stop within streams."`
 	Operate   bool          `help:"Let half of the callers perform operations with retries, and stop, reload and reconfigure gateways in series."`
+	Ends      bool          `help:"Let backend servers learn late, or by a reset only, that a gateway has ended a connection."`
 	Large     bool          `help:"Include large configurations, and small links to the key-value service."`
 }
 
@@ -83,6 +84,9 @@
 		if ar.Operate {
 			pl = pl.WithOperations()
 		}
+		if ar.Ends {
+			pl = pl.WithMissedEnds()
+		}
 		if ar.Large {
 			pl = pl.WithLargeConfigs()
 		}
--- a/standin/fleet/proxy.go
+++ b/standin/fleet/proxy.go
@@ -1,11 +1,14 @@
 package fleet
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 // Impairment describes how a Proxy impairs the traffic of its connections.
@@ -29,14 +32,37 @@
 	// changed is closed and replaced when the impairment changes.
 	changed chan struct{}
 	conns   map[net.Conn]bool
-	// ends holds when clients ended their connections, by the local address of the connection to the target.
-	ends map[string]time.Time
+	// endedAt holds when clients ended their connections, by the local address of the connection to the target.
+	endedAt map[string]time.Time
 	// silenced is closed and replaced when the open connections become silent.
 	silenced chan struct{}
 	// bytesPerSecond is the capacity of the link for responses, zero for no limit. linkFreeAt is when it has
 	// transferred all previous ones.
 	bytesPerSecond float64
 	linkFreeAt     time.Time
+	ends           Ends
+}
+
+// Ends is how a Proxy passes on to the target that clients end their connections.
+type Ends string
+
+const (
+	// EndsLost loses the packets that end connections. The end of a stream is sent again after retransmission; a reset
+	// is not, and the target learns of it by the response to what it sends next.
+	EndsLost Ends = "lost"
+	// EndsHalfOpen passes on resets only, as to a target that takes the end of a stream for a connection that is closed
+	// in one direction.
+	EndsHalfOpen Ends = "half-open"
+)
+
+// retransmission is the time after which an unacknowledged packet is sent again.
+const retransmission = 200 * time.Millisecond
+
+// SetEnds sets how the ends of connections are passed on. They are passed on at once before.
+func (px *Proxy) SetEnds(en Ends) {
+	px.mu.Lock()
+	defer px.mu.Unlock()
+	px.ends = en
 }
 
 // SetRate limits the capacity of the link for responses in bytes per second, zero for no limit.
@@ -66,7 +92,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "proxy")
 	}
-	px := &Proxy{listener: li, target: target, conns: map[net.Conn]bool{}, ends: map[string]time.Time{}, changed: make(chan struct{}), silenced: make(chan struct{})}
+	px := &Proxy{listener: li, target: target, conns: map[net.Conn]bool{}, endedAt: map[string]time.Time{}, changed: make(chan struct{}), silenced: make(chan struct{})}
 	go px.serve()
 	return px, nil
 }
@@ -93,7 +119,7 @@
 func (px *Proxy) recordEnd(address string, now time.Time) {
 	px.mu.Lock()
 	defer px.mu.Unlock()
-	px.ends[address] = now
+	px.endedAt[address] = now
 }
 
 // EndedAt returns when the client of a connection ended it, the zero time if it has not. The connection is named by
@@ -101,7 +127,7 @@
 func (px *Proxy) EndedAt(address string) time.Time {
 	px.mu.Lock()
 	defer px.mu.Unlock()
-	return px.ends[address]
+	return px.endedAt[address]
 }
 
 // ResetConnections closes the open connections with a TCP reset.
@@ -109,13 +135,17 @@
 	px.mu.Lock()
 	defer px.mu.Unlock()
 	for co := range px.conns {
-		if tc, ok := co.(*net.TCPConn); ok {
-			_ = tc.SetLinger(0)
-		}
+		resetOnClose(co)
 		_ = co.Close()
 	}
 }
 
+func resetOnClose(co net.Conn) {
+	if tc, ok := co.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+}
+
 // SilenceConnections makes the open connections silent for good: data that arrives on them is discarded
 // and they stay open. New connections work.
 func (px *Proxy) SilenceConnections() {
@@ -141,6 +171,43 @@
 	}
 }
 
+// awaitEnd waits until the target learns that a client has ended its connection with an error, and reports whether it
+// learns of it at all.
+func (px *Proxy) awaitEnd(client net.Conn, err error) bool {
+	px.mu.Lock()
+	en := px.ends
+	px.mu.Unlock()
+	reset := errors.Is(err, syscall.ECONNRESET)
+	switch en {
+	case EndsLost:
+		time.Sleep(retransmission)
+		return !reset
+	case EndsHalfOpen:
+		for !reset && isOpen(client) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return true
+}
+
+// isOpen reports whether a connection that its peer has ended is still open in the other direction.
+func isOpen(conn net.Conn) bool {
+	tc, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		open = err == nil && info.State != unix.BPF_TCP_CLOSE
+	})
+	return open
+}
+
 // SetPartitioned starts or ends a partition. During a partition all connections are closed, new ones
 // immediately.
 func (px *Proxy) SetPartitioned(partitioned bool) {
@@ -187,7 +254,7 @@
 		return nil, false
 	}
 	px.conns[client], px.conns[target] = true, true
-	delete(px.ends, target.LocalAddr().String()) // of an earlier connection with this address
+	delete(px.endedAt, target.LocalAddr().String()) // of an earlier connection with this address
 	return px.silenced, true
 }
 
@@ -199,6 +266,9 @@
 		n, err := from.Read(buf)
 		if err != nil && !response {
 			px.recordEnd(to.LocalAddr().String(), time.Now())
+			if !px.awaitEnd(from, err) {
+				return
+			}
 		}
 		px.waitToForward(response)
 		if response {
@@ -213,7 +283,14 @@
 			continue
 		default:
 		}
-		if _, werr := to.Write(buf[:n]); err != nil || werr != nil {
+		_, werr := to.Write(buf[:n])
+		if errors.Is(err, syscall.ECONNRESET) {
+			resetOnClose(to)
+		}
+		if response && werr != nil {
+			resetOnClose(from)
+		}
+		if err != nil || werr != nil {
 			break
 		}
 	}
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -114,6 +114,8 @@
 	FaultsEnd, End time.Duration
 	// Operations is set if half of the callers perform operations.
 	Operations bool
+	// MissedEnds is set if backend servers learn late that a gateway has ended a connection, some by a reset only.
+	MissedEnds bool
 }
 
 const (
@@ -239,6 +241,13 @@
 	return pl
 }
 
+// WithMissedEnds makes backend servers learn late that a gateway has ended a connection: the packets that say so are lost
+// on the way to one half of them, and the other half takes the end of a stream for one direction's.
+func (pl Plan) WithMissedEnds() Plan {
+	pl.MissedEnds = true
+	return pl
+}
+
 // largeConfigCount is how many large configurations WithLargeConfigs adds.
 const largeConfigCount = 3
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -305,6 +305,9 @@
 	if err != nil {
 		return err
 	}
+	if sr.plan.MissedEnds {
+		se.proxy.SetEnds([]fleet.Ends{fleet.EndsLost, fleet.EndsHalfOpen}[sr.serversStarted%2])
+	}
 	se.crash = sync.OnceFunc(func() { sr.injections.Go(func() { sr.crashServer(se) }) })
 	sr.servers = append(sr.servers, se)
 	sr.store.Set("servers/"+se.id, se.entry())
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -157,6 +157,28 @@
 	}
 }
 
+// Servers learn late, or by a reset only, that a gateway has ended a connection.
+func TestAbandonedRequestsStopWhenServersMissTheEndsOfConnections(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			pl := GeneratePlan(seed, 3, 5, 6*time.Second).WithMisbehaviour().WithOperations().WithMissedEnds()
+			require.Empty(t, runPlan(t, pl, ""), "%v", pl.Faults)
+		})
+	}
+}
+
+// Servers that stop within streams learn late, or by a reset only, that their streams went on elsewhere.
+func TestStreamsRunOnceWhenServersMissTheEndsOfConnections(t *testing.T) {
+	t.Parallel()
+	at := func(n time.Duration) time.Duration { return n * time.Second }
+	pl := Plan{Gateways: 2, Servers: 4, FaultsEnd: at(9), End: at(9) + faultFreeTail}.WithMissedEnds()
+	for i := range pl.Servers {
+		pl.Faults = append(pl.Faults, Fault{ServerHangs, i, at(1), at(9)})
+	}
+	require.Empty(t, runPlan(t, pl, ""))
+}
+
 // The grace period is raised while the gateways run, with and without a signal, before they are stopped.
 func TestRaisedGracePeriodIsKept(t *testing.T) {
 	at := func(n time.Duration) time.Duration { return n * time.Second }
