feat(transport): a request gets its own response behind a surplus one

Cause: net/http gives the first response on a connection to the request in progress; the adapter could only reject it. The connection knows which requests were sent on it now, and drops further responses to them before net/http reads them.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -22,8 +22,12 @@
 type clientConn struct {
 	*net.TCPConn
 	closing sync.Once
+	surplus surplusFilter
 }
 
+// Read reads from the connection, without surplus responses.
+func (cc *clientConn) Read(buf []byte) (int, error) { return cc.surplus.read(buf, cc.TCPConn.Read) }
+
 // dialWith returns a function that opens connections with a dialer.
 func dialWith(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -8,8 +8,11 @@
 )
 
 // Connection observes the connection that one request is sent on. The zero value is ready to use. Its exported
-// field is set before Observe.
+// fields are set before Observe.
 type Connection struct {
+	// IDHeader is the header in which responses name the request RequestID, Method the method of the request. If
+	// IDHeader is set, further responses to earlier requests on the connection are dropped.
+	IDHeader, RequestID, Method string
 	// Check is called once there is a connection, before anything is written to it. If it returns false, the
 	// request is not sent and fails. It may be nil.
 	Check func() bool
@@ -30,6 +33,9 @@
 
 func (co *Connection) handleConn(info httptrace.GotConnInfo) {
 	co.conn, co.reused = info.Conn, info.Reused
+	if cc, ok := info.Conn.(*clientConn); ok && co.IDHeader != "" {
+		cc.surplus.begin(co.IDHeader, co.RequestID, co.Method)
+	}
 	if co.Check != nil && !co.Check() {
 		co.failed.Store(true)
 		_ = info.Conn.Close()
