--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -62,34 +62,7 @@
 		if err := os.MkdirAll(dir, 0o700); err != nil {
 			return failedRuns, fmt.Errorf("create directory: %w", err)
 		}
-		pl := soak.GeneratePlan(seed, ar.Gateways, ar.Servers, ar.Trouble)
-		if ar.Poison {
-			pl = pl.WithPoison()
-		}
-		if ar.Part {
-			pl = pl.WithPoisonPart()
-		}
-		if ar.Reports {
-			pl = pl.WithReports()
-		}
-		if ar.Restores {
-			pl = pl.WithRestores()
-		}
-		if ar.Silences {
-			pl = pl.WithSilences()
-		}
-		if ar.Misbehave {
-			pl = pl.WithMisbehaviour()
-		}
-		if ar.Operate {
-			pl = pl.WithOperations()
-		}
-		if ar.Ends {
-			pl = pl.WithMissedEnds()
-		}
-		if ar.Large {
-			pl = pl.WithLargeConfigs()
-		}
+		pl := ar.plan(seed)
 		so := &soak.Runner{Bin: ar.Bin, Dir: dir, Callers: ar.Callers}
 		violations, err := so.Run(context.Background(), pl)
 		if err != nil {
@@ -104,6 +77,39 @@
 	return failedRuns, nil
 }
 
+// plan returns the plan of a seed.
+func (ar *arguments) plan(seed uint64) soak.Plan {
+	pl := soak.GeneratePlan(seed, ar.Gateways, ar.Servers, ar.Trouble)
+	if ar.Poison {
+		pl = pl.WithPoison()
+	}
+	if ar.Part {
+		pl = pl.WithPoisonPart()
+	}
+	if ar.Reports {
+		pl = pl.WithReports()
+	}
+	if ar.Restores {
+		pl = pl.WithRestores()
+	}
+	if ar.Silences {
+		pl = pl.WithSilences()
+	}
+	if ar.Misbehave {
+		pl = pl.WithMisbehaviour()
+	}
+	if ar.Operate {
+		pl = pl.WithOperations()
+	}
+	if ar.Ends {
+		pl = pl.WithMissedEnds()
+	}
+	if ar.Large {
+		pl = pl.WithLargeConfigs()
+	}
+	return pl
+}
+
 // maxPrinted is the maximum number of violations printed per run.
 const maxPrinted = 10
 
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -150,12 +150,7 @@
 		if ou.status == http.StatusOK && !ou.incomplete && ou.body != ou.expectedBody() {
 			add(ResponseIntegrity, ou, "got body %q", ou.body)
 		}
-		if late := ou.sent.Sub(hi.routeRemovedAt); ou.path == removedPath && late > applyBound && len(executions) > 0 && hi.inContact(ou.gateway, ou.sent) {
-			add(ChangeInForce, ou, "executed on %s %s after its route was removed", executions[0].server, late)
-		}
-		if at, ok := hi.revokedAt[ou.key]; ok && ou.sent.Sub(at) > revokeBound && len(executions) > 0 {
-			add(RevokedKey, ou, "executed %s after its key was revoked", executions[0].at.Sub(at))
-		}
+		list = append(list, hi.checkChanges(ou, executions)...)
 		if hi.undisturbed(ou.gateway, ou.sent, ou.sent.Add(requestDeadline)) && ou.done.Sub(ou.sent) > requestDeadline+timingSlack {
 			add(DeadlineMet, ou, "answered after %s", ou.done.Sub(ou.sent))
 		}
@@ -175,6 +170,21 @@
 	return append(list, hi.checkRecovery()...)
 }
 
+// checkChanges finds a request that ran although a change of the configuration forbade it.
+func (hi *history) checkChanges(ou outcome, executions []execution) []Violation {
+	if len(executions) == 0 {
+		return nil
+	}
+	var list []Violation
+	if late := ou.sent.Sub(hi.routeRemovedAt); ou.path == removedPath && late > applyBound && hi.inContact(ou.gateway, ou.sent) {
+		list = append(list, Violation{ChangeInForce, ou.id, fmt.Sprintf("executed on %s %s after its route was removed", executions[0].server, late)})
+	}
+	if at, ok := hi.revokedAt[ou.key]; ok && ou.sent.Sub(at) > revokeBound {
+		list = append(list, Violation{RevokedKey, ou.id, fmt.Sprintf("executed %s after its key was revoked", executions[0].at.Sub(at))})
+	}
+	return list
+}
+
 // checkPoison counts the servers that poison requests crashed through undisturbed gateways after they had
 // to be blocked, which is when a number of servers had crashed.
 func (hi *history) checkPoison(poisoned []outcome, allowed int) []Violation {
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -80,14 +80,22 @@
 		sr.sendPoison(fa)
 	case PoisonPart:
 		sr.sendPoisonPart(fa)
+	case ConnectionsSilent, ServerEndlessHead, SlowRollout:
+		sr.injectForAllServers(fa)
+	default:
+		sr.injectServerFault(fa)
+	}
+}
+
+// injectForAllServers applies a fault that concerns all backend servers.
+func (sr *soakRun) injectForAllServers(fa Fault) {
+	switch fa.Kind {
 	case ConnectionsSilent:
 		sr.silenceConnections()
 	case ServerEndlessHead:
 		sr.endlessHeads(fa)
-	case SlowRollout:
-		sr.rollOutSlowly(fa)
 	default:
-		sr.injectServerFault(fa)
+		sr.rollOutSlowly(fa)
 	}
 }
 
