test(soak): bounds in time count the time for which the process runs

Trace: all gateways' logs hold 2 to 4 lines in 100 ms from 0.9 to 1.9 s of the run where they hold 33 before and after; the two servers stopped at the same moment; the gateway had ended both connections after 1 ms.

The checks of deadlines, abandoned requests and streams that went on elsewhere use a clock that omits steps of 50 ms and more in which the process did not run; on a machine that lets it run nothing changes.

--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -120,6 +120,7 @@
 	sr.history.start = time.Now()
 	var callers sync.WaitGroup
 	callers.Go(func() { sr.watchMemory(ctx) })
+	callers.Go(func() { sr.history.clock.Run(ctx) })
 	for i := range rn.Callers {
 		if pl.Operations && i%2 == 0 {
 			callers.Go(func() { sr.runOperations(ctx.Done(), i) })
