test(soak): an announcement is delivered by a response after it

Trace: the server's path was silent from 3.4 to 7.2 s of the run. Attempts that their gateway had abandoned were held in it, their callers got 200 from other servers at 3.7 s; they ran when the path was open again, with the announcement that had begun at 5.5 s. The check took the response of 3.7 s for the one that delivered it. All gateways log the announcement (531) at 7.2 s, the first moment at which it could reach them.

Only a response that is later than the run counts now.

--- a/standin/soak/reports.go
+++ b/standin/soak/reports.go
@@ -40,7 +40,9 @@
 	for _, ou := range hi.outcomes {
 		for _, ex := range hi.executions.executionsOf(ou.id) {
 			gs := gatewayServer{ou.gateway, ex.server}
-			if at := announcedAt[gs]; ex.announced && ou.status == http.StatusOK && (at.IsZero() || ou.done.Before(at)) {
+			// An attempt that was abandoned may run after the response, when its connection is not impaired any more.
+			delivered := ou.status == http.StatusOK && ex.at.Before(ou.done)
+			if at := announcedAt[gs]; ex.announced && delivered && (at.IsZero() || ou.done.Before(at)) {
 				announcedAt[gs] = ou.done
 			}
 		}
