refactor(transport): the filter of surplus responses keeps one flag, connections one way to their descriptor

Whether a request has begun follows from whether its response has: one of the two flags was stale after a response with a length, without effect. A head that is too long counts as the response then. Behaviour is otherwise as before: the tests of transport, agent and platform pass with the race detector, ten seconds of FuzzOtherBytesPassUnchanged, and the soak's tests of missed ends and operations.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -81,14 +81,9 @@
 }
 
 // state returns the TCP state of the connection, zero if it is not known.
-func (cc *clientConn) state() uint8 {
-	raw, err := cc.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	var state uint8
-	_ = raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+func (cc *clientConn) state() (state uint8) {
+	cc.control(func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			state = info.State
 		}
 	})
@@ -96,14 +91,17 @@
 }
 
 // waitsToSend reports whether data has not been sent at all, false if that is not known.
-func (cc *clientConn) waitsToSend() bool {
-	raw, err := cc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	bytes := 0
-	if err := raw.Control(func(fd uintptr) { bytes, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQNSD) }); err != nil {
-		return false
+func (cc *clientConn) waitsToSend() (waits bool) {
+	cc.control(func(fd int) {
+		bytes, err := unix.IoctlGetInt(fd, unix.SIOCOUTQNSD)
+		waits = err == nil && bytes > 0
+	})
+	return waits
+}
+
+// control calls a function with the file descriptor of the connection, unless that is closed.
+func (cc *clientConn) control(do func(fd int)) {
+	if raw, err := cc.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { do(int(fd)) })
 	}
-	return err == nil && bytes > 0
 }
--- a/internal/transport/surplus.go
+++ b/internal/transport/surplus.go
@@ -36,8 +36,8 @@
 	requests []string
 	// bodiless is set if the responses to the present request have no body.
 	bodiless bool
-	// begun is set when a request has begun since the last response head, answered once a response to it has.
-	begun, answered bool
+	// answered is set once the response to the present request has begun.
+	answered bool
 
 	// The fields below belong to the reader of the connection.
 
@@ -60,7 +60,7 @@
 		sf.requests = slices.Delete(sf.requests, 0, 1)
 	}
 	sf.header, sf.requests = header, append(sf.requests, id)
-	sf.bodiless, sf.begun, sf.answered = method == http.MethodHead, true, false
+	sf.bodiless, sf.answered = method == http.MethodHead, false
 }
 
 // active reports whether the filter has a request to look for.
@@ -70,13 +70,11 @@
 	return sf.header != ""
 }
 
-// takeBegun reports whether a request has begun since the last call.
-func (sf *surplusFilter) takeBegun() bool {
+// awaitsResponse reports whether no response to the present request has begun.
+func (sf *surplusFilter) awaitsResponse() bool {
 	sf.mu.Lock()
 	defer sf.mu.Unlock()
-	begun := sf.begun
-	sf.begun = false
-	return begun
+	return !sf.answered
 }
 
 // read reads from a connection into buf, without surplus responses.
@@ -116,7 +114,7 @@
 	} else {
 		sf.pending = append(sf.pending, buf[:n]...)
 	}
-	if sf.left == unframed && sf.takeBegun() {
+	if sf.left == unframed && sf.awaitsResponse() {
 		sf.left = 0
 	}
 }
@@ -165,7 +163,7 @@
 	if end < 0 {
 		// Bytes behind a response that may be anything are net/http's, which closes the connection.
 		if sf.answered || sf.err != nil || len(sf.pending) > maxResponseHeaderBytes {
-			sf.left = unframed
+			sf.left, sf.answered = unframed, true
 			return true
 		}
 		return false
@@ -183,7 +181,7 @@
 		sf.dropping = size + length
 		return true
 	case length == unframed:
-		sf.left, sf.begun = unframed, false
+		sf.left = unframed
 	default:
 		sf.left = size + length
 	}
