--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -8,6 +8,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
+
+	"github.com/linnetrudder/linnetrudder/internal/tcpstate"
 )
 
 const (
@@ -67,7 +69,7 @@
 // release frees the connection once its peer has the end of the stream, or after a number of checks. It resets it if
 // the peer keeps its side open.
 func (cc *clientConn) release(checks int) {
-	switch cc.state() {
+	switch tcpstate.Of(cc) {
 	case unix.BPF_TCP_FIN_WAIT1:
 		if checks > 1 {
 			time.AfterFunc(endInterval, func() { cc.release(checks - 1) })
@@ -80,28 +82,11 @@
 	_ = cc.TCPConn.Close()
 }
 
-// state returns the TCP state of the connection, zero if it is not known.
-func (cc *clientConn) state() (state uint8) {
-	cc.control(func(fd int) {
-		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			state = info.State
-		}
-	})
-	return state
-}
-
 // waitsToSend reports whether data has not been sent at all, false if that is not known.
 func (cc *clientConn) waitsToSend() (waits bool) {
-	cc.control(func(fd int) {
+	tcpstate.Control(cc, func(fd int) {
 		bytes, err := unix.IoctlGetInt(fd, unix.SIOCOUTQNSD)
 		waits = err == nil && bytes > 0
 	})
 	return waits
 }
-
-// control calls a function with the file descriptor of the connection, unless that is closed.
-func (cc *clientConn) control(do func(fd int)) {
-	if raw, err := cc.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) { do(int(fd)) })
-	}
-}
