fix(hangup): a request whose caller had left before it was read is not sent

What callers saw: a request that must run once ran although its connection was reset or closed before the gateway had read it. A caller that is reset before anything was read sends its request again elsewhere: the operation ran twice, each run with an id of its own.

Cause: the kernel hands out the bytes of a request after the end of its connection. net/http looks for the close in a goroutine beside the handler, which finds it while the request is on its way to a server. This needs requests that wait to be read: a gateway without processor time, or one that was suspended.

Change: once there is a connection to a server and before anything is written to it, the TCP state of the caller's connection is read. It says whether the caller has ended or reset it, whatever bytes wait in front. Entries ask it before a request is planned for an agent. A counter tells how often nothing was sent, the log line of such a request says so.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -11,6 +11,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/choice"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/hangup"
 	"github.com/linnetrudder/linnetrudder/internal/metrics"
 	"github.com/linnetrudder/linnetrudder/internal/node"
 	"github.com/linnetrudder/linnetrudder/internal/result"
@@ -114,6 +115,11 @@
 
 // serveExchange runs the request with the selected versions, or the plain service, as steps.
 func (en *Entry) serveExchange(w http.ResponseWriter, r *http.Request, cr *callerRequest, steps []string) {
+	if hangup.Departed(r.Context()) {
+		en.releaseKey(cr)
+		en.refuse(w, cr, result.New(result.NotDispatched, "the caller went away"))
+		return
+	}
 	en.Node.Record(timeline.Entry{Event: event.RequestReceived, Request: cr.id, Team: cr.team, Detail: cr.kind})
 	en.mu.Lock()
 	en.budgets.For(cr.team).Deposit(time.Now())
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/comparison"
 	"github.com/linnetrudder/linnetrudder/internal/direct"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
+	"github.com/linnetrudder/linnetrudder/internal/hangup"
 	"github.com/linnetrudder/linnetrudder/internal/latency"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/pool"
@@ -199,6 +200,7 @@
 		Request: ex.rq, Body: ex.body, Server: se.server, Team: ex.team(), Model: se.step.Model(),
 		QueuePriority: ex.queuePriority(se.step), Timeout: ex.serverTimeout(clock.Now()), Patience: ex.patience(se.step.Model()),
 		LastEventID: ex.lastEventID(se.step), NewConnection: se.step.FinalRun() || ex.revisits(se),
+		Wanted: func() bool { return !hangup.Departed(ctx) },
 	})
 	ex.ga.applySelfReport(se, clock.Now())
 	se.logUnrelated()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -326,7 +326,12 @@
 		at.discard()
 	}
 	if context.Cause(ctx) != context.DeadlineExceeded { //nolint:errorlint // a context's own error
-		ex.logOutcome(event.RequestFailed, result.Stopped, "the caller went away")
+		detail := "the caller went away"
+		if ex.request.Runs() == 0 {
+			departedUnsent.Inc()
+			detail = "the caller went away before the request was sent"
+		}
+		ex.logOutcome(event.RequestFailed, result.Stopped, detail)
 		return
 	}
 	if ex.request.Runs() > 0 {
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -109,6 +109,9 @@
 	// has just ended, and it would be unknown whether an attempt sent on it has run. On the connection of
 	// an earlier attempt of the same request, a second copy of its response may arrive.
 	NewConnection bool
+	// Wanted reports whether the attempt is still to be sent. It is called once there is a connection, before
+	// anything is written; if it returns false, the attempt fails with ErrNotSent.
+	Wanted func() bool
 }
 
 // Response is the head of a backend server's response together with its body.
--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -11,6 +11,9 @@
 	"sync"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+
+	"github.com/linnetrudder/linnetrudder/internal/tcpstate"
 )
 
 const (
@@ -28,12 +31,30 @@
 		if !ok {
 			return ctx
 		}
-		ctx, cc.cancel = context.WithCancel(ctx)
+		ctx, cc.cancel = context.WithCancel(context.WithValue(ctx, connKey{}, cc))
 		return ctx
 	}
 	return eris.Wrap(hs.Serve(listener{li}), "serve")
 }
 
+type connKey struct{}
+
+// Departed reports whether the client of a request has closed or reset its connection. If so, it cancels the requests
+// of the connection. Bytes that arrived before the close are read after it, so that a request whose client left long
+// ago may look like a new one.
+func Departed(ctx context.Context) bool {
+	cc, ok := ctx.Value(connKey{}).(*clientConn)
+	if !ok {
+		return false
+	}
+	switch tcpstate.Of(cc) {
+	case 0, unix.BPF_TCP_ESTABLISHED: // zero: not known
+		return false
+	}
+	cc.cancel()
+	return true
+}
+
 // listener is a listener whose TCP connections are clientConns.
 type listener struct{ net.Listener }
 
--- a/internal/hangup/hangup_test.go
+++ b/internal/hangup/hangup_test.go
@@ -67,6 +67,31 @@
 	}
 }
 
+func TestDepartedClientIsKnownOnceItsCloseHasArrived(t *testing.T) {
+	for name, leave := range map[string]func(conn *net.TCPConn){
+		"stays":  nil,
+		"closed": func(conn *net.TCPConn) { _ = conn.Close() },
+		"reset":  func(conn *net.TCPConn) { _ = conn.SetLinger(0); _ = conn.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			left, departed := make(chan struct{}), make(chan bool)
+			conn := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+				<-left // the body is not read, so that net/http does not look for the close
+				departed <- Departed(r.Context()) && r.Context().Err() != nil
+			})
+			_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+			require.NoError(t, err)
+			if leave != nil {
+				leave(conn.(*net.TCPConn))
+			}
+			time.Sleep(20 * time.Millisecond)
+			close(left)
+			require.Equal(t, leave != nil, <-departed)
+		})
+	}
+	require.False(t, Departed(t.Context()), "a request that came on no connection")
+}
+
 func TestRequestsThatAreSentTogetherAreServedInOrder(t *testing.T) {
 	const requests, bodyBytes = 60, 900
 	conn := serve(t, func(w http.ResponseWriter, r *http.Request) {
--- a/standin/e2e/caller_test.go
+++ b/standin/e2e/caller_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -114,6 +116,31 @@
 	require.NoError(t, fleet.WaitUntil(waitTimeout, "the engine's slot to be free", func() bool { return sy.runningCount() == 0 }))
 }
 
+// Guards against a request being started although its caller was gone before the entry read it.
+func TestRequestOfADepartedCallerIsNotStarted(t *testing.T) {
+	const departures, body = 30, `{"model":"m","messages":[{"role":"user","content":"x"}]}`
+	sy := newSystem(t, 1, time.Millisecond)
+	sy.waitAnswers(1)
+	started := sy.totalStarted(sy.agents[0])
+	for _, reset := range []bool{true, false} {
+		require.NoError(t, sy.entries[0].Process.Signal(syscall.SIGSTOP))
+		for range departures {
+			conn, err := net.Dial("tcp", sy.entries[0].Address)
+			require.NoError(t, err)
+			_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", teamKey, len(body), body)
+			require.NoError(t, err)
+			if reset {
+				require.NoError(t, conn.(*net.TCPConn).SetLinger(0))
+			}
+			require.NoError(t, conn.Close())
+		}
+		require.NoError(t, sy.entries[0].Process.Signal(syscall.SIGCONT))
+		sy.waitAnswers(1)
+		started++
+		require.Equal(t, started, sy.totalStarted(sy.agents[0]))
+	}
+}
+
 // runningCount returns the number of requests in progress on the first engine.
 func (sy *system) runningCount() int {
 	var n int
