test(soak): gateways with little processor time, callers that leave while a gateway is suspended

--starve suspends gateways again and again: every second one for up to 70 ms of each 100 ms, as a quota does, the others for 20 to 900 ms. New guarantee: a request whose caller left while its gateway was suspended is never executed.

--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -32,6 +32,7 @@
 	Misbehave bool          `help:"Include servers that repeat responses, send heads without end and stop within streams."`
 	Operate   bool          `help:"Let half of the callers perform operations with retries, and stop, reload and reconfigure gateways in series."`
 	Ends      bool          `help:"Let backend servers learn late, or by a reset only, that a gateway has ended a connection."`
+	Starve    bool          `help:"Suspend gateways for short times again and again, as on machines with little processor time."`
 	Large     bool          `help:"Include large configurations, and small links to the key-value service."`
 }
 
@@ -104,6 +105,9 @@
 	if ar.Ends {
 		pl = pl.WithMissedEnds()
 	}
+	if ar.Starve {
+		pl = pl.WithStarvation()
+	}
 	if ar.Large {
 		pl = pl.WithLargeConfigs()
 	}
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -42,6 +42,9 @@
 	SingleRun Guarantee = "single-run"
 	// BoundedMemory: a gateway uses at most maxResidentGrowth more memory than when idle.
 	BoundedMemory Guarantee = "memory"
+	// DepartedNotExecuted: a request whose caller left while its gateway was suspended, so that it was not read before, is
+	// never executed.
+	DepartedNotExecuted Guarantee = "departed-unread"
 	// OperationOnce: an operation that must not be repeated runs once, however often its caller sends it.
 	OperationOnce Guarantee = "operation-once"
 	// UnreadNotExecuted: a request whose connection was reset before any response is never executed.
@@ -132,6 +135,8 @@
 	routeRemovedAt time.Time
 	// rollout is the roll-out of a slow version, nil if there was none.
 	rollout *slowRollout
+	// suspensions holds when gateways were suspended.
+	suspensions []suspension
 	// resident is the resident memory of each gateway.
 	resident []residentRange
 }
@@ -226,7 +231,7 @@
 // service that it reads from.
 func (fa Fault) affectsGateway(gateway int) bool {
 	switch {
-	case slices.Contains(gatewayKinds, fa.Kind), fa.Kind == SignalSeries:
+	case slices.Contains(gatewayKinds, fa.Kind), fa.Kind == SignalSeries, fa.Kind == Stutter:
 		return fa.Target == gateway
 	case slices.Contains(storeKinds, fa.Kind):
 		return true
@@ -243,8 +248,14 @@
 // undisturbed reports whether no fault affected a gateway from settleTime before a time span to its
 // end.
 func (hi *history) undisturbed(gateway int, from, until time.Time) bool {
-	return !slices.ContainsFunc(hi.plan.Faults, func(fa Fault) bool {
-		return fa.affectsGateway(gateway) && hi.overlaps(fa, from.Add(-settleTime), until)
+	return !hi.disturbedBeside(nil, gateway, from, until)
+}
+
+// disturbedBeside reports whether a fault of a kind that is not excepted affected a gateway from settleTime before a
+// time span to its end.
+func (hi *history) disturbedBeside(except []FaultKind, gateway int, from, until time.Time) bool {
+	return slices.ContainsFunc(hi.plan.Faults, func(fa Fault) bool {
+		return !slices.Contains(except, fa.Kind) && fa.affectsGateway(gateway) && hi.overlaps(fa, from.Add(-settleTime), until)
 	})
 }
 
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -55,9 +55,9 @@
 		gw := sr.gateways[fa.Target]
 		gw.restartMu.Lock()
 		defer gw.restartMu.Unlock()
-		_ = gw.process.Signal(syscall.SIGSTOP)
-		sr.waitForEnd(fa)
-		_ = gw.process.Signal(syscall.SIGCONT)
+		sr.suspend(fa.Target, time.Until(sr.history.start.Add(fa.End)))
+	case Stutter, Starve:
+		sr.suspendAgainAndAgain(fa)
 	case Reload:
 		sr.reloadSettings(fa)
 	case CallersReset:
--- a/standin/soak/misbehaviour.go
+++ b/standin/soak/misbehaviour.go
@@ -185,7 +185,7 @@
 	var list []Violation
 	for i := 1; i < len(executions) && strings.HasPrefix(ou.path, "/stream/"); i++ {
 		before, next := executions[i-1], executions[i]
-		if hi.clock.Between(next.at, before.ended) <= closeNotice || !hi.undisturbed(ou.gateway, next.at, before.ended) || hi.serverImpaired(next.at) {
+		if hi.clock.Between(next.at, before.ended) <= closeNotice || hi.disturbedBeside(suspensionKinds, ou.gateway, next.at, before.ended) || hi.serverImpaired(next.at) {
 			continue
 		}
 		list = append(list, Violation{SingleRun, ou.id, fmt.Sprintf("%s worked on it for %s after it went on at %s, %s", before.server, before.ended.Sub(next.at), next.server, before.closedAfter(next.at))})
--- a/standin/soak/operation.go
+++ b/standin/soak/operation.go
@@ -319,6 +319,9 @@
 			if ou.ending == endedUnread && len(executions) > 0 {
 				list = append(list, Violation{UnreadNotExecuted, ou.id, "its connection was reset, but it was executed on " + executions[0].server})
 			}
+			if ou.ending == endedDeparted && len(executions) > 0 && hi.suspendedThroughout(ou) {
+				list = append(list, Violation{DepartedNotExecuted, ou.id, "its caller had left before it was read, but it was executed on " + executions[0].server})
+			}
 			list = append(list, hi.checkDeparture(ou, executions)...)
 		}
 		if !op.repeatable() && len(runs) > 1 {
