fix(transport): what a peer sends after the close of its connection is not read

What callers saw: a stream that stalled ended as if it were whole, with 3 of 9 events, where it should have gone on at another server.

Cause: a gateway abandons a stream by closing its connection. Many servers then end their response in the usual way, with the last chunk. The read in progress is ended by a deadline, but the runtime takes data that arrives before the woken reader runs for the result of the read: the response then looks complete. The test of this closed the connection before its reader waited for data, and so never had that order.

Change: a connection remembers that it was closed, before its peer learns of it; a read that ends later returns an error.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,11 +25,24 @@
 type clientConn struct {
 	*net.TCPConn
 	closing sync.Once
+	// closed is set before the peer learns that the connection is closed.
+	closed  atomic.Bool
 	surplus surplusFilter
 }
 
 // Read reads from the connection, without surplus responses.
-func (cc *clientConn) Read(buf []byte) (int, error) { return cc.surplus.read(buf, cc.TCPConn.Read) }
+func (cc *clientConn) Read(buf []byte) (int, error) { return cc.surplus.read(buf, cc.readOpen) }
+
+// readOpen reads from the connection unless it is closed meanwhile. What the peer sends once it has the end, such as
+// the rest of a response that it gives up, is not read: an abandoned response could look complete. The deadline that
+// ends a read in progress does not suffice, since data may arrive before the reader runs again.
+func (cc *clientConn) readOpen(buf []byte) (int, error) {
+	n, err := cc.TCPConn.Read(buf)
+	if cc.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return n, err //nolint:wrapcheck // as returned by the connection
+}
 
 // dialWith returns a function that opens connections with a dialer.
 func dialWith(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -47,7 +61,10 @@
 // a connection that is closed in one direction only.
 func (cc *clientConn) Close() error {
 	var err error
-	cc.closing.Do(func() { err = cc.close() })
+	cc.closing.Do(func() {
+		cc.closed.Store(true)
+		err = cc.close()
+	})
 	return err
 }
 
@@ -56,8 +73,7 @@
 		_ = cc.SetLinger(0)
 		return cc.TCPConn.Close() //nolint:wrapcheck // as returned by the connection
 	}
-	// Ends the reads and writes in progress. What the peer sends once it has the end, such as the rest of a response
-	// that it gives up, is not read.
+	// Ends the reads and writes in progress.
 	_ = cc.SetDeadline(time.Unix(1, 0))
 	if err := cc.CloseWrite(); err != nil {
 		return cc.TCPConn.Close() //nolint:wrapcheck // as returned by the connection
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -116,7 +116,7 @@
 
 // Guards against an abandoned response that looks complete, because its server ended it when it saw the close.
 func TestWhatThePeerSendsAfterTheCloseIsNotRead(t *testing.T) {
-	for range 200 {
+	for i := range 400 {
 		conn, peer := connectTo(t)
 		go func() {
 			_, _ = io.ReadAll(peer)
@@ -127,6 +127,9 @@
 			n, _ := conn.Read(make([]byte, 100))
 			read <- n
 		}()
+		if i%2 == 0 {
+			time.Sleep(time.Millisecond) // the read waits for data
+		}
 		require.NoError(t, conn.Close())
 		require.Zero(t, <-read)
 	}
