fix(transport): a connection carries no two requests with the same id

What callers saw: of two requests with the same id, sent one after the other, the second ran at two servers where a server sends the rejection of the first one again; or it was answered 503, "has not run", though it had. A response that named the own id and others counted as the own one.

Cause: whose response it is rests on the id that it names. A gateway kept later attempts of one request off a connection of the first, but not another request with that id. The filter of surplus responses read the last id of a head, the check of the owner the first.

Change: a request is not written on a connection that has carried one with its id, whichever request that was; it gets a new one. This replaces the rule for attempts. Requests without an id get a connection of their own. Several different ids in a head belong to no request, in both places.

Ids that differ in case, by blanks or by a part were told apart before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -199,7 +199,7 @@
 	se.response, se.err = ex.ga.Backend.Call(ctx, &Attempt{
 		Request: ex.rq, Body: ex.body, Server: se.server, Team: ex.team(), Model: se.step.Model(),
 		QueuePriority: ex.queuePriority(se.step), Timeout: ex.serverTimeout(clock.Now()), Patience: ex.patience(se.step.Model()),
-		LastEventID: ex.lastEventID(se.step), NewConnection: se.step.FinalRun() || ex.revisits(se),
+		LastEventID: ex.lastEventID(se.step), NewConnection: se.step.FinalRun(),
 		Wanted: func() bool { return !hangup.Departed(ctx) },
 	})
 	ex.ga.applySelfReport(se, clock.Now())
@@ -210,16 +210,6 @@
 	se.body, se.err = ex.ga.buffers.Read(se.response.Body, maxBufferedBytes)
 }
 
-// revisits reports whether an earlier attempt of the request was sent to the same server.
-func (ex *exchange) revisits(se *attemptState) bool {
-	for _, earlier := range ex.attempts {
-		if earlier != se && earlier.server.Key() == se.server.Key() {
-			return true
-		}
-	}
-	return false
-}
-
 // highestPriority is the queue priority of the smallest model's attempts, whose prompts are read
 // quickly.
 const highestPriority = 0
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -106,8 +106,7 @@
 	// LastEventID is the event after which a stream continues. It is empty to start from the beginning.
 	LastEventID string
 	// NewConnection forbids reuse of an idle connection. An idle connection may lead to a server that
-	// has just ended, and it would be unknown whether an attempt sent on it has run. On the connection of
-	// an earlier attempt of the same request, a second copy of its response may arrive.
+	// has just ended, and it would be unknown whether an attempt sent on it has run.
 	NewConnection bool
 	// Wanted reports whether the attempt is still to be sent. It is called once there is a connection, before
 	// anything is written; if it returns false, the attempt fails with ErrNotSent.
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -11,16 +11,18 @@
 // fields are set before Observe.
 type Connection struct {
 	// IDHeader is the header in which responses name the request RequestID, Method the method of the request. If
-	// IDHeader is set, further responses to earlier requests on the connection are dropped.
+	// IDHeader is set, further responses to earlier requests on the connection are dropped, and the request is not sent
+	// on a connection that has carried one with its id.
 	IDHeader, RequestID, Method string
 	// Check is called once there is a connection, before anything is written to it. If it returns false, the
 	// request is not sent and fails. It may be nil.
 	Check func() bool
 
-	failed  atomic.Bool
-	conn    net.Conn
-	reused  bool
-	written atomic.Bool
+	failed   atomic.Bool
+	repeated atomic.Bool
+	conn     net.Conn
+	reused   bool
+	written  atomic.Bool
 }
 
 // Observe returns a context for the request.
@@ -33,8 +35,10 @@
 
 func (co *Connection) handleConn(info httptrace.GotConnInfo) {
 	co.conn, co.reused = info.Conn, info.Reused
-	if cc, ok := info.Conn.(*clientConn); ok && co.IDHeader != "" {
-		cc.surplus.begin(co.IDHeader, co.RequestID, co.Method)
+	if cc, ok := info.Conn.(*clientConn); ok && co.IDHeader != "" && !cc.surplus.begin(co.IDHeader, co.RequestID, co.Method) {
+		co.repeated.Store(true)
+		_ = info.Conn.Close()
+		return
 	}
 	if co.Check != nil && !co.Check() {
 		co.failed.Store(true)
@@ -45,6 +49,10 @@
 // CheckFailed reports whether the request was not sent because Check returned false.
 func (co *Connection) CheckFailed() bool { return co.failed.Load() }
 
+// Repeated reports whether the request was not sent because the connection had carried one with its id, whose response
+// could be taken for this request's.
+func (co *Connection) Repeated() bool { return co.repeated.Load() }
+
 // Written reports whether the head of the request was written.
 func (co *Connection) Written() bool { return co.written.Load() }
 
--- a/internal/transport/surplus.go
+++ b/internal/transport/surplus.go
@@ -52,15 +52,20 @@
 	err      error
 }
 
-// begin records that a request is about to be written. No response to it can arrive before.
-func (sf *surplusFilter) begin(header, id, method string) {
+// begin records that a request is about to be written. No response to it can arrive before. It returns false if one of
+// the earlier requests has the same id, so that their responses could not be told apart.
+func (sf *surplusFilter) begin(header, id, method string) bool {
 	sf.mu.Lock()
 	defer sf.mu.Unlock()
+	if slices.Contains(sf.requests, id) {
+		return false
+	}
 	if len(sf.requests) > maxEarlierRequests {
 		sf.requests = slices.Delete(sf.requests, 0, 1)
 	}
 	sf.header, sf.requests = header, append(sf.requests, id)
 	sf.bodiless, sf.answered = method == http.MethodHead, false
+	return true
 }
 
 // active reports whether the filter has a request to look for.
@@ -218,13 +223,16 @@
 		return he
 	}
 	he.status = status
-	chunked := false
+	chunked, named := false, false
 	for len(rest) > 0 {
 		line, rest, _ = bytes.Cut(rest, lineEnd)
 		key, value, _ := bytes.Cut(line, []byte(":"))
 		switch value = bytes.TrimSpace(value); {
 		case len(key) == len(header) && bytes.EqualFold(key, []byte(header)):
-			he.id = string(value)
+			if named && he.id != string(value) {
+				value = nil // several ids belong to no request
+			}
+			he.id, named = string(value), true
 		case bytes.EqualFold(key, []byte("Content-Length")):
 			length, err := strconv.ParseInt(string(value), 10, 64)
 			if err != nil || length < 0 || he.length >= 0 && he.length != length {
