fix(codec): one odd text does not make a message unreadable

What callers saw: requests in progress failed, 502 "may have run" or 504, when any other caller sent a Content-Type, a path or a header with a byte that is not UTF-8 through the same entry. On gateways a caller could do the same to load reports by the ids of its prompt's parts, after a server had ended.

Cause: processes send each other text that came from callers and servers. CBOR asks for UTF-8 when a message is read, not when it is written: the reader refused the whole message, and closed the link.

Change: messages and stored values are read with any bytes in their texts, in one package.

--- a/internal/bill/codec.go
+++ b/internal/bill/codec.go
@@ -5,10 +5,10 @@
 	"slices"
 	"strings"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
+	"github.com/linnetrudder/linnetrudder/internal/codec"
 	"github.com/linnetrudder/linnetrudder/internal/wire"
 )
 
@@ -70,7 +70,7 @@
 		})
 	}
 	st.Names = na.list
-	value, err := cbor.Marshal(st)
+	value, err := codec.Marshal(st)
 	return value, eris.Wrap(err, "bill document")
 }
 
@@ -80,7 +80,7 @@
 		return nil, nil
 	}
 	var st storedDocument
-	if err := cbor.Unmarshal(value, &st); err != nil {
+	if err := codec.Unmarshal(value, &st); err != nil {
 		return nil, eris.Wrap(err, "bill document")
 	}
 	doc := make([]wire.BillLine, 0, len(st.Lines))
--- a/internal/claim/codec.go
+++ b/internal/claim/codec.go
@@ -1,8 +1,9 @@
 package claim
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+
+	"github.com/linnetrudder/linnetrudder/internal/codec"
 )
 
 // document is one of the stored segments of a log.
@@ -23,12 +24,12 @@
 }
 
 func encode(doc document) ([]byte, error) {
-	value, err := cbor.Marshal(doc)
+	value, err := codec.Marshal(doc)
 	return value, eris.Wrap(err, "encode claim document")
 }
 
 func decode(value []byte) (document, error) {
 	var doc document
-	err := cbor.Unmarshal(value, &doc)
+	err := codec.Unmarshal(value, &doc)
 	return doc, eris.Wrap(err, "decode claim document")
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,10 +5,10 @@
 	"errors"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/linnetrudder/linnetrudder/internal/clock"
+	"github.com/linnetrudder/linnetrudder/internal/codec"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/pack"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
@@ -281,7 +281,7 @@
 
 // encodeChanges encodes changes for other gateways.
 func encodeChanges(changes []Change) ([]byte, error) {
-	data, err := cbor.Marshal(changes)
+	data, err := codec.Marshal(changes)
 	if err != nil {
 		return nil, eris.Wrap(err, "encode changes")
 	}
@@ -295,7 +295,7 @@
 		return nil, err
 	}
 	var changes []Change
-	if err := cbor.Unmarshal(data, &changes); err != nil {
+	if err := codec.Unmarshal(data, &changes); err != nil {
 		return nil, eris.Wrap(err, "decode changes")
 	}
 	return changes, nil
--- a/internal/gateway/tallies.go
+++ b/internal/gateway/tallies.go
@@ -6,8 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"github.com/linnetrudder/linnetrudder/internal/codec"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 )
 
@@ -103,7 +102,7 @@
 	if len(tallies) == 0 {
 		return nil
 	}
-	data, err := cbor.Marshal(tallies)
+	data, err := codec.Marshal(tallies)
 	if err != nil {
 		ga.Log.Error().Int("event", int(event.RelayFailed)).Err(err).Msg(event.Name(event.RelayFailed))
 	}
@@ -127,7 +126,7 @@
 		return
 	}
 	var tallies []Tally
-	if err := cbor.Unmarshal(data, &tallies); err != nil {
+	if err := codec.Unmarshal(data, &tallies); err != nil {
 		ga.Log.Error().Int("event", int(event.RelayFailed)).Err(err).Msg(event.Name(event.RelayFailed))
 		return
 	}
--- a/internal/quality/codec.go
+++ b/internal/quality/codec.go
@@ -1,8 +1,9 @@
 package quality
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+
+	"github.com/linnetrudder/linnetrudder/internal/codec"
 )
 
 // Entry is one cell with its count, as sent and stored.
@@ -29,7 +30,7 @@
 
 // Encode encodes the table for storage.
 func (ta *Table) Encode() ([]byte, error) {
-	value, err := cbor.Marshal(ta.Entries())
+	value, err := codec.Marshal(ta.Entries())
 	return value, eris.Wrap(err, "encode ratings")
 }
 
@@ -40,7 +41,7 @@
 		return ta, nil
 	}
 	var entries []Entry
-	if err := cbor.Unmarshal(value, &entries); err != nil {
+	if err := codec.Unmarshal(value, &entries); err != nil {
 		return nil, eris.Wrap(err, "decode ratings")
 	}
 	ta.MergeEntries(entries)
--- a/internal/relay/loads_test.go
+++ b/internal/relay/loads_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/linnetrudder/linnetrudder/internal/load"
+	"github.com/linnetrudder/linnetrudder/internal/poison"
 )
 
 // reporter is one gateway that sends reports and replies to them.
@@ -130,3 +131,17 @@
 		require.Equal(t, Report{Box: "echo", Collector: true, Work: wo}, reply)
 	}
 }
+
+// Guards against a report that can't be read because of one text that a caller chose.
+func TestReportWithOddBytesOfACallerIsRead(t *testing.T) {
+	hs := httptest.NewServer(&LoadServer{Handler: echo{}})
+	t.Cleanup(hs.Close)
+	cl := &Client{Address: strings.TrimPrefix(hs.URL, "http://"), Timeout: 5 * time.Second, HTTP: http.DefaultClient}
+	t.Cleanup(cl.Close)
+	odd := poison.Part{Service: "s", ID: "\xff\xfe"}
+	_, err := cl.Exchange(t.Context(), Report{
+		Box: "a", Suspicions: []poison.Suspicion{{Parts: []string{odd.ID}}},
+		Suspects: []poison.Suspect{{Part: odd}}, Clears: []poison.Clear{{Part: odd}},
+	})
+	require.NoError(t, err)
+}
--- a/internal/relay/socket.go
+++ b/internal/relay/socket.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/linnetrudder/linnetrudder/internal/codec"
 	"github.com/linnetrudder/linnetrudder/internal/stall"
 )
 
@@ -45,7 +45,7 @@
 func (se *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	serve(w, r, maxRequestBytes, func(ctx context.Context, data []byte) (any, error) {
 		var rq Request
-		if err := cbor.Unmarshal(data, &rq); err != nil {
+		if err := codec.Unmarshal(data, &rq); err != nil {
 			return nil, eris.Wrap(err, "decode request")
 		}
 		rq.Wait = min(max(0, rq.Wait), maxWait)
@@ -62,7 +62,7 @@
 func (ls *LoadServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	serve(w, r, maxReportBytes, func(_ context.Context, data []byte) (any, error) {
 		var re Report
-		if err := cbor.Unmarshal(data, &re); err != nil {
+		if err := codec.Unmarshal(data, &re); err != nil {
 			return nil, eris.Wrap(err, "decode report")
 		}
 		return ls.Handler.Reported(re), nil
@@ -180,7 +180,7 @@
 
 // write writes a message. A long one is written in parts, each of which must be written within a timeout.
 func write(ctx context.Context, conn *websocket.Conn, message any, gu *stall.Guard, timeout time.Duration) error {
-	data, err := cbor.Marshal(message)
+	data, err := codec.Marshal(message)
 	if err != nil {
 		return eris.Wrap(err, "encode")
 	}
@@ -210,5 +210,5 @@
 	if err != nil {
 		return eris.Wrap(err, "read")
 	}
-	return eris.Wrap(cbor.Unmarshal(data, into), "decode")
+	return eris.Wrap(codec.Unmarshal(data, into), "decode")
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/linnetrudder/linnetrudder/internal/codec"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/timeline"
@@ -209,14 +210,16 @@
 
 var (
 	encMode = must(cbor.EncOptions{}.EncMode())
-	decMode = mustDec(cbor.DecOptions{
-		MaxNestedLevels:  8,
-		MaxArrayElements: 1 << 17,
-		MaxMapPairs:      64,
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-	}.DecMode())
+	decMode = mustDec(decoding().DecMode())
 )
 
+// decoding returns the options with which frames are decoded.
+func decoding() cbor.DecOptions {
+	do := codec.Decoding
+	do.MaxNestedLevels, do.MaxArrayElements, do.MaxMapPairs, do.DupMapKey = 8, 1<<17, 64, cbor.DupMapKeyEnforcedAPF
+	return do
+}
+
 func must(em cbor.EncMode, err error) cbor.EncMode {
 	if err != nil {
 		panic(err)
--- a/standin/e2e/caller_test.go
+++ b/standin/e2e/caller_test.go
@@ -141,6 +141,29 @@
 	}
 }
 
+// Guards against a caller whose bytes end the link to an agent, and with it the requests of others.
+func TestOddBytesOfACallerDisturbNoOtherRequest(t *testing.T) {
+	sy := newSystem(t, 1, 20*time.Millisecond)
+	sy.waitAnswers(1)
+	stop := sy.startLoad(4, func(int) call { return call{stream: true, kind: "once"} })
+	for range 10 {
+		for _, odd := range [][2]string{{"Content-Type", "text/\xff"}, {"X-Linnetrudder-Session", "\xff"}, {"X-Linnetrudder-Kind", "\xfe"}, {"Idempotency-Key", "\x80"}} {
+			req, err := http.NewRequest(http.MethodPost, "http://"+sy.entries[0].Address+"/v1/chat/completions", strings.NewReader(`{"model":"m","messages":[{"role":"user","content":"x"}]}`))
+			require.NoError(t, err)
+			req.Header.Set("Authorization", "Bearer "+teamKey)
+			req.Header[odd[0]] = []string{odd[1]}
+			if resp, err := http.DefaultClient.Do(req); err == nil {
+				_ = resp.Body.Close()
+			}
+		}
+	}
+	calls := stop()
+	for _, ca := range calls {
+		require.True(t, ca.complete, "%+v", ca)
+	}
+	sy.checkCalls(calls)
+}
+
 // runningCount returns the number of requests in progress on the first engine.
 func (sy *system) runningCount() int {
 	var n int
