--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -24,7 +24,7 @@
 	// Born is the start time of the instance in Unix milliseconds by the server's clock, zero if
 	// it was not reported.
 	Born int64 `cbor:",omitempty"`
-	// Seq is the sequence number of the entry among those written by this instance.
+	// Seq is the sequence number of the entry among those written by this instance. It is not negative.
 	Seq     int64 `cbor:",omitempty"`
 	Service string
 	// Address is an IP address and a port. Another server may get the same address later.
@@ -80,6 +80,10 @@
 // within about two seconds, as stated by the users.
 const reregistrationGrace = 2 * time.Second
 
+// maxSeqLag is how many entries of an instance may have been written after one that still arrives. A sequence number
+// that is lower by more shows that another writer chose the higher one.
+const maxSeqLag = 1000
+
 // departureRetention is how long the announced shutdown of an unlisted server is remembered: its
 // entry may reappear while it drains.
 const departureRetention = 10 * time.Minute
@@ -129,7 +133,7 @@
 		return false
 	}
 	delete(di.missingUntil, se.ID)
-	if old != nil && se.Born == old.Born && se.Seq < old.Seq {
+	if old != nil && se.Born == old.Born && se.Seq < old.Seq && old.Seq-se.Seq <= maxSeqLag {
 		return false
 	}
 	se.hash, se.key = xxhash.Sum64String(se.ID), se.instanceKey()
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -261,3 +261,13 @@
 	di.Put(Server{ID: "c", Service: "s", Draining: true})
 	require.False(t, di.Exclude("c", revision.Revision{Number: 9}), "it gets no requests already")
 }
+
+// Guards against a server whose own entries count as outdated after another writer gave it a large sequence number.
+func TestEntriesCountAgainAfterAnImplausibleSequenceNumber(t *testing.T) {
+	di := &Directory{}
+	di.Put(Server{ID: "a", Service: "s", Seq: 100})
+	require.False(t, di.Put(Server{ID: "a", Service: "s", Seq: 99}), "an earlier entry")
+	di.Put(Server{ID: "a", Service: "s", Seq: 1 << 53})
+	require.True(t, di.Put(Server{ID: "a", Service: "s", Seq: 101, Draining: true}))
+	require.True(t, di.Get("a").Draining)
+}
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/excerpt"
 )
 
 // addLogFields adds the result of an attempt to a log entry.
@@ -32,7 +33,7 @@
 	}
 	responsesUnrelated.Inc()
 	se.ex.ga.Log.Warn().Int("event", int(event.ResponseUnrelated)).Str("request", se.ex.rq.ID).Str("server", se.server.ID).
-		Str("status", unrelated.Status).Str("response_to", unrelated.RequestID).Bool("connection_reused", unrelated.Reused).
+		Str("status", excerpt.Of(unrelated.Status)).Str("response_to", excerpt.Of(unrelated.RequestID)).Bool("connection_reused", unrelated.Reused).
 		Msg(event.Name(event.ResponseUnrelated))
 }
 
@@ -45,7 +46,7 @@
 	case se.step.Resume():
 		id = event.RequestResumed
 	case before.err != nil:
-		why = before.err.Error()
+		why = excerpt.Of(before.err.Error())
 	case before.step.Model() != se.step.Model():
 		id = event.RequestEscalated
 	}
