fix: one odd element of a list costs no other

An entry lost sight of all boxes, an agent or gateway of all keys below a prefix or of a page, if one element of the list was of another type or one value was not base64.

Cause: lists were decoded whole.

What can't be read is an unusable entry or an unreadable key. A single key that can't be read is an error, not absent; claims are not granted from a list with one, since the claim may be in it.

--- a/internal/bill/store.go
+++ b/internal/bill/store.go
@@ -53,6 +53,9 @@
 func DecodeAll(pairs []kv.Pair) ([]wire.BillLine, error) {
 	var all []wire.BillLine
 	for _, pair := range pairs {
+		if pair.Err != nil {
+			return nil, pair.Err
+		}
 		doc, err := Decode(pair.Value)
 		if err != nil {
 			return nil, err
--- a/internal/boxes/boxes.go
+++ b/internal/boxes/boxes.go
@@ -10,6 +10,9 @@
 	"net/netip"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/linnetrudder/linnetrudder/internal/jsonlist"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/stall"
 )
@@ -81,18 +84,25 @@
 	return Decode(data)
 }
 
-// Decode parses a list. It omits boxes without a name or whose address is not an IP address and port,
-// since they can't be reached.
+var errUnreachable = eris.New("box without a name or an address")
+
+// Decode parses a list. It omits boxes that are malformed, have no name or whose address is not an IP address and
+// port, since they can't be reached.
 func Decode(data []byte) ([]Box, error) {
-	var all []Box
-	if err := json.Unmarshal(data, &all); err != nil {
-		return nil, result.New(result.StoreDown, "list of boxes: "+err.Error())
-	}
-	reachable := all[:0]
-	for _, bo := range all {
-		if _, err := netip.ParseAddrPort(bo.Address); err == nil && bo.Name != "" {
-			reachable = append(reachable, bo)
+	var reachable []Box
+	_, err := jsonlist.Decode(data, func(raw json.RawMessage) error {
+		var bo Box
+		if err := json.Unmarshal(raw, &bo); err != nil {
+			return eris.Wrap(err, "decode box")
 		}
+		if ap, err := netip.ParseAddrPort(bo.Address); err != nil || ap.Port() == 0 || bo.Name == "" {
+			return errUnreachable
+		}
+		reachable = append(reachable, bo)
+		return nil
+	})
+	if err != nil {
+		return nil, result.New(result.StoreDown, "list of boxes: "+err.Error())
 	}
 	return reachable, nil
 }
--- a/internal/claim/calls.go
+++ b/internal/claim/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"time"
 
@@ -64,6 +65,9 @@
 
 // HandleLoad processes the answer to a Load and returns the replies to claims that it decides.
 func (lo *Log) HandleLoad(pairs []kv.Pair, err error, now time.Time) []Reply {
+	for _, pair := range pairs {
+		err = errors.Join(err, pair.Err) // claims may be missing, which must not be granted again
+	}
 	if !lo.finishCall(err, now) {
 		return nil
 	}
--- a/internal/claim/log_test.go
+++ b/internal/claim/log_test.go
@@ -96,6 +96,17 @@
 	require.Equal(t, "a", st.runAll(third, start)[0].Line().Value, "a new owner loads it from the store")
 }
 
+// Guards against a key that is granted twice because the claim for it could not be read.
+func TestUnreadableDocumentGrantsNothing(t *testing.T) {
+	st := &fakeStore{pairs: map[string]kv.Pair{"odd": {Key: "odd", Err: errLost}}}
+	lo := newLog()
+	lo.Claim("e1", durableLine("k", "a"), 0, start)
+	for _, re := range st.runAll(lo, start) {
+		require.NotEqual(t, result.OK, re.Line().Code)
+	}
+	require.False(t, lo.loaded)
+}
+
 func TestReleaseFreesKey(t *testing.T) {
 	st := &fakeStore{pairs: map[string]kv.Pair{}}
 	lo := newLog()
--- a/internal/entry/feedback.go
+++ b/internal/entry/feedback.go
@@ -263,7 +263,7 @@
 	all := &quality.Table{}
 	for _, pair := range pairs {
 		table, err := quality.Decode(pair.Value)
-		if err == nil {
+		if err == nil && pair.Err == nil {
 			all.MergeEntries(table.Entries())
 		}
 	}
--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -53,7 +53,7 @@
 	all := rollout.Tallies{}
 	for _, pair := range pairs {
 		tallies, err := rollout.DecodeTallies(pair.Value)
-		if err != nil {
+		if err != nil || pair.Err != nil {
 			continue
 		}
 		for version, ta := range tallies {
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
+	"github.com/linnetrudder/linnetrudder/internal/jsonlist"
 	"github.com/linnetrudder/linnetrudder/internal/metrics"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/stall"
@@ -28,6 +29,8 @@
 	Key   string
 	Value []byte
 	Index uint64
+	// Err is why a key of a list could not be read, nil if it could.
+	Err error
 }
 
 // maxResponseBytes bounds the response to one call; that of a recursive read may be long.
@@ -70,7 +73,7 @@
 	return firstPair(key, pairs), index, err
 }
 
-// List reads all keys below a prefix in one call.
+// List reads all keys below a prefix in one call. Those that are malformed have an Err.
 func (cl *Client) List(ctx context.Context, prefix string) ([]Pair, error) {
 	query := url.Values{}
 	query.Set("recurse", "true")
@@ -103,21 +106,36 @@
 	if err != nil || body == nil {
 		return nil, index, err
 	}
-	var wps []wirePair
-	if err := json.Unmarshal(body, &wps); err != nil {
+	var pairs []Pair
+	malformed, err := jsonlist.Decode(body, func(raw json.RawMessage) error {
+		pair := decodePair(raw)
+		pairs = append(pairs, pair)
+		return pair.Err
+	})
+	switch {
+	case err != nil:
 		return nil, 0, result.New(result.StoreDown, "malformed answer: "+err.Error())
+	case malformed > 0 && query.Get("recurse") == "":
+		// Without it, the only key that was asked for would seem not to exist.
+		return nil, 0, result.New(result.StoreDown, "malformed value")
 	}
-	pairs := make([]Pair, 0, len(wps))
-	for _, wp := range wps {
-		value, err := base64.StdEncoding.DecodeString(wp.Value)
-		if err != nil {
-			return nil, 0, result.New(result.StoreDown, "malformed value: "+err.Error())
-		}
-		pairs = append(pairs, Pair{Key: wp.Key, Value: value, Index: wp.ModifyIndex})
-	}
+	metrics.StoreCalls.Add("malformed", int64(malformed))
 	return pairs, index, nil
 }
 
+// decodePair decodes one element of a response.
+func decodePair(raw json.RawMessage) Pair {
+	var wp wirePair
+	if err := json.Unmarshal(raw, &wp); err != nil {
+		return Pair{Key: wp.Key, Err: eris.Wrap(err, "decode key")}
+	}
+	value, err := base64.StdEncoding.DecodeString(wp.Value)
+	if err != nil {
+		return Pair{Key: wp.Key, Err: eris.Wrap(err, "decode value")}
+	}
+	return Pair{Key: wp.Key, Value: value, Index: wp.ModifyIndex}
+}
+
 // call sends one request. A nil body without an error means that the key does not exist.
 func (cl *Client) call(ctx context.Context, method, key string, query url.Values, value []byte, wait time.Duration) ([]byte, uint64, error) {
 	if err := cl.Limiter.Wait(ctx); err != nil {
--- a/internal/kv/kv_test.go
+++ b/internal/kv/kv_test.go
@@ -54,3 +54,22 @@
 	require.Error(t, err)
 	require.Less(t, time.Since(began), 5*time.Second)
 }
+
+// Guards against one odd value that hides all others below a prefix, and against a key that seems not to exist.
+func TestOddPairCostsNoOther(t *testing.T) {
+	const sound = `{"Key":"p/a","Value":"dmFsdWU=","ModifyIndex":3}`
+	for name, odd := range map[string]string{
+		"no base64": `{"Key":"p/b","Value":"%"}`, "a number": "7", "an index of another type": `{"Key":"p/b","Value":"","ModifyIndex":"x"}`,
+		"a large index": `{"Key":"p/b","Value":"","ModifyIndex":18446744073709551616}`, "nested": strings.Repeat("[", 5000) + strings.Repeat("]", 5000),
+	} {
+		response := "[" + odd + "," + sound + "]"
+		cl := newClient(t, time.Second, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(response)) })
+		pairs, err := cl.List(t.Context(), "p/")
+		require.NoError(t, err, name)
+		require.Error(t, pairs[0].Err, name)
+		require.Equal(t, Pair{Key: "p/a", Value: []byte("value"), Index: 3}, pairs[1], name)
+		response = "[" + odd + "]"
+		_, err = cl.Get(t.Context(), "p/b")
+		require.Error(t, err, name)
+	}
+}
