fix(stall): a response that is larger than its limit is not asked for again and again

What callers saw: 503 for all requests from some seconds after another writer had rewritten large entries while the service was silent, for good.

Cause: a body was cut off at its limit without a word. The changes since the last answer exceeded 16 MB; the rest looked malformed, counted as a failed call, and the same changes were asked for again. The state grew older than keys may be accepted at.

Change: the limit is an error of its own. The other readers of bodies name the limit as well.

--- a/internal/boxes/boxes.go
+++ b/internal/boxes/boxes.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -77,7 +76,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, result.New(result.StoreDown, "list of boxes: "+resp.Status)
 	}
-	data, err := io.ReadAll(gu.Reader(io.LimitReader(resp.Body, maxListBytes), cl.Timeout))
+	data, err := gu.ReadAll(resp.Body, cl.Timeout, maxListBytes)
 	if err != nil {
 		return nil, result.New(result.StoreDown, "list of boxes: "+err.Error())
 	}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -8,7 +8,6 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -154,7 +153,7 @@
 		return nil, 0, CallError(method == http.MethodPut, err.Error())
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(gu.Reader(io.LimitReader(resp.Body, maxResponseBytes), cl.Timeout))
+	body, err := gu.ReadAll(resp.Body, cl.Timeout, maxResponseBytes)
 	if err != nil {
 		metrics.StoreCalls.Add("failed", 1)
 		return nil, 0, CallError(method == http.MethodPut, err.Error())
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -7,6 +7,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Guard cancels the context of a call that makes no progress.
@@ -48,6 +50,18 @@
 	return &reader{Reader: re, guard: gu, timeout: timeout}
 }
 
+// ErrTooLarge means that a body is larger than its limit. A repeated call would get as much.
+var ErrTooLarge = eris.New("body is larger than its limit")
+
+// ReadAll reads a body of at most limit bytes, of which each part is progress.
+func (gu *Guard) ReadAll(body io.Reader, timeout time.Duration, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(gu.Reader(io.LimitReader(body, limit+1), timeout))
+	if err == nil && int64(len(data)) > limit {
+		return nil, ErrTooLarge
+	}
+	return data, eris.Wrap(err, "read body")
+}
+
 // reader records progress on a guard.
 type reader struct {
 	io.Reader
--- a/standin/keyvalue/keyvalue.go
+++ b/standin/keyvalue/keyvalue.go
@@ -122,6 +122,13 @@
 	st.put(Item{Key: key, Value: body})
 }
 
+// SetRaw writes a value that need not be JSON.
+func (st *Store) SetRaw(key string, value []byte) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.put(Item{Key: key, Value: value})
+}
+
 // Remove removes a key without conditions.
 func (st *Store) Remove(key string) {
 	st.mu.Lock()
