test(soak): entries that no backend server writes

--odd: another writer puts 21 kinds of odd entries among those of the servers, members, orders, tallies and blocks, and replaces a server's own entry with each in turn. New guarantees: no gateway ends by itself, no line of a log is longer than 16 KiB.

--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -33,6 +33,7 @@
 	Operate   bool          `help:"Let half of the callers perform operations with retries, and stop, reload and reconfigure gateways in series."`
 	Ends      bool          `help:"Let backend servers learn late, or by a reset only, that a gateway has ended a connection."`
 	Starve    bool          `help:"Suspend gateways for short times again and again, as on machines with little processor time."`
+	Odd       bool          `help:"Include entries in the key-value service that no backend server writes."`
 	Large     bool          `help:"Include large configurations, and small links to the key-value service."`
 }
 
@@ -108,6 +109,9 @@
 	if ar.Starve {
 		pl = pl.WithStarvation()
 	}
+	if ar.Odd {
+		pl = pl.WithOddEntries()
+	}
 	if ar.Large {
 		pl = pl.WithLargeConfigs()
 	}
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -54,6 +54,10 @@
 	// BadVersionContained: a version that is much slower is not completed, and gets at most canaryShare of the requests
 	// until its deadline.
 	BadVersionContained Guarantee = "bad-version"
+	// StaysUp: a gateway does not end by itself.
+	StaysUp Guarantee = "stays-up"
+	// BoundedLog: a line of a gateway's log has at most maxLogLine bytes.
+	BoundedLog Guarantee = "log"
 	// Recovery: requests succeed again within recoverWithin of the last fault.
 	Recovery Guarantee = "recovery"
 )
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -80,6 +80,8 @@
 		sr.sendPoison(fa)
 	case PoisonPart:
 		sr.sendPoisonPart(fa)
+	case OddEntries:
+		sr.writeOddEntries(fa)
 	case ConnectionsSilent, ServerEndlessHead, SlowRollout:
 		sr.injectForAllServers(fa)
 	default:
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -149,7 +149,7 @@
 	if pl.Operations {
 		fmt.Fprintf(os.Stderr, "soak: attempts by ending, and how many ran: %v\n", sr.history.endings())
 	}
-	return sr.history.check(), nil
+	return append(sr.history.check(), sr.checkProcesses()...), nil
 }
 
 func (rn *Runner) newRun(pl Plan) *soakRun {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -179,7 +179,22 @@
 	require.Empty(t, runPlan(t, pl, ""))
 }
 
-// The same, at gateways that are suspended again and again.
+// Another writer puts entries that no server writes among those of the servers. Seed 923 violated Recovery in the past,
+// 921 BoundedLog.
+func TestOddEntriesDisturbNothingElse(t *testing.T) {
+	for _, seed := range []uint64{921, 923} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			pl := GeneratePlan(seed, 4, 6, 8*time.Second).WithOddEntries()
+			rn := &Runner{Bin: bin, Dir: t.TempDir(), Callers: 24}
+			violations, err := rn.Run(t.Context(), pl)
+			require.NoError(t, err)
+			require.Empty(t, violations, "%v", pl.Faults)
+		})
+	}
+}
+
+// Servers that stop within streams, and gateways that are suspended again and again.
 func TestStreamsRunOnceWhenGatewaysAreSuspended(t *testing.T) {
 	t.Parallel()
 	at := func(n time.Duration) time.Duration { return n * time.Second }
