--- a/internal/direct/explored_test.go
+++ b/internal/direct/explored_test.go
@@ -31,8 +31,10 @@
 	return fmt.Sprint("s", len(tried)), ew.now != worldNoServer
 }
 func (ew *exploredWorld) Wait(string, []string, time.Time) time.Duration { return 0 }
-func (ew *exploredWorld) Take(time.Time) bool                            { return ew.now != worldNoRetry }
-func (ew *exploredWorld) TakeSpare(time.Time) bool                       { return ew.now != worldNoRetry }
+func (ew *exploredWorld) Take(time.Time) bool { return ew.now != worldNoRetry }
+
+func (ew *exploredWorld) TakeSpare(time.Time) bool { return ew.now != worldNoRetry }
+
 func (ew *exploredWorld) Blocked(time.Time) time.Duration {
 	if ew.now == worldBlocked {
 		return time.Second
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -80,22 +80,22 @@
 		sr.sendPoison(fa)
 	case PoisonPart:
 		sr.sendPoisonPart(fa)
-	case OddEntries:
-		sr.writeOddEntries(fa)
-	case ConnectionsSilent, ServerEndlessHead, SlowRollout:
+	case ConnectionsSilent, ServerEndlessHead, SlowRollout, OddEntries:
 		sr.injectForAllServers(fa)
 	default:
 		sr.injectServerFault(fa)
 	}
 }
 
-// injectForAllServers applies a fault that concerns all backend servers.
+// injectForAllServers applies a fault that concerns more than one backend server.
 func (sr *soakRun) injectForAllServers(fa Fault) {
 	switch fa.Kind {
 	case ConnectionsSilent:
 		sr.silenceConnections()
 	case ServerEndlessHead:
 		sr.endlessHeads(fa)
+	case OddEntries:
+		sr.writeOddEntries(fa)
 	default:
 		sr.rollOutSlowly(fa)
 	}
