--- a/internal/direct/explored_test.go
+++ b/internal/direct/explored_test.go
@@ -30,7 +30,9 @@
 func (ew *exploredWorld) Pick(_ string, tried []string, _ time.Time) (string, bool) {
 	return fmt.Sprint("s", len(tried)), ew.now != worldNoServer
 }
+
 func (ew *exploredWorld) Wait(string, []string, time.Time) time.Duration { return 0 }
+
 func (ew *exploredWorld) Take(time.Time) bool { return ew.now != worldNoRetry }
 
 func (ew *exploredWorld) TakeSpare(time.Time) bool { return ew.now != worldNoRetry }
