refactor(response): one boundary for what a backend server's response shows

Whose a response is, whether its attempt has run and what may be done with its connection was decided in the adapter and, in another way, in agents.

Change: internal/response judges a head in one place and in one order; a kind of server is a set of headers and statuses. Agents use it, and the filter of surplus responses with it: an attempt at an agent's server gets its own response behind the repeated rejection of an earlier one, where it failed, and no two attempts with the same id share a connection.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -19,6 +19,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/link"
 	"github.com/linnetrudder/linnetrudder/internal/metrics"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
+	"github.com/linnetrudder/linnetrudder/internal/response"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/timeline"
 	"github.com/linnetrudder/linnetrudder/internal/transport"
@@ -72,15 +73,16 @@
 // call sends the request to the backend server and forwards the response.
 func (ru *run) call(ctx context.Context) (result.Code, *wire.Usage) {
 	req, err := ru.newRequest(ctx)
-	if err != nil {
-		return result.NotDispatched, nil
-	}
-	if !ru.decisionHolds() {
+	if err != nil || !ru.decisionHolds() {
 		return result.NotDispatched, nil
 	}
 	ru.recordSent()
-	conn := transport.Connection{Check: ru.decisionHolds}
-	resp, err := ru.ag.HTTP.Do(req.WithContext(conn.Observe(ctx)))
+	conn := transport.Connection{IDHeader: headerRequestID, RequestID: ru.at.Request, Method: ru.at.Method, Check: ru.decisionHolds}
+	resp, err := conn.RoundTrip(ctx, clientTripper{ru.ag.HTTP}, func(ctx context.Context) *http.Request {
+		sent := req.WithContext(ctx)
+		sent.Body = transport.SingleUse(ru.at.Body)
+		return sent
+	})
 	switch {
 	case conn.CheckFailed():
 		return result.NotDispatched, nil
@@ -90,14 +92,15 @@
 		return co, nil
 	}
 	defer resp.Body.Close()
-	if id := resp.Header.Get(headerRequestID); id != "" && id != ru.at.Request {
+	verdict := ru.protocol().Judge(resp, ru.at.Request, conn.Reused())
+	if verdict == response.Unrelated {
 		conn.Discard()
 		return result.ServerFailed, nil
 	}
 	ru.recordAnswered()
 	ru.ag.applySelfReport(resp)
 	switch {
-	case resp.StatusCode == http.StatusTooManyRequests && ru.at.Version != "":
+	case verdict == response.Rejection:
 		return result.NotDispatched, nil
 	case resp.StatusCode >= http.StatusInternalServerError && ru.at.Version != "":
 		return result.ServerFailed, nil
@@ -108,6 +111,24 @@
 	return ru.relay(ctx, resp, &me)
 }
 
+// protocol returns what the backend server answers. Model servers reject what exceeds their queue with 429; a plain
+// service may mean anything by it.
+func (ru *run) protocol() response.Protocol {
+	pr := response.Protocol{RequestID: headerRequestID, Anonymous: true}
+	if ru.at.Version != "" {
+		pr.Rejections = []int{http.StatusTooManyRequests}
+	}
+	return pr
+}
+
+// clientTripper sends requests with a client.
+type clientTripper struct{ *http.Client }
+
+// RoundTrip sends a request and returns the head of its response.
+func (ct clientTripper) RoundTrip(req *http.Request) (*http.Response, error) {
+	return ct.Do(req) //nolint:wrapcheck // as returned by the client
+}
+
 // decisionHolds reports whether the gate's decision may still be acted on. After a suspension of the process,
 // the state that it was based on may be out of date.
 func (ru *run) decisionHolds() bool { return !gate.Stalled(ru.decided, clock.Now()) }
--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -76,6 +76,41 @@
 	require.False(t, ag.dispatched.IsDisconnected("s", clock.Now()))
 }
 
+// Guards against an attempt that fails, or counts as rejected, because its server sent the rejection of an earlier one again.
+func TestSurplusRejectionDoesNotAnswerAnotherAttempt(t *testing.T) {
+	runs := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		rejection := "HTTP/1.1 429 Too Many Requests\r\nX-Request-Id: " + r.Header.Get(headerRequestID) + "\r\nContent-Length: 0\r\n\r\n"
+		_, _ = io.WriteString(conn, rejection)
+		next, err := http.ReadRequest(buffered.Reader)
+		if err != nil {
+			return
+		}
+		runs++
+		_, _ = io.WriteString(conn, rejection+"HTTP/1.1 503 Own\r\nX-Request-Id: "+next.Header.Get(headerRequestID)+"\r\nContent-Length: 0\r\n\r\n")
+	}))
+	defer server.Close()
+	ag := newTestAgent(server)
+	attempt := func(id string) result.Code {
+		ru := &run{ag: ag, at: &wire.Attempt{Request: id, Method: http.MethodPost, Path: "/", Body: []byte("x"), Version: "v"}, decided: clock.Now()}
+		co, _ := ru.call(t.Context())
+		return co
+	}
+	require.Equal(t, result.NotDispatched, attempt("first"))
+	require.Equal(t, result.ServerFailed, attempt("second"), "its own response")
+	require.Equal(t, 1, runs)
+	require.Equal(t, result.NotDispatched, attempt("third"))
+	require.Equal(t, result.NotDispatched, attempt("third"), "on another connection")
+	require.Equal(t, 1, runs)
+}
+
 // newTestAgent returns an agent that calls a backend server.
 func newTestAgent(server *httptest.Server) *Agent {
 	return &Agent{
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -9,6 +9,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/duty"
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/excerpt"
 	"github.com/linnetrudder/linnetrudder/internal/gossip"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
@@ -343,7 +344,7 @@
 	case ch.Unblocked != nil:
 		ga.blockRemoved(*ch.Unblocked)
 	case ch.Unreadable != nil:
-		ga.Log.Error().Int("event", int(event.ConfigRefused)).Err(ch.Unreadable).Msg(event.Name(event.ConfigRefused))
+		ga.Log.Error().Int("event", int(event.ConfigRefused)).Str("error", excerpt.Of(ch.Unreadable.Error())).Msg(event.Name(event.ConfigRefused))
 	default:
 		ga.applyMembershipChange(ch)
 	}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -8,15 +8,18 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/duty"
+	"github.com/linnetrudder/linnetrudder/internal/excerpt"
 	"github.com/linnetrudder/linnetrudder/internal/lease"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/relay"
+	"github.com/linnetrudder/linnetrudder/internal/response"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/revision"
 	"github.com/linnetrudder/linnetrudder/internal/rollout"
@@ -87,6 +90,15 @@
 	Tokens int
 }
 
+// maxPartIDBytes is the maximum length of the id of a prompt's part. Ids are stored and passed on to other gateways.
+const maxPartIDBytes = 128
+
+// Valid reports whether a part is well-formed: its id is short and printable ASCII.
+func (pa PromptPart) Valid() bool {
+	odd := strings.ContainsFunc(pa.ID, func(r rune) bool { return r <= ' ' || r > '~' })
+	return pa.ID != "" && len(pa.ID) <= maxPartIDBytes && !odd && pa.Tokens >= 0
+}
+
 // Attempt is one call to a backend server.
 type Attempt struct {
 	Request *Request
@@ -174,6 +186,28 @@
 	return "response " + ue.Status + " belongs to another call: " + strconv.Quote(ue.RequestID)
 }
 
+// ErrUnsigned means that a response is not what the backend server wrote.
+var ErrUnsigned = eris.New("response is not signed by the server or is encoded")
+
+// ErrorOf returns the error of a response that is not an answer, nil for an answer. ids are the requests that the
+// response names, re is what the server reports about itself.
+func ErrorOf(ve response.Verdict, status string, ids []string, reused bool, re selfreport.Report) error {
+	switch ve {
+	case response.Unrelated:
+		return &UnrelatedError{Status: status, RequestID: strings.Join(ids, ", "), Reused: reused}
+	case response.Replaced:
+		return &RefusedError{Reason: "another server has the address", Gone: true}
+	case response.Rejection:
+		return &RefusedError{Reason: status, Report: re}
+	case response.Ambiguous:
+		// Passing these on would promise the caller more than is known.
+		return &AmbiguousError{Status: status, Report: re}
+	case response.Unsigned:
+		return ErrUnsigned
+	}
+	return nil
+}
+
 var (
 	// ErrNotSent means that an attempt never reached its server.
 	ErrNotSent = eris.New("attempt was not sent")
@@ -250,6 +284,11 @@
 	Reason string
 }
 
+// NewUnusable returns the change for a server's entry that is not valid. The reason is passed on to other gateways.
+func NewUnusable(id string, reason error) Change {
+	return Change{Unusable: &UnusableServer{ID: id, Reason: excerpt.Of(reason.Error())}}
+}
+
 // Order is an operator's order to roll out a version.
 type Order struct {
 	Plan rollout.Plan
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 )
@@ -18,13 +19,28 @@
 	// request is not sent and fails. It may be nil.
 	Check func() bool
 
-	failed   atomic.Bool
+	failed atomic.Bool
+	// repeated is set if the request was not sent because the connection had carried one with its id, whose response
+	// could be taken for this request's.
 	repeated atomic.Bool
 	conn     net.Conn
 	reused   bool
 	written  atomic.Bool
 }
 
+// RoundTrip sends a request that newRequest returns, on a connection that has carried none with its id.
+func (co *Connection) RoundTrip(ctx context.Context, rt http.RoundTripper, newRequest func(ctx context.Context) *http.Request) (*http.Response, error) {
+	for {
+		co.repeated.Store(false)
+		co.written.Store(false)
+		resp, err := rt.RoundTrip(newRequest(co.Observe(ctx)))
+		if !co.repeated.Load() {
+			return resp, err //nolint:wrapcheck // as returned by the round tripper
+		}
+		// That connection is closed, so that the next one is another or a new one.
+	}
+}
+
 // Observe returns a context for the request.
 func (co *Connection) Observe(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -49,10 +65,6 @@
 // CheckFailed reports whether the request was not sent because Check returned false.
 func (co *Connection) CheckFailed() bool { return co.failed.Load() }
 
-// Repeated reports whether the request was not sent because the connection had carried one with its id, whose response
-// could be taken for this request's.
-func (co *Connection) Repeated() bool { return co.repeated.Load() }
-
 // Written reports whether the head of the request was written.
 func (co *Connection) Written() bool { return co.written.Load() }
 
