test(e2e): callers leave once no thread of the entry runs any more

SIGSTOP takes effect after the call returns: the first caller's request could be read before its caller left, and it ran, which is allowed.

--- a/internal/gateway/eventorder_test.go
+++ b/internal/gateway/eventorder_test.go
@@ -112,7 +112,7 @@
 	return resp, nil
 }
 
-// orderedResponder records what the caller is told.
+// orderedResponder records the code that the caller gets.
 type orderedResponder struct{ code result.Code }
 
 func (or *orderedResponder) WriteResponse(int, http.Header, []byte) error         { return nil }
--- a/standin/e2e/caller_test.go
+++ b/standin/e2e/caller_test.go
@@ -6,6 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -121,9 +124,9 @@
 	const departures, body = 30, `{"model":"m","messages":[{"role":"user","content":"x"}]}`
 	sy := newSystem(t, 1, time.Millisecond)
 	sy.waitAnswers(1)
-	started := sy.totalStarted(sy.agents[0])
 	for _, reset := range []bool{true, false} {
-		require.NoError(t, sy.entries[0].Process.Signal(syscall.SIGSTOP))
+		started := sy.totalStarted(sy.agents[0])
+		sy.suspend(sy.entries[0])
 		for range departures {
 			conn, err := net.Dial("tcp", sy.entries[0].Address)
 			require.NoError(t, err)
@@ -135,12 +138,27 @@
 			require.NoError(t, conn.Close())
 		}
 		require.NoError(t, sy.entries[0].Process.Signal(syscall.SIGCONT))
-		sy.waitAnswers(1)
-		started++
-		require.Equal(t, started, sy.totalStarted(sy.agents[0]))
+		sends := 1
+		for ; !sy.send(sy.entries[0], call{kind: "long-deadline"}).complete; sends++ {
+			require.Less(t, sends, departures, "requests of callers that stay")
+		}
+		require.LessOrEqual(t, sy.totalStarted(sy.agents[0])-started, sends, "sent by callers that stay")
 	}
 }
 
+// suspend suspends a process and waits until none of its threads runs.
+func (sy *system) suspend(me *fleet.Member) {
+	require.NoError(sy.t, me.Process.Signal(syscall.SIGSTOP))
+	require.NoError(sy.t, fleet.WaitUntil(waitTimeout, "the process to stop", func() bool {
+		names, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", me.Process.PID()))
+		require.NoError(sy.t, err)
+		return !slices.ContainsFunc(names, func(name string) bool {
+			stat, err := os.ReadFile(name)
+			return err == nil && !strings.Contains(string(stat), ") T ")
+		})
+	}))
+}
+
 // Guards against a caller whose bytes end the link to an agent, and with it the requests of others.
 func TestOddBytesOfACallerDisturbNoOtherRequest(t *testing.T) {
 	sy := newSystem(t, 1, 20*time.Millisecond)
