test(agent): the server of a surplus rejection announces that it closes

The server closed its connection after the second response without saying so. An agent that had not yet noticed sent the third attempt on it, and reported, rightly, that it may have run. What is asserted is unchanged.

--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -94,7 +94,7 @@
 			return
 		}
 		runs++
-		_, _ = io.WriteString(conn, rejection+"HTTP/1.1 503 Own\r\nX-Request-Id: "+next.Header.Get(headerRequestID)+"\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(conn, rejection+"HTTP/1.1 503 Own\r\nConnection: close\r\nX-Request-Id: "+next.Header.Get(headerRequestID)+"\r\nContent-Length: 0\r\n\r\n")
 	}))
 	defer server.Close()
 	ag := newTestAgent(server)
