fix(gateway): what callers send has common limits of memory, descriptors and time

What callers saw: before clients that stop short of the end of their bodies, or that only connect, a gateway ran out of memory or descriptors, and ended or hung with all its requests.

Change: httpfront counts the bytes of each connection and applies intake's decisions, for whoever uses its Server. A body is read until its request's deadline, and given up after 10 s without a byte; a response after 30 s in which nothing of it is read. Memory is charged as bytes arrive. Rejections have a code (intake_full: 503, not run).

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/linnetrudder/linnetrudder/internal/buffer"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/gate"
@@ -80,7 +81,7 @@
 	conn := transport.Connection{IDHeader: headerRequestID, RequestID: ru.at.Request, Method: ru.at.Method, Check: ru.decisionHolds}
 	resp, err := conn.RoundTrip(ctx, clientTripper{ru.ag.HTTP}, func(ctx context.Context) *http.Request {
 		sent := req.WithContext(ctx)
-		sent.Body = transport.SingleUse(ru.at.Body)
+		sent.Body = transport.SingleUse(buffer.SegmentsOf(ru.at.Body))
 		return sent
 	})
 	switch {
@@ -174,7 +175,7 @@
 
 func (ru *run) newRequest(ctx context.Context) (*http.Request, error) {
 	url := "http://" + ru.ag.Node.Settings.Server.Address + ru.at.Path
-	req, err := http.NewRequestWithContext(ctx, ru.at.Method, url, transport.SingleUse(ru.at.Body))
+	req, err := http.NewRequestWithContext(ctx, ru.at.Method, url, transport.SingleUse(buffer.SegmentsOf(ru.at.Body)))
 	if err != nil {
 		return nil, eris.Wrap(err, "create request to backend server")
 	}
--- a/internal/entry/caller_request.go
+++ b/internal/entry/caller_request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/bill"
+	"github.com/linnetrudder/linnetrudder/internal/buffer"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/config"
 	"github.com/linnetrudder/linnetrudder/internal/node"
@@ -199,7 +200,7 @@
 	// The host is not part of the fingerprint: each entry has a name or address of its own, and
 	// requests are not routed by host.
 	cr.subject = poison.Subject{RequestID: cr.id, Team: cr.team, Fingerprint: poison.FingerprintOf(poison.Request{
-		Team: cr.team, Method: r.Method, Target: r.URL.RequestURI(), Body: cr.body,
+		Team: cr.team, Method: r.Method, Target: r.URL.RequestURI(), Body: buffer.SegmentsOf(cr.body),
 	})}
 	if en.blockRemaining(cr.subject, clock.Now()) > 0 {
 		return result.New(result.RequestBlocked, "")
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -21,6 +21,7 @@
 	OverloadEnded       ID = 110
 	LoadUnreadable      ID = 111
 	LibraryMessage      ID = 112
+	IntakeEnded         ID = 113
 	RequestReceived     ID = 200
 	RequestRouted       ID = 201
 	RequestRetried      ID = 202
@@ -133,6 +134,7 @@
 	{OverloadEnded, "overload_ended", "all new connections are served again"},
 	{LoadUnreadable, "load_unreadable", "the processor time of the process can't be read; no connection is rejected because of overload"},
 	{LibraryMessage, "library_message", "a library logged a message of its own; at most 5 of a kind are logged in 10 s, all are counted"},
+	{IntakeEnded, "intake_ended", "a connection or an unfinished request of a caller was ended by a limit; at most 5 of a reason are logged in 10 s, all are counted"},
 	{ClockUnreadable, "clock_unreadable", "the clock that includes suspended time can't be read; suspensions of the machine are not detected"},
 	{RequestReceived, "request_received", "a request was read and its team identified"},
 	{RequestRouted, "request_routed", "an attempt was sent to a backend server"},
--- a/internal/gateway/cluster_test.go
+++ b/internal/gateway/cluster_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/buffer"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
@@ -487,7 +488,7 @@
 	return &Request{
 		ID: id, Host: "h", Path: path, Target: path, Method: http.MethodPost, Received: time.Now(),
 		Timeout: 8 * time.Second, AnyModel: true, PromptTokens: 1000,
-		ReadBody: func() ([]byte, error) { return []byte(path), nil },
+		ReadBody: func(time.Time) (*buffer.Segments, error) { return buffer.SegmentsOf([]byte(path)), nil },
 	}
 }
 
--- a/internal/gateway/common_test.go
+++ b/internal/gateway/common_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/buffer"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/result"
@@ -123,7 +124,7 @@
 // storeBlock adds a block of the requests with a path to the key-value service.
 func (sc *testCluster) storeBlock(path string) {
 	bl := poison.NewBlock(poison.FingerprintOf(poison.Request{
-		Method: http.MethodPost, Host: "h", Target: path, Body: []byte(path),
+		Method: http.MethodPost, Host: "h", Target: path, Body: buffer.SegmentsOf([]byte(path)),
 	}), poison.FirstBlockDuration, clock.WallTime())
 	sc.servers.store.add(Change{Blocked: &bl})
 }
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -31,6 +31,7 @@
 		ex.deliverStream(ctx, se)
 		return
 	}
+	ex.releaseBody()
 	var err error
 	if se.body.Complete() {
 		err = ex.responder.WriteResponse(se.response.Status, se.response.Header, se.body.Bytes())
--- a/internal/gateway/eventorder_test.go
+++ b/internal/gateway/eventorder_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/buffer"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
@@ -215,7 +216,7 @@
 							ctx, leave := context.WithCancel(t.Context())
 							rq := &Request{
 								ID: "r", Host: "h", Path: path, Method: http.MethodPost, Target: path, Received: clock.Now(), Timeout: timeout,
-								ReadBody: func() ([]byte, error) { return nil, nil },
+								ReadBody: func(time.Time) (*buffer.Segments, error) { return nil, nil },
 							}
 							go func() { time.Sleep(delay); event(ga, rq, leave) }()
 							ga.Serve(ctx, rq, or)
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -164,7 +164,7 @@
 	}
 	pr := pool.Prompt{
 		Model: ex.modelKey(model), PrefillPerToken: ex.timePerToken(model), PrefixID: start,
-		PrefixTokens: shared, SuffixTokens: max(0, rq.PromptTokens-shared), SizeKB: float64(len(ex.body)) / 1000,
+		PrefixTokens: shared, SuffixTokens: max(0, rq.PromptTokens-shared), SizeKB: float64(ex.body.Len()) / 1000,
 	}
 	if n := len(rq.Prompt); n > 1 {
 		pr.FullID = rq.Prompt[n-1].ID
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/buffer"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/direct"
 	"github.com/linnetrudder/linnetrudder/internal/event"
@@ -40,12 +41,13 @@
 		ex.writeError(result.Leaving, "", ex.retryAfter(result.Leaving, stop.retryAfter(rq.Received)))
 		return
 	}
-	body, err := rq.ReadBody()
+	body, err := rq.ReadBody(ex.request.Deadline)
 	if err != nil {
 		ex.writeError(codeOf(err), err.Error(), 0)
 		return
 	}
 	ex.body = body
+	defer ex.releaseBody()
 	ex.subject.Fingerprint = poison.FingerprintOf(poison.Request{
 		Team: ex.team(), Method: rq.Method, Host: rq.Host, Target: rq.Target, Body: body,
 	})
@@ -56,6 +58,12 @@
 	ex.run(ctx)
 }
 
+// releaseBody returns the memory of the body.
+func (ex *exchange) releaseBody() {
+	ex.body.Release()
+	ex.body = nil
+}
+
 // immediateRetry is the Retry-After for a caller that another gateway can serve.
 const immediateRetry = 50 * time.Millisecond
 
@@ -88,7 +96,8 @@
 	session     string
 	sessionless bool
 	draw        float64
-	body        []byte
+	// body is the body, nil once no further attempt needs it.
+	body *buffer.Segments
 	// subject is the request as the detection of crashes sees it. Its fingerprint is known once the body
 	// has been read. trial is set if the request is sent once although it is blocked.
 	subject poison.Subject
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/linnetrudder/linnetrudder/internal/buffer"
 	"github.com/linnetrudder/linnetrudder/internal/directory"
 	"github.com/linnetrudder/linnetrudder/internal/duty"
 	"github.com/linnetrudder/linnetrudder/internal/excerpt"
@@ -56,8 +57,8 @@
 	LengthHint int
 	// LastEventID is the id of the last event that the caller received of a stream that it resumes.
 	LastEventID string
-	// ReadBody reads the whole body. Its error carries a result code.
-	ReadBody func() ([]byte, error)
+	// ReadBody reads the whole body, until a deadline. Its error carries a result code.
+	ReadBody func(deadline time.Time) (*buffer.Segments, error)
 	// AdapterData is what the adapter needs to make the call. The package does not read it.
 	AdapterData any
 }
@@ -102,7 +103,7 @@
 // Attempt is one call to a backend server.
 type Attempt struct {
 	Request *Request
-	Body    []byte
+	Body    *buffer.Segments
 	Server  directory.Server
 	// Team is the name of the caller's team. It is empty on a public route.
 	Team string
--- a/internal/gateway/usage_test.go
+++ b/internal/gateway/usage_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/linnetrudder/linnetrudder/internal/buffer"
 	"github.com/linnetrudder/linnetrudder/internal/duty"
 	"github.com/linnetrudder/linnetrudder/internal/lease"
 	"github.com/linnetrudder/linnetrudder/internal/revision"
@@ -139,7 +140,7 @@
 	path := fmt.Sprint("/cards/", time.Now().UnixNano())
 	rq := &Request{
 		ID: path, Host: "h", Path: path, Target: path, Method: http.MethodGet, Key: "key", Received: time.Now(), Timeout: time.Second,
-		ReadBody: func() ([]byte, error) { return nil, nil },
+		ReadBody: func(time.Time) (*buffer.Segments, error) { return nil, nil },
 	}
 	sc.mu.Lock()
 	ga := sc.gateways[gateway]
--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
@@ -24,6 +25,29 @@
 	chunkBytes = 2 << 10
 )
 
+// tcpConn is a TCP connection, possibly with another layer on it.
+type tcpConn interface {
+	net.Conn
+	syscall.Conn
+	CloseWrite() error
+}
+
+// Underlying returns the connection that the listener had accepted for one that the server got.
+func Underlying(conn net.Conn) net.Conn {
+	if cc, ok := conn.(*clientConn); ok {
+		return cc.tcpConn
+	}
+	return conn
+}
+
+// ConnOf returns the connection of a request as the listener had accepted it, nil if it is not served by Serve.
+func ConnOf(ctx context.Context) net.Conn {
+	if cc, ok := ctx.Value(connKey{}).(*clientConn); ok {
+		return cc.tcpConn
+	}
+	return nil
+}
+
 // Serve serves the connections of a listener. It sets the server's ConnContext.
 func Serve(hs *http.Server, li net.Listener) error {
 	hs.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
@@ -61,8 +85,8 @@
 // Accept returns the next connection.
 func (li listener) Accept() (net.Conn, error) {
 	conn, err := li.Listener.Accept()
-	if tc, ok := conn.(*net.TCPConn); ok && err == nil {
-		cc := &clientConn{TCPConn: tc}
+	if tc, ok := conn.(tcpConn); ok && err == nil {
+		cc := &clientConn{tcpConn: tc}
 		cc.changed.L = &cc.mu
 		return cc, nil
 	}
@@ -71,7 +95,7 @@
 
 // clientConn is a connection that is read ahead while the server looks for its close.
 type clientConn struct {
-	*net.TCPConn
+	tcpConn
 	// cancel cancels the requests of the connection. It is nil until the server has taken the connection.
 	cancel context.CancelFunc
 
@@ -90,7 +114,7 @@
 	if done {
 		return n, err
 	}
-	n, err = cc.TCPConn.Read(buf)
+	n, err = cc.tcpConn.Read(buf)
 	// net/http looks for the close of a connection with reads of one byte.
 	if n == 1 && len(buf) == 1 && err == nil {
 		cc.mu.Lock()
@@ -121,7 +145,7 @@
 func (cc *clientConn) readAhead() {
 	chunk := make([]byte, chunkBytes)
 	for more := true; more; {
-		n, err := cc.TCPConn.Read(chunk)
+		n, err := cc.tcpConn.Read(chunk)
 		more = cc.put(chunk[:n], err)
 	}
 }
@@ -146,5 +170,5 @@
 	if cc.cancel != nil {
 		cc.cancel()
 	}
-	return cc.TCPConn.Close() //nolint:wrapcheck // as returned by the connection
+	return cc.tcpConn.Close() //nolint:wrapcheck // as returned by the connection
 }
--- /dev/null
+++ b/internal/httpfront/conn.go
@@ -0,0 +1,289 @@
+package httpfront
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/linnetrudder/linnetrudder/internal/clock"
+	"github.com/linnetrudder/linnetrudder/internal/intake"
+)
+
+const (
+	// freeHeadBytes is the part of a head in bytes that is not charged: the buffer of the connection holds it.
+	freeHeadBytes = 4 << 10
+	// writeBytes is the size of a single write in bytes, for which a caller has the time limit of a response.
+	writeBytes = 64 << 10
+	// arrivedWait is the time limit of a read after the one for progress has passed. Bytes may have arrived while the
+	// process was suspended.
+	arrivedWait = 50 * time.Millisecond
+	// rejection is the response to a head that is too long.
+	rejection = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
+// callerConn is a connection of a caller whose bytes are counted.
+type callerConn struct {
+	*net.TCPConn
+	in   *Intake
+	conn *intake.Conn
+	// headLimit returns the maximum size of a head in bytes.
+	headLimit func() int
+	closeOnce sync.Once
+
+	// headBytes is the size of the unfinished head in bytes, headCharged the part of it that is charged for
+	// headRequest. The intake's lock guards them and the fields below.
+	headBytes, headCharged int
+	headRequest            *intake.Request
+	// deadline is the time until which the body is read.
+	deadline time.Time
+	// readDeadline is the time limit of reads of the body.
+	readDeadline time.Time
+	// reason is why a read of the body has failed.
+	reason Reason
+}
+
+// Read reads from the connection. While the head or the body of a request is unfinished, its limits apply.
+func (cc *callerConn) Read(buf []byte) (int, error) {
+	reading := cc.prepareRead()
+	n, err := cc.TCPConn.Read(buf)
+	if reading && isTimeout(err) && cc.retryRead() {
+		n, err = cc.TCPConn.Read(buf)
+	}
+	if reading && isTimeout(err) {
+		cc.setReason()
+	}
+	if n > 0 {
+		if err := cc.received(n); err != nil {
+			return 0, err
+		}
+	}
+	if reading && cc.conn.Request().Held() > intake.SmallBytes {
+		// Callers that send large bodies in small pieces must not keep others waiting.
+		runtime.Gosched()
+	}
+	return n, err //nolint:wrapcheck // as returned by the connection
+}
+
+// prepareRead sets the time limit of a read and reports whether it is one of a body.
+func (cc *callerConn) prepareRead() (reading bool) {
+	in := cc.in
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if cc.conn.State() != intake.Reading {
+		return false
+	}
+	now := clock.Now()
+	limit := now.Add(in.bodyStall())
+	if !cc.deadline.IsZero() && cc.deadline.Before(limit) {
+		limit = cc.deadline
+	}
+	switch {
+	case cc.conn.Closed() || cc.conn.Request().Evicted():
+		_ = cc.SetReadDeadline(longAgo)
+	case limit.Sub(cc.readDeadline) > in.bodyStall()/8 || limit.Before(cc.readDeadline):
+		cc.readDeadline = limit
+		_ = cc.SetReadDeadline(time.Now().Add(limit.Sub(now)))
+	}
+	return true
+}
+
+// retryRead reports whether a read that has timed out is tried once more.
+func (cc *callerConn) retryRead() bool {
+	in := cc.in
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if cc.conn.State() != intake.Reading || cc.conn.Closed() || cc.conn.Request().Evicted() {
+		return false
+	}
+	cc.readDeadline = time.Time{}
+	_ = cc.SetReadDeadline(time.Now().Add(arrivedWait))
+	return true
+}
+
+// setReason records why a read of the body has timed out.
+func (cc *callerConn) setReason() {
+	in := cc.in
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	switch {
+	case cc.conn.Closed():
+		cc.reason = ReasonConnections
+	case cc.conn.Request().Evicted():
+		cc.reason = ReasonMemory
+	case !cc.deadline.IsZero() && !clock.Now().Before(cc.deadline):
+		cc.reason = ReasonLate
+	default:
+		cc.reason = ReasonStalled
+	}
+}
+
+// received counts bytes that were read.
+func (cc *callerConn) received(n int) error {
+	in := cc.in
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	now := clock.Now()
+	switch cc.conn.State() {
+	case intake.Reading:
+		in.ledger.Received(cc.conn, n, now)
+	case intake.Waiting, intake.Idle:
+		in.ledger.Received(cc.conn, n, now)
+		return cc.receivedHead(n, now)
+	}
+	return nil
+}
+
+// receivedHead counts and charges bytes of a head. The lock is held.
+func (cc *callerConn) receivedHead(n int, now time.Time) error {
+	in := cc.in
+	cc.headBytes += n
+	reason := Reason("")
+	if charge := cc.headBytes - freeHeadBytes - cc.headCharged; charge > 0 {
+		cc.headRequest = cc.conn.Request()
+		ve, victim := in.ledger.Charge(cc.headRequest, int64(charge), now)
+		switch {
+		case victim != nil:
+			in.interrupt(victim)
+			go in.end(ReasonMemory)
+		case ve == intake.Refused:
+			reason = ReasonMemory
+		}
+		if ve == intake.Wait {
+			in.ledger.ForceCharge(cc.headRequest, int64(charge))
+		}
+		if ve != intake.Refused {
+			cc.headCharged += charge
+		}
+	}
+	// The read that has the end of the head may have the beginning of the body.
+	if cc.headBytes > cc.headLimit()+headerTolerance+freeHeadBytes {
+		reason = ReasonHead
+		_ = cc.TCPConn.SetWriteDeadline(time.Now().Add(arrivedWait))
+		_, _ = io.WriteString(cc.TCPConn, rejection)
+	}
+	if reason == "" {
+		return nil
+	}
+	go in.end(reason)
+	// net/http responds to other errors itself.
+	return &net.OpError{Op: "read", Net: "tcp", Err: os.ErrDeadlineExceeded}
+}
+
+// begin begins a request whose head was read.
+func (cc *callerConn) begin(r *http.Request) {
+	in := cc.in
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	cc.headBytes = 0
+	if r.ContentLength == 0 {
+		in.ledger.Move(cc.conn, intake.Serving, clock.Now())
+		return
+	}
+	cc.deadline, cc.readDeadline, cc.reason = time.Time{}, time.Time{}, ""
+	in.ledger.Move(cc.conn, intake.Reading, clock.Now())
+}
+
+// setDeadline sets the time until which the body is read.
+func (cc *callerConn) setDeadline(deadline time.Time) {
+	cc.in.mu.Lock()
+	defer cc.in.mu.Unlock()
+	cc.deadline = deadline
+}
+
+// complete ends the reading of a body. It reports whether the request may be served.
+func (cc *callerConn) complete() bool {
+	in := cc.in
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if cc.conn.Closed() || cc.conn.Request().Evicted() {
+		return false
+	}
+	in.ledger.Move(cc.conn, intake.Serving, clock.Now())
+	// The server looks for the close of the connection from now on, without a time limit.
+	_ = cc.SetReadDeadline(time.Time{})
+	return true
+}
+
+// idle ends a request whose connection is kept.
+func (cc *callerConn) idle() {
+	in := cc.in
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	cc.releaseHead()
+	in.ledger.Move(cc.conn, intake.Idle, clock.Now())
+}
+
+// releaseHead returns the memory of the head. The lock is held.
+func (cc *callerConn) releaseHead() {
+	if cc.headCharged > 0 {
+		cc.in.ledger.Release(cc.headRequest, int64(cc.headCharged))
+		cc.headCharged = 0
+	}
+}
+
+// Write writes to the connection. It fails if the caller reads nothing for the time limit of a response.
+func (cc *callerConn) Write(buf []byte) (int, error) {
+	written := 0
+	for {
+		part := buf[written:min(len(buf), written+writeBytes)]
+		cc.move(intake.Writing)
+		_ = cc.SetWriteDeadline(time.Now().Add(cc.in.writeStall()))
+		n, err := cc.TCPConn.Write(part)
+		written += n
+		if isTimeout(err) {
+			cc.in.end(ReasonUnread)
+		}
+		if err != nil {
+			return written, err //nolint:wrapcheck // as returned by the connection
+		}
+		if written == len(buf) {
+			cc.move(intake.Serving)
+			return written, nil
+		}
+	}
+}
+
+// move sets what a connection whose request is being served is doing.
+func (cc *callerConn) move(st intake.State) {
+	in := cc.in
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	switch cc.conn.State() {
+	case intake.Serving, intake.Writing:
+		in.ledger.Move(cc.conn, st, clock.Now())
+	}
+}
+
+// Close closes the connection and gives its place to others.
+func (cc *callerConn) Close() error {
+	cc.closeOnce.Do(func() {
+		in := cc.in
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		if cc.conn.Closed() {
+			in.leaving--
+		}
+		cc.releaseHead()
+		in.ledger.Close(cc.conn)
+		delete(in.conns, cc.conn)
+	})
+	return cc.TCPConn.Close() //nolint:wrapcheck // as returned by the connection
+}
+
+func (in *Intake) bodyStall() time.Duration {
+	if in.BodyStall > 0 {
+		return in.BodyStall
+	}
+	return DefaultBodyStall
+}
+
+func (in *Intake) writeStall() time.Duration {
+	if in.WriteStall > 0 {
+		return in.WriteStall
+	}
+	return DefaultWriteStall
+}
--- a/internal/httpfront/header.go
+++ b/internal/httpfront/header.go
@@ -18,9 +18,15 @@
 	limits   func() Limits
 }
 
+// limit returns the maximum size of a request header in bytes.
+func (hl *headerLimiter) limit() int { return max(hl.accepted, hl.limits().HeaderBytes) }
+
 // ServeHTTP serves one request.
 func (hl *headerLimiter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if headerBytes(r) > max(hl.accepted, hl.limits().HeaderBytes)+headerTolerance {
+	if cc := connOf(r.Context()); cc != nil {
+		cc.begin(r)
+	}
+	if headerBytes(r) > hl.limit()+headerTolerance {
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
 		return
--- a/internal/httpfront/httpfront.go
+++ b/internal/httpfront/httpfront.go
@@ -12,8 +12,11 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	"github.com/linnetrudder/linnetrudder/internal/hangup"
+	"github.com/linnetrudder/linnetrudder/internal/intake"
+	"github.com/linnetrudder/linnetrudder/internal/tcpstate"
 )
 
 // Limits holds the size and time limits of requests. It is used as a map key, so all fields must be
@@ -34,6 +37,8 @@
 	// Accept reports whether a new connection is served. Others are closed before anything is read, so that
 	// their callers know that no request was. All are served if it is nil.
 	Accept func() bool
+	// Intake limits what all callers use together. One with the default limits stands for nil.
+	Intake *Intake
 
 	mu sync.Mutex
 	// servers holds one server for each set of limits with which a connection was accepted.
@@ -50,6 +55,15 @@
 	conns chan net.Conn
 	done  chan struct{}
 	addr  net.Addr
+	// headLimit returns the maximum size of a request header in bytes.
+	headLimit func() int
+}
+
+// handleState observes the connections of the HTTP server.
+func handleState(conn net.Conn, st http.ConnState) {
+	if cc, ok := hangup.Underlying(conn).(*callerConn); ok && st == http.StateIdle {
+		cc.idle()
+	}
 }
 
 // Accept returns the next connection from conns. It implements net.Listener.
@@ -79,7 +93,11 @@
 func (se *Server) Serve(li net.Listener) error {
 	se.mu.Lock()
 	se.listener = li
+	if se.Intake == nil {
+		se.Intake = &Intake{Limits: intake.NewLimits(0, 0)}
+	}
 	se.mu.Unlock()
+	setReceiveBuffer(li)
 	for pl := (patientListener{li}); ; {
 		co, err := pl.Accept()
 		if errors.Is(err, net.ErrClosed) && se.isClosed() {
@@ -93,6 +111,14 @@
 			_ = co.Close()
 			continue
 		}
+		if tc, ok := co.(*net.TCPConn); ok {
+			cc := se.Intake.open(tc, cs.headLimit)
+			if cc == nil {
+				_ = co.Close()
+				continue
+			}
+			co = cc
+		}
 		select {
 		case cs.conns <- co:
 		case <-cs.done:
@@ -101,6 +127,13 @@
 	}
 }
 
+// setReceiveBuffer makes the connections of a listener start with the smallest receive buffer.
+func setReceiveBuffer(li net.Listener) {
+	if tl, ok := li.(*net.TCPListener); ok {
+		tcpstate.Control(tl, func(fd int) { _ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, intake.MinReceiveBuffer) })
+	}
+}
+
 // current returns the server for the limits in force, which is created if needed. It returns nil
 // after Shutdown.
 func (se *Server) current(addr net.Addr) *connServer {
@@ -113,8 +146,9 @@
 	if cs := se.servers[li]; cs != nil {
 		return cs
 	}
-	cs := &connServer{conns: make(chan net.Conn), done: make(chan struct{}), addr: addr, http: &http.Server{
-		Handler: &headerLimiter{next: se.Handler, accepted: li.HeaderBytes, limits: se.Limits}, MaxHeaderBytes: max(minReadBytes, li.HeaderBytes),
+	hl := &headerLimiter{next: se.Handler, accepted: li.HeaderBytes, limits: se.Limits}
+	cs := &connServer{conns: make(chan net.Conn), done: make(chan struct{}), addr: addr, headLimit: hl.limit, http: &http.Server{
+		Handler: hl, MaxHeaderBytes: max(minReadBytes, li.HeaderBytes), ConnState: handleState,
 		ReadHeaderTimeout: li.HeaderTimeout, IdleTimeout: li.IdleTimeout,
 	}}
 	if se.servers == nil {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -18,6 +18,8 @@
 	// In and Out count the traffic received and sent on connections between processes.
 	In  = newTraffic("in")
 	Out = newTraffic("out")
+	// Intake counts the connections and unfinished requests of callers that were ended, by the reason.
+	Intake = expvar.NewMap("linnetrudder_intake_ended")
 	// Gauges holds the current sizes of the process's data structures.
 	Gauges = expvar.NewMap("linnetrudder_gauges")
 )
--- a/internal/poison/fingerprint.go
+++ b/internal/poison/fingerprint.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"hash"
+	"io"
 
 	"github.com/rotisserie/eris"
 )
@@ -26,7 +27,8 @@
 	// Method, Host and Target are the caller's, the target with its query. Host is empty where
 	// requests are not routed by it, since copies may then use different hosts.
 	Method, Host, Target string
-	Body                 []byte
+	// Body is the body, nil if there is none.
+	Body io.WriterTo
 }
 
 // FingerprintOf returns the fingerprint of a request. The hash is resistant to second preimages:
@@ -34,7 +36,9 @@
 func FingerprintOf(re Request) Fingerprint {
 	ha := sha256.New()
 	writeFields(ha, re.Team, re.Method, re.Host, re.Target)
-	ha.Write(re.Body)
+	if re.Body != nil {
+		_, _ = re.Body.WriteTo(ha)
+	}
 	return Fingerprint(ha.Sum(nil)[:len(Fingerprint{})])
 }
 
--- a/internal/poison/runs_test.go
+++ b/internal/poison/runs_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/linnetrudder/linnetrudder/internal/buffer"
 )
 
 var t0 = time.Unix(1000, 0)
@@ -34,15 +36,15 @@
 }
 
 func TestCopiesHaveTheSameFingerprint(t *testing.T) {
-	re := Request{Team: "t", Method: "POST", Host: "h", Target: "/a?b", Body: []byte("c")}
+	re := Request{Team: "t", Method: "POST", Host: "h", Target: "/a?b", Body: buffer.SegmentsOf([]byte("c"))}
 	fp := FingerprintOf(re)
 	require.Equal(t, fp, FingerprintOf(re))
 	for _, other := range []Request{
-		{Team: "u", Method: "POST", Host: "h", Target: "/a?b", Body: []byte("c")},
-		{Team: "t", Method: "PUT", Host: "h", Target: "/a?b", Body: []byte("c")},
-		{Team: "t", Method: "POST", Host: "g", Target: "/a?b", Body: []byte("c")},
+		{Team: "u", Method: "POST", Host: "h", Target: "/a?b", Body: buffer.SegmentsOf([]byte("c"))},
+		{Team: "t", Method: "PUT", Host: "h", Target: "/a?b", Body: buffer.SegmentsOf([]byte("c"))},
+		{Team: "t", Method: "POST", Host: "g", Target: "/a?b", Body: buffer.SegmentsOf([]byte("c"))},
 		{Team: "t", Method: "POST", Host: "h", Target: "/a?bc"},
-		{Team: "tP", Method: "OST", Host: "h", Target: "/a?b", Body: []byte("c")},
+		{Team: "tP", Method: "OST", Host: "h", Target: "/a?b", Body: buffer.SegmentsOf([]byte("c"))},
 	} {
 		require.NotEqual(t, fp, FingerprintOf(other))
 	}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -49,6 +49,8 @@
 	ClaimsUnavailable  Code = 408
 	StaleConfiguration Code = 409
 	RequestBlocked     Code = 410
+	IntakeFull         Code = 411
+	BodyStalled        Code = 412
 	LinkLost           Code = 500
 	ServerFailed       Code = 501
 	AnswerBroken       Code = 502
@@ -140,6 +142,8 @@
 	{ClaimsUnavailable, "claims_unavailable", http.StatusServiceUnavailable, DidNotRun, longRetry, "the claim on the key could not be made; nothing ran"},
 	{StaleConfiguration, "stale_configuration", http.StatusServiceUnavailable, DidNotRun, shortRetry, "the configuration is too old to accept a key by it"},
 	{RequestBlocked, "request_blocked", http.StatusServiceUnavailable, DidNotRun, longRetry, "backend servers ended under copies of the request, or under others with a part of its prompt; it is not sent to more of them for a while"},
+	{IntakeFull, "intake_full", http.StatusServiceUnavailable, DidNotRun, shortRetry, "the process holds as much of unfinished requests as it may; the body was not read to its end"},
+	{BodyStalled, "body_stalled", http.StatusRequestTimeout, DidNotRun, shortRetry, "nothing of the request body arrived for too long"},
 	{LinkLost, "link_lost", http.StatusBadGateway, MayHaveRun, 0, "the connection was lost after the request was sent"},
 	{ServerFailed, "server_failed", http.StatusBadGateway, MayHaveRun, 0, "the backend server failed after the request was sent to it"},
 	{AnswerBroken, "answer_broken", http.StatusBadGateway, Ran, 0, "the answer broke off after a part of it was delivered"},
--- a/standin/crowd/crowd.go
+++ b/standin/crowd/crowd.go
@@ -223,7 +223,9 @@
 func chunk(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
 
 // head returns the head of a request with a deadline, without its length.
-func (ta Target) head(deadlineMS int) string { return fmt.Sprintf("%sX-Deadline-Ms: %d\r\n", ta.Head, deadlineMS) }
+func (ta Target) head(deadlineMS int) string {
+	return fmt.Sprintf("%sX-Deadline-Ms: %d\r\n", ta.Head, deadlineMS)
+}
 
 // SmallBody returns a body of a thousand bytes.
 func (ta Target) SmallBody() string {
