fix(entry): what callers send has common limits; chat bodies aren't decoded into maps

What callers saw: 100 complete chat requests of 1 MB with many small fields or messages took 2.3 and 2.7 GB, and failed the requests of others; heads of 900 KiB 845 MB; bodies left short, connections that send nothing and bytes behind a request as at a gateway.

Cause: nothing limited the memory of all bodies, the size of a head, idle connections or connections at all; a body was decoded into a map of its fields and a list of its messages, 17 MB for each MB.

Change: entries are served by httpfront.Server with the same intake as gateways. Other fields pass byte for byte; before, they were sorted and escaped. New settings, with defaults: memory_mb 1024, max_fds 8192, header_bytes 64 KiB, idle_ms 120 s, body_stall_ms 10 s, write_stall_ms 30 s. Listeners for operators, the platform and other processes get limits of their heads and idle connections.

Found on the way by TestEntrySurvivesCrowd/long-heads: heads that waited for memory were charged all the same, so that small requests waited for memory that never came, for as long as the crowd stayed. They are closed now, and a body that began less than a second ago is not ended for a new connection.

TestMessagesBeforeTheLastAreTheParts moved with the code that it tests.

--- a/cmd/linnetrudder/daemon.go
+++ b/cmd/linnetrudder/daemon.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
+	"github.com/linnetrudder/linnetrudder/internal/intake"
 	"github.com/linnetrudder/linnetrudder/internal/kv"
 	"github.com/linnetrudder/linnetrudder/internal/liblog"
 	"github.com/linnetrudder/linnetrudder/internal/node"
@@ -39,6 +41,9 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "log_level")
 	}
+	if role == "entry" {
+		debug.SetMemoryLimit(intake.HeapLimit(se.Limits.Memory()))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	var lc net.ListenConfig
 	li, err := lc.Listen(ctx, "tcp", se.Listen)
--- a/internal/buffer/segments.go
+++ b/internal/buffer/segments.go
@@ -167,7 +167,7 @@
 		}
 		n, err := from.Read(free)
 		if n > 0 && end {
-			return ErrTooLarge
+			return ErrTooLarge //nolint:wrapcheck // the package's own error
 		}
 		if n > 0 {
 			last := &sb.body.list[len(sb.body.list)-1]
@@ -213,7 +213,7 @@
 // add adds a segment.
 func (sb *segmentsBuilder) add(size int) ([]byte, error) {
 	if err := sb.memory.Charge(size); err != nil {
-		return nil, err //nolint:wrapcheck // as returned by the memory
+		return nil, err
 	}
 	sb.charged += size
 	segment := make([]byte, 0, size)
--- a/internal/entry/caller_request.go
+++ b/internal/entry/caller_request.go
@@ -1,19 +1,17 @@
 package entry
 
 import (
-	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/internal/bill"
 	"github.com/linnetrudder/linnetrudder/internal/buffer"
+	"github.com/linnetrudder/linnetrudder/internal/chatbody"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/config"
+	"github.com/linnetrudder/linnetrudder/internal/httpfront"
 	"github.com/linnetrudder/linnetrudder/internal/node"
 	"github.com/linnetrudder/linnetrudder/internal/poison"
 	"github.com/linnetrudder/linnetrudder/internal/result"
@@ -34,6 +32,7 @@
 
 // callerRequest is a caller's request after it was parsed and before it is routed.
 type callerRequest struct {
+	w                                       http.ResponseWriter
 	id, team, kind, session, idempotencyKey string
 	// model is the model that the caller requested, empty for a plain service.
 	model string
@@ -53,10 +52,9 @@
 	contentType string
 	// subject is the request as the detection of crashes sees it.
 	subject poison.Subject
-	// body is the body of a call to a plain service; fields are the top-level fields of a chat
-	// request's body.
-	body   []byte
-	fields map[string]json.RawMessage
+	// payload is the body, chat what it holds in a chat request. Its memory is released at the end of the request.
+	payload *buffer.Segments
+	chat    *chatbody.Body
 	// hideUsage is set for a streaming request whose caller did not ask for token usage.
 	hideUsage bool
 }
@@ -71,37 +69,15 @@
 	}
 	if cr.service != "" {
 		at.Service = cr.service
-		at.Body = cr.body
+		at.Body = cr.payload.Bytes()
 		return at
 	}
 	at.Version = ac.Target()
 	at.InSession = cr.inSession
-	at.Body = cr.chatBody(ac.Target())
+	at.Body = cr.chat.With(ac.Target(), cr.priority)
 	return at
 }
 
-// chatBody returns the caller's body with the model replaced by the selected version.
-func (cr *callerRequest) chatBody(version string) []byte {
-	fields := make(map[string]json.RawMessage, len(cr.fields)+2)
-	for na, va := range cr.fields {
-		fields[na] = va
-	}
-	fields["model"] = jsonString(version)
-	if cr.priority > 0 {
-		fields["priority"] = json.RawMessage(strconv.Itoa(cr.priority))
-	}
-	if string(fields["stream"]) == "true" {
-		fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
-	}
-	body, _ := json.Marshal(fields)
-	return body
-}
-
-func jsonString(text string) json.RawMessage {
-	body, _ := json.Marshal(text)
-	return body
-}
-
 // readStep is one step of parsing and validating a request.
 type readStep struct {
 	name string
@@ -132,8 +108,8 @@
 
 // readRequest parses and validates a request. It returns the request as far as it was parsed, also
 // with an error.
-func (en *Entry) readRequest(r *http.Request, steps []readStep) (*callerRequest, error) {
-	cr := &callerRequest{id: bill.NewRequestID(en.Node.Settings.DataCentre), method: r.Method, contentType: r.Header.Get("Content-Type")}
+func (en *Entry) readRequest(w http.ResponseWriter, r *http.Request, steps []readStep) (*callerRequest, error) {
+	cr := &callerRequest{w: w, id: bill.NewRequestID(en.Node.Settings.DataCentre), method: r.Method, contentType: r.Header.Get("Content-Type")}
 	for _, st := range steps {
 		if err := st.run(en, r, cr); err != nil {
 			return cr, err
@@ -181,17 +157,14 @@
 	return nil
 }
 
+// bodyCopies is how many times a body is in memory besides: in one piece, with another model, and as a frame to an
+// agent.
+const bodyCopies = 3
+
 func (en *Entry) readBody(r *http.Request, cr *callerRequest) error {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, en.Node.Settings.Limits.BodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return result.New(result.BodyTooLarge, "")
-	}
-	if err != nil {
-		return result.New(result.BadRequest, err.Error())
-	}
-	cr.body = body
-	return nil
+	body, err := httpfront.ReadBody(cr.w, r, httpfront.BodyLimits{Bytes: en.Node.Settings.Limits.BodyBytes, Copies: bodyCopies})
+	cr.payload = body
+	return err
 }
 
 // checkBlocklist computes the request's fingerprint. It refuses a blocked request before a version
@@ -200,7 +173,7 @@
 	// The host is not part of the fingerprint: each entry has a name or address of its own, and
 	// requests are not routed by host.
 	cr.subject = poison.Subject{RequestID: cr.id, Team: cr.team, Fingerprint: poison.FingerprintOf(poison.Request{
-		Team: cr.team, Method: r.Method, Target: r.URL.RequestURI(), Body: buffer.SegmentsOf(cr.body),
+		Team: cr.team, Method: r.Method, Target: r.URL.RequestURI(), Body: cr.payload,
 	})}
 	if en.blockRemaining(cr.subject, clock.Now()) > 0 {
 		return result.New(result.RequestBlocked, "")
@@ -217,48 +190,17 @@
 	return nil
 }
 
-// chatForm holds the fields of a chat request that the entry validates or uses. The type name
-// appears in the texts of decoding errors that callers receive.
-type chatForm struct {
-	Model         string            `json:"model"`
-	Messages      []json.RawMessage `json:"messages"`
-	Stream        bool              `json:"stream"`
-	StreamOptions *struct {
-		IncludeUsage bool `json:"include_usage"`
-	} `json:"stream_options"`
-}
-
 func (en *Entry) readChat(_ *http.Request, cr *callerRequest) error {
-	var form chatForm
-	if err := json.Unmarshal(cr.body, &form); err != nil {
-		return result.New(result.BadRequest, err.Error())
-	}
-	if form.Model == "" {
-		return result.New(result.BadRequest, "model: missing")
-	}
-	if len(form.Messages) == 0 {
-		return result.New(result.BadRequest, "messages: must not be empty")
-	}
-	if err := json.Unmarshal(cr.body, &cr.fields); err != nil {
+	chat, err := chatbody.Parse(cr.payload.Bytes())
+	if err != nil {
 		return result.New(result.BadRequest, err.Error())
 	}
-	cr.subject.Parts = messageIDs(form.Messages)
-	cr.body = nil
-	cr.model = form.Model
-	cr.path = "/v1/chat/completions"
-	cr.hideUsage = form.Stream && (form.StreamOptions == nil || !form.StreamOptions.IncludeUsage)
+	cr.chat, cr.model, cr.path = chat, chat.Model(), "/v1/chat/completions"
+	cr.subject.Parts = chat.Parts()
+	cr.hideUsage = chat.HidesUsage()
 	return nil
 }
 
-// messageIDs identifies the messages of a prompt that other requests may share by their content.
-func messageIDs(messages []json.RawMessage) []string {
-	ids := make([]string, len(messages))
-	for i, me := range messages {
-		ids[i] = poison.PartID(me)
-	}
-	return poison.SharedParts(ids)
-}
-
 func (en *Entry) applyKind(_ *http.Request, cr *callerRequest) error {
 	ki := en.Node.Snapshot().Kind(cr.kind)
 	cr.priority = ki.Priority
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -36,7 +36,8 @@
 
 func (en *Entry) serveChat(w http.ResponseWriter, r *http.Request) {
 	defer en.trackRequest()()
-	cr, err := en.readRequest(r, chatSteps)
+	cr, err := en.readRequest(w, r, chatSteps)
+	defer cr.payload.Release()
 	if err != nil {
 		en.refuse(w, cr, err)
 		return
@@ -51,7 +52,8 @@
 
 func (en *Entry) serveCall(w http.ResponseWriter, r *http.Request) {
 	defer en.trackRequest()()
-	cr, err := en.readRequest(r, callSteps)
+	cr, err := en.readRequest(w, r, callSteps)
+	defer cr.payload.Release()
 	if err == nil {
 		err = en.claimKey(r.Context(), cr)
 	}
@@ -167,7 +169,7 @@
 
 // serveModels lists the models that the team may use.
 func (en *Entry) serveModels(w http.ResponseWriter, r *http.Request) {
-	cr, err := en.readRequest(r, chatSteps[:2])
+	cr, err := en.readRequest(w, r, chatSteps[:2])
 	if err != nil {
 		en.refuse(w, cr, err)
 		return
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,8 @@
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/config"
 	"github.com/linnetrudder/linnetrudder/internal/event"
+	"github.com/linnetrudder/linnetrudder/internal/httpfront"
+	"github.com/linnetrudder/linnetrudder/internal/intake"
 	"github.com/linnetrudder/linnetrudder/internal/kv"
 	"github.com/linnetrudder/linnetrudder/internal/link"
 	"github.com/linnetrudder/linnetrudder/internal/member"
@@ -173,8 +175,12 @@
 
 // serveCallers serves callers until stop ends, and then waits for the requests in progress.
 func (en *Entry) serveCallers(stop context.Context) func(context.Context) error {
+	li := en.Node.Settings.Limits
+	limits := httpfront.Limits{HeaderBytes: li.HeaderBytes, HeaderTimeout: node.ReadHeaderTimeout, IdleTimeout: li.IdleTimeout()}
+	in := httpfront.NewIntake(intake.NewLimits(li.Memory(), li.Files), li.BodyStall(), li.WriteStall(), en.Node.Log)
 	return func(context.Context) error {
-		err := node.ServeHTTP(stop, en.Callers, en.callerRouter(), en.Node.Settings.Limits.StopTimeout())
+		se := &httpfront.Server{Handler: en.callerRouter(), Limits: func() httpfront.Limits { return limits }, Intake: in}
+		err := node.Serve(stop, en.Callers, se, li.StopTimeout())
 		if stop.Err() != nil {
 			return suture.ErrDoNotRestart
 		}
--- a/internal/entry/parts_test.go
+++ b/internal/entry/parts_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -32,13 +31,6 @@
 	}
 }
 
-func TestMessagesBeforeTheLastAreTheParts(t *testing.T) {
-	raw := func(text string) json.RawMessage { return json.RawMessage(text) }
-	ids := messageIDs([]json.RawMessage{raw(`{"content":"a"}`), raw(`{"content":"b"}`), raw(`{"content":"own"}`)})
-	require.Equal(t, []string{poison.PartID([]byte(`{"content":"a"}`)), poison.PartID([]byte(`{"content":"b"}`))}, ids)
-	require.Empty(t, messageIDs([]json.RawMessage{raw(`{"content":"own"}`)}))
-}
-
 func TestRequestWithAMessageThatCrashesEnginesIsRefused(t *testing.T) {
 	en := newPartsEntry()
 	now := clock.Now()
--- a/internal/httpfront/conn.go
+++ b/internal/httpfront/conn.go
@@ -145,24 +145,20 @@
 	if charge := cc.headBytes - freeHeadBytes - cc.headCharged; charge > 0 {
 		cc.headRequest = cc.conn.Request()
 		ve, victim := in.ledger.Charge(cc.headRequest, int64(charge), now)
-		switch {
-		case victim != nil:
+		if victim != nil {
 			in.interrupt(victim)
 			go in.end(ReasonMemory)
-		case ve == intake.Refused:
-			reason = ReasonMemory
-		}
-		if ve == intake.Wait {
-			in.ledger.ForceCharge(cc.headRequest, int64(charge))
 		}
-		if ve != intake.Refused {
+		if ve == intake.Granted {
 			cc.headCharged += charge
+		} else {
+			reason = ReasonMemory
 		}
 	}
 	// The read that has the end of the head may have the beginning of the body.
 	if cc.headBytes > cc.headLimit()+headerTolerance+freeHeadBytes {
 		reason = ReasonHead
-		_ = cc.TCPConn.SetWriteDeadline(time.Now().Add(arrivedWait))
+		_ = cc.SetWriteDeadline(time.Now().Add(arrivedWait))
 		_, _ = io.WriteString(cc.TCPConn, rejection)
 	}
 	if reason == "" {
--- a/internal/httpfront/intake.go
+++ b/internal/httpfront/intake.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// DefaultBodyStall is the time without progress after which an unfinished body is given up, DefaultWriteStall the
-	// time for which a caller may read nothing of its response.
-	DefaultBodyStall  = 10 * time.Second
+	// DefaultBodyStall is the time without progress after which an unfinished body is given up.
+	DefaultBodyStall = 10 * time.Second
+	// DefaultWriteStall is the time for which a caller may read nothing of its response.
 	DefaultWriteStall = 30 * time.Second
 	// maxReleaseWait is how long a request waits for the memory of another one that was ended.
 	maxReleaseWait = time.Second
--- a/internal/intake/ledger.go
+++ b/internal/intake/ledger.go
@@ -17,8 +17,8 @@
 	// minHeld is the memory in bytes that an unfinished request counts with at least.
 	minHeld = 1 << 10
 
-	// The bounds of the receive buffer of a connection in bytes. A buffer gets at most one in receiveBufferPart of
-	// what is left of Limits.Unread beyond MinReceiveBuffer.
+	// MinReceiveBuffer and maxReceiveBuffer bound the receive buffer of a connection in bytes. Beyond the minimum it
+	// gets at most one part in receiveBufferPart of what is left of Limits.Unread.
 	MinReceiveBuffer  = 4 << 10
 	maxReceiveBuffer  = 64 << 10
 	receiveBufferPart = 32
@@ -124,7 +124,7 @@
 func (le *Ledger) Connections() int { return len(le.conns) }
 
 // Open adds a connection. If there are too many, it returns the one to close for it, or false if there is none.
-func (le *Ledger) Open(now time.Time) (co, victim *Conn, ok bool) { //nolint:revive // the connection, what it replaces, and whether it is accepted
+func (le *Ledger) Open(now time.Time) (co, victim *Conn, ok bool) {
 	if len(le.conns) >= le.Limits.Connections {
 		if victim = le.worstConnection(now); victim == nil {
 			return nil, nil, false
@@ -154,11 +154,12 @@
 
 // worstConnection returns the connection to close for a new one: the oldest that has never completed a request, else
 // the one that has been idle longest, else the oldest with an unfinished body, else the one whose caller has not read
-// for longest. It returns nil if none qualifies.
+// for longest. A body that began less than minAge ago counts as one of a connection that has completed requests. It
+// returns nil if none qualifies.
 func (le *Ledger) worstConnection(now time.Time) *Conn {
 	rank := func(co *Conn) int {
 		switch {
-		case !co.completed && (co.state == Waiting || co.state == Reading):
+		case !co.completed && (co.state == Waiting || co.state == Reading && now.Sub(co.since) >= minAge):
 			return 4
 		case co.state == Idle:
 			return 3
@@ -243,9 +244,6 @@
 	return Wait, victim
 }
 
-// ForceCharge charges bytes whether there is enough memory or not.
-func (le *Ledger) ForceCharge(re *Request, bytes int64) { le.charge(re, bytes) }
-
 // fits reports whether bytes can be charged once what is being released has been.
 func (le *Ledger) fits(re *Request, bytes int64, large bool, released, releasedLarge int64) bool {
 	return le.used-released+bytes <= le.Limits.Memory && (!large || le.fitsLarge(re, bytes, releasedLarge))
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -15,6 +15,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/config"
 	"github.com/linnetrudder/linnetrudder/internal/hangup"
+	"github.com/linnetrudder/linnetrudder/internal/httpfront"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 )
 
@@ -98,12 +99,28 @@
 	return matched == 1
 }
 
-// ServeHTTP serves a handler on a listener until the context is cancelled. It then shuts down
-// gracefully and waits for requests in progress, for at most stopTimeout.
+// ServeHTTP serves a handler on a listener whose clients are trusted, as Serve does.
 func ServeHTTP(ctx context.Context, ln net.Listener, ha http.Handler, stopTimeout time.Duration) error {
-	srv := &http.Server{Handler: ha, ReadHeaderTimeout: readHeaderTimeout}
+	return Serve(ctx, ln, hangupServer{httpfront.NewTrustedServer(ha)}, stopTimeout)
+}
+
+// hangupServer is an HTTP server that notices clients that leave.
+type hangupServer struct{ *http.Server }
+
+// Serve serves the connections of a listener.
+func (hs hangupServer) Serve(ln net.Listener) error { return hangup.Serve(hs.Server, ln) }
+
+// server serves the connections of a listener.
+type server interface {
+	Serve(ln net.Listener) error
+	Shutdown(ctx context.Context) error
+}
+
+// Serve serves a listener until the context is cancelled. It then shuts down gracefully and waits for
+// requests in progress, for at most stopTimeout.
+func Serve(ctx context.Context, ln net.Listener, srv server, stopTimeout time.Duration) error {
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- hangup.Serve(srv, ln) }()
+	go func() { serveErr <- srv.Serve(ln) }()
 	select {
 	case err := <-serveErr:
 		return err
@@ -117,7 +134,8 @@
 	return ctx.Err()
 }
 
-const readHeaderTimeout = 10 * time.Second
+// ReadHeaderTimeout is the time limit of a request header.
+const ReadHeaderTimeout = httpfront.TrustedHeaderTimeout
 
 // WriteJSON writes a response with a JSON value as its body.
 func WriteJSON(w http.ResponseWriter, status int, value any) {
--- a/internal/poison/subject.go
+++ b/internal/poison/subject.go
@@ -45,6 +45,33 @@
 	return parts
 }
 
+// PartCollector collects the contents of the parts of a prompt in their order. It retains those that SharedParts
+// would keep. The zero value is ready to use.
+type PartCollector struct {
+	first, last [][]byte
+}
+
+// Add adds the next part, which must not be changed afterwards.
+func (pc *PartCollector) Add(content []byte) {
+	if len(pc.first) < maxParts/2 {
+		pc.first = append(pc.first, content)
+		return
+	}
+	if len(pc.last) > maxParts/2 {
+		pc.last = append(pc.last[:0], pc.last[1:]...)
+	}
+	pc.last = append(pc.last, content)
+}
+
+// Shared returns the ids of the parts that other requests may share, as SharedParts does.
+func (pc *PartCollector) Shared() []string {
+	var ids []string
+	for _, content := range slices.Concat(pc.first, pc.last) {
+		ids = append(ids, PartID(content))
+	}
+	return SharedParts(ids)
+}
+
 // PartID returns the id of a part of a prompt by its content.
 func PartID(content []byte) string {
 	sum := sha256.Sum256(content)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -61,8 +61,19 @@
 
 // Limits bound the memory and the waiting times of a process.
 type Limits struct {
-	// BodyBytes is the maximum size of a request body.
-	BodyBytes int64 `json:"body_bytes" validate:"min=1"`
+	// MemoryMB is the memory and Files the number of descriptors that the process may use. The callers of an entry
+	// are limited by them.
+	MemoryMB int `json:"memory_mb" validate:"min=64"`
+	Files    int `json:"max_fds" validate:"min=300"`
+	// BodyBytes is the maximum size of a request body, HeaderBytes that of a request header.
+	BodyBytes   int64 `json:"body_bytes" validate:"min=1"`
+	HeaderBytes int   `json:"header_bytes" validate:"min=1024"`
+	// IdleMS is the time limit between the requests of a caller's connection.
+	IdleMS int `json:"idle_ms" validate:"min=1"`
+	// BodyStallMS is the time in which a part of an unfinished body must arrive, WriteStallMS the time in which a
+	// caller must read a part of its response.
+	BodyStallMS  int `json:"body_stall_ms" validate:"min=1"`
+	WriteStallMS int `json:"write_stall_ms" validate:"min=1"`
 	// StreamBytes is the maximum size of the response data that is buffered for a slow caller.
 	StreamBytes int `json:"stream_bytes" validate:"min=1024"`
 	// Queue is the maximum number of requests queued at an agent.
@@ -100,7 +111,13 @@
 			BoxesMS:        1000,
 		},
 		Limits: Limits{
+			MemoryMB:     1024,
+			Files:        8192,
 			BodyBytes:    1 << 20,
+			HeaderBytes:  64 << 10,
+			IdleMS:       120_000,
+			BodyStallMS:  10_000,
+			WriteStallMS: 30_000,
 			StreamBytes:  256 << 10,
 			Queue:        64,
 			Bills:        100_000,
@@ -177,6 +194,18 @@
 // HeartbeatInterval returns the interval between heartbeats on a connection.
 func (li Limits) HeartbeatInterval() time.Duration { return milliseconds(li.HeartbeatMS) }
 
+// Memory returns the memory that the process may use in bytes.
+func (li Limits) Memory() int64 { return int64(li.MemoryMB) << 20 }
+
+// IdleTimeout returns the time limit between the requests of a caller's connection.
+func (li Limits) IdleTimeout() time.Duration { return milliseconds(li.IdleMS) }
+
+// BodyStall returns the time in which a part of an unfinished body must arrive.
+func (li Limits) BodyStall() time.Duration { return milliseconds(li.BodyStallMS) }
+
+// WriteStall returns the time in which a caller must read a part of its response.
+func (li Limits) WriteStall() time.Duration { return milliseconds(li.WriteStallMS) }
+
 // StopTimeout returns the timeout of a graceful shutdown.
 func (li Limits) StopTimeout() time.Duration { return milliseconds(li.StopMS) }
 
--- a/standin/crowd/system_test.go
+++ b/standin/crowd/system_test.go
@@ -186,7 +186,7 @@
 	t.Helper()
 	fl := &fleet.Fleet{Bin: binDir, Dir: t.TempDir(), Tune: func(settings map[string]any) {
 		if limits, ok := settings["limits"].(map[string]any); ok {
-			limits["body_bytes"] = entryBodyBytes
+			limits["body_bytes"], limits["memory_mb"], limits["max_fds"] = entryBodyBytes, memoryMB, maxFiles
 		}
 	}}
 	t.Cleanup(func() { _ = fl.Stop() })
