--- a/internal/httpfront/conn.go
+++ b/internal/httpfront/conn.go
@@ -57,13 +57,14 @@
 		cc.setReason()
 	}
 	if n > 0 {
-		if err := cc.received(n); err != nil {
+		large, err := cc.received(n)
+		if err != nil {
 			return 0, err
 		}
-	}
-	if reading && cc.conn.Request().Held() > intake.SmallBytes {
-		// Callers that send large bodies in small pieces must not keep others waiting.
-		runtime.Gosched()
+		if large {
+			// Callers that send large bodies in small pieces must not keep others waiting.
+			runtime.Gosched()
+		}
 	}
 	return n, err //nolint:wrapcheck // as returned by the connection
 }
@@ -121,8 +122,8 @@
 	}
 }
 
-// received counts bytes that were read.
-func (cc *callerConn) received(n int) error {
+// received counts bytes that were read, and reports whether they belong to a large body.
+func (cc *callerConn) received(n int) (large bool, err error) {
 	in := cc.in
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -130,11 +131,12 @@
 	switch cc.conn.State() {
 	case intake.Reading:
 		in.ledger.Received(cc.conn, n, now)
+		return cc.conn.Request().Held() > intake.SmallBytes, nil
 	case intake.Waiting, intake.Idle:
 		in.ledger.Received(cc.conn, n, now)
-		return cc.receivedHead(n, now)
+		return false, cc.receivedHead(n, now)
 	}
-	return nil
+	return false, nil
 }
 
 // receivedHead counts and charges bytes of a head. The lock is held.
