test(soak): crowds of clients that don't keep to the limits

--crowds lets 30 to 200 clients of fifteen kinds at a time gather before gateways with 128 MB and 700 descriptors, while they are killed, stopped, reloaded and reconfigured in series. Checked while it runs: resident memory with bytes that were not read, descriptors, and all promises of before.

A crowd now builds its chunks once for all clients; what they send is the same. The test plays its seeds one at a time.

--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -34,6 +34,7 @@
 	Ends      bool          `help:"Let backend servers learn late, or by a reset only, that a gateway has ended a connection."`
 	Starve    bool          `help:"Suspend gateways for short times again and again, as on machines with little processor time."`
 	Odd       bool          `help:"Include entries in the key-value service that no backend server writes."`
+	Crowds    bool          `help:"Include clients that don't keep to the limits, before gateways with 128 MB and 700 descriptors."`
 	Large     bool          `help:"Include large configurations, and small links to the key-value service."`
 }
 
@@ -112,6 +113,9 @@
 	if ar.Odd {
 		pl = pl.WithOddEntries()
 	}
+	if ar.Crowds {
+		pl = pl.WithCrowds()
+	}
 	if ar.Large {
 		pl = pl.WithLargeConfigs()
 	}
--- a/standin/crowd/crowd.go
+++ b/standin/crowd/crowd.go
@@ -84,8 +84,8 @@
 	Size   int
 	Target Target
 
-	// body is a body of the maximum size.
-	body string
+	// body is a body of the maximum size, chunks the same in chunks without its last byte.
+	body, chunks string
 	// settled counts the clients that have not yet sent what they send before they wait.
 	settled sync.WaitGroup
 
@@ -98,6 +98,12 @@
 // before it waits, or was refused.
 func (cr *Crowd) Run(ctx context.Context, settled func()) {
 	cr.body = cr.Target.body()
+	switch cr.Kind {
+	case LargeChunksShort, DeadlineShort:
+		cr.chunks = inChunks(cr.body[:len(cr.body)-1], chunkBytes)
+	case ByteChunksShort:
+		cr.chunks = inChunks(cr.body[:len(cr.body)-1], 1)
+	}
 	cr.settled.Add(cr.Size)
 	go func() {
 		cr.settled.Wait()
@@ -157,14 +163,12 @@
 	ta := cr.Target
 	short := ta.BodyBytes - 1
 	switch cr.Kind {
-	case LargeChunksShort:
-		sendChunks(conn, ta.head(longDeadline), cr.body, short, chunkBytes)
+	case LargeChunksShort, ByteChunksShort:
+		sendAll(conn, ta.head(longDeadline)+chunked, cr.chunks)
 	case DeadlineShort:
-		sendChunks(conn, ta.head(500), cr.body, short, chunkBytes)
+		sendAll(conn, ta.head(500)+chunked, cr.chunks)
 	case OneChunkShort:
 		sendAll(conn, ta.head(longDeadline)+chunked, fmt.Sprintf("%x\r\n", ta.BodyBytes), cr.body[:short])
-	case ByteChunksShort:
-		sendChunks(conn, ta.head(longDeadline), cr.body, short, 1)
 	case LengthShort:
 		sendAll(conn, ta.head(longDeadline)+length(ta.BodyBytes), cr.body[:short])
 	case SmallShort:
@@ -271,22 +275,15 @@
 	sendAll(conn, ta.head(longDeadline)+length(len(body)), body)
 }
 
-// sendChunks sends a request whose body is a part of a text, in chunks of a size, without the last chunk.
-func sendChunks(conn net.Conn, head, text string, size, chunkSize int) {
+// inChunks returns a body in chunks of a size, without the last chunk.
+func inChunks(body string, size int) string {
 	var sb strings.Builder
-	sb.WriteString(head + chunked)
-	for rest := text[:size]; rest != ""; {
-		n := min(chunkSize, len(rest))
+	for rest := body; rest != ""; {
+		n := min(size, len(rest))
 		sb.WriteString(chunk(rest[:n]))
 		rest = rest[n:]
-		if sb.Len() >= chunkBytes {
-			if _, err := io.WriteString(conn, sb.String()); err != nil {
-				return
-			}
-			sb.Reset()
-		}
 	}
-	sendAll(conn, sb.String())
+	return sb.String()
 }
 
 func sendEndlessly(conn net.Conn, sent func(), text string) {
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -143,6 +143,8 @@
 	suspensions []suspension
 	// resident is the resident memory of each gateway.
 	resident []residentRange
+	// use is what each gateway has used beside crowds.
+	use []machineUse
 }
 
 // check returns all violations.
--- a/standin/soak/misbehaviour.go
+++ b/standin/soak/misbehaviour.go
@@ -246,6 +246,9 @@
 
 // checkMemory finds gateways that used too much memory.
 func (hi *history) checkMemory() []Violation {
+	if len(hi.plan.Crowds) > 0 {
+		return hi.checkUse()
+	}
 	var list []Violation
 	for gateway, rr := range hi.resident {
 		if rr.most-rr.least > maxResidentGrowth {
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -116,6 +116,8 @@
 	Operations bool
 	// MissedEnds is set if backend servers learn late that a gateway has ended a connection, some by a reset only.
 	MissedEnds bool
+	// Crowds are the clients that don't keep to the limits.
+	Crowds []ClientCrowd
 }
 
 const (
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -120,6 +120,12 @@
 	sr.history.start = time.Now()
 	var callers sync.WaitGroup
 	callers.Go(func() { sr.watchMemory(ctx) })
+	if len(pl.Crowds) > 0 {
+		callers.Go(func() { sr.watchUse(ctx) })
+	}
+	for _, cc := range pl.Crowds {
+		sr.injections.Go(func() { sr.gatherCrowd(cc) })
+	}
 	callers.Go(func() { sr.history.clock.Run(ctx) })
 	for i := range rn.Callers {
 		if pl.Operations && i%2 == 0 {
@@ -157,7 +163,7 @@
 	return &soakRun{
 		runner: rn, plan: pl, store: keyvalue.New(), fleet: &fleet.Fleet{Bin: rn.Bin, Dir: rn.Dir},
 		keys: []string{"key-1", "key-2"}, storeFaults: map[FaultKind]int{},
-		history: &history{plan: pl, routeRemovedAt: time.Now().Add(time.Hour), executions: &executionLog{executed: map[string][]execution{}, rejected: map[string][]execution{}}, revokedAt: map[string]time.Time{}, drainedAt: map[string]time.Time{}, resident: make([]residentRange, pl.Gateways)},
+		history: &history{plan: pl, routeRemovedAt: time.Now().Add(time.Hour), executions: &executionLog{executed: map[string][]execution{}, rejected: map[string][]execution{}}, revokedAt: map[string]time.Time{}, drainedAt: map[string]time.Time{}, resident: make([]residentRange, pl.Gateways), use: make([]machineUse, pl.Gateways)},
 	}
 }
 
@@ -203,7 +209,7 @@
 	}
 	host, port, _ := strings.Cut(relay, ":")
 	gw.settingsPath = filepath.Join(sr.runner.Dir, fmt.Sprintf("gateway-%d.toml", i))
-	gw.settings = fmt.Sprintf(settingsTemplate, i, 1+i%max(1, sr.plan.DataCentres), host, port, port, gw.address, ready, sr.runner.CPUShare, gracePeriod.Seconds(), revokeBound.Milliseconds(), applyBound.Milliseconds(), canaryShare, canarySlack, gw.storeProxy.Address())
+	gw.settings = fmt.Sprintf(settingsTemplate, i, 1+i%max(1, sr.plan.DataCentres), host, port, port, gw.address, ready, sr.runner.CPUShare, sr.plan.machineLimits(), gracePeriod.Seconds(), revokeBound.Milliseconds(), applyBound.Milliseconds(), canaryShare, canarySlack, gw.storeProxy.Address())
 	sr.gateways = append(sr.gateways, gw)
 	return sr.startGateway(i)
 }
@@ -220,6 +226,7 @@
 [limits]
 link_mbps = 100.0
 cpu_share = %v
+%s
 [bounds]
 grace_s = %v
 revoke_ms = %d
@@ -359,7 +366,7 @@
 		"version":  sr.configVersion,
 		"routes":   routes,
 		"services": []any{map[string]any{"name": "svc", "max_connections": 100}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": sr.plan.maxBodyBytes(), "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []any{map[string]any{"name": "team", "api_keys": sr.keys}},
 	})
 }
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -168,6 +168,17 @@
 	}
 }
 
+// Clients that don't keep to the limits gather while gateways are stopped, reloaded and reconfigured. Not parallel, since
+// crowds keep servers and callers of other plans from their processor time.
+func TestGatewaysStayWithinTheirMachinesBesideCrowds(t *testing.T) {
+	for _, seed := range []uint64{2004, 2006, 2010} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			pl := GeneratePlan(seed, 4, 6, 8*time.Second).WithOperations().WithCrowds()
+			require.Empty(t, runPlan(t, pl, ""), "%v %v", pl.Faults, pl.Crowds)
+		})
+	}
+}
+
 // Servers that stop within streams learn late, or by a reset only, that their streams went on elsewhere.
 func TestStreamsRunOnceWhenServersMissTheEndsOfConnections(t *testing.T) {
 	t.Parallel()
