fix(intake): unfinished bodies lose their connections before newer callers do

Cause: a body in its first second kept its connection before idle ones and before connections whose head had not been read yet, which ordinary callers' are for a moment.

--- a/internal/intake/ledger.go
+++ b/internal/intake/ledger.go
@@ -154,12 +154,11 @@
 
 // worstConnection returns the connection to close for a new one: the oldest that has never completed a request, else
 // the one that has been idle longest, else the oldest with an unfinished body, else the one whose caller has not read
-// for longest. A body that began less than minAge ago counts as one of a connection that has completed requests. It
-// returns nil if none qualifies.
+// for longest. It returns nil if none qualifies.
 func (le *Ledger) worstConnection(now time.Time) *Conn {
 	rank := func(co *Conn) int {
 		switch {
-		case !co.completed && (co.state == Waiting || co.state == Reading && now.Sub(co.since) >= minAge):
+		case !co.completed && (co.state == Waiting || co.state == Reading):
 			return 4
 		case co.state == Idle:
 			return 3
