--- a/standin/crowd/system_test.go
+++ b/standin/crowd/system_test.go
@@ -53,7 +53,7 @@
 	usage   *crowd.Usage
 	// ordinary sends an ordinary request and returns the status of its response.
 	ordinary func(ctx context.Context) (int, error)
-	// companions are processes that must live on too.
+	// companions are further processes that must not end.
 	companions []*fleet.Process
 	// settingsPath is where the settings are.
 	settingsPath string
