refactor(crowd): one function each for the largest body and for chunks

The calm tests had copies of both. What is sent and asserted is unchanged; the calm tests, the one of Expect: 100-continue and that of deadlines pass.

--- a/standin/crowd/crowd.go
+++ b/standin/crowd/crowd.go
@@ -97,12 +97,12 @@
 // Run runs the clients until the context ends. It calls settled once each of them has sent all that its kind sends
 // before it waits, or was refused.
 func (cr *Crowd) Run(ctx context.Context, settled func()) {
-	cr.body = cr.Target.body()
+	cr.body = cr.Target.Body()
 	switch cr.Kind {
 	case LargeChunksShort, DeadlineShort:
-		cr.chunks = inChunks(cr.body[:len(cr.body)-1], chunkBytes)
+		cr.chunks = InChunks(cr.body[:len(cr.body)-1], chunkBytes)
 	case ByteChunksShort:
-		cr.chunks = inChunks(cr.body[:len(cr.body)-1], 1)
+		cr.chunks = InChunks(cr.body[:len(cr.body)-1], 1)
 	}
 	cr.settled.Add(cr.Size)
 	go func() {
@@ -234,11 +234,11 @@
 // SmallBody returns a body of a thousand bytes.
 func (ta Target) SmallBody() string {
 	ta.BodyBytes = 1000
-	return ta.body()
+	return ta.Body()
 }
 
-// body returns a body of the maximum size.
-func (ta Target) body() string {
+// Body returns a body of the maximum size.
+func (ta Target) Body() string {
 	if !ta.JSON {
 		return strings.Repeat("b", ta.BodyBytes)
 	}
@@ -275,8 +275,8 @@
 	sendAll(conn, ta.head(longDeadline)+length(len(body)), body)
 }
 
-// inChunks returns a body in chunks of a size, without the last chunk.
-func inChunks(body string, size int) string {
+// InChunks returns a body in chunks of a size, without the last chunk.
+func InChunks(body string, size int) string {
 	var sb strings.Builder
 	for rest := body; rest != ""; {
 		n := min(size, len(rest))
--- a/standin/crowd/honest_test.go
+++ b/standin/crowd/honest_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/linnetrudder/linnetrudder/standin/crowd"
 )
 
 // exchange writes the parts of a request with a pause between them and returns the status and the body of the
@@ -49,26 +51,6 @@
 	return conn
 }
 
-// inChunks returns a body in chunks of a size.
-func inChunks(body string, size int) string {
-	var sb strings.Builder
-	for rest := body; rest != ""; {
-		n := min(size, len(rest))
-		fmt.Fprintf(&sb, "%x\r\n%s\r\n", n, rest[:n])
-		rest = rest[n:]
-	}
-	return sb.String() + "0\r\n\r\n"
-}
-
-// largestBody returns a body of exactly the maximum size.
-func (ps *process) largestBody() string {
-	if !ps.target.JSON {
-		return strings.Repeat("b", ps.target.BodyBytes)
-	}
-	const start, end = `{"model":"m","messages":[{"role":"user","content":"`, `"}]}`
-	return start + strings.Repeat("b", ps.target.BodyBytes-len(start)-len(end)) + end
-}
-
 // requireWhole requires that a response is a success, and at a gateway that the backend server has received the body.
 func (ps *process) requireWhole(status int, response, body string) {
 	ps.t.Helper()
@@ -91,11 +73,11 @@
 	for name, start := range map[string]func(*testing.T) *process{"gateway": startGateway, "entry": startEntry} {
 		t.Run(name, func(t *testing.T) {
 			ps := start(t)
-			body, head := ps.largestBody(), ps.target.Head+fmt.Sprintf(deadlineOf, calmTimeout)
+			body, head := ps.target.Body(), ps.target.Head+fmt.Sprintf(deadlineOf, calmTimeout)
 			status, response := exchange(t, ps.dial(), 0, head+fmt.Sprintf(withLength, len(body)), body)
 			ps.requireWhole(status, response, body)
 			for _, size := range []int{1, 1 << 10, 64 << 10} {
-				status, response := exchange(t, ps.dial(), 0, head+withChunks, inChunks(body, size))
+				status, response := exchange(t, ps.dial(), 0, head+withChunks, crowd.InChunks(body, size), "0\r\n\r\n")
 				ps.requireWhole(status, response, body)
 			}
 			ps.requireAlive()
@@ -188,8 +170,8 @@
 			ps.awaitService("after the crowds")
 			ps.awaitDescriptors(before)
 			ps.requireAlive()
-			status, response := exchange(t, ps.dial(), 0, ps.target.Head+fmt.Sprintf(withLength, ps.target.BodyBytes), ps.largestBody())
-			ps.requireWhole(status, response, ps.largestBody())
+			status, response := exchange(t, ps.dial(), 0, ps.target.Head+fmt.Sprintf(withLength, ps.target.BodyBytes), ps.target.Body())
+			ps.requireWhole(status, response, ps.target.Body())
 		})
 	}
 }
