--- a/internal/httpfront/intake_test.go
+++ b/internal/httpfront/intake_test.go
@@ -120,16 +120,30 @@
 	require.Zero(t, in.Used())
 }
 
+func (in *Intake) idleConnections() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	idle := 0
+	for co := range in.conns {
+		if co.State() == intake.Idle {
+			idle++
+		}
+	}
+	return idle
+}
+
 func TestNewConnectionsReplaceIdleOnes(t *testing.T) {
 	limits := intake.NewLimits(0, 0)
 	limits.Connections = 3
 	in := &Intake{Limits: limits}
 	li := startIntake(t, in)
 	var conns []net.Conn
-	for range 3 {
+	for i := range 3 {
 		conn := dial(t, li)
 		require.Equal(t, "5", send(t, conn, post(5, "whole")))
 		conns = append(conns, conn)
+		// A caller may have its response before its connection counts as idle.
+		require.Eventually(t, func() bool { return in.idleConnections() == i+1 }, 10*time.Second, time.Millisecond)
 	}
 	require.Equal(t, "5", send(t, dial(t, li), post(5, "whole")))
 	require.NoError(t, conns[0].SetReadDeadline(time.Now().Add(10*time.Second)))
