test(crowd): heads with many short headers

900 clients send a head of the maximum size that consists of some 2,000 short headers (entry: 8,000) and announce a body.

The settings have 4,100 descriptors, as many as the users' machines, so that memory limits the connections.

--- a/standin/crowd/crowd.go
+++ b/standin/crowd/crowd.go
@@ -23,8 +23,8 @@
 	Head string
 	// BodyBytes is the maximum size of a body.
 	BodyBytes int
-	// HeadBytes is the size of a long head.
-	HeadBytes int
+	// HeadBytes is the size of a long head, MaxHeadBytes the maximum size of a head.
+	HeadBytes, MaxHeadBytes int
 	// JSON is set if bodies must be chat requests.
 	JSON bool
 }
@@ -51,8 +51,10 @@
 	// Announced announces a length and sends nothing more, Silent sends nothing at all.
 	Announced Kind = "announced"
 	Silent    Kind = "silent"
-	// LongHeads sends a long head without its end.
-	LongHeads Kind = "long-heads"
+	// LongHeads sends a long head without its end. ManyHeaders sends a head of the maximum size with many short
+	// headers and announces a body, of which it sends nothing.
+	LongHeads   Kind = "long-heads"
+	ManyHeaders Kind = "many-headers"
 	// TooLarge announces a body far over the limit and sends it.
 	TooLarge Kind = "too-large"
 	// EndlessExtension sends a chunk extension without end, EndlessTrailer a trailer without end.
@@ -84,8 +86,9 @@
 	Size   int
 	Target Target
 
-	// body is a body of the maximum size, chunks the same in chunks without its last byte.
-	body, chunks string
+	// body is a body of the maximum size, chunks the same in chunks without its last byte. headers is a head with many
+	// headers.
+	body, chunks, headers string
 	// settled counts the clients that have not yet sent what they send before they wait.
 	settled sync.WaitGroup
 
@@ -103,6 +106,8 @@
 		cr.chunks = InChunks(cr.body[:len(cr.body)-1], chunkBytes)
 	case ByteChunksShort:
 		cr.chunks = InChunks(cr.body[:len(cr.body)-1], 1)
+	case ManyHeaders:
+		cr.headers = cr.Target.ManyHeaders()
 	}
 	cr.settled.Add(cr.Size)
 	go func() {
@@ -182,6 +187,8 @@
 		sendAll(conn, ta.head(longDeadline)+length(ta.BodyBytes))
 	case LongHeads:
 		sendAll(conn, ta.Head, "X-Long: ", strings.Repeat("x", ta.HeadBytes-len(ta.Head)))
+	case ManyHeaders:
+		sendAll(conn, cr.headers)
 	case TooLarge:
 		sendAll(conn, ta.head(longDeadline)+length(100*ta.BodyBytes))
 		sendEndlessly(conn, sent, strings.Repeat("x", chunkBytes))
@@ -231,6 +238,18 @@
 	return fmt.Sprintf("%sX-Deadline-Ms: %d\r\n", ta.Head, deadlineMS)
 }
 
+// ManyHeaders returns a head of almost the maximum size with many short headers that announces a body.
+func (ta Target) ManyHeaders() string {
+	var sb strings.Builder
+	sb.WriteString(ta.head(longDeadline))
+	end := length(ta.BodyBytes)
+	const longest = len("X-ffff:\r\n")
+	for i := 0; sb.Len() < ta.MaxHeadBytes-len(end)-longest; i++ {
+		fmt.Fprintf(&sb, "X-%x:\r\n", i)
+	}
+	return sb.String() + end
+}
+
 // SmallBody returns a body of a thousand bytes.
 func (ta Target) SmallBody() string {
 	ta.BodyBytes = 1000
--- a/standin/crowd/crowd_test.go
+++ b/standin/crowd/crowd_test.go
@@ -76,6 +76,14 @@
 	}
 }
 
+// Guards against heads whose memory grows when they are parsed. The processes have as many connections as their
+// memory allows.
+func TestProcessSurvivesManyHeaders(t *testing.T) {
+	for name, start := range map[string]func(*testing.T, int) *process{"gateway": startGatewayWith, "entry": startEntryWith} {
+		t.Run(name, func(t *testing.T) { testCrowd(start(t, manyFiles), crowdCase{crowd.ManyHeaders, 900}) })
+	}
+}
+
 // testCrowd gathers a crowd before a process. Beside it and after it ordinary requests are answered.
 func testCrowd(ps *process, cc crowdCase) {
 	ps.t.Helper()
--- a/standin/crowd/honest_test.go
+++ b/standin/crowd/honest_test.go
@@ -135,6 +135,18 @@
 	ps.requireWhole(status, response, body)
 }
 
+func TestManyHeadersAreServedInCalm(t *testing.T) {
+	for name, start := range map[string]func(*testing.T) *process{"gateway": startGateway, "entry": startEntry} {
+		t.Run(name, func(t *testing.T) {
+			ps := start(t)
+			ps.target.BodyBytes = len(ps.target.SmallBody())
+			body := ps.target.SmallBody()
+			status, response := exchange(t, ps.dial(), 0, ps.target.ManyHeaders(), body)
+			ps.requireWhole(status, response, body)
+		})
+	}
+}
+
 func TestKeptConnectionThatRestsIsServed(t *testing.T) {
 	ps := startGateway(t)
 	conn, body := ps.dial(), ps.target.SmallBody()
--- a/standin/crowd/system_test.go
+++ b/standin/crowd/system_test.go
@@ -27,13 +27,17 @@
 )
 
 const (
-	// memoryMB and maxFiles are the memory and the descriptors that the processes may use.
-	memoryMB = 128
-	maxFiles = 700
-	// gatewayBodyBytes and entryBodyBytes are the maximum sizes of a body, headerBytes that of a head at a gateway.
+	// memoryMB and maxFiles are the memory and the descriptors that the processes may use. With manyFiles the memory
+	// limits the connections.
+	memoryMB  = 128
+	maxFiles  = 700
+	manyFiles = 4100
+	// gatewayBodyBytes and entryBodyBytes are the maximum sizes of a body, headerBytes and entryHeaderBytes those of a
+	// head.
 	gatewayBodyBytes = 4 << 20
 	entryBodyBytes   = 1 << 20
 	headerBytes      = 16384
+	entryHeaderBytes = 64 << 10
 	// idleTimeout is the time limit between the requests of a connection at a gateway.
 	idleTimeout = 4 * time.Second
 	// waitTimeout is long enough that only a faulty system reaches it.
@@ -51,6 +55,8 @@
 	address string
 	target  crowd.Target
 	usage   *crowd.Usage
+	// files is the number of descriptors that the process may use.
+	files int
 	// ordinary sends an ordinary request and returns the status of its response.
 	ordinary func(ctx context.Context) (int, error)
 	// companions are further processes that must not end.
@@ -81,6 +87,12 @@
 
 // startGateway starts a gateway with a store and a backend server that responds with the digest of a body.
 func startGateway(t *testing.T) *process {
+	t.Helper()
+	return startGatewayWith(t, maxFiles)
+}
+
+// startGatewayWith starts a gateway with a number of descriptors.
+func startGatewayWith(t *testing.T, files int) *process {
 	t.Helper()
 	store := keyvalue.New()
 	storeServer := httptest.NewServer(store)
@@ -98,15 +110,15 @@
 	ready, err := fleet.FreeAddress()
 	require.NoError(t, err)
 	path := filepath.Join(fl.Dir, "gateway.toml")
-	text := fmt.Sprintf(gatewaySettings, address, ready, memoryMB, maxFiles, strings.TrimPrefix(storeServer.URL, "http://"))
+	text := fmt.Sprintf(gatewaySettings, address, ready, memoryMB, files, strings.TrimPrefix(storeServer.URL, "http://"))
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 	pr, err := fl.Start("gateway", "linnetrudder", "gateway", "--settings", path)
 	require.NoError(t, err)
 	require.NoError(t, pr.WaitListening(address))
 	head := "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer " + callerKey + "\r\nX-Request-Id: crowd\r\n"
 	ps := &process{
-		t: t, process: pr, address: address, usage: crowd.NewUsage(pr.PID(), portOf(t, address)), settingsPath: path, store: store,
-		target:   crowd.Target{Address: address, Head: head, BodyBytes: gatewayBodyBytes, HeadBytes: 60_000},
+		t: t, process: pr, address: address, usage: crowd.NewUsage(pr.PID(), portOf(t, address)), files: files, settingsPath: path, store: store,
+		target:   crowd.Target{Address: address, Head: head, BodyBytes: gatewayBodyBytes, HeadBytes: 60_000, MaxHeadBytes: headerBytes},
 		ordinary: func(ctx context.Context) (int, error) { return ordinaryCall(ctx, address) },
 	}
 	ps.awaitService("before")
@@ -183,10 +195,17 @@
 
 // startEntry starts an entry with an agent, a model server and the stand-ins of the platform.
 func startEntry(t *testing.T) *process {
+	t.Helper()
+	return startEntryWith(t, maxFiles)
+}
+
+// startEntryWith starts an entry with a number of descriptors.
+func startEntryWith(t *testing.T, files int) *process {
 	t.Helper()
 	fl := &fleet.Fleet{Bin: binDir, Dir: t.TempDir(), Tune: func(settings map[string]any) {
 		if limits, ok := settings["limits"].(map[string]any); ok {
-			limits["body_bytes"], limits["memory_mb"], limits["max_fds"] = entryBodyBytes, memoryMB, maxFiles
+			limits["body_bytes"], limits["header_bytes"] = entryBodyBytes, entryHeaderBytes
+			limits["memory_mb"], limits["max_fds"] = memoryMB, files
 		}
 	}}
 	t.Cleanup(func() { _ = fl.Stop() })
@@ -200,8 +219,8 @@
 	putConfiguration(t, entry.Admin)
 	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + callerKey + "\r\nContent-Type: application/json\r\n"
 	ps := &process{
-		t: t, process: entry.Process, address: entry.Address, usage: crowd.NewUsage(entry.Process.PID(), portOf(t, entry.Address)),
-		target:     crowd.Target{Address: entry.Address, Head: head, BodyBytes: entryBodyBytes, HeadBytes: 900 << 10, JSON: true},
+		t: t, process: entry.Process, address: entry.Address, usage: crowd.NewUsage(entry.Process.PID(), portOf(t, entry.Address)), files: files,
+		target:     crowd.Target{Address: entry.Address, Head: head, BodyBytes: entryBodyBytes, HeadBytes: 900 << 10, MaxHeadBytes: entryHeaderBytes, JSON: true},
 		companions: []*fleet.Process{agent.Process},
 		ordinary:   func(ctx context.Context) (int, error) { return ordinaryChat(ctx, entry.Address) },
 	}
@@ -263,7 +282,7 @@
 	unread, descriptors := ps.usage.MaxUnread(), ps.usage.MaxDescriptors()
 	ps.t.Logf("%.1f MB resident at the most, %.1f MB unread, %d descriptors", float64(peak)/(1<<20), float64(unread)/(1<<20), descriptors)
 	require.LessOrEqual(ps.t, peak+unread, memoryMB<<20, "memory in bytes")
-	require.LessOrEqual(ps.t, descriptors, maxFiles, "descriptors")
+	require.LessOrEqual(ps.t, descriptors, ps.files, "descriptors")
 }
 
 // awaitUnanswered waits until an ordinary request is not served.
