fix(httpfront): rejections of long heads don't hold the lock of the intake

Cause: the rejection was written while the lock was held that each read and write of a caller's connection takes. A head over the limit is no longer charged before it is rejected.

--- a/internal/httpfront/conn.go
+++ b/internal/httpfront/conn.go
@@ -57,9 +57,9 @@
 		cc.setReason()
 	}
 	if n > 0 {
-		large, err := cc.received(n)
-		if err != nil {
-			return 0, err
+		large, reason := cc.received(n)
+		if reason != "" {
+			return 0, cc.rejectHead(reason)
 		}
 		if large {
 			// Callers that send large bodies in small pieces must not keep others waiting.
@@ -122,8 +122,9 @@
 	}
 }
 
-// received counts bytes that were read, and reports whether they belong to a large body.
-func (cc *callerConn) received(n int) (large bool, err error) {
+// received counts bytes that were read, and reports whether they belong to a large body. A reason is why the head to
+// which they belong must be rejected.
+func (cc *callerConn) received(n int) (large bool, re Reason) {
 	in := cc.in
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -131,19 +132,22 @@
 	switch cc.conn.State() {
 	case intake.Reading:
 		in.ledger.Received(cc.conn, n, now)
-		return cc.conn.Request().Held() > intake.SmallBytes, nil
+		return cc.conn.Request().Held() > intake.SmallBytes, ""
 	case intake.Waiting, intake.Idle:
 		in.ledger.Received(cc.conn, n, now)
 		return false, cc.receivedHead(n, now)
 	}
-	return false, nil
+	return false, ""
 }
 
-// receivedHead counts and charges bytes of a head. The lock is held.
-func (cc *callerConn) receivedHead(n int, now time.Time) error {
+// receivedHead counts and charges bytes of a head. It returns why the head must be rejected. The lock is held.
+func (cc *callerConn) receivedHead(n int, now time.Time) Reason {
 	in := cc.in
 	cc.headBytes += n
-	reason := Reason("")
+	// The read that has the end of the head may have the beginning of the body.
+	if cc.headBytes > cc.headLimit()+headerTolerance+freeHeadBytes {
+		return ReasonHead
+	}
 	if charge := cc.headBytes - freeHeadBytes - cc.headCharged; charge > 0 {
 		cc.headRequest = cc.conn.Request()
 		ve, victim := in.ledger.Charge(cc.headRequest, int64(charge), now)
@@ -151,22 +155,21 @@
 			in.interrupt(victim)
 			go in.end(ReasonMemory)
 		}
-		if ve == intake.Granted {
-			cc.headCharged += charge
-		} else {
-			reason = ReasonMemory
+		if ve != intake.Granted {
+			return ReasonMemory
 		}
+		cc.headCharged += charge
 	}
-	// The read that has the end of the head may have the beginning of the body.
-	if cc.headBytes > cc.headLimit()+headerTolerance+freeHeadBytes {
-		reason = ReasonHead
+	return ""
+}
+
+// rejectHead ends a connection for its head, and returns the error of the read.
+func (cc *callerConn) rejectHead(re Reason) error {
+	if re == ReasonHead {
 		_ = cc.SetWriteDeadline(time.Now().Add(arrivedWait))
 		_, _ = io.WriteString(cc.TCPConn, rejection)
 	}
-	if reason == "" {
-		return nil
-	}
-	go in.end(reason)
+	cc.in.end(re)
 	// net/http responds to other errors itself.
 	return &net.OpError{Op: "read", Net: "tcp", Err: os.ErrDeadlineExceeded}
 }
--- a/internal/httpfront/intake_test.go
+++ b/internal/httpfront/intake_test.go
@@ -201,3 +201,49 @@
 	require.Zero(t, in.leaving)
 	require.Empty(t, in.conns)
 }
+
+// Guards against a rejection that is written while all other connections wait for it. The callers don't read, so that
+// each write takes its whole time limit.
+func TestRejectionsOfHeadsAreWrittenAtTheSameTime(t *testing.T) {
+	const callers = 60
+	in := &Intake{Limits: intake.NewLimits(0, 0)}
+	var lc net.ListenConfig
+	li, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer li.Close()
+	var full, done sync.WaitGroup
+	full.Add(callers)
+	send := make(chan struct{})
+	for range callers {
+		client := dial(t, li)
+		conn, err := li.Accept()
+		require.NoError(t, err)
+		tc, _ := conn.(*net.TCPConn)
+		cc := in.open(tc, func() int { return 4 << 10 })
+		defer cc.Close()
+		done.Go(func() {
+			fillSendBuffer(tc)
+			full.Done()
+			<-send
+			_, _ = io.WriteString(client, strings.Repeat("x", 20<<10))
+			for err := error(nil); err == nil; {
+				_, err = cc.Read(make([]byte, 4<<10))
+			}
+		})
+	}
+	full.Wait()
+	began := time.Now()
+	close(send)
+	done.Wait()
+	require.Less(t, time.Since(began), callers*arrivedWait/2)
+}
+
+// fillSendBuffer writes until the peer, which reads nothing, has taken nothing for a while.
+func fillSendBuffer(tc *net.TCPConn) {
+	for blocked := 0; blocked < 3; blocked++ {
+		_ = tc.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+		if n, _ := tc.Write(make([]byte, 64<<20)); n > 0 {
+			blocked = 0
+		}
+	}
+}
