fix(httpfront): parsed heads are charged, line by line as they arrive

What callers saw: 900 clients that send heads of many short headers and announce a body took 247 MB of a gateway and 259 MB of an entry where 128 MB are allowed, enough to end a process.

Cause: a head was charged with the bytes that arrived beyond 4 KiB. 16 KiB with 2,000 headers are 246 KB once parsed, and 197 KB more for the copy of an attempt.

Change: each line of a head is charged with 256 bytes besides its own, as it arrives; the first 8 KiB are free. A request is charged with its parsed head before its body is read. Bytes that arrive while another request is served are charged once that has ended. Memory of a head that is released lets waiting requests go on at once.

--- a/internal/httpfront/body.go
+++ b/internal/httpfront/body.go
@@ -26,15 +26,12 @@
 	Copies int
 }
 
-// ReadBody reads the body of a request within its limits and those of all requests together. Its error carries a
-// result code; the connection is closed after it. The body must be released.
+// ReadBody reads the body of a request within its limits and those of all requests together, to which the parsed head
+// counts. Its error carries a result code; the connection is closed after it. The body must be released.
 func ReadBody(w http.ResponseWriter, r *http.Request, li BodyLimits) (*buffer.Segments, error) {
-	if r.ContentLength == 0 {
-		return nil, nil //nolint:nilnil // nil is an empty body
-	}
 	cc := connOf(r.Context())
 	body, err := readBody(r, cc, li)
-	if err == nil && cc != nil && !cc.complete() {
+	if err == nil && cc != nil && r.ContentLength != 0 && !cc.complete() {
 		body.Release()
 		err = errFull
 	}
@@ -46,6 +43,14 @@
 }
 
 func readBody(r *http.Request, cc *callerConn, li BodyLimits) (*buffer.Segments, error) {
+	if cc != nil {
+		if err := cc.chargeHead(r); err != nil {
+			return nil, err
+		}
+	}
+	if r.ContentLength == 0 {
+		return nil, nil //nolint:nilnil // nil is an empty body
+	}
 	if r.ContentLength > li.Bytes {
 		return nil, buffer.ErrTooLarge
 	}
@@ -97,7 +102,9 @@
 }
 
 // Charge charges memory.
-func (rm *requestMemory) Charge(bytes int) error { return rm.in.charge(rm.request, rm.factor*bytes) }
+func (rm *requestMemory) Charge(bytes int) error {
+	return rm.in.charge(rm.request, rm.factor*bytes, maxReleaseWait)
+}
 
 // Release returns memory.
 func (rm *requestMemory) Release(bytes int) { rm.in.release(rm.request, rm.factor*bytes) }
--- a/internal/httpfront/conn.go
+++ b/internal/httpfront/conn.go
@@ -1,6 +1,7 @@
 package httpfront
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -14,8 +15,8 @@
 )
 
 const (
-	// freeHeadBytes is the part of a head in bytes that is not charged: the buffer of the connection holds it.
-	freeHeadBytes = 4 << 10
+	// freeHeadBytes is the part of a head's memory in bytes that is not charged: the memory of a connection contains it.
+	freeHeadBytes = 8 << 10
 	// writeBytes is the size of a single write in bytes, for which a caller has the time limit of a response.
 	writeBytes = 64 << 10
 	// arrivedWait is the time limit of a read after the one for progress has passed. Bytes may have arrived while the
@@ -34,10 +35,16 @@
 	headLimit func() int
 	closeOnce sync.Once
 
-	// headBytes is the size of the unfinished head in bytes, headCharged the part of it that is charged for
-	// headRequest. The intake's lock guards them and the fields below.
-	headBytes, headCharged int
-	headRequest            *intake.Request
+	// head is the unfinished head. The intake's lock guards it and the fields below.
+	head headScanner
+	// ahead is the memory of heads that may be among the bytes that were read while a request was served, carried
+	// the part of it that may belong to the unfinished head.
+	ahead, carried int
+	// rejected is set once the next head was rejected without being read.
+	rejected bool
+	// headCharged is the memory in bytes that is charged for the head of headRequest.
+	headCharged int
+	headRequest *intake.Request
 	// deadline is the time until which the body is read.
 	deadline time.Time
 	// readDeadline is the time limit of reads of the body.
@@ -56,8 +63,11 @@
 	if reading && isTimeout(err) {
 		cc.setReason()
 	}
+	if err != nil && cc.isRejected() {
+		return 0, errRejected
+	}
 	if n > 0 {
-		large, reason := cc.received(n)
+		large, reason := cc.received(buf[:n])
 		if reason != "" {
 			return 0, cc.rejectHead(reason)
 		}
@@ -124,42 +134,47 @@
 
 // received counts bytes that were read, and reports whether they belong to a large body. A reason is why the head to
 // which they belong must be rejected.
-func (cc *callerConn) received(n int) (large bool, re Reason) {
+func (cc *callerConn) received(chunk []byte) (large bool, re Reason) {
 	in := cc.in
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	now := clock.Now()
 	switch cc.conn.State() {
 	case intake.Reading:
-		in.ledger.Received(cc.conn, n, now)
+		cc.ahead = 0
+		in.ledger.Received(cc.conn, len(chunk), now)
 		return cc.conn.Request().Held() > intake.SmallBytes, ""
 	case intake.Waiting, intake.Idle:
-		in.ledger.Received(cc.conn, n, now)
-		return false, cc.receivedHead(n, now)
+		cc.ahead = 0
+		in.ledger.Received(cc.conn, len(chunk), now)
+		cc.head.scan(chunk)
+		if cc.head.bytes > cc.headLimit()+headerTolerance {
+			return false, ReasonHead
+		}
+		return false, cc.chargeUnfinishedHead(now)
 	}
+	cc.ahead += headMemory(len(chunk), bytes.Count(chunk, lineEnd))
 	return false, ""
 }
 
-// receivedHead counts and charges bytes of a head. It returns why the head must be rejected. The lock is held.
-func (cc *callerConn) receivedHead(n int, now time.Time) Reason {
+// chargeUnfinishedHead charges what the head will take once it is parsed. It returns why the head must be rejected. The
+// lock is held.
+func (cc *callerConn) chargeUnfinishedHead(now time.Time) Reason {
 	in := cc.in
-	cc.headBytes += n
-	// The read that has the end of the head may have the beginning of the body.
-	if cc.headBytes > cc.headLimit()+headerTolerance+freeHeadBytes {
-		return ReasonHead
+	charge := cc.head.memory() + cc.carried - freeHeadBytes - cc.headCharged
+	if charge <= 0 {
+		return ""
 	}
-	if charge := cc.headBytes - freeHeadBytes - cc.headCharged; charge > 0 {
-		cc.headRequest = cc.conn.Request()
-		ve, victim := in.ledger.Charge(cc.headRequest, int64(charge), now)
-		if victim != nil {
-			in.interrupt(victim)
-			go in.end(ReasonMemory)
-		}
-		if ve != intake.Granted {
-			return ReasonMemory
-		}
-		cc.headCharged += charge
+	cc.headRequest = cc.conn.Request()
+	ve, victim := in.ledger.Charge(cc.headRequest, int64(charge), now)
+	if victim != nil {
+		in.interrupt(victim)
+		go in.end(ReasonMemory)
+	}
+	if ve != intake.Granted {
+		return ReasonMemory
 	}
+	cc.headCharged += charge
 	return ""
 }
 
@@ -170,8 +185,16 @@
 		_, _ = io.WriteString(cc.TCPConn, rejection)
 	}
 	cc.in.end(re)
-	// net/http responds to other errors itself.
-	return &net.OpError{Op: "read", Net: "tcp", Err: os.ErrDeadlineExceeded}
+	return errRejected
+}
+
+// errRejected is the error of a read whose head is rejected. net/http responds to errors that are no timeouts itself.
+var errRejected = &net.OpError{Op: "read", Net: "tcp", Err: os.ErrDeadlineExceeded}
+
+func (cc *callerConn) isRejected() bool {
+	cc.in.mu.Lock()
+	defer cc.in.mu.Unlock()
+	return cc.rejected
 }
 
 // begin begins a request whose head was read.
@@ -179,7 +202,7 @@
 	in := cc.in
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	cc.headBytes = 0
+	cc.head = headScanner{}
 	if r.ContentLength == 0 {
 		in.ledger.Move(cc.conn, intake.Serving, clock.Now())
 		return
@@ -215,13 +238,45 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	cc.releaseHead()
-	in.ledger.Move(cc.conn, intake.Idle, clock.Now())
+	now := clock.Now()
+	in.ledger.Move(cc.conn, intake.Idle, now)
+	cc.carried = cc.ahead
+	if re := cc.chargeUnfinishedHead(now); re != "" {
+		go in.end(re)
+		cc.rejected = true
+		// The response may still be on its way.
+		_ = cc.CloseRead()
+	}
+}
+
+// chargeHead charges the memory of a head that was parsed, beyond what was charged when it arrived. Large heads don't
+// wait for memory, since they hold as much meanwhile.
+func (cc *callerConn) chargeHead(r *http.Request) error {
+	in := cc.in
+	in.mu.Lock()
+	re, charge := cc.conn.Request(), parsedHeadBytes(r)-freeHeadBytes-cc.headCharged
+	in.mu.Unlock()
+	if charge <= 0 {
+		return nil
+	}
+	wait := maxReleaseWait
+	if charge > intake.SmallBytes {
+		wait = 0
+	}
+	if err := in.charge(re, charge, wait); err != nil {
+		return err
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	cc.headRequest = re
+	cc.headCharged += charge
+	return nil
 }
 
 // releaseHead returns the memory of the head. The lock is held.
 func (cc *callerConn) releaseHead() {
 	if cc.headCharged > 0 {
-		cc.in.ledger.Release(cc.headRequest, int64(cc.headCharged))
+		cc.in.releaseLocked(cc.headRequest, cc.headCharged)
 		cc.headCharged = 0
 	}
 }
--- a/internal/httpfront/intake.go
+++ b/internal/httpfront/intake.go
@@ -159,9 +159,9 @@
 // longAgo is a read deadline that ends a read at once.
 var longAgo = time.Unix(1, 0)
 
-// charge charges memory for a request. It waits for other requests that were ended to release theirs.
-func (in *Intake) charge(re *intake.Request, bytes int) error {
-	for end := clock.Now().Add(maxReleaseWait); ; {
+// charge charges memory for a request. It waits for other requests that were ended to release theirs, for wait at most.
+func (in *Intake) charge(re *intake.Request, bytes int, wait time.Duration) error {
+	for end := clock.Now().Add(wait); ; {
 		now := clock.Now()
 		in.mu.Lock()
 		ve, victim := in.ledger.Charge(re, int64(bytes), now)
@@ -206,6 +206,11 @@
 func (in *Intake) release(re *intake.Request, bytes int) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	in.releaseLocked(re, bytes)
+}
+
+// releaseLocked returns memory that was charged for a request. The lock is held.
+func (in *Intake) releaseLocked(re *intake.Request, bytes int) {
 	in.ledger.Release(re, int64(bytes))
 	if in.released != nil {
 		close(in.released)
--- a/internal/httpfront/intake_test.go
+++ b/internal/httpfront/intake_test.go
@@ -120,16 +120,16 @@
 	require.Zero(t, in.Used())
 }
 
-func (in *Intake) idleConnections() int {
+func (in *Intake) connectionsIn(st intake.State) int {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	idle := 0
+	count := 0
 	for co := range in.conns {
-		if co.State() == intake.Idle {
-			idle++
+		if co.State() == st {
+			count++
 		}
 	}
-	return idle
+	return count
 }
 
 func TestNewConnectionsReplaceIdleOnes(t *testing.T) {
@@ -143,7 +143,7 @@
 		require.Equal(t, "5", send(t, conn, post(5, "whole")))
 		conns = append(conns, conn)
 		// A caller may have its response before its connection counts as idle.
-		require.Eventually(t, func() bool { return in.idleConnections() == i+1 }, 10*time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { return in.connectionsIn(intake.Idle) == i+1 }, 10*time.Second, time.Millisecond)
 	}
 	require.Equal(t, "5", send(t, dial(t, li), post(5, "whole")))
 	require.NoError(t, conns[0].SetReadDeadline(time.Now().Add(10*time.Second)))
