fix(httpfront): spaces that a client did not send don't count towards the size of its head

What callers saw: an entry answered 431 to a head of 64 KiB with 8,000 headers without a space after their colon, since it counted one for each, 8 KB more than the tolerance of 4 KiB takes in.

Bytes that arrive are bounded as before, whatever they are.

--- a/internal/httpfront/header.go
+++ b/internal/httpfront/header.go
@@ -40,9 +40,9 @@
 	hl.next.ServeHTTP(w, r)
 }
 
-// headerBytes returns the size of a request header with its request line.
+// headerBytes returns the size of a request header with its request line, without optional spaces.
 func headerBytes(r *http.Request) int {
-	const end, separator = len("\r\n"), len(": ")
+	const end, separator = len("\r\n"), len(":")
 	size := len(r.Method) + len(" ") + len(r.RequestURI) + len(" ") + len(r.Proto) + end
 	size += len("Host") + separator + len(r.Host) + end
 	for name, values := range r.Header {
