--- a/internal/intake/ledger_test.go
+++ b/internal/intake/ledger_test.go
@@ -173,15 +173,16 @@
 
 // Guards against limits that do not fit the machines together.
 func TestLimitsFitTheMemory(t *testing.T) {
-	// ownMemory is what a process needs without callers, responseMemoryPart the part for buffered responses.
-	const ownMemory, responseMemoryPart = 48 << 20, 8
+	// ownMemory is what a process needs without callers, responseMemoryPart the part for buffered responses, aheadBytes
+	// what is read ahead of a request that is being served.
+	const ownMemory, responseMemoryPart, aheadBytes = 48 << 20, 8, 16 << 10
 	for _, machine := range []struct {
 		memoryMB int64
 		files    int
 	}{{160, 4096}, {160, 4100}, {184, 4100}, {216, 4096}, {256, 4096}, {284, 4100}, {536, 8192}} {
 		memory := machine.memoryMB << 20
 		li := NewLimits(memory, machine.files)
-		heap := li.Memory + memory/responseMemoryPart + int64(li.Connections)*connectionBytes + ownMemory
+		heap := li.Memory + memory/responseMemoryPart + int64(li.Connections)*(connectionBytes+aheadBytes) + ownMemory
 		unread := li.Unread + int64(li.Connections)*MinReceiveBuffer
 		require.LessOrEqual(t, heap+unread, memory, "%d MB", machine.memoryMB)
 		require.LessOrEqual(t, reservedFiles+ownFiles+2*li.Connections, machine.files)
