fix(gateway): streams are rejected in time also if the signal to stop is handled late

Cause: the 3 s after which a stopping gateway rejects streams counted from when it handled the signal, 63 ms late. The platform counts from the signal.

Change: 0.2 s of the 3 s are kept for a late signal. New callers come for 2 s and a check at most, so that those 2.8 s still cover them; later streams get 503, not run, and come again at once elsewhere.

TestStreamsAreRejectedInTimeAfterALateSignal asks for the bound.

--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -14,8 +14,24 @@
 	// maxRetryAfter bounds the Retry-After of rejected callers, since another gateway may be available
 	// before this one restarts.
 	maxRetryAfter = 3 * time.Second
+
+	// lateStreams is how long after the signal the platform allows for streams that may not end in time.
+	lateStreams = 3 * time.Second
+	// maxSignalDelay is how late a busy process may handle the signal.
+	maxSignalDelay = 200 * time.Millisecond
+	// drainDelay is the time for which new callers may still arrive after the process has become
+	// not ready: the platform checks every second and needs two failed checks.
+	drainDelay = lateStreams - maxSignalDelay
+	// graceMargin is the part of the platform's grace period that a planned stop does not use.
+	graceMargin = 500 * time.Millisecond
 )
 
+// StopTimes returns when a process that began to stop sends new callers away, and when it ends at the latest.
+func StopTimes(start time.Time, grace time.Duration) (drainAt, end time.Time) {
+	used := max(0, grace-graceMargin)
+	return start.Add(min(drainDelay, used/2)), start.Add(used)
+}
+
 // stopPlan decides which requests a stopping gateway still accepts. It may be the only gateway that
 // the platform can send callers to.
 type stopPlan struct {
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -87,3 +87,18 @@
 	ga.Stop(time.Now(), time.Now())
 	require.False(t, ga.Reported(relay.Report{Box: "b"}).Ready)
 }
+
+// Guards against streams that are accepted too late to end, since the signal was handled late.
+func TestStreamsAreRejectedInTimeAfterALateSignal(t *testing.T) {
+	sent := time.Unix(1000, 0)
+	for _, delay := range []time.Duration{0, 63 * time.Millisecond, maxSignalDelay} {
+		drainAt, end := StopTimes(sent.Add(delay), 8*time.Second)
+		require.LessOrEqual(t, drainAt.Sub(sent), lateStreams)
+		require.Greater(t, drainAt.Sub(sent.Add(delay)), 2*time.Second, "the platform needs two failed checks")
+		require.Less(t, end.Sub(sent), 8*time.Second)
+	}
+	drainAt, end := StopTimes(sent, 2*time.Second)
+	require.True(t, drainAt.Before(end))
+	_, end = StopTimes(sent, 0)
+	require.Equal(t, sent, end)
+}
