--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"os"
-	"os/exec"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,27 +13,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-// bin is the directory of the built program.
-var bin string
-
-func TestMain(m *testing.M) { os.Exit(runAll(m)) }
-
-func runAll(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "linnetrudder-soak-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	bin = dir
-	cmd := exec.Command("go", "build", "-o", dir+"/", "github.com/linnetrudder/linnetrudder/cmd/linnetrudder")
-	if out, err := cmd.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
-		return 1
-	}
-	return m.Run()
-}
-
 func TestPlanIsDeterministicForSeed(t *testing.T) {
 	first, second := GeneratePlan(7, 3, 5, 8*time.Second), GeneratePlan(7, 3, 5, 8*time.Second)
 	require.Equal(t, first, second)
