test(soak): servers that garble responses; crowds with many headers

--garble lets servers cut, reset, split and silence what they write at once, and add parts of a rejection behind it or informational ones before it, while gateways are killed, stopped, reloaded and reconfigured in series.

--crowds has two crowds with many headers besides; the others of a seed remain the same.

--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -30,6 +30,7 @@
 	Restores  bool          `help:"Include restores of the key-value service from older copies."`
 	Silences  bool          `help:"Include open connections that become silent for good."`
 	Misbehave bool          `help:"Include servers that repeat responses, send heads without end and stop within streams."`
+	Garble    bool          `help:"Include servers that cut and split responses, and add parts of others."`
 	Operate   bool          `help:"Let half of the callers perform operations with retries, and stop, reload and reconfigure gateways in series."`
 	Ends      bool          `help:"Let backend servers learn late, or by a reset only, that a gateway has ended a connection."`
 	Starve    bool          `help:"Suspend gateways for short times again and again, as on machines with little processor time."`
@@ -98,6 +99,9 @@
 	if ar.Silences {
 		pl = pl.WithSilences()
 	}
+	if ar.Garble {
+		pl = pl.WithGarbling()
+	}
 	if ar.Misbehave {
 		pl = pl.WithMisbehaviour()
 	}
--- a/standin/soak/clients.go
+++ b/standin/soak/clients.go
@@ -28,12 +28,16 @@
 	// maxBodyBytes is the maximum size of a body, crowdBodyBytes the one if there are crowds.
 	maxBodyBytes   = 1000
 	crowdBodyBytes = 4 << 20
+	// maxHeadBytes is the maximum size of a head.
+	maxHeadBytes = 16384
 	// crowdMeanInterval is the mean time between two crowds.
 	crowdMeanInterval = 1500 * time.Millisecond
 	// minCrowdSize and maxCrowdSize bound the number of clients of a crowd, minCrowdTime is how long it stays at least.
 	minCrowdSize = 30
 	maxCrowdSize = 200
 	minCrowdTime = time.Second
+	// headerCrowds is how many crowds send heads with many headers besides.
+	headerCrowds = 2
 	// crowdPath has no route, so that servers get none of the crowd's requests.
 	crowdPath = "/nowhere/x"
 	// usageInterval is the time between two readings of what the gateways use beside crowds.
@@ -57,6 +61,10 @@
 			Start: at, End: min(pl.FaultsEnd, at+minCrowdTime+time.Duration(rn.Int64N(int64(maxFaultDuration)))),
 		})
 	}
+	for range headerCrowds {
+		at := warmUp + time.Duration(rn.Int64N(int64(pl.FaultsEnd-warmUp)))
+		pl.Crowds = append(pl.Crowds, ClientCrowd{Kind: crowd.ManyHeaders, Size: maxCrowdSize, Gateway: rn.IntN(pl.Gateways), Start: at, End: min(pl.FaultsEnd, at+2*minCrowdTime)})
+	}
 	return pl
 }
 
@@ -84,7 +92,7 @@
 	}
 	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer %s\r\nX-Request-Id: crowd\r\n", path, sr.pickKey(1))
 	cr := &crowd.Crowd{Kind: cc.Kind, Size: cc.Size, Target: crowd.Target{
-		Address: sr.gateways[cc.Gateway].address, Head: head, BodyBytes: crowdBodyBytes, HeadBytes: 60_000,
+		Address: sr.gateways[cc.Gateway].address, Head: head, BodyBytes: crowdBodyBytes, HeadBytes: 60_000, MaxHeadBytes: maxHeadBytes,
 	}}
 	ctx, cancel := context.WithDeadline(context.Background(), sr.history.start.Add(cc.End))
 	defer cancel()
--- a/standin/soak/misbehaviour.go
+++ b/standin/soak/misbehaviour.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/standin/fleet"
+	"github.com/linnetrudder/linnetrudder/standin/garble"
 )
 
 // Faults of servers that send what no well-behaved server does.
@@ -73,6 +74,8 @@
 	repeat, late bool
 	// surplus is a second copy that is still to be sent.
 	surplus []byte
+	// change is the change of the next write, empty for none.
+	change garble.Change
 }
 
 type repeatingConnKey struct{}
@@ -85,6 +88,10 @@
 func (rc *repeatingConn) Write(data []byte) (int, error) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
+	if ch := rc.change; ch != "" && len(data) > 0 {
+		rc.change = ""
+		return rc.writeChanged(ch, data)
+	}
 	n, err := rc.Conn.Write(data)
 	if !rc.repeat || err != nil || len(data) > maxRecordedBytes {
 		return n, err
--- a/standin/soak/server.go
+++ b/standin/soak/server.go
@@ -288,6 +288,7 @@
 		w.Header().Set("X-Request-Id", "another")
 	}
 	w.Header().Set("X-Server-Signature", "signed by "+se.id)
+	se.garbleNext(r, garbledFraction, false)
 	switch {
 	case se.faultActive(ServerErrors, errorFraction):
 		w.WriteHeader(http.StatusInternalServerError)
@@ -316,6 +317,9 @@
 		if n > streamEvents/2 && se.faultActive(ServerDropsResponses, responseFaultFraction) {
 			panic(http.ErrAbortHandler)
 		}
+		if n > last+1 {
+			se.garbleNext(r, garbledEventFraction, true)
+		}
 		_, _ = io.WriteString(w, eventBody(id, n))
 		_ = http.NewResponseController(w).Flush()
 		pause := se.onVersion(eventInterval)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -120,6 +120,17 @@
 	}
 }
 
+// Servers change their responses on their way: cut, split, with parts of others behind or before them.
+func TestGuaranteesHoldWhenServersGarbleResponses(t *testing.T) {
+	for _, seed := range []uint64{5001, 5002, 5003} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			pl := GeneratePlan(seed, 3, 5, 6*time.Second).WithGarbling().WithOperations()
+			require.Empty(t, runPlan(t, pl, ""), "%v", pl.Faults)
+		})
+	}
+}
+
 // Callers repeat operations as far as they may, while gateways are stopped, reloaded and reconfigured in overlapping
 // series and servers misbehave.
 func TestOperationsRunOnceInSeriesOfSignals(t *testing.T) {
