--- a/standin/soak/garbling.go
+++ b/standin/soak/garbling.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/linnetrudder/linnetrudder/standin/garble"
 )
@@ -37,9 +36,7 @@
 	rn := rand.New(rand.NewPCG(pl.Seed, pl.Seed+13))
 	pl.Faults = slices.Clone(pl.Faults)
 	for range garblingCount {
-		from := warmUp + time.Duration(rn.Int64N(int64(pl.FaultsEnd-warmUp)))
-		until := min(pl.FaultsEnd, from+time.Duration(rn.Int64N(int64(maxFaultDuration))))
-		pl.Faults = append(pl.Faults, Fault{Kind: ServerGarbles, Target: rn.IntN(pl.Servers), Start: from, End: until})
+		pl.Faults = append(pl.Faults, pl.drawServerFault(rn, ServerGarbles))
 	}
 	slices.SortFunc(pl.Faults, func(a, b Fault) int { return int(a.Start - b.Start) })
 	return pl
--- a/standin/soak/misbehaviour.go
+++ b/standin/soak/misbehaviour.go
@@ -57,9 +57,7 @@
 	pl.Faults = slices.Clone(pl.Faults)
 	for range misbehaviourCount {
 		for _, ki := range misbehaviourKinds {
-			from := warmUp + time.Duration(rn.Int64N(int64(pl.FaultsEnd-warmUp)))
-			until := min(pl.FaultsEnd, from+time.Duration(rn.Int64N(int64(maxFaultDuration))))
-			pl.Faults = append(pl.Faults, Fault{Kind: ki, Target: rn.IntN(pl.Servers), Start: from, End: until})
+			pl.Faults = append(pl.Faults, pl.drawServerFault(rn, ki))
 		}
 	}
 	slices.SortFunc(pl.Faults, func(a, b Fault) int { return int(a.Start - b.Start) })
--- a/standin/soak/odd.go
+++ b/standin/soak/odd.go
@@ -36,9 +36,7 @@
 	rn := rand.New(rand.NewPCG(pl.Seed, pl.Seed+10))
 	pl.Faults = slices.Clone(pl.Faults)
 	for range oddCount {
-		at := warmUp + time.Duration(rn.Int64N(int64(pl.FaultsEnd-warmUp)))
-		until := min(pl.FaultsEnd, at+time.Duration(rn.Int64N(int64(maxFaultDuration))))
-		pl.Faults = append(pl.Faults, Fault{Kind: OddEntries, Target: rn.IntN(pl.Servers), Start: at, End: until})
+		pl.Faults = append(pl.Faults, pl.drawServerFault(rn, OddEntries))
 	}
 	slices.SortFunc(pl.Faults, func(a, b Fault) int { return int(a.Start - b.Start) })
 	return pl
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -192,15 +192,20 @@
 	pl.Faults = slices.Clone(pl.Faults)
 	for range reportFaultsPerKind {
 		for _, ki := range []FaultKind{ServerAnnouncesShutdown, ServerShedsLoad} {
-			from := warmUp + time.Duration(rn.Int64N(int64(pl.FaultsEnd-warmUp)))
-			until := min(pl.FaultsEnd, from+time.Duration(rn.Int64N(int64(maxFaultDuration))))
-			pl.Faults = append(pl.Faults, Fault{Kind: ki, Target: rn.IntN(pl.Servers), Start: from, End: until})
+			pl.Faults = append(pl.Faults, pl.drawServerFault(rn, ki))
 		}
 	}
 	slices.SortFunc(pl.Faults, func(a, b Fault) int { return int(a.Start - b.Start) })
 	return pl
 }
 
+// drawServerFault draws the times and the server of a fault.
+func (pl Plan) drawServerFault(rn *rand.Rand, ki FaultKind) Fault {
+	from := warmUp + time.Duration(rn.Int64N(int64(pl.FaultsEnd-warmUp)))
+	until := min(pl.FaultsEnd, from+time.Duration(rn.Int64N(int64(maxFaultDuration))))
+	return Fault{Kind: ki, Target: rn.IntN(pl.Servers), Start: from, End: until}
+}
+
 // restoreCount is how many restores WithRestores adds.
 const restoreCount = 3
 
