--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-var cases = map[string]func(wo *world) int{"silent-failure": playSilentFailure, "half-close": playHalfClose, "sessions": playSessions, "early-trial": playEarlyTrial}
+var cases = map[string]func(wo *world) int{"silent-failure": playSilentFailure, "half-close": playHalfClose, "sessions": playSessions, "early-trial": playEarlyTrial, "fallback": playFallback}
 
 const host = "shop.example"
 
