fix(transport): responses without a final status of HTTP/1 are no answers

What callers saw: a backend server's response with status 000 (001 to 099, "+20") ended the caller's connection without a byte, since writing such a status panics; a 101 that no request had asked for, 600 to 999, and responses of HTTP/0.9, 2.0 and 9.9 were delivered as answers.

Cause: net/http parses any three characters that are a number as a status and any version, and nothing checked the parsed head before it was used.

Change: response.Check accepts final statuses from 200 to 599 (RFC 9110, section 15: others are invalid), 101 only if the request asked for an upgrade, and HTTP/1.x. transport.Transport applies it, and is the only way in which responses are read: gateways' calls, agents' calls and probes, the key-value service, the list of boxes, billing and relays. An invalid response closes its connection and counts as a lost attempt: it may have run, so that only idempotent requests are repeated, and others get 502. Event 540 and linnetrudder_malformed_responses_total tell of it.

205 with a body passes as before: its framing is unambiguous and the body is the server's.

Evidence: TestMalformedResponseIsNotDelivered failed for 11 of 20 kinds of status and version before (status 000, 001, 020, 099, +20, 600, 999, 101, three versions), on four routes each; none does now. 15 unusual but valid responses were delivered before and are now (TestUnusualResponseIsDelivered).

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -88,6 +88,7 @@
 	case conn.CheckFailed():
 		return result.NotDispatched, nil
 	case err != nil:
+		ru.recordMalformed(err)
 		co := dialCode(err)
 		ru.connBroken, ru.connRefused = co == result.ServerFailed, errors.Is(err, syscall.ECONNREFUSED)
 		return co, nil
@@ -112,6 +113,16 @@
 	return ru.relay(ctx, resp, &me)
 }
 
+// recordMalformed records a response that is not valid HTTP.
+func (ru *run) recordMalformed(err error) {
+	var malformed *response.MalformedError
+	if errors.As(err, &malformed) {
+		ru.ag.Node.Record(timeline.Entry{
+			Event: event.ResponseMalformed, Request: ru.at.Request, Team: ru.at.Team, Version: ru.at.Version, Detail: malformed.Error(),
+		})
+	}
+}
+
 // protocol returns what the backend server answers. Model servers reject what exceeds their queue with 429; a plain
 // service may mean anything by it.
 func (ru *run) protocol() response.Protocol {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -85,6 +85,7 @@
 	DeparturesOutdated  ID = 537
 	DeparturesCurrent   ID = 538
 	ResponseUnrelated   ID = 539
+	ResponseMalformed   ID = 540
 	BillWritten         ID = 600
 	BillHeld            ID = 601
 	ClaimWon            ID = 602
@@ -198,6 +199,7 @@
 	{DeparturesOutdated, "departures_outdated", "departures of backend servers are known up to a time longer ago than two thirds of the operator's bound"},
 	{DeparturesCurrent, "departures_current", "departures of backend servers are known within two thirds of the operator's bound again"},
 	{ResponseUnrelated, "response_unrelated", "a response arrived in the place of the one to an attempt and belongs to another call; it is dropped, its connection is closed, and the attempt may have run; response_to: the request that the response names"},
+	{ResponseMalformed, "response_malformed", "the response to an attempt is not valid HTTP; nothing of it is used, its connection is closed, and the attempt may have run; defect: version, status, name or trailer"},
 	{DutyHolderChanged, "duty_holder_changed", "another process, or none, holds the duty of reporting usage"},
 	{BillWritten, "bill_written", "bill records were stored durably"},
 	{BillHeld, "bill_held", "bill records are buffered until the key-value service accepts them"},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -204,10 +204,10 @@
 	})
 	ex.ga.applySelfReport(se, clock.Now())
 	se.logUnrelated()
-	if se.err != nil || se.response.Stream {
-		return
+	if se.err == nil && !se.response.Stream {
+		se.body, se.err = ex.ga.buffers.Read(se.response.Body, maxBufferedBytes)
 	}
-	se.body, se.err = ex.ga.buffers.Read(se.response.Body, maxBufferedBytes)
+	se.logMalformed(se.err)
 }
 
 // highestPriority is the queue priority of the smallest model's attempts, whose prompts are read
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -8,6 +8,7 @@
 
 	"github.com/linnetrudder/linnetrudder/internal/event"
 	"github.com/linnetrudder/linnetrudder/internal/excerpt"
+	"github.com/linnetrudder/linnetrudder/internal/response"
 )
 
 // addLogFields adds the result of an attempt to a log entry.
@@ -37,6 +38,16 @@
 		Msg(event.Name(event.ResponseUnrelated))
 }
 
+// logMalformed logs a response that is not valid HTTP.
+func (se *attemptState) logMalformed(err error) {
+	var malformed *response.MalformedError
+	if !errors.As(err, &malformed) {
+		return
+	}
+	se.ex.ga.Log.Warn().Int("event", int(event.ResponseMalformed)).Str("request", se.ex.rq.ID).Str("server", se.server.ID).
+		Str("defect", string(malformed.Defect())).Err(malformed).Msg(event.Name(event.ResponseMalformed))
+}
+
 // logRetry logs an attempt after the first one together with what led to it.
 func (ex *exchange) logRetry(se *attemptState) {
 	id := event.RequestRetried
--- a/internal/transport/idle.go
+++ b/internal/transport/idle.go
@@ -14,14 +14,14 @@
 // idleDropper is a round tripper that closes its idle connections when a call is not answered before
 // its deadline. Whatever made the call's connection silent may have made the idle ones silent as well,
 // and each of them would cost a further call its deadline.
-type idleDropper struct{ *http.Transport }
+type idleDropper struct{ *Transport }
 
 // RoundTrip sends a request and returns the head of its response.
 func (id *idleDropper) RoundTrip(req *http.Request) (*http.Response, error) {
 	resp, err := id.Transport.RoundTrip(req)
 	if err != nil {
 		id.handleError(req.Context())
-		return nil, err //nolint:wrapcheck // as returned by the transport
+		return nil, err
 	}
 	if resp.StatusCode != http.StatusSwitchingProtocols {
 		resp.Body = &watchedBody{ReadCloser: resp.Body, ctx: req.Context(), dropper: id}
--- a/internal/transport/silence.go
+++ b/internal/transport/silence.go
@@ -68,13 +68,13 @@
 // several peers do not answer on reused ones: what made those silent, such as a firewall that lost its
 // state, most likely concerns the idle ones as well. It is created with NewPool.
 type Pool struct {
-	*http.Transport
+	*Transport
 	mu       sync.Mutex
 	detector silenceDetector
 }
 
 // NewPool returns a pool whose connections are opened by a transport.
-func NewPool(tr *http.Transport) *Pool { return &Pool{Transport: tr} }
+func NewPool(tr *Transport) *Pool { return &Pool{Transport: tr} }
 
 type patienceKey struct{}
 
@@ -88,12 +88,9 @@
 func (po *Pool) RoundTrip(req *http.Request) (*http.Response, error) {
 	patience, ok := req.Context().Value(patienceKey{}).(time.Duration)
 	if !ok || patience <= 0 {
-		return po.Transport.RoundTrip(req) //nolint:wrapcheck // as returned by the transport
+		return po.Transport.RoundTrip(req)
 	}
 	var reused atomic.Bool
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) },
-	})
 	sent := clock.Now()
 	timer := time.AfterFunc(patience, func() {
 		if reused.Load() {
@@ -101,13 +98,13 @@
 		}
 	})
 	defer timer.Stop()
-	resp, err := po.Transport.RoundTrip(req.WithContext(ctx))
+	resp, err := po.roundTrip(req, func(info httptrace.GotConnInfo) { reused.Store(info.Reused) })
 	if err == nil {
 		po.mu.Lock()
 		defer po.mu.Unlock()
 		po.detector.handleResponse(req.URL.Host, clock.Now())
 	}
-	return resp, err //nolint:wrapcheck // as returned by the transport
+	return resp, err
 }
 
 func (po *Pool) handleSilence(peer string, sent, now time.Time) {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -32,8 +32,8 @@
 )
 
 // New returns an HTTP transport that opens connections with the dialer and does not decompress.
-func New(dialer *net.Dialer) *http.Transport {
-	return &http.Transport{
+func New(dialer *net.Dialer) *Transport {
+	return &Transport{&http.Transport{
 		DialContext:            dialWith(dialer),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConnections,
@@ -41,7 +41,7 @@
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		ReadBufferSize:         readBufferSize,
 		WriteBufferSize:        writeBufferSize,
-	}
+	}}
 }
 
 // NewClient returns an HTTP client with a transport of its own. It closes its idle connections when a
