fix(transport): responses with a malformed field name are no answers

What callers saw: a response whose head had a blank in the name of a field, or between a name and its colon, was delivered as a 200 without that line. A blank behind Content-Length, Transfer-Encoding, X-Request-Id, X-Not-Executed or the signature hid the field by which the end of the response, its owner and "not run" are judged, so that the body was not the server's, or a request was refused though it might have run. The same held for trailers.

Cause: net/textproto keeps names with blanks as they are (golang.org/issue/34540), net/http's framing looks for the canonical name, and its server drops invalid names when the response is written. Other invalid bytes in names, control bytes in values, and an empty name or none were refused by net/http already.

Change: response.Check requires names to be tokens (RFC 9110, section 5.6.2; httpguts), in the head and in a declared trailer; the body of a chunked response returns io.EOF only behind a valid trailer. Both stand where all responses are read, so that they hold for plain and streamed responses, agents, probes, the key-value service and relays alike. A stream with such a trailer breaks off visibly or is resumed elsewhere. A folded line is joined to the value before it, which RFC 9112 (section 5.2) allows; it can't hide a name.

--- a/internal/agent/malformed_test.go
+++ b/internal/agent/malformed_test.go
@@ -38,6 +38,8 @@
 	for name, text := range map[string]string{
 		"status 000":     "HTTP/1.1 000 x\r\nContent-Length: 2\r\n\r\nok",
 		"101":            "HTTP/1.1 101 x\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+		"name":           "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 2\r\n\r\nok",
+		"rejection":      "HTTP/1.1 429 x\r\nX Bad: 1\r\nContent-Length: 0\r\n\r\n",
 		"rejection, 2.0": "HTTP/2.0 429 x\r\nContent-Length: 0\r\n\r\n",
 	} {
 		for _, version := range []string{"", "v"} {
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -156,6 +156,7 @@
 		if err == nil {
 			continue
 		}
+		ru.recordMalformed(err)
 		remaining, us, complete := me.finish()
 		if !errors.Is(err, io.EOF) || !complete {
 			ru.connBroken = true
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -69,6 +69,7 @@
 	}
 	for {
 		err := ex.relayEvents(se)
+		se.logMalformed(err)
 		now := clock.Now()
 		var er *result.Error
 		switch {
--- a/internal/response/check.go
+++ b/internal/response/check.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/linnetrudder/linnetrudder/internal/excerpt"
 )
 
@@ -11,10 +13,12 @@
 type Defect string
 
 // The defects. Version: the response is not of HTTP/1. Status: no final status, or a change of protocol that the
-// request did not ask for.
+// request did not ask for. Name and Trailer: the name of a field of the head or of the trailer is not a token.
 const (
 	DefectVersion Defect = "version"
 	DefectStatus  Defect = "status"
+	DefectName    Defect = "name"
+	DefectTrailer Defect = "trailer"
 )
 
 // MalformedError is the error of a response that is not valid HTTP although it could be parsed. Nothing that it says is
@@ -46,7 +50,10 @@
 	if !validStatus(resp) {
 		return &MalformedError{defect: DefectStatus, detail: resp.Status}
 	}
-	return nil
+	if err := checkNames(resp.Header, DefectName); err != nil {
+		return err
+	}
+	return CheckTrailer(resp.Trailer)
 }
 
 func validStatus(resp *http.Response) bool {
@@ -55,3 +62,18 @@
 	}
 	return resp.StatusCode >= minStatus && resp.StatusCode <= maxStatus
 }
+
+// checkNames returns a *MalformedError if the name of a field is not a token. net/http accepts names with blanks, and a
+// field whose name is misread may be the one that decides where the response ends, or whose it is.
+func checkNames(fields http.Header, defect Defect) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &MalformedError{defect: defect, detail: name}
+		}
+	}
+	return nil
+}
+
+// CheckTrailer returns a *MalformedError if the trailer of a response is not valid. It is complete once the body was
+// read to its end.
+func CheckTrailer(trailer http.Header) error { return checkNames(trailer, DefectTrailer) }
--- a/internal/response/check_test.go
+++ b/internal/response/check_test.go
@@ -59,3 +59,14 @@
 	require.Equal(t, DefectStatus, me.Defect())
 	require.Less(t, len(err.Error()), 1<<10)
 }
+
+func TestNamesAreTokens(t *testing.T) {
+	for name, valid := range map[string]bool{
+		"X-Ok": true, "x": true, "!#$%&'*+-.^_`|~09azAZ": true, "X Bad": false, "X-Bad ": false, "Content-Length ": false, " ": false,
+	} {
+		head := &http.Response{ProtoMajor: 1, StatusCode: http.StatusOK, Header: http.Header{name: {"v"}}}
+		require.Equal(t, valid, Check(head) == nil, "%q", name)
+		trailer := &http.Response{ProtoMajor: 1, StatusCode: http.StatusOK, Trailer: http.Header{name: {"v"}}}
+		require.Equal(t, valid, Check(trailer) == nil, "%q", name)
+	}
+}
--- a/internal/transport/check.go
+++ b/internal/transport/check.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -39,9 +41,38 @@
 		countMalformed(err)
 		return nil, err
 	}
+	if slices.Contains(resp.TransferEncoding, "chunked") && resp.StatusCode != http.StatusSwitchingProtocols {
+		resp.Body = &trailedBody{ReadCloser: resp.Body, response: resp, conn: conn}
+	}
 	return resp, nil
 }
 
+// trailedBody is a body that a trailer may follow, which is checked at the end.
+type trailedBody struct {
+	io.ReadCloser
+	response *http.Response
+	conn     net.Conn
+	// err is the defect of the trailer, nil before the end.
+	err error
+}
+
+// Read reads the next part of the body. It returns io.EOF only behind a valid trailer.
+func (tb *trailedBody) Read(buf []byte) (int, error) {
+	if tb.err != nil {
+		return 0, tb.err
+	}
+	n, err := tb.ReadCloser.Read(buf)
+	if !errors.Is(err, io.EOF) {
+		return n, err //nolint:wrapcheck // as returned by the body
+	}
+	if tb.err = response.CheckTrailer(tb.response.Trailer); tb.err != nil {
+		_ = tb.conn.Close()
+		countMalformed(tb.err)
+		return n, tb.err
+	}
+	return n, err //nolint:wrapcheck // as returned by the body
+}
+
 func countMalformed(err error) {
 	var me *response.MalformedError
 	if errors.As(err, &me) {
--- a/internal/transport/check_test.go
+++ b/internal/transport/check_test.go
@@ -47,6 +47,9 @@
 		"status":                 "HTTP/1.1 000 x\r\nContent-Length: 2\r\n\r\nok",
 		"status without a body":  "HTTP/1.1 099 x\r\nContent-Length: 0\r\n\r\n",
 		"version":                "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"name":                   "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 2\r\n\r\nok",
+		"name without a body":    "HTTP/1.1 204 x\r\nX Bad: 1\r\n\r\n",
+		"length":                 "HTTP/1.1 200 OK\r\nContent-Length : 1\r\nContent-Length: 2\r\n\r\nok",
 		"101 without an upgrade": "HTTP/1.1 101 x\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
 	} {
 		for reader, rt := range readers() {
@@ -84,3 +87,23 @@
 		}
 	}
 }
+
+// Guards against a body whose trailer is malformed being taken for complete.
+func TestBodyWithMalformedTrailerIsIncomplete(t *testing.T) {
+	for reader, rt := range readers() {
+		t.Run(reader, func(t *testing.T) {
+			ss, err := scripted.New(func(ex *scripted.Exchange) bool {
+				_, _ = io.WriteString(ex.Conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Bad: 1\r\n\r\n")
+				_, err := ex.Reader.ReadByte()
+				return err == nil
+			})
+			require.NoError(t, err)
+			defer ss.Close()
+			body, err := fetch(t, rt, http.MethodGet, ss.Address())
+			var me *response.MalformedError
+			require.True(t, errors.As(err, &me), "%v", err)
+			require.Equal(t, response.DefectTrailer, me.Defect())
+			require.Equal(t, "ok", body)
+		})
+	}
+}
