fix(transport): a connection reset during an upload does not end its response

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, plain or as a stream, with HTTP/1.1, Connection: close and HTTP/1.0, on routes that may be repeated and on those that may not.

Cause: the kernel reports the error of a reset connection once. If a write gets it, the read behind it returns 0 bytes, which is the end of the stream, and ends a body that ends with its connection. net/http closes the connection only some time after the failed write.

Change: connections to servers keep the error of a failed write. At an end of the stream whose connection is closed in both directions the read waits for a write that is returning, and fails with that error. A broken pipe is the error of a server that had ended its stream properly before, so that such a response is complete, also while its request is not sent: the server has said all, as RFC 9112 (sections 6.3 and 9.5) allows. It holds for agents, the key-value service, probes and relays as well, which use the same connections. linnetrudder_ends_of_broken_connections_total counts.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
 
 	"github.com/linnetrudder/linnetrudder/internal/tcpstate"
@@ -17,6 +20,8 @@
 	maxDrainReads = 64
 )
 
+var endsOfBrokenConnections = metrics.NewCounter(`linnetrudder_ends_of_broken_connections_total`)
+
 // clientConn is a connection to a peer that has to learn when it is closed, since it works on requests until then.
 type clientConn struct {
 	*net.TCPConn
@@ -24,6 +29,11 @@
 	// closed is set before the peer learns that the connection is closed.
 	closed  atomic.Bool
 	surplus surplusFilter
+
+	// sending is held during a write. writeErr is the error of a write that ended the connection in both directions, nil
+	// if none did.
+	sending  sync.Mutex
+	writeErr error
 }
 
 // Read reads from the connection, without surplus responses.
@@ -37,9 +47,57 @@
 	if cc.closed.Load() {
 		return 0, net.ErrClosed
 	}
+	if errors.Is(err, io.EOF) {
+		if broken := cc.brokenBy(); broken != nil {
+			endsOfBrokenConnections.Inc()
+			return n, broken
+		}
+	}
+	return n, err //nolint:wrapcheck // as returned by the connection
+}
+
+// brokenBy returns the error with which the connection ended in both directions, nil if the peer ended it properly. The
+// kernel reports such an error once. If that was to a write, the next read looks like the end of the stream.
+func (cc *clientConn) brokenBy() error {
+	state := tcpstate.Of(cc)
+	if cc.closed.Load() {
+		return net.ErrClosed // the state may not be known
+	}
+	if state != unix.BPF_TCP_CLOSE {
+		return nil
+	}
+	// A write that has the error has not necessarily returned. No write blocks in this state.
+	cc.sending.Lock()
+	defer cc.sending.Unlock()
+	return cc.writeErr
+}
+
+// Write writes to the connection.
+func (cc *clientConn) Write(buf []byte) (int, error) {
+	cc.sending.Lock()
+	defer cc.sending.Unlock()
+	n, err := cc.TCPConn.Write(buf)
+	cc.keepError(err)
 	return n, err //nolint:wrapcheck // as returned by the connection
 }
 
+// ReadFrom writes what it reads to the connection.
+func (cc *clientConn) ReadFrom(re io.Reader) (int64, error) {
+	cc.sending.Lock()
+	defer cc.sending.Unlock()
+	n, err := cc.TCPConn.ReadFrom(re)
+	cc.keepError(err)
+	return n, err //nolint:wrapcheck // as returned by the connection
+}
+
+// keepError keeps the error of a write. A broken pipe is the error of a peer that had ended its stream before. The lock
+// of writes is held.
+func (cc *clientConn) keepError(err error) {
+	if cc.writeErr == nil && err != nil && !errors.Is(err, unix.EPIPE) && !errors.Is(err, net.ErrClosed) {
+		cc.writeErr = err
+	}
+}
+
 // dialWith returns a function that opens connections with a dialer.
 func dialWith(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
