fix(agent): a line or a body without end does not fill an agent's memory

What callers saw on other systems: a server sent bytes without end, the process that read them kept all, ran out of memory, and the requests of others ended with it. Here an agent kept the last line of an event stream until a line feed came, without a limit and copying all of it for each 16 KiB, and up to 4 MiB of each other body, whatever their number.

Cause: the meter, which reads the usage from a response while it is forwarded, bounded neither lines nor all bodies together.

Change: a line has 128 KiB at the most, less than what an entry keeps for a slow caller; a longer one is no event, and the attempt ends as one that broke off. All that meters keep shares 32 MiB (buffer.Pool); a body that does not fit is forwarded and billed by its length, as one over 4 MiB was before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/linnetrudder/linnetrudder/internal/bill"
+	"github.com/linnetrudder/linnetrudder/internal/buffer"
 	"github.com/linnetrudder/linnetrudder/internal/claim"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/config"
@@ -66,6 +67,8 @@
 	// Store is the key-value service.
 	Store Store
 
+	// metered is the memory of responses that are metered.
+	metered buffer.Pool
 	// linkSeq is the number of links accepted so far.
 	linkSeq atomic.Uint64
 
@@ -129,6 +132,7 @@
 
 func (ag *Agent) prepare() {
 	se := ag.Node.Settings
+	ag.metered.Limit = meterBytes
 	ag.gate = gate.Gate{Server: se.Server.Name, MaxQueued: se.Limits.Queue}
 	ag.outbox = bill.Outbox{Capacity: se.Limits.Bills, InitialDelay: billGracePeriod, RetryInterval: billRetryInterval}
 	ag.writer = bill.Writer{FlushInterval: se.Limits.BillFlushInterval(), Capacity: se.Limits.Bills}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -109,7 +109,8 @@
 	}
 	kind := resp.Header.Get("Content-Type")
 	ru.send(ctx, &wire.Frame{Kind: wire.Head, Head: &wire.ResponseHead{Status: resp.StatusCode, Type: kind}})
-	me := meter{streamed: strings.HasPrefix(kind, "text/event-stream"), hideUsage: ru.at.HideUsage}
+	me := meter{streamed: strings.HasPrefix(kind, "text/event-stream"), hideUsage: ru.at.HideUsage, memory: &ru.ag.metered}
+	defer me.release()
 	return ru.relay(ctx, resp, &me)
 }
 
@@ -150,8 +151,14 @@
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
-		if n > 0 && !ru.sendData(ctx, me.process(buf[:n])) {
-			return result.LinkLost, nil
+		if n > 0 {
+			chunk, ok := me.process(buf[:n])
+			if !ok {
+				return result.ServerFailed, nil
+			}
+			if !ru.sendData(ctx, chunk) {
+				return result.LinkLost, nil
+			}
 		}
 		if err == nil {
 			continue
--- a/internal/agent/usage.go
+++ b/internal/agent/usage.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 
+	"github.com/linnetrudder/linnetrudder/internal/buffer"
 	"github.com/linnetrudder/linnetrudder/internal/wire"
 )
 
@@ -28,6 +30,12 @@
 // is not streamed. A longer response is still forwarded, and billed by its length.
 const maxBufferedBodyBytes = 4 << 20
 
+// maxLineBytes is the maximum length of a line of a stream. A longer one is no event.
+const maxLineBytes = 128 << 10
+
+// meterBytes is the memory that all responses of an agent use for their metering.
+const meterBytes = 32 << 20
+
 // bytesPerToken is the approximate token length that is used to bill responses without usage.
 const bytesPerToken = 4
 
@@ -38,8 +46,13 @@
 	// hideUsage drops the event that carries only usage.
 	hideUsage bool
 
-	// pending is the incomplete last line of a stream, or the body so far.
-	pending   []byte
+	// memory is the memory that all meters share. It may be nil.
+	memory *buffer.Pool
+
+	// pending is the incomplete last line of a stream, or the body so far, nil before the first chunk. overlong is set if
+	// the body did not fit.
+	pending   *buffer.Body
+	overlong  bool
 	bytesSeen int64
 	usage     *wire.Usage
 	sawDone   bool
@@ -48,21 +61,35 @@
 	skipBlank bool
 }
 
-// process reads a chunk of the response and returns the bytes to forward.
-func (me *meter) process(chunk []byte) []byte {
+// process reads a chunk of the response and returns the bytes to forward. It returns false if a line of a stream is
+// too long.
+func (me *meter) process(chunk []byte) ([]byte, bool) {
 	me.bytesSeen += int64(len(chunk))
+	if me.pending == nil {
+		me.pending = me.memory.New()
+	}
 	if !me.streamed {
-		if len(me.pending)+len(chunk) <= maxBufferedBodyBytes {
-			me.pending = append(me.pending, chunk...)
+		if !me.overlong && !me.pending.Append(chunk, maxBufferedBodyBytes) {
+			me.overlong = true
+			me.release()
 		}
-		return bytes.Clone(chunk)
+		return bytes.Clone(chunk), true
 	}
-	me.pending = append(me.pending, chunk...)
-	end := bytes.LastIndexByte(me.pending, '\n') + 1
-	lines := me.pending[:end]
-	out := me.filter(lines)
-	me.pending = append([]byte(nil), me.pending[end:]...)
-	return out
+	end := bytes.LastIndexByte(chunk, '\n') + 1
+	if end == 0 {
+		return nil, me.pending.Append(chunk, maxLineBytes)
+	}
+	lines := slices.Concat(me.pending.Bytes(), chunk[:end])
+	me.release()
+	return me.filter(lines), me.pending.Append(chunk[end:], maxLineBytes)
+}
+
+// release releases the pending bytes.
+func (me *meter) release() {
+	if me.pending != nil {
+		me.pending.Release()
+	}
+	me.pending = me.memory.New()
 }
 
 // filter reads complete lines and drops the usage event if the caller did not request it.
@@ -103,11 +130,14 @@
 // finish returns the remaining bytes to forward, the usage, and whether the response was complete.
 func (me *meter) finish() ([]byte, *wire.Usage, bool) {
 	complete := !me.streamed || me.sawDone
+	defer me.release()
 	var remaining []byte
-	if me.streamed {
-		remaining = me.pending
-	} else {
-		me.readUsage(me.pending)
+	switch {
+	case me.pending == nil:
+	case me.streamed:
+		remaining = me.pending.Bytes()
+	case !me.overlong:
+		me.readUsage(me.pending.Bytes())
 	}
 	if me.usage == nil {
 		me.usage = &wire.Usage{Completion: me.bytesSeen / bytesPerToken}
--- a/internal/agent/usage_test.go
+++ b/internal/agent/usage_test.go
@@ -28,7 +28,9 @@
 		var got strings.Builder
 		for input := stream; input != ""; {
 			n := rapid.IntRange(1, len(input)).Draw(rt, "chunk")
-			got.Write(me.process([]byte(input[:n])))
+			out, ok := me.process([]byte(input[:n]))
+			require.True(rt, ok)
+			got.Write(out)
 			input = input[n:]
 		}
 		remaining, us, complete := me.finish()
@@ -46,14 +48,17 @@
 
 func TestStreamWithoutDoneEventIsIncomplete(t *testing.T) {
 	me := meter{streamed: true}
-	me.process([]byte(tokenEvent))
+	_, ok := me.process([]byte(tokenEvent))
+	require.True(t, ok)
 	_, _, complete := me.finish()
 	require.False(t, complete)
 }
 
 func TestResponseWithoutUsageIsBilledByItsLength(t *testing.T) {
 	me := meter{}
-	require.Equal(t, "0123456789abcdef", string(me.process([]byte("0123456789abcdef"))))
+	out, ok := me.process([]byte("0123456789abcdef"))
+	require.True(t, ok)
+	require.Equal(t, "0123456789abcdef", string(out))
 	_, us, complete := me.finish()
 	require.True(t, complete)
 	require.EqualValues(t, 16/bytesPerToken, us.Completion)
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -15,7 +15,7 @@
 var limitReached = metrics.NewCounter("linnetrudder_buffer_limit_reached_total")
 
 // Pool is the memory that buffered bodies share. Its exported field is set before its use. It is safe for
-// concurrent use.
+// concurrent use. A nil pool has no limit.
 type Pool struct {
 	// Limit is the maximum memory of all bodies in bytes.
 	Limit int64
@@ -27,6 +27,9 @@
 func (po *Pool) Used() int64 { return po.used.Load() }
 
 func (po *Pool) reserve(bytes int) bool {
+	if po == nil {
+		return true
+	}
 	for {
 		used := po.used.Load()
 		if used+int64(bytes) > po.Limit {
@@ -60,6 +63,24 @@
 	}
 }
 
+// New returns an empty body, to which Append adds. It must be released.
+func (po *Pool) New() *Body { return &Body{pool: po} }
+
+// Append adds a part to a body of at most maxBytes. It adds nothing and returns false if the body would be longer, or
+// if the pool has no memory left.
+func (bo *Body) Append(part []byte, maxBytes int) bool {
+	if len(bo.data)+len(part) > maxBytes {
+		return false
+	}
+	for len(bo.data)+len(part) > cap(bo.data) {
+		if !bo.grow(maxBytes) {
+			return false
+		}
+	}
+	bo.data = append(bo.data, part...)
+	return true
+}
+
 // Read reads a body to its end, or until it has maxBytes or the pool has no memory left. In the latter cases the
 // body is not complete, and the rest can still be read. The result is never nil and must be released.
 func (po *Pool) Read(from io.Reader, maxBytes int) (*Body, error) {
