fix(entry): a first answer without end does not fill an entry's memory

What callers saw on other systems: a server sent bytes without end, the process that read them kept all and ran out of memory. Here an entry kept the first answer of a cascade, which it evaluates before its caller gets it, without a limit.

Cause: route.Request appended each data frame of such an answer to one slice. Answers of the last step are passed on as they arrive, at most stream_bytes behind a slow caller.

Change: such an answer has 1 MiB at the most, and all of an entry share an eighth of its memory (buffer.Pool, as in gateways). A longer one is broken: its attempt is cancelled and, if the request may be repeated, made at another server.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -131,9 +131,10 @@
 		route: &route.Request{
 			Steps: steps, Repeatable: !cr.atMostOnce, Deadline: cr.deadline,
 			Picker: attemptPolicy{en: en}, RetryBudget: attemptPolicy{en: en, team: cr.team}, Evaluator: evaluator{en: en, request: cr},
-			Blocklist: blocklist{en: en, subject: cr.subject},
+			Blocklist: blocklist{en: en, subject: cr.subject}, Memory: &en.answers,
 		},
 	}
+	defer ex.route.Release()
 	co := ex.serve(r)
 	if result.Lookup(co).Run() == result.DidNotRun {
 		en.releaseKey(cr)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/linnetrudder/linnetrudder/internal/bill"
 	"github.com/linnetrudder/linnetrudder/internal/boxes"
 	"github.com/linnetrudder/linnetrudder/internal/budget"
+	"github.com/linnetrudder/linnetrudder/internal/buffer"
 	"github.com/linnetrudder/linnetrudder/internal/claim"
 	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/config"
@@ -48,6 +49,8 @@
 	// drainPollInterval is the time between two checks during a planned stop whether all requests
 	// and bills are done.
 	drainPollInterval = 20 * time.Millisecond
+	// answerMemoryPart is the part of the process's memory that buffered answers may use, as a divisor.
+	answerMemoryPart = 8
 	// linkFlushTime is how long the links may take to send the last queued frames before the
 	// process stops.
 	linkFlushTime = 100 * time.Millisecond
@@ -79,6 +82,8 @@
 	storedConfig *config.Envelope
 	// supervisor runs the services of the process and a dialer for each agent.
 	supervisor *suture.Supervisor
+	// answers is the memory of the answers that are buffered to be evaluated.
+	answers buffer.Pool
 	// streams is the number of the latest attempt of this process.
 	streams atomic.Uint64
 
@@ -155,6 +160,7 @@
 
 func (en *Entry) prepare() {
 	se := en.Node.Settings
+	en.answers.Limit = se.Limits.Memory() / answerMemoryPart
 	en.balancer = balance.Balancer{DataCentre: se.DataCentre}
 	en.members = member.View{Self: se.Box}
 	en.budgets = budget.Teams{Ratio: se.Limits.RetryRatio}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/linnetrudder/linnetrudder/internal/buffer"
 	"github.com/linnetrudder/linnetrudder/internal/result"
 	"github.com/linnetrudder/linnetrudder/internal/wire"
 )
@@ -38,6 +39,8 @@
 	maxStepAttempts = 4
 	// maxBufferedFrames limits the frames that are buffered until a missing frame arrives.
 	maxBufferedFrames = 64
+	// maxFirstAnswerBytes is the maximum size of an answer that is buffered to be evaluated.
+	maxFirstAnswerBytes = 1 << 20
 	// ackTimeout is how long an agent may take to acknowledge an attempt.
 	ackTimeout = 500 * time.Millisecond
 	// verdictGrace is how long after the deadline an agent's verdict is still awaited.
@@ -70,7 +73,7 @@
 	buffered map[uint32]*wire.Frame
 	// head and body are buffered until the answer may be delivered.
 	head *wire.ResponseHead
-	body []byte
+	body *buffer.Body
 	// usage is set once the answer is complete.
 	usage *wire.Usage
 }
@@ -89,6 +92,8 @@
 	RetryBudget RetryBudget
 	Evaluator   Evaluator
 	Blocklist   Blocklist
+	// Memory is the memory that the buffered answers of all requests share. It may be nil.
+	Memory *buffer.Pool
 
 	// step is the index of the current step.
 	step int
@@ -201,6 +206,15 @@
 	return append(re.cancel(at), re.settle(result.LinkLost, 0)...)
 }
 
+// Release releases the buffered answers, once the actions that deliver them were performed.
+func (re *Request) Release() {
+	for _, at := range []*attempt{re.current, re.fallback} {
+		if at != nil {
+			at.body.Release()
+		}
+	}
+}
+
 // activeAttempt returns the current attempt if it has this number and is not finished, or nil.
 func (re *Request) activeAttempt(number int) *attempt {
 	if re.closed || re.current == nil || re.current.number != number || re.current.phase == finished {
@@ -223,7 +237,9 @@
 		if re.onLastStep() {
 			return []Action{{op: Deliver, body: fr.Body}}
 		}
-		at.body = append(at.body, fr.Body...)
+		if !at.body.Append(fr.Body, maxFirstAnswerBytes) {
+			return append(re.cancel(at), re.fail(at, result.AnswerBroken, now)...)
+		}
 	case wire.End:
 		return re.handleEnd(at, fr, now)
 	}
@@ -242,17 +258,25 @@
 	if re.onLastStep() {
 		return re.close(result.OK, 0)
 	}
-	if re.Evaluator.Acceptable(at.target, at.head.Status, at.body, at.usage) {
-		re.fallback = at
+	if re.Evaluator.Acceptable(at.target, at.head.Status, at.body.Bytes(), at.usage) {
+		re.keepFallback(at)
 		return re.settle(result.OK, 0)
 	}
-	re.fallback = at
+	re.keepFallback(at)
 	re.step++
 	re.stepAttempts = 0
 	re.tried = nil
 	return re.dispatch(result.NoServer, 0, now)
 }
 
+// keepFallback keeps a complete answer instead of that of an earlier step.
+func (re *Request) keepFallback(at *attempt) {
+	if re.fallback != nil {
+		re.fallback.body.Release()
+	}
+	re.fallback = at
+}
+
 // onLastStep reports whether the current step is the last. Only its answer is streamed to the
 // caller as it arrives.
 func (re *Request) onLastStep() bool { return re.step == len(re.Steps)-1 }
@@ -260,6 +284,7 @@
 // fail handles an attempt that failed after it was sent.
 func (re *Request) fail(at *attempt, co result.Code, now time.Time) []Action {
 	at.phase = finished
+	at.body.Release()
 	didNotRun := result.Lookup(co).Run() == result.DidNotRun
 	if !didNotRun {
 		re.mayHaveRunCode = co
@@ -305,7 +330,7 @@
 	re.tried = append(re.tried, server)
 	re.stepAttempts++
 	re.number++
-	re.current = &attempt{number: re.number, target: target, phase: sent, sentAt: now, next: 1, buffered: map[uint32]*wire.Frame{}}
+	re.current = &attempt{number: re.number, target: target, phase: sent, sentAt: now, next: 1, buffered: map[uint32]*wire.Frame{}, body: re.Memory.New()}
 	return []Action{{op: Dispatch, attempt: re.number, step: re.step, target: target, server: server}}
 }
 
@@ -320,7 +345,7 @@
 	re.delivered = true
 	acs := []Action{
 		{op: DeliverHead, target: re.fallback.target, fromFirstTry: true, head: re.fallback.head},
-		{op: Deliver, body: re.fallback.body},
+		{op: Deliver, body: re.fallback.body.Bytes()},
 	}
 	return append(acs, re.close(result.OK, 0)...)
 }
