--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -32,8 +32,12 @@
 	Err error
 }
 
-// maxResponseBytes bounds the response to one call; that of a recursive read may be long.
-const maxResponseBytes = 64 << 20
+const (
+	// maxListBytes bounds the response to a recursive read.
+	maxListBytes = 64 << 20
+	// maxValueBytes bounds the response to any other call. A value has a megabyte at the most, and is encoded.
+	maxValueBytes = 4 << 20
+)
 
 // Client calls the service. Its exported fields are set before use; its methods are safe for
 // concurrent use.
@@ -153,7 +157,11 @@
 		return nil, 0, CallError(method == http.MethodPut, err.Error())
 	}
 	defer resp.Body.Close()
-	body, err := gu.ReadAll(resp.Body, cl.Timeout, maxResponseBytes)
+	limit := int64(maxValueBytes)
+	if query.Has("recurse") {
+		limit = maxListBytes
+	}
+	body, err := gu.ReadAll(resp.Body, cl.Timeout, limit)
 	if err != nil {
 		metrics.StoreCalls.Add("failed", 1)
 		return nil, 0, CallError(method == http.MethodPut, err.Error())
