--- a/internal/agent/endless_test.go
+++ b/internal/agent/endless_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,18 +31,20 @@
 		calls   = 50
 		maxSent = 8 << 20 // with what the buffers of a connection hold
 	)
-	var most atomic.Int64
+	var mu sync.Mutex
+	most := 0
 	ss, err := scripted.New(func(ex *scripted.Exchange) bool {
 		_, err := io.WriteString(ex.Conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ")
 		chunk := []byte(strings.Repeat("x", endlessWrite))
-		sent := int64(0)
+		sent := 0
 		for err == nil {
 			var n int
 			n, err = ex.Conn.Write(chunk)
-			sent += int64(n)
-			for most.Load() < sent && !most.CompareAndSwap(most.Load(), sent) {
-			}
+			sent += n
 		}
+		mu.Lock()
+		defer mu.Unlock()
+		most = max(most, sent)
 		return false
 	})
 	require.NoError(t, err)
@@ -66,7 +67,9 @@
 	}
 	wg.Wait()
 	require.NoError(t, ctx.Err(), "an attempt must end by itself")
-	require.Less(t, most.Load(), int64(maxSent))
+	mu.Lock()
+	defer mu.Unlock()
+	require.Less(t, most, maxSent)
 	require.Zero(t, ag.metered.Used())
 }
 
