fix(gateway): a planned stop cuts no request without an answer

What callers saw: requests that came during the grace period of a planned stop were taken and passed on; those that had not ended at its end were cut without an answer, among them requests that may not be repeated.

Cause: in the first half of the grace period all requests were accepted, whether they could end in time or not, and what was left at the end was dropped with the process.

A resumable stream is taken if it usually ends in time. Half a second before the process ends (a quarter of a short grace period at the most), requests without an answer get one: 502 if they may have run, 503 if not, also while their bodies arrive. Streams that began go on until the end and break off visibly. linnetrudder_requests_ended_total counts; the line of the request names the cause.

TestStoppingGatewayAcceptsOnlyRequestsThatEndInTime decides by the deadline of the request instead of the route's timeout and has the new cases; what it asked for before still holds if no other gateway is ready.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -27,6 +27,7 @@
 // deliver sends the caller the response of an attempt.
 func (ex *exchange) deliver(ctx context.Context, se *attemptState) {
 	ex.headAt, ex.finalAttempt = clock.Now(), se
+	ex.exempt()
 	if se.response.Stream {
 		ex.deliverStream(ctx, se)
 		return
@@ -57,7 +58,12 @@
 	return se.copyRest(ex.responder)
 }
 
-func (ex *exchange) logAnswered() { ex.logOutcome(event.RequestAnswered, result.OK, "") }
+func (ex *exchange) logAnswered() {
+	ex.ga.mu.Lock()
+	ex.ga.durations.Observe(ex.route.Name, clock.Since(ex.rq.Received))
+	ex.ga.mu.Unlock()
+	ex.logOutcome(event.RequestAnswered, result.OK, "")
+}
 
 // deliverStream sends the caller the events of a stream as they arrive, and resumes a broken stream
 // at another server.
--- a/internal/gateway/eventorder_test.go
+++ b/internal/gateway/eventorder_test.go
@@ -140,7 +140,7 @@
 var orderedEvents = map[string]func(ga *Gateway, rq *Request, leave func()){
 	"nothing":                func(*Gateway, *Request, func()) {},
 	"caller leaves":          func(_ *Gateway, _ *Request, leave func()) { leave() },
-	"gateway stops":          func(ga *Gateway, _ *Request, _ func()) { ga.Stop(clock.Now(), clock.Now().Add(time.Second)) },
+	"gateway stops":          func(ga *Gateway, _ *Request, _ func()) { ga.Stop(PlanStop(clock.Now(), time.Second)) },
 	"bounds are reloaded":    func(ga *Gateway, _ *Request, _ func()) { ga.SetBounds(Bounds{RetryRatio: 2, RetryWindow: time.Second}) },
 	"retries are forbidden":  func(ga *Gateway, _ *Request, _ func()) { ga.SetBounds(Bounds{RetryWindow: time.Second}) },
 	"routes may be repeated": applied(Change{Document: orderedDocument(2, routing.Safe)}),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,7 +110,12 @@
 	// table is the configuration in force, nil before the first one.
 	table atomic.Pointer[routing.Table]
 	// stop is set when a planned stop begins.
-	stop atomic.Pointer[stopPlan]
+	stop atomic.Pointer[StopPlan]
+	// ending is cancelled by end when requests without an answer must end.
+	ending context.Context //nolint:containedctx // cancels all requests together
+	end    context.CancelCauseFunc
+	// durations holds the usual duration of answered requests by route.
+	durations latency.Meter
 	// buffers holds the responses that are read before they are delivered.
 	buffers buffer.Pool
 	// inProgress is the number of requests being served.
@@ -296,6 +301,7 @@
 	ga.references = map[string]*comparison.Reference{}
 	ga.relayPlan = relay.Plan{Box: ga.Box, DataCentre: ga.DataCentre, Service: &ga.storeOutage, MaxPropagation: ga.Bounds.MaxPropagation}
 	ga.loadPlan = ga.relayPlan
+	ga.ending, ga.end = context.WithCancelCause(context.Background())
 	ga.changed = make(chan struct{})
 	ga.blockLifted = make(chan struct{})
 	ga.reportDue = make(chan struct{})
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -271,9 +271,12 @@
 func (ga *Gateway) otherGatewayReady(now time.Time) bool {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	return now.Sub(ga.otherReadyAt) < loadReportTTL
+	return ga.otherReady(now)
 }
 
+// otherReady is otherGatewayReady with the lock held.
+func (ga *Gateway) otherReady(now time.Time) bool { return now.Sub(ga.otherReadyAt) < loadReportTTL }
+
 // Reported applies another gateway's load report and returns this gateway's reply.
 func (ga *Gateway) Reported(re relay.Report) relay.Report {
 	now := clock.Now()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,8 @@
 	reportsUnreadable   = metrics.NewCounter(`linnetrudder_reports_unreadable_total`)
 	connectionsRejected = metrics.NewCounter(`linnetrudder_connections_rejected_total`)
 	unusableEntries     = metrics.NewCounter(`linnetrudder_unusable_entries_total`)
+	// requestsEnded counts requests that had no answer at the end of a planned stop.
+	requestsEnded = metrics.NewCounter(`linnetrudder_requests_ended_total`)
 	// departedUnsent counts requests whose callers left before anything was sent to a server.
 	departedUnsent = metrics.NewCounter(`linnetrudder_departed_unsent_total`)
 	// attemptsUnwanted counts attempts sent to a server that is shutting down or has asked for a pause.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -37,7 +38,7 @@
 		ex.writeError(co, "", ex.retryAfter(co, 0))
 		return
 	}
-	if stop := ga.stop.Load(); !stop.accepts(ex.route, rq.Received) {
+	if stop := ga.stop.Load(); stop != nil && !stop.accepts(ex.admission(), rq.Received) {
 		ex.writeError(result.Leaving, "", ex.retryAfter(result.Leaving, stop.retryAfter(rq.Received)))
 		return
 	}
@@ -53,11 +54,26 @@
 	})
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(ex.request.Deadline))
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	ex.exempt = context.AfterFunc(ga.ending, func() { end(errEnding) })
+	defer ex.exempt()
 	ex.awaitVerdict(ctx, rq.Received.Add(time.Duration(holdFraction*float64(ex.route.Target))))
 	ex.awaitTrial(ctx)
 	ex.run(ctx)
 }
 
+// admission returns what the decision on the request during a planned stop depends on.
+func (ex *exchange) admission() admission {
+	ga := ex.ga
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return admission{
+		stream: ex.route.Kind == routing.Streaming, resumable: ex.request.Resumable, deadline: ex.request.Deadline,
+		usual: ga.durations.Usual(ex.route.Name), otherReady: ga.otherReady(ex.rq.Received),
+	}
+}
+
 // releaseBody returns the memory of the body.
 func (ex *exchange) releaseBody() {
 	ex.body.Release()
@@ -119,6 +135,8 @@
 	fallback *fallbackResponse
 	// finalAttempt is the attempt whose response the caller receives, nil before there is one.
 	finalAttempt *attemptState
+	// exempt stops the end of the process from cancelling the request.
+	exempt func() bool
 	// cursor is the position up to which the caller has the stream.
 	cursor sse.Cursor
 	// rejected is set once a server has rejected an attempt.
@@ -334,7 +352,12 @@
 	if at != nil {
 		at.discard()
 	}
-	if context.Cause(ctx) != context.DeadlineExceeded { //nolint:errorlint // a context's own error
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errEnding) {
+		ex.endUnanswered()
+		return
+	}
+	if cause != context.DeadlineExceeded { //nolint:errorlint // a context's own error
 		detail := "the caller went away"
 		if ex.request.Runs() == 0 {
 			departedUnsent.Inc()
@@ -350,6 +373,16 @@
 	ex.writeError(result.DeadlinePassed, "the time was over", 0)
 }
 
+// endUnanswered ends a request without an answer because the process ends.
+func (ex *exchange) endUnanswered() {
+	requestsEnded.Inc()
+	if ex.request.Runs() > 0 {
+		ex.writeError(result.LinkLost, errEnding.Error(), 0)
+		return
+	}
+	ex.writeError(result.Leaving, errEnding.Error(), ex.retryAfter(result.Leaving, ex.ga.stop.Load().retryAfter(clock.Now())))
+}
+
 func (ex *exchange) writeError(co result.Code, detail string, after time.Duration) {
 	if after == 0 {
 		after = result.Lookup(co).RetryAfter()
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -3,8 +3,9 @@
 import (
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/linnetrudder/linnetrudder/internal/event"
-	"github.com/linnetrudder/linnetrudder/internal/routing"
 )
 
 const (
@@ -24,44 +25,83 @@
 	drainDelay = lateStreams - maxSignalDelay
 	// graceMargin is the part of the platform's grace period that a planned stop does not use.
 	graceMargin = 500 * time.Millisecond
+	// answerMargin is how long before the end of the process requests without an answer get an error, at most a part of
+	// the grace period.
+	answerMargin = 500 * time.Millisecond
+	answerPart   = 4
+	// likelyFactor is the multiple of the usual duration within which most requests end.
+	likelyFactor = 3
 )
 
-// StopTimes returns when a process that began to stop sends new callers away, and when it ends at the latest.
-func StopTimes(start time.Time, grace time.Duration) (drainAt, end time.Time) {
+// errEnding is the cause of requests that are cancelled because the process ends.
+var errEnding = eris.New("the process ends")
+
+// StopPlan holds the times of a planned stop, and decides which requests are still accepted. The stopping gateway may be
+// the only one that the platform can send callers to.
+type StopPlan struct {
+	// DrainAt is when the platform has been informed that no new callers may be sent here. AnswerBy is when requests
+	// without an answer get an error. End is when the process ends at the latest.
+	DrainAt, AnswerBy, End time.Time
+}
+
+// PlanStop returns the times of a planned stop.
+func PlanStop(start time.Time, grace time.Duration) StopPlan {
 	used := max(0, grace-graceMargin)
-	return start.Add(min(drainDelay, used/2)), start.Add(used)
+	return StopPlan{
+		DrainAt:  start.Add(min(drainDelay, used/2)),
+		AnswerBy: start.Add(used - min(answerMargin, used/answerPart)),
+		End:      start.Add(used),
+	}
 }
 
-// stopPlan decides which requests a stopping gateway still accepts. It may be the only gateway that
-// the platform can send callers to.
-type stopPlan struct {
-	// drainAt is when the platform has been informed that no new callers may be sent here. end is when
-	// the process ends at the latest.
-	drainAt, end time.Time
+// admission is what the decision on a request during a planned stop depends on.
+type admission struct {
+	// stream is set for an event stream, resumable for one that may go on at another gateway.
+	stream, resumable bool
+	// deadline is when the request ends at the latest, usual how long requests of its route usually take, zero if that
+	// is not known.
+	deadline time.Time
+	usual    time.Duration
+	// otherReady is set if another gateway can serve the request.
+	otherReady bool
 }
 
-// accepts reports whether a request is still served. From drainAt on that is the case only if its
-// timeout ends before the process does. Streams are then rejected, since they may last longer.
-func (sp *stopPlan) accepts(ro *routing.Route, now time.Time) bool {
-	if sp == nil || now.Before(sp.drainAt) {
+// accepts reports whether a request is still served. From DrainAt on that is the case only if it ends in time whatever
+// happens, and for no stream. Before, a request that may not end in time is served if no other gateway can and it most
+// likely does, and a stream that may be resumed if it usually does: a redirected caller may find no gateway with room.
+func (sp *StopPlan) accepts(ad admission, now time.Time) bool {
+	draining := !now.Before(sp.DrainAt)
+	switch {
+	case draining && ad.stream:
+		return false
+	case !ad.deadline.After(sp.AnswerBy):
 		return true
 	}
-	return ro.Kind != routing.Streaming && ro.Timeout > 0 && now.Add(ro.Timeout).Before(sp.end)
+	switch {
+	case draining:
+		return false
+	case ad.stream && ad.resumable:
+		return (ad.usual > 0 || !ad.otherReady) && now.Add(ad.usual).Before(sp.AnswerBy)
+	}
+	return !ad.otherReady && now.Add(likelyFactor*ad.usual).Before(sp.AnswerBy)
 }
 
 // retryAfter returns the Retry-After of a caller whose request is rejected.
-func (sp *stopPlan) retryAfter(now time.Time) time.Duration {
-	return min(maxRetryAfter, max(0, sp.end.Sub(now))+restartTime)
+func (sp *StopPlan) retryAfter(now time.Time) time.Duration {
+	return min(maxRetryAfter, max(0, sp.End.Sub(now))+restartTime)
 }
 
-// Stop starts a planned stop. The gateway reports that it is not ready and continues to serve the
-// requests that arrive, from drainAt on only those that end before the process does.
-func (ga *Gateway) Stop(drainAt, end time.Time) {
-	if ga.stop.CompareAndSwap(nil, &stopPlan{drainAt: drainAt, end: end}) {
+// Stop starts a planned stop. The gateway reports that it is not ready and continues to serve the requests that arrive
+// and end in time. Those without an answer at AnswerBy get an error.
+func (ga *Gateway) Stop(sp StopPlan) {
+	if ga.stop.CompareAndSwap(nil, &sp) {
 		ga.Log.Info().Int("event", int(event.ProcessStopping)).
 			Int64("in_progress", ga.inProgress.Load()).Msg(event.Name(event.ProcessStopping))
 	}
 }
 
+// EndRequests cancels the requests of which no part has been delivered. They get an error.
+func (ga *Gateway) EndRequests() { ga.end(errEnding) }
+
 // Stopping reports whether a planned stop has begun.
 func (ga *Gateway) Stopping() bool { return ga.stop.Load() != nil }
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -14,24 +14,44 @@
 )
 
 func TestStoppingGatewayAcceptsOnlyRequestsThatEndInTime(t *testing.T) {
-	now := time.Unix(1000, 0)
-	plain := &routing.Route{Kind: routing.Unsafe, Timeout: time.Second}
-	stream := &routing.Route{Kind: routing.Streaming, Timeout: time.Second}
-	unbounded := &routing.Route{Kind: routing.Safe}
-	var none *stopPlan
-	require.True(t, none.accepts(stream, now))
-	stop := &stopPlan{drainAt: now.Add(3 * time.Second), end: now.Add(7 * time.Second)}
-	for _, ro := range []*routing.Route{plain, stream, unbounded} {
-		require.True(t, stop.accepts(ro, now.Add(2*time.Second)), "new callers may still be sent here")
+	start := time.Unix(1000, 0)
+	stop := StopPlan{DrainAt: start.Add(3 * time.Second), AnswerBy: start.Add(6500 * time.Millisecond), End: start.Add(7 * time.Second)}
+	const second = time.Second
+	for _, tc := range []struct {
+		after, timeout, usual time.Duration
+		stream, resumable     bool
+		otherReady, want      bool
+	}{
+		{after: 2 * second, timeout: second, want: true},
+		{after: 2 * second, timeout: second, stream: true, want: true},
+		{after: 2 * second, timeout: 30 * second, want: true},
+		{after: 2 * second, timeout: 30 * second, stream: true, want: true},
+		{after: 2 * second, timeout: 30 * second, usual: 1400 * time.Millisecond, want: true},
+		{after: 2 * second, timeout: 30 * second, usual: 1600 * time.Millisecond, want: false},
+		{after: 2 * second, timeout: 30 * second, otherReady: true, want: false},
+		{after: 2 * second, timeout: 30 * second, usual: second, otherReady: true, want: false},
+		{after: 2 * second, timeout: 30 * second, usual: 4 * second, stream: true, otherReady: true, want: false},
+		{after: 2 * second, timeout: 30 * second, usual: 4 * second, stream: true, resumable: true, otherReady: true, want: true},
+		{after: 2 * second, timeout: 30 * second, usual: 5 * second, stream: true, resumable: true, want: false},
+		{after: 2 * second, timeout: 30 * second, stream: true, resumable: true, otherReady: true, want: false},
+		{after: 2 * second, timeout: 30 * second, stream: true, resumable: true, want: true},
+		{after: 5 * second, timeout: 30 * second, usual: second / 10, stream: true, resumable: true, want: false},
+		{after: 2 * second, timeout: second, otherReady: true, want: true},
+		{after: 5 * second, timeout: second, want: true},
+		{after: 5 * second, timeout: second, otherReady: true, want: true},
+		{after: 5 * second, timeout: second, stream: true, want: false},
+		{after: 5 * second, timeout: 30 * second, want: false},
+		{after: 5 * second, timeout: 30 * second, usual: second / 10, want: false},
+		{after: 6 * second, timeout: second, want: false},
+		{after: 8 * second, timeout: second / 100, want: false},
+	} {
+		now := start.Add(tc.after)
+		ad := admission{stream: tc.stream, resumable: tc.resumable, deadline: now.Add(tc.timeout), usual: tc.usual, otherReady: tc.otherReady}
+		require.Equal(t, tc.want, stop.accepts(ad, now), "%+v", tc)
 	}
-	late := now.Add(5 * time.Second)
-	require.True(t, stop.accepts(plain, late))
-	require.False(t, stop.accepts(stream, late))
-	require.False(t, stop.accepts(unbounded, late))
-	require.False(t, stop.accepts(plain, now.Add(6500*time.Millisecond)))
-	require.Equal(t, 2*time.Second+restartTime, stop.retryAfter(late))
-	require.Equal(t, maxRetryAfter, stop.retryAfter(now))
-	require.Equal(t, restartTime, stop.retryAfter(now.Add(time.Minute)))
+	require.Equal(t, 2*time.Second+restartTime, stop.retryAfter(start.Add(5*time.Second)))
+	require.Equal(t, maxRetryAfter, stop.retryAfter(start))
+	require.Equal(t, restartTime, stop.retryAfter(start.Add(time.Minute)))
 }
 
 func TestStoppingGatewayIsNotReady(t *testing.T) {
@@ -39,11 +59,11 @@
 	ga.prepare()
 	now := time.Now()
 	require.False(t, ga.Stopping())
-	ga.Stop(now, now.Add(time.Second))
-	ga.Stop(now.Add(time.Hour), now.Add(2*time.Hour))
+	ga.Stop(PlanStop(now, time.Second))
+	ga.Stop(PlanStop(now.Add(time.Hour), time.Second))
 	require.True(t, ga.Stopping())
 	require.False(t, ga.Ready(now))
-	require.Equal(t, now, ga.stop.Load().drainAt, "the first call to Stop is in effect")
+	require.Equal(t, PlanStop(now, time.Second), *ga.stop.Load(), "the first call to Stop is in effect")
 }
 
 // retryRecorder records the Retry-After of rejected requests.
@@ -84,7 +104,7 @@
 	require.True(t, ga.report(false).Ready)
 	ga.applyReportReply(loadPeer{}, relay.Report{Box: "b", Ready: true}, time.Now(), time.Now())
 	require.True(t, ga.otherGatewayReady(time.Now()))
-	ga.Stop(time.Now(), time.Now())
+	ga.Stop(PlanStop(time.Now(), 0))
 	require.False(t, ga.Reported(relay.Report{Box: "b"}).Ready)
 }
 
@@ -92,13 +112,17 @@
 func TestStreamsAreRejectedInTimeAfterALateSignal(t *testing.T) {
 	sent := time.Unix(1000, 0)
 	for _, delay := range []time.Duration{0, 63 * time.Millisecond, maxSignalDelay} {
-		drainAt, end := StopTimes(sent.Add(delay), 8*time.Second)
-		require.LessOrEqual(t, drainAt.Sub(sent), lateStreams)
-		require.Greater(t, drainAt.Sub(sent.Add(delay)), 2*time.Second, "the platform needs two failed checks")
-		require.Less(t, end.Sub(sent), 8*time.Second)
+		sp := PlanStop(sent.Add(delay), 8*time.Second)
+		require.LessOrEqual(t, sp.DrainAt.Sub(sent), lateStreams)
+		require.Greater(t, sp.DrainAt.Sub(sent.Add(delay)), 2*time.Second, "the platform needs two failed checks")
+		require.Less(t, sp.End.Sub(sent), 8*time.Second)
+	}
+	sp := PlanStop(sent, 2*time.Second)
+	require.True(t, sp.DrainAt.Before(sp.End))
+	require.Equal(t, sent, PlanStop(sent, 0).End)
+	for grace := range 100 {
+		sp := PlanStop(sent, time.Duration(grace)*100*time.Millisecond)
+		require.False(t, sp.AnswerBy.Before(sp.DrainAt), "%+v", sp)
+		require.False(t, sp.End.Before(sp.AnswerBy), "%+v", sp)
 	}
-	drainAt, end := StopTimes(sent, 2*time.Second)
-	require.True(t, drainAt.Before(end))
-	_, end = StopTimes(sent, 0)
-	require.Equal(t, sent, end)
 }
--- a/internal/httpfront/body.go
+++ b/internal/httpfront/body.go
@@ -90,6 +90,9 @@
 	case reason == ReasonLate:
 		cc.in.end(reason)
 		return result.New(result.DeadlinePassed, "the body was not complete")
+	case reason == ReasonEnding:
+		cc.in.end(reason)
+		return result.New(result.Leaving, "the body was not complete")
 	}
 	return errFull
 }
--- a/internal/httpfront/conn.go
+++ b/internal/httpfront/conn.go
@@ -93,7 +93,7 @@
 		limit = cc.deadline
 	}
 	switch {
-	case cc.conn.Closed() || cc.conn.Request().Evicted():
+	case in.ending || cc.conn.Closed() || cc.conn.Request().Evicted():
 		_ = cc.SetReadDeadline(longAgo)
 	case limit.Sub(cc.readDeadline) > in.bodyStall()/8 || limit.Before(cc.readDeadline):
 		cc.readDeadline = limit
@@ -107,7 +107,7 @@
 	in := cc.in
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if cc.conn.State() != intake.Reading || cc.conn.Closed() || cc.conn.Request().Evicted() {
+	if in.ending || cc.conn.State() != intake.Reading || cc.conn.Closed() || cc.conn.Request().Evicted() {
 		return false
 	}
 	cc.readDeadline = time.Time{}
@@ -125,6 +125,8 @@
 		cc.reason = ReasonConnections
 	case cc.conn.Request().Evicted():
 		cc.reason = ReasonMemory
+	case in.ending:
+		cc.reason = ReasonEnding
 	case !cc.deadline.IsZero() && !clock.Now().Before(cc.deadline):
 		cc.reason = ReasonLate
 	default:
--- a/internal/httpfront/httpfront.go
+++ b/internal/httpfront/httpfront.go
@@ -165,6 +165,17 @@
 	return se.closed
 }
 
+// EndBodies ends the requests whose bodies are not complete, and those that are received later. Their callers learn that
+// the process is leaving.
+func (se *Server) EndBodies() {
+	se.mu.Lock()
+	in := se.Intake
+	se.mu.Unlock()
+	if in != nil {
+		in.endBodies()
+	}
+}
+
 // Shutdown closes the listener and waits for the requests in progress, at most until the context is
 // cancelled.
 func (se *Server) Shutdown(ctx context.Context) error {
--- a/internal/httpfront/intake.go
+++ b/internal/httpfront/intake.go
@@ -38,7 +38,8 @@
 
 // The reasons. Memory: other requests have more right to the memory. Connections: new connections need the place.
 // Refused: there is no place for a new connection. Head: the head is too long. Stalled: nothing of a body arrived.
-// Late: the deadline passed before the body was complete. Unread: the caller did not read its response.
+// Late: the deadline passed before the body was complete. Unread: the caller did not read its response. Ending: the
+// process ends.
 const (
 	ReasonMemory      Reason = "memory"
 	ReasonConnections Reason = "connections"
@@ -47,6 +48,7 @@
 	ReasonStalled     Reason = "stalled"
 	ReasonLate        Reason = "late"
 	ReasonUnread      Reason = "unread"
+	ReasonEnding      Reason = "ending"
 )
 
 // Intake limits what all callers of a process use together. Its exported fields are set before its use.
@@ -66,6 +68,8 @@
 	mu     sync.Mutex
 	ledger intake.Ledger
 	conns  map[*intake.Conn]*callerConn
+	// ending is set once no further bodies are read.
+	ending bool
 	// leaving is the number of connections without a place that have not been closed yet.
 	leaving int
 	// released is closed when memory is released, nil if no request waits for that.
@@ -189,6 +193,18 @@
 	}
 }
 
+// endBodies ends the reading of all bodies.
+func (in *Intake) endBodies() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.ending = true
+	for co, cc := range in.conns {
+		if co.State() == intake.Reading {
+			_ = cc.SetReadDeadline(longAgo)
+		}
+	}
+}
+
 // interrupt ends an unfinished request. The lock is held.
 func (in *Intake) interrupt(re *intake.Request) {
 	cc := in.conns[re.Conn()]
