fix(entry): a planned stop cuts no request without an answer

What callers saw: requests that an entry had not answered when its stop timeout was over were cut without an answer, as were those whose bodies were still arriving.

Cause: the process ended with what was left; nothing told the requests.

Change: half a second before (a quarter of a short timeout at the most) each request ends with what is known of it: the answer of an earlier step, 502 if an attempt may have run, 503 if none was made, also while its body arrives. Attempts are cancelled. New requests were refused from the signal on already.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,6 +49,10 @@
 	// drainPollInterval is the time between two checks during a planned stop whether all requests
 	// and bills are done.
 	drainPollInterval = 20 * time.Millisecond
+	// answerMargin is how long before the end of a planned stop requests without an answer get an error, at most a part
+	// of the stop timeout.
+	answerMargin = 500 * time.Millisecond
+	answerPart   = 4
 	// answerMemoryPart is the part of the process's memory that buffered answers may use, as a divisor.
 	answerMemoryPart = 8
 	// linkFlushTime is how long the links may take to send the last queued frames before the
@@ -82,6 +86,9 @@
 	storedConfig *config.Envelope
 	// supervisor runs the services of the process and a dialer for each agent.
 	supervisor *suture.Supervisor
+	// ending is cancelled by end when requests without an answer must end.
+	ending context.Context //nolint:containedctx // ends all requests together
+	end    context.CancelFunc
 	// answers is the memory of the answers that are buffered to be evaluated.
 	answers buffer.Pool
 	// streams is the number of the latest attempt of this process.
@@ -160,6 +167,7 @@
 
 func (en *Entry) prepare() {
 	se := en.Node.Settings
+	en.ending, en.end = context.WithCancel(context.Background())
 	en.answers.Limit = se.Limits.Memory() / answerMemoryPart
 	en.balancer = balance.Balancer{DataCentre: se.DataCentre}
 	en.members = member.View{Self: se.Box}
@@ -186,6 +194,7 @@
 	in := httpfront.NewIntake(intake.NewLimits(li.Memory(), li.Files), li.BodyStall(), li.WriteStall(), en.Node.Log)
 	return func(context.Context) error {
 		se := &httpfront.Server{Handler: en.callerRouter(), Limits: func() httpfront.Limits { return limits }, Intake: in}
+		defer context.AfterFunc(en.ending, se.EndBodies)()
 		err := node.Serve(stop, en.Callers, se, li.StopTimeout())
 		if stop.Err() != nil {
 			return suture.ErrDoNotRestart
@@ -282,7 +291,9 @@
 // stop timeout of the settings.
 func (en *Entry) drain() {
 	en.Node.Stop()
-	deadline := time.Now().Add(en.Node.Settings.Limits.StopTimeout())
+	timeout := en.Node.Settings.Limits.StopTimeout()
+	deadline := time.Now().Add(timeout)
+	defer time.AfterFunc(timeout-min(answerMargin, timeout/answerPart), en.end).Stop()
 	for !en.drained() && time.Now().Before(deadline) {
 		en.forwardBills(time.Now())
 		time.Sleep(drainPollInterval)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -105,6 +105,8 @@
 		select {
 		case <-r.Context().Done():
 			co = ex.perform(ex.route.CallerGone())
+		case <-ex.en.ending.Done():
+			co = ex.perform(ex.route.ProcessEnds())
 		case now := <-ti.C:
 			co = ex.perform(ex.route.Tick(now))
 		case <-ex.wake:
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -189,6 +189,27 @@
 	return re.abandon(result.CallerTooSlow)
 }
 
+// ProcessEnds handles the end of the process. The request ends with an answer of an earlier step if there is one.
+func (re *Request) ProcessEnds() []Action {
+	if re.closed {
+		return nil
+	}
+	at := re.current
+	if at == nil || at.phase == finished {
+		return re.settle(result.Leaving, 0)
+	}
+	return append(re.cancel(at), re.endAttempt(at)...)
+}
+
+// endAttempt ends the request with its attempt, which may have run.
+func (re *Request) endAttempt(at *attempt) []Action {
+	at.phase = finished
+	if re.delivered {
+		return re.close(result.AnswerBroken, 0)
+	}
+	return re.settle(result.LinkLost, 0)
+}
+
 // Tick handles timeouts: it retries a repeatable request whose agent has not acknowledged the
 // attempt, and abandons a request that has not started by its deadline.
 func (re *Request) Tick(now time.Time) []Action {
@@ -202,8 +223,7 @@
 	if now.Before(re.Deadline.Add(verdictGrace)) {
 		return nil
 	}
-	at.phase = finished
-	return append(re.cancel(at), re.settle(result.LinkLost, 0)...)
+	return append(re.cancel(at), re.endAttempt(at)...)
 }
 
 // Release releases the buffered answers, once the actions that deliver them were performed.
--- a/standin/e2e/failure_test.go
+++ b/standin/e2e/failure_test.go
@@ -1,7 +1,9 @@
 package e2e
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -137,6 +139,41 @@
 	sy.checkCalls(calls)
 }
 
+// Guards against requests that a planned stop cuts without an answer: their work takes longer than the stop may, or their
+// bodies are still arriving.
+func TestEntryThatMustStopAnswersEveryRequest(t *testing.T) {
+	const stopTimeout = 2 * time.Second
+	sy := newSystem(t, 2, 500*time.Millisecond)
+	sy.fleet.Tune = func(settings map[string]any) { settings["limits"].(map[string]any)["stop_ms"] = stopTimeout.Milliseconds() }
+	en := sy.addEntry("entry-short", "dc-0")
+	sy.waitRevision(1, en)
+	conn, err := net.Dial("tcp", en.Address)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\nx", teamKey)
+	require.NoError(t, err)
+	var wg sync.WaitGroup
+	calls := make([]call, 8)
+	for i := range calls {
+		wg.Go(func() { calls[i] = sy.send(en, call{stream: i%2 == 0, kind: []string{"", "once"}[i/4]}) })
+	}
+	require.NoError(t, fleet.WaitUntil(waitTimeout, "all requests to start", func() bool { return len(sy.runsByRequest()) >= len(calls) }))
+	require.NoError(t, en.Process.Signal(syscall.SIGTERM))
+	require.True(t, en.Process.Wait(waitTimeout))
+	wg.Wait()
+	for _, ca := range calls {
+		require.NotZero(t, ca.status, "no answer: %+v", ca)
+		require.False(t, ca.complete)
+		if !ca.stream {
+			require.Equal(t, http.StatusBadGateway, ca.status, "it may have run: %+v", ca)
+		}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+}
+
 func TestResumedAgentStartsNothingOnWithdrawnVersion(t *testing.T) {
 	sy := newSystem(t, 2, time.Millisecond)
 	stop := sy.startLoad(6, func(int) call { return call{kind: "long-deadline"} })
