--- a/standin/e2e/failure_test.go
+++ b/standin/e2e/failure_test.go
@@ -144,7 +144,9 @@
 func TestEntryThatMustStopAnswersEveryRequest(t *testing.T) {
 	const stopTimeout = 2 * time.Second
 	sy := newSystem(t, 2, 500*time.Millisecond)
-	sy.fleet.Tune = func(settings map[string]any) { settings["limits"].(map[string]any)["stop_ms"] = stopTimeout.Milliseconds() }
+	sy.fleet.Tune = func(settings map[string]any) {
+		settings["limits"].(map[string]any)["stop_ms"] = stopTimeout.Milliseconds()
+	}
 	en := sy.addEntry("entry-short", "dc-0")
 	sy.waitRevision(1, en)
 	conn, err := net.Dial("tcp", en.Address)
--- a/standin/garble/garble.go
+++ b/standin/garble/garble.go
@@ -49,10 +49,17 @@
 	Disorder Change = "disorder"
 	// Silence sends nothing and closes the connection.
 	Silence Change = "silence"
+	// BadStatus has a status that HTTP does not define, BlankName a field with a blank in its name. Both have a
+	// MalformedField.
+	BadStatus Change = "bad-status"
+	BlankName Change = "blank-name"
 )
 
+// MalformedField is a field of malformed responses, which must not reach a caller.
+const MalformedField = "X-Malformed"
+
 // changes are drawn with equal probability from those that are not None.
-var changes = []Change{Cut, CutReset, Repeat, RepeatLate, Swap, Split, Interim, Glue, Longer, WrongID, NoID, Unsigned, Flip, Disorder, Silence}
+var changes = []Change{Cut, CutReset, Repeat, RepeatLate, Swap, Split, Interim, Glue, Longer, WrongID, NoID, Unsigned, Flip, Disorder, Silence, BadStatus, BlankName}
 
 const (
 	// changedFraction is the fraction of responses that are changed, rejectedFraction that of requests that are
@@ -193,6 +200,8 @@
 		}
 	case Interim:
 		response = strings.Repeat("HTTP/1.1 103 Early Hints\r\nX-Not-Executed: 1\r\n\r\n", 1+int(3*pl.draw)) + response
+	case BadStatus, BlankName:
+		response = Malform(pl.change, response, pl.draw)
 	case Glue:
 		response += "HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"[int(pl.draw*10):]
 	default:
@@ -209,6 +218,26 @@
 	return open && pl.change != Longer
 }
 
+// statusLine is how a response begins that Malform changes.
+const statusLine = "HTTP/1.1 "
+
+// Malform returns a response that is malformed as a change says. draw decides how, from 0 to 1. What does not begin with
+// a head remains as it is.
+func Malform(ch Change, response string, draw float64) string {
+	line, rest, ok := strings.Cut(response, "\r\n")
+	if !ok || len(line) < len(statusLine)+3 || !strings.HasPrefix(line, statusLine) {
+		return response
+	}
+	fields := MalformedField + ": 1\r\n"
+	if ch == BadStatus {
+		statuses := []string{"000", "001", "020", "099", "+20", "600", "999"}
+		line = statusLine + statuses[int(draw*float64(len(statuses)))] + line[len(statusLine)+3:]
+	} else {
+		fields += []string{"X Odd: 1\r\n", "X-Odd : 1\r\n", "Content-Length : 1\r\n", "X-Not-Executed : 1\r\n"}[int(4*draw)]
+	}
+	return line + "\r\n" + fields + rest
+}
+
 // write sends a response, byte by byte if split is set.
 func (cs *connState) write(response string, split bool) bool {
 	if !split {
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -82,6 +82,8 @@
 	body          string
 	// incomplete is set if there was no response or it ended early.
 	incomplete bool
+	// malformed is set if the response is one that its server had malformed.
+	malformed bool
 	// poison is set for copies of the poison request, which crashes the servers that execute it.
 	poison bool
 	// prompt lists the parts of the prompt, empty for none.
@@ -165,6 +167,9 @@
 		if ou.status == http.StatusOK && !ou.incomplete && ou.body != ou.expectedBody() {
 			add(ResponseIntegrity, ou, "got body %q", ou.body)
 		}
+		if ou.malformed {
+			add(ResponseIntegrity, ou, "got a malformed response, status %d", ou.status)
+		}
 		list = append(list, hi.checkChanges(ou, executions)...)
 		if hi.undisturbed(ou.gateway, ou.sent, ou.sent.Add(requestDeadline)) && hi.clock.Between(ou.sent, ou.done) > requestDeadline+timingSlack {
 			add(DeadlineMet, ou, "answered after %s", ou.done.Sub(ou.sent))
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/linnetrudder/linnetrudder/standin/fleet"
+	"github.com/linnetrudder/linnetrudder/standin/garble"
 	"github.com/linnetrudder/linnetrudder/standin/keyvalue"
 )
 
@@ -44,6 +45,7 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	ou.status, ou.body, ou.incomplete = resp.StatusCode, string(body), err != nil
+	ou.malformed = resp.Header.Get(garble.MalformedField) != ""
 }
 
 // inject applies a fault and returns at its end.
--- a/standin/soak/garbling.go
+++ b/standin/soak/garbling.go
@@ -28,7 +28,7 @@
 
 // garbledChanges are the changes that ServerGarbles draws. They apply to what the server writes at once, a plain
 // response or the next event of a stream.
-var garbledChanges = []garble.Change{garble.Cut, garble.CutReset, garble.Split, garble.Glue, garble.Silence, garble.Interim}
+var garbledChanges = []garble.Change{garble.Cut, garble.CutReset, garble.Split, garble.Glue, garble.Silence, garble.BadStatus, garble.BlankName, garble.Interim}
 
 // WithGarbling adds servers that change their responses. It has a random source of its own, so that the other faults of
 // the seed remain the same.
@@ -76,6 +76,11 @@
 			}
 		}
 		return len(data), nil
+	case garble.BadStatus, garble.BlankName:
+		if _, err := io.WriteString(rc.Conn, garble.Malform(ch, string(data), rand.Float64())); err != nil {
+			return 0, err
+		}
+		return len(data), nil
 	case garble.Interim:
 		_, _ = io.WriteString(rc.Conn, strings.Repeat(interimRejection, 1+rand.IntN(3)))
 	default:
