--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -347,7 +347,7 @@
 	}
 }
 
-// callerGone ends a request whose caller disconnected or whose deadline has passed.
+// callerGone ends a request whose caller disconnected, whose deadline has passed or that the end of the process cancelled.
 func (ex *exchange) callerGone(ctx context.Context, at *attemptState) {
 	if at != nil {
 		at.discard()
--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -32,6 +32,7 @@
 	Misbehave bool          `help:"Include servers that repeat responses, send heads without end and stop within streams."`
 	Garble    bool          `help:"Include servers that cut and split responses, and add parts of others."`
 	Operate   bool          `help:"Let half of the callers perform operations with retries, and stop, reload and reconfigure gateways in series."`
+	Brief     bool          `help:"Stop gateways with a grace period that is shorter than the timeout of requests."`
 	Ends      bool          `help:"Let backend servers learn late, or by a reset only, that a gateway has ended a connection."`
 	Starve    bool          `help:"Suspend gateways for short times again and again, as on machines with little processor time."`
 	Odd       bool          `help:"Include entries in the key-value service that no backend server writes."`
@@ -108,6 +109,9 @@
 	if ar.Operate {
 		pl = pl.WithOperations()
 	}
+	if ar.Brief {
+		pl = pl.WithBriefStops()
+	}
 	if ar.Ends {
 		pl = pl.WithMissedEnds()
 	}
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -114,6 +114,8 @@
 	FaultsEnd, End time.Duration
 	// Operations is set if half of the callers perform operations.
 	Operations bool
+	// BriefStops is set if the grace period is shorter than the timeout of the routes.
+	BriefStops bool
 	// MissedEnds is set if backend servers learn late that a gateway has ended a connection, some by a reset only.
 	MissedEnds bool
 	// Crowds are the clients that don't keep to the limits.
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -67,6 +68,10 @@
 	// allow for when a process starts, if it is raised later.
 	gracePeriod      = 3 * time.Second
 	shortGracePeriod = time.Second
+	// briefGracePeriod is the grace period of brief stops, which leaves less time than a request to longPath takes.
+	briefGracePeriod = 1300 * time.Millisecond
+	// briefStops is how many faults WithBriefStops adds.
+	briefStops = 6
 )
 
 // gateway is a gateway process with the proxies for its clients and for the key-value service.
@@ -209,7 +214,7 @@
 	}
 	host, port, _ := strings.Cut(relay, ":")
 	gw.settingsPath = filepath.Join(sr.runner.Dir, fmt.Sprintf("gateway-%d.toml", i))
-	gw.settings = fmt.Sprintf(settingsTemplate, i, 1+i%max(1, sr.plan.DataCentres), host, port, port, gw.address, ready, sr.runner.CPUShare, sr.plan.machineLimits(), gracePeriod.Seconds(), revokeBound.Milliseconds(), applyBound.Milliseconds(), canaryShare, canarySlack, gw.storeProxy.Address())
+	gw.settings = fmt.Sprintf(settingsTemplate, i, 1+i%max(1, sr.plan.DataCentres), host, port, port, gw.address, ready, sr.runner.CPUShare, sr.plan.machineLimits(), sr.plan.gracePeriod().Seconds(), revokeBound.Milliseconds(), applyBound.Milliseconds(), canaryShare, canarySlack, gw.storeProxy.Address())
 	sr.gateways = append(sr.gateways, gw)
 	return sr.startGateway(i)
 }
@@ -247,7 +252,7 @@
 func (sr *soakRun) startGateway(i int) error {
 	gw := sr.gateways[i]
 	initial := gw.settings
-	if sr.plan.Operations {
+	if sr.plan.Operations && !sr.plan.BriefStops {
 		initial = strings.ReplaceAll(initial, graceSetting(gracePeriod), graceSetting(shortGracePeriod))
 	}
 	if err := gw.writeSettings(initial); err != nil {
@@ -280,6 +285,27 @@
 	return nil
 }
 
+// gracePeriod returns the time that the settings allow for a graceful shutdown.
+func (pl Plan) gracePeriod() time.Duration {
+	if pl.BriefStops {
+		return briefGracePeriod
+	}
+	return gracePeriod
+}
+
+// WithBriefStops adds planned stops with a grace period that is shorter than the timeout of the routes. It has a random
+// source of its own, so that the other faults of the seed remain the same.
+func (pl Plan) WithBriefStops() Plan {
+	rn := rand.New(rand.NewPCG(pl.Seed, pl.Seed+17))
+	pl.Faults, pl.BriefStops = slices.Clone(pl.Faults), true
+	for range briefStops {
+		at := warmUp + time.Duration(rn.Int64N(int64(pl.FaultsEnd-warmUp)))
+		pl.Faults = append(pl.Faults, Fault{Kind: Stop, Target: rn.IntN(pl.Gateways), Start: at, End: at})
+	}
+	slices.SortFunc(pl.Faults, func(a, b Fault) int { return int(a.Start - b.Start) })
+	return pl
+}
+
 func graceSetting(grace time.Duration) string { return fmt.Sprintf("grace_s = %v\n", grace.Seconds()) }
 
 // close stops everything that the run has started.
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -131,6 +131,17 @@
 	}
 }
 
+// Gateways stop while requests run that can't end in time.
+func TestBriefStopsAnswerEveryRequest(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{5101, 5102} {
+		pl := GeneratePlan(seed, 3, 5, 6*time.Second)
+		pl.Faults, pl.Operations = nil, true
+		pl = pl.WithBriefStops()
+		require.Empty(t, runPlan(t, pl, ""), "%v", pl.Faults)
+	}
+}
+
 // Callers repeat operations as far as they may, while gateways are stopped, reloaded and reconfigured in overlapping
 // series and servers misbehave.
 func TestOperationsRunOnceInSeriesOfSignals(t *testing.T) {
