--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -5,6 +5,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/linnetrudder/linnetrudder/internal/clock"
 	"github.com/linnetrudder/linnetrudder/internal/event"
 )
 
@@ -100,8 +101,13 @@
 	}
 }
 
-// EndRequests cancels the requests of which no part has been delivered. They get an error.
-func (ga *Gateway) EndRequests() { ga.end(errEnding) }
+// EndRequests waits until a time, and cancels the requests of which no part has been delivered. They get an error.
+// endBodies then ends those whose bodies are still arriving.
+func (ga *Gateway) EndRequests(at time.Time, endBodies func()) {
+	time.Sleep(clock.Until(at))
+	ga.end(errEnding)
+	endBodies()
+}
 
 // Stopping reports whether a planned stop has begun.
 func (ga *Gateway) Stopping() bool { return ga.stop.Load() != nil }
